--- /dev/null
+++ b/core/attempt.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "identifier.h"
+#include "job.h"
+#include "target.h"
+#include "time.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sequoiastand
+{
+
+enum class MemberStep
+{
+    Reserving,
+    Reserved,
+    Starting,
+    InDoubt, ///< A call's answer was lost; the target's next report decides.
+    Running,
+    Stopping,
+    Ended,
+};
+
+/// One task of a gang on its target.
+struct AttemptMember
+{
+    int index = 0;
+    TargetId target;
+    AcceleratorMask accelerators = 0;
+    MemberStep step = MemberStep::Reserving;
+    std::optional<CallId> callInFlight;
+    std::optional<TaskState> end; ///< Finished, Failed or Stopped once the target reported it.
+    std::string result;
+
+    friend bool operator==(const AttemptMember &, const AttemptMember &) = default;
+};
+
+enum class AttemptStep
+{
+    Reserving,
+    Recording, ///< Waits until the store holds the record that must precede the start.
+    Starting,
+    Running,
+    Stopping,
+    Ended,
+};
+
+/// Why an attempt is being stopped.
+enum class StopCause
+{
+    None,
+    Cancelled,
+    Preempted,
+    Moved,
+    MemberLost,
+    ReservationFailed,
+    ZoneOut,
+};
+
+/// A gang on its way to running, running, or on its way out, in this host's zone.
+struct Attempt
+{
+    AttemptId id;
+    AttemptStep step = AttemptStep::Reserving;
+    StopCause stopCause = StopCause::None;
+    std::vector<AttemptMember> members; ///< In order of target id, the order of reservation.
+    TimePoint stepDeadline;
+    std::optional<TimePoint> runningSince;
+    Duration checkpointedWork{0};
+    bool isBorrowed = false;
+
+    friend bool operator==(const Attempt &, const Attempt &) = default;
+};
+
+}
--- /dev/null
+++ b/core/blackboard.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "attempt.h"
+#include "call.h"
+#include "clusterview.h"
+#include "configuration.h"
+#include "counters.h"
+#include "event.h"
+#include "hostsettings.h"
+#include "job.h"
+#include "message.h"
+#include "peer.h"
+#include "permit.h"
+#include "plan.h"
+#include "storesession.h"
+#include "table.h"
+#include "target.h"
+#include "timerservice.h"
+
+#include <map>
+#include <vector>
+
+namespace sequoiastand
+{
+
+/// One finding that the log front end writes as a JSON line.
+struct LogEntry
+{
+    std::string step;
+    std::string peer;
+    std::string job;
+    std::string message;
+    bool isError = false;
+
+    friend bool operator==(const LogEntry &, const LogEntry &) = default;
+};
+
+/// All state of one host. Controllers read any section and write those that docs/design.md gives them; the values themselves are never changed in place.
+struct Blackboard
+{
+    HostSettings self;
+    TimePoint now;
+    WallTime wallNow;
+    std::vector<Event> inbox; ///< Events of the present step.
+    std::vector<OutgoingMessage> outbox;
+    Configuration configuration;
+    StartPermit permit;
+    Table<HostId, Peer> peers;
+    Table<TargetId, Target> targets;
+    Table<TargetId, TargetLease> leases;
+    Epoch epoch = 0;            ///< Epoch under which this host owns its zone; zero if it does not. Written by updateOwnership.
+    Epoch highestEpochSeen = 0; ///< Written by updateOwnership.
+    Table<JobId, Job> jobs;
+    Table<AttemptId, Attempt> attempts;
+    Plan plan;
+    std::map<AvailabilityZoneId, ZoneCapacity> zoneCapacities; ///< Written by updateMembership.
+    Table<CallId, OpenCall> calls;
+    Table<CommandId, CommandProgress> commands;
+    StoreSession store;
+    TimerTable timers;
+    Counters counters;
+    std::vector<LogEntry> log;
+    bool isStopping = false; ///< Written by step on StopRequested.
+    unsigned long long nextCallId = 1;
+    unsigned long long randomState = 1;
+};
+
+/// A call id that this process has not used before.
+CallId takeCallId(Blackboard &board);
+
+/// Next pseudo-random number of the board's seeded sequence.
+unsigned long long takeRandom(Blackboard &board);
+
+/// A uniformly distributed duration between zero and the bound (full jitter).
+Duration takeJitter(Blackboard &board, Duration bound);
+
+/// Events of one type in the present inbox, in order of arrival.
+template<typename EventType>
+std::vector<EventType> eventsOf(const Blackboard &board)
+{
+    std::vector<EventType> found;
+    for (const auto &event : board.inbox) {
+        if (const auto *match = std::get_if<EventType>(&event)) {
+            found.push_back(*match);
+        }
+    }
+    return found;
+}
+
+}
--- /dev/null
+++ b/core/callanswers.cpp
@@ -0,0 +1,11 @@
+#include "controllers.h"
+
+namespace sequoiastand
+{
+
+void answerCallers(Blackboard &board)
+{
+    static_cast<void>(board);
+}
+
+}
--- /dev/null
+++ b/core/controllers.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "blackboard.h"
+
+namespace sequoiastand
+{
+
+/// Reads inbox, store results; writes configuration. Applies only versions higher than the present one.
+void updateConfiguration(Blackboard &board);
+
+/// Reads inbox, timers; writes peers and zoneCapacities. Sends and answers heartbeats, configuration requests and store relays.
+void updateMembership(Blackboard &board);
+
+/// Reads store, peers, configuration; writes permit.
+void updatePermit(Blackboard &board);
+
+/// Reads inbox, leases; writes targets.
+void updateFleet(Blackboard &board);
+
+/// Reads peers, targets, configuration; writes leases, epoch and highestEpochSeen. Acquires, renews and releases target leases.
+void updateOwnership(Blackboard &board);
+
+/// Reads inbox, attempts, plan, store results; writes jobs. Admits submissions, applies store changes, and records what became of attempts.
+void updateJobs(Blackboard &board);
+
+/// Reads targets, leases, jobs, attempts, configuration, permit; writes plan.
+void updatePlan(Blackboard &board);
+
+/// Reads plan, inbox, targets, permit; writes attempts. Reserves, starts and stops the members of gangs.
+void driveAttempts(Blackboard &board);
+
+/// Reads inbox, peers, store results; writes commands. Carries operators' changes to acceptance and confirmation.
+void updateCommands(Blackboard &board);
+
+/// Reads inbox, timers; writes store. Groups writes, resolves lost answers, keeps the host's lease and watch.
+void syncStore(Blackboard &board);
+
+/// Reads inbox, jobs, commands; writes calls. Answers callers.
+void answerCallers(Blackboard &board);
+
+}
--- /dev/null
+++ b/core/identifier.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <compare>
+#include <string>
+
+namespace sequoiastand
+{
+
+/// Text identifier that does not mix with identifiers of another kind.
+template<typename Tag>
+struct Identifier
+{
+    std::string value;
+
+    friend auto operator<=>(const Identifier &, const Identifier &) = default;
+};
+
+using HostId = Identifier<struct HostTag>;
+using TargetId = Identifier<struct TargetTag>;
+using RackId = Identifier<struct RackTag>;
+using AvailabilityZoneId = Identifier<struct AvailabilityZoneTag>;
+using OrganisationId = Identifier<struct OrganisationTag>;
+using TeamId = Identifier<struct TeamTag>;
+using RequestId = Identifier<struct RequestTag>;
+using OperatorId = Identifier<struct OperatorTag>;
+using CommandId = Identifier<struct CommandTag>;
+
+/// A job is named by its organisation and the request id that the caller chose.
+struct JobId
+{
+    OrganisationId organisation;
+    RequestId request;
+
+    friend auto operator<=>(const JobId &, const JobId &) = default;
+};
+
+/// One try at running a job; numbers start at 1.
+struct AttemptId
+{
+    JobId job;
+    int number = 0;
+
+    friend auto operator<=>(const AttemptId &, const AttemptId &) = default;
+};
+
+/// Matches an answer to its call within one process.
+struct CallId
+{
+    unsigned long long value = 0;
+
+    friend auto operator<=>(const CallId &, const CallId &) = default;
+};
+
+}
--- /dev/null
+++ b/core/ownership.cpp
@@ -0,0 +1,11 @@
+#include "controllers.h"
+
+namespace sequoiastand
+{
+
+void updateOwnership(Blackboard &board)
+{
+    static_cast<void>(board);
+}
+
+}
--- /dev/null
+++ b/core/placement.cpp
@@ -0,0 +1,12 @@
+#include "clusterview.h"
+
+namespace sequoiastand
+{
+
+Plan planPlacements(const ClusterView &view)
+{
+    static_cast<void>(view);
+    return {};
+}
+
+}
--- /dev/null
+++ b/core/refusal.cpp
@@ -0,0 +1,31 @@
+#include "refusal.h"
+
+#include <array>
+
+namespace sequoiastand
+{
+
+std::string_view name(RefusalReason reason)
+{
+    static constexpr std::array<std::string_view, 16> names{
+        "badRequest",
+        "bodyTooLarge",
+        "unauthorised",
+        "notFound",
+        "requestIdReused",
+        "quotaExceeded",
+        "queueFull",
+        "neverFits",
+        "deadlineUnreachable",
+        "zoneOut",
+        "storeUnavailable",
+        "shuttingDown",
+        "tooManyConnections",
+        "versionConflict",
+        "timeout",
+        "internal",
+    };
+    return names.at(static_cast<std::size_t>(reason));
+}
+
+}
--- /dev/null
+++ b/core/refusal.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "time.h"
+
+#include <string>
+#include <string_view>
+
+namespace sequoiastand
+{
+
+/// Closed list of reasons for refusing a request.
+enum class RefusalReason
+{
+    BadRequest,
+    BodyTooLarge,
+    Unauthorised,
+    NotFound,
+    RequestIdReused,
+    QuotaExceeded,
+    QueueFull,
+    NeverFits,
+    DeadlineUnreachable,
+    ZoneOut,
+    StoreUnavailable,
+    ShuttingDown,
+    TooManyConnections,
+    VersionConflict,
+    Timeout,
+    Internal,
+};
+
+/// Whether the refused request may have had an effect.
+enum class RunClaim
+{
+    NotRun,
+    Unknown,
+};
+
+/// Answer to a request that was not accepted.
+struct Refusal
+{
+    RefusalReason reason = RefusalReason::Internal;
+    RunClaim run = RunClaim::Unknown;
+    Duration retryAfter{0}; ///< Zero when a retry cannot succeed.
+    std::string message;
+
+    friend bool operator==(const Refusal &, const Refusal &) = default;
+};
+
+/// Name used in answers and counters, for example "queueFull".
+std::string_view name(RefusalReason reason);
+
+}
--- /dev/null
+++ b/core/storerecord.cpp
@@ -0,0 +1,51 @@
+#include "storerecord.h"
+
+#include <absl/strings/str_format.h>
+
+#include <chrono>
+
+namespace sequoiastand
+{
+
+StoreKey jobKey(const JobId &id)
+{
+    return {"jobs/" + id.organisation.value + "/" + id.request.value};
+}
+
+StoreKey configurationItemKey(const std::string &path)
+{
+    return {"config/item/" + path};
+}
+
+StoreKey configurationVersionKey()
+{
+    return {"config/version"};
+}
+
+StoreKey configurationHistoryKey(long long version)
+{
+    return {absl::StrFormat("config/history/%012d", version)};
+}
+
+StoreKey zoneOwnerKey(const AvailabilityZoneId &zone)
+{
+    return {"zones/" + zone.value + "/owner"};
+}
+
+StoreKey hostKey(const HostId &host)
+{
+    return {"hosts/" + host.value};
+}
+
+StoreKey ledgerKey(WallTime day, const AvailabilityZoneId &zone, int number)
+{
+    const std::chrono::year_month_day date{std::chrono::floor<std::chrono::days>(day)};
+    return {absl::StrFormat("ledger/%04d%02d%02d/%s/%06d",
+                            static_cast<int>(date.year()),
+                            static_cast<unsigned>(date.month()),
+                            static_cast<unsigned>(date.day()),
+                            zone.value,
+                            number)};
+}
+
+}
--- /dev/null
+++ b/core/table.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace sequoiastand
+{
+
+/// Ordered collection of immutable rows. A change replaces one whole row and notes its key, so one event copies one row however large the table is.
+template<typename Key, typename Value>
+class Table
+{
+public:
+    using Rows = std::map<Key, Value>;
+
+    const Value *find(const Key &key) const
+    {
+        const auto row = m_rows.find(key);
+        return row == m_rows.end() ? nullptr : &row->second;
+    }
+
+    bool contains(const Key &key) const
+    {
+        return m_rows.contains(key);
+    }
+
+    /// Inserts or replaces the row. A row equal to the present one is no change.
+    void put(const Key &key, Value value)
+    {
+        const auto row = m_rows.find(key);
+        if (row != m_rows.end() && row->second == value) {
+            return;
+        }
+        m_rows.insert_or_assign(key, std::move(value));
+        noteChange(key);
+    }
+
+    void erase(const Key &key)
+    {
+        if (m_rows.erase(key) > 0) {
+            noteChange(key);
+        }
+    }
+
+    const Rows &rows() const
+    {
+        return m_rows;
+    }
+
+    std::size_t size() const
+    {
+        return m_rows.size();
+    }
+
+    bool isEmpty() const
+    {
+        return m_rows.empty();
+    }
+
+    /// Rises with every change; a controller compares it with the version it last handled.
+    unsigned long long version() const
+    {
+        return m_version;
+    }
+
+    /// Keys changed since clearChanges(), at the start of the present step.
+    const std::set<Key> &changes() const
+    {
+        return m_changes;
+    }
+
+    void clearChanges()
+    {
+        m_changes.clear();
+    }
+
+    friend bool operator==(const Table &left, const Table &right)
+    {
+        return left.m_rows == right.m_rows;
+    }
+
+private:
+    void noteChange(const Key &key)
+    {
+        m_changes.insert(key);
+        ++m_version;
+    }
+
+    Rows m_rows;
+    std::set<Key> m_changes;
+    unsigned long long m_version = 0;
+};
+
+}
--- /dev/null
+++ b/tests/testtable.cpp
@@ -0,0 +1,33 @@
+#include "core/table.h"
+
+#include <gtest/gtest.h>
+
+namespace sequoiastand
+{
+
+struct TableOfRows : testing::Test
+{
+    Table<int, std::string> table;
+};
+
+// Guards against endless rounds of controllers that put the same row again.
+TEST_F(TableOfRows, equalRowIsNoChange)
+{
+    table.put(1, "a");
+    const auto version = table.version();
+    table.put(1, "a");
+    EXPECT_EQ(table.version(), version);
+}
+
+TEST_F(TableOfRows, changedKeysAreNotedUntilCleared)
+{
+    table.put(1, "a");
+    table.put(2, "b");
+    table.erase(2);
+    table.erase(3);
+    EXPECT_EQ(table.changes(), (std::set<int>{1, 2}));
+    table.clearChanges();
+    EXPECT_TRUE(table.changes().empty());
+}
+
+}
