--- /dev/null
+++ b/core/capacity.cpp
@@ -0,0 +1,164 @@
+#include "capacity.h"
+
+#include <algorithm>
+#include <map>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+using TargetIndex = std::unordered_map<std::string_view, int>;
+
+struct AttemptIdHash
+{
+    std::size_t operator()(const AttemptId &id) const
+    {
+        const std::hash<std::string> hash;
+        return hash(id.job.request.value) * 31 + hash(id.job.organisation.value) + static_cast<std::size_t>(id.number);
+    }
+};
+
+/// Adds a held place to the work and takes it from the target.
+void hold(CapacityMap &map, int workIndex, int targetIndex, AcceleratorMask accelerators)
+{
+    auto &work = map.work[workIndex];
+    auto &target = map.targets[targetIndex];
+    if (work.places.empty() || work.places.back().target != targetIndex) {
+        work.places.push_back({targetIndex, accelerators, 1});
+        target.work.push_back(workIndex);
+    } else {
+        work.places.back().accelerators |= accelerators;
+        ++work.places.back().tasks;
+    }
+    target.used |= accelerators;
+    if (work.specification) {
+        target.freeMilliCpu -= work.specification->milliCpuPerTask;
+        target.freeMemoryMb -= work.specification->memoryMbPerTask;
+    }
+}
+
+TargetIndex addTargets(CapacityMap &map, const ClusterView &view)
+{
+    TargetIndex index;
+    std::map<std::string_view, int> racks;
+    for (const auto &[id, target] : view.targets.rows()) {
+        if (target.availabilityZone != view.availabilityZone) {
+            continue;
+        }
+        index.emplace(id.value, static_cast<int>(map.targets.size()));
+        racks.emplace(target.rack.value, 0);
+        map.targets.push_back({&target, 0, isUsable(view, target), lowMask(target.acceleratorCount), 0, target.milliCpu, target.memoryMb, {}});
+    }
+    for (auto &[name, number] : racks) {
+        number = map.rackCount++;
+    }
+    for (auto &target : map.targets) {
+        target.rack = racks.at(target.target->rack.value);
+    }
+    return index;
+}
+
+void addAttempts(CapacityMap &map, const ClusterView &view, const TargetIndex &index)
+{
+    // Both tables are ordered by job, so one walk over both replaces a search per attempt.
+    auto job = view.jobs.rows().begin();
+    for (const auto &[id, attempt] : view.attempts.rows()) {
+        while (job != view.jobs.rows().end() && job->first < id.job) {
+            ++job;
+        }
+        if (attempt.step == AttemptStep::Ended) {
+            continue;
+        }
+        RunningWork work{id, &attempt, nullptr, nullptr, {}, attempt.step == AttemptStep::Stopping, Duration{0}};
+        if (job != view.jobs.rows().end() && job->first == id.job) {
+            work.job = &job->second;
+            work.specification = &job->second.specification;
+        }
+        if (attempt.runningSince) {
+            work.elapsed = std::max(Duration{0}, view.now - *attempt.runningSince);
+        }
+        const int workIndex = static_cast<int>(map.work.size());
+        map.work.push_back(std::move(work));
+        for (const auto &member : attempt.members) {
+            const auto place = index.find(member.target.value);
+            if (member.step != MemberStep::Ended && place != index.end()) {
+                hold(map, workIndex, place->second, member.accelerators);
+            }
+        }
+    }
+}
+
+/// True if the attempt's own record already accounts for the task.
+bool isDriven(const ClusterView &view, const ReportedTask &task)
+{
+    const auto *attempt = view.attempts.find(task.attempt);
+    if (!attempt || attempt->step == AttemptStep::Ended) {
+        return false;
+    }
+    const auto member = std::ranges::find(attempt->members, task.member, &AttemptMember::index);
+    return member != attempt->members.end() && member->step != MemberStep::Ended;
+}
+
+/// Adds tasks that targets report but that no attempt of this host accounts for, for example before adoption.
+void addUndrivenTasks(CapacityMap &map, const ClusterView &view)
+{
+    std::unordered_map<AttemptId, int, AttemptIdHash> undriven;
+    for (int index = 0; index < static_cast<int>(map.targets.size()); ++index) {
+        for (const auto &task : map.targets[index].target->tasks) {
+            const bool holdsCapacity = task.state == TaskState::Running || task.state == TaskState::Reserved;
+            if (!holdsCapacity || isDriven(view, task)) {
+                continue;
+            }
+            const auto [known, isNew] = undriven.emplace(task.attempt, static_cast<int>(map.work.size()));
+            if (isNew) {
+                const auto *job = view.jobs.find(task.attempt.job);
+                const auto *specification = task.specification ? &*task.specification : (job ? &job->specification : nullptr);
+                map.work.push_back({task.attempt, nullptr, job, specification, {}, false, Duration{0}});
+            }
+            hold(map, known->second, index, task.accelerators);
+        }
+    }
+}
+
+}
+
+CapacityMap capacityOf(const ClusterView &view)
+{
+    CapacityMap map;
+    const auto index = addTargets(map, view);
+    map.work.reserve(view.attempts.size());
+    addAttempts(map, view, index);
+    addUndrivenTasks(map, view);
+    return map;
+}
+
+bool isUsable(const ClusterView &view, const Target &target)
+{
+    return !target.isLeaving && target.health != TargetHealth::Silent && target.health != TargetHealth::Quarantined
+           && !isDrained(view.configuration, target.rack, target.id) && view.startableTargets.contains(target.id);
+}
+
+std::vector<const Job *> waitingJobs(const ClusterView &view)
+{
+    std::vector<const Job *> waiting;
+    for (const auto &[id, job] : view.jobs.rows()) {
+        if (job.state != JobState::Waiting || job.isCancelRequested || job.availabilityZone != view.availabilityZone) {
+            continue;
+        }
+        const auto attempt = view.attempts.rows().lower_bound({id, 0});
+        const bool hasAttempt = attempt != view.attempts.rows().end() && attempt->first.job == id && attempt->second.step != AttemptStep::Ended;
+        if (!hasAttempt) {
+            waiting.push_back(&job);
+        }
+    }
+    return waiting;
+}
+
+AcceleratorMask lowMask(int count)
+{
+    return count >= 32 ? ~AcceleratorMask{0} : (AcceleratorMask{1} << std::max(0, count)) - 1;
+}
+
+}
--- /dev/null
+++ b/core/capacity.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "clusterview.h"
+
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace sequoiastand
+{
+
+/// Accelerators of one target that an attempt holds; the index refers to CapacityMap::targets.
+struct HeldPlace
+{
+    int target = 0;
+    AcceleratorMask accelerators = 0;
+    int tasks = 1;
+
+    friend bool operator==(const HeldPlace &, const HeldPlace &) = default;
+};
+
+/// An attempt that holds capacity, driven by this host or only known from its targets' reports.
+struct RunningWork
+{
+    AttemptId id;
+    const Attempt *attempt = nullptr; ///< Null if only targets report it; such work cannot be stopped yet.
+    const Job *job = nullptr;
+    const JobSpecification *specification = nullptr;
+    std::vector<HeldPlace> places;
+    bool isStopping = false;
+    Duration elapsed{0};
+
+    friend bool operator==(const RunningWork &, const RunningWork &) = default;
+};
+
+/// One target with what is free on it.
+struct TargetCapacity
+{
+    const Target *target = nullptr;
+    int rack = 0; ///< Index of the rack in order of name.
+    bool isUsable = false;
+    AcceleratorMask all = 0;
+    AcceleratorMask used = 0;
+    int freeMilliCpu = 0;
+    int freeMemoryMb = 0;
+    std::vector<int> work; ///< Indexes into CapacityMap::work.
+
+    friend bool operator==(const TargetCapacity &, const TargetCapacity &) = default;
+};
+
+/// Targets of one availability zone in order of id, and the work that stands on them. Points into the view it was made from.
+struct CapacityMap
+{
+    std::vector<TargetCapacity> targets;
+    std::vector<RunningWork> work;
+    int rackCount = 0;
+
+    friend bool operator==(const CapacityMap &, const CapacityMap &) = default;
+};
+
+CapacityMap capacityOf(const ClusterView &view);
+
+/// True if new work may be placed on the target: startable, healthy, neither leaving nor drained.
+bool isUsable(const ClusterView &view, const Target &target);
+
+/// Waiting jobs of the view's zone that have no attempt, in order of id.
+std::vector<const Job *> waitingJobs(const ClusterView &view);
+
+/// Mask with the lowest `count` bits set.
+AcceleratorMask lowMask(int count);
+
+}
--- /dev/null
+++ b/core/packing.cpp
@@ -0,0 +1,190 @@
+#include "packing.h"
+
+#include <algorithm>
+#include <bit>
+#include <functional>
+#include <numeric>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+/// Bits at which a run of `count` free accelerators starts.
+AcceleratorMask runStarts(AcceleratorMask free, int count)
+{
+    for (int done = 1; done < count && free != 0; ++done) {
+        free &= free >> 1;
+    }
+    return free;
+}
+
+bool holdsProcessors(const Room &room, const JobSpecification &specification)
+{
+    return room.milliCpu >= specification.milliCpuPerTask && room.memoryMb >= specification.memoryMbPerTask;
+}
+
+void takeTask(Room &room, AcceleratorMask accelerators, const JobSpecification &specification)
+{
+    room.free &= ~accelerators;
+    room.milliCpu -= specification.milliCpuPerTask;
+    room.memoryMb -= specification.memoryMbPerTask;
+}
+
+/// Lower is a tighter fit: free accelerators first, then free processors.
+std::pair<int, int> looseness(const Room &room)
+{
+    return {std::popcount(room.free), room.milliCpu};
+}
+
+void placeTasks(Room room, int target, int tasks, const JobSpecification &specification, ChosenPlaces &places)
+{
+    for (int task = 0; task < tasks; ++task) {
+        const auto accelerators = neighbouringAccelerators(room.free, specification.acceleratorsPerTask);
+        takeTask(room, accelerators, specification);
+        places.push_back({target, accelerators});
+    }
+}
+
+/// Fills rooms that hold most tasks first and gives the rest to the tightest room that holds it.
+ChosenPlaces fillRooms(const std::vector<Room> &rooms, std::vector<int> candidates, const std::vector<int> &capacities, const JobSpecification &specification)
+{
+    std::ranges::stable_sort(candidates, [&](int left, int right) {
+        return capacities[left] != capacities[right] ? capacities[left] > capacities[right] : looseness(rooms[left]) < looseness(rooms[right]);
+    });
+    ChosenPlaces places;
+    int missing = specification.taskCount;
+    for (auto next = candidates.begin(); next != candidates.end() && missing > 0; ++next) {
+        auto chosen = *next;
+        if (capacities[chosen] >= missing) {
+            const auto fits = [&](int index) { return capacities[index] >= missing; };
+            const auto last = std::ranges::find_if_not(next, candidates.end(), fits);
+            chosen = *std::ranges::min_element(next, last, {}, [&](int index) { return looseness(rooms[index]); });
+        }
+        const int tasks = std::min(missing, capacities[chosen]);
+        placeTasks(rooms[chosen], chosen, tasks, specification, places);
+        missing -= tasks;
+    }
+    std::ranges::stable_sort(places, {}, &ChosenPlace::target);
+    return places;
+}
+
+}
+
+AcceleratorMask neighbouringAccelerators(AcceleratorMask free, int count)
+{
+    if (count <= 0) {
+        return 0;
+    }
+    auto starts = runStarts(free, count);
+    AcceleratorMask best = 0;
+    int bestLength = 33;
+    while (starts != 0) {
+        const int start = std::countr_zero(starts);
+        const int length = std::countr_one(free >> start);
+        if (length < bestLength) {
+            bestLength = length;
+            best = lowMask(count) << start;
+        }
+        const int end = start + length;
+        starts = end >= 32 ? 0 : starts & (~AcceleratorMask{0} << end);
+    }
+    return best;
+}
+
+int taskCapacity(const Room &room, const JobSpecification &specification, int limit)
+{
+    int capacity = limit;
+    if (specification.milliCpuPerTask > 0) {
+        capacity = std::min(capacity, std::max(0, room.milliCpu) / specification.milliCpuPerTask);
+    }
+    if (specification.memoryMbPerTask > 0) {
+        capacity = std::min(capacity, std::max(0, room.memoryMb) / specification.memoryMbPerTask);
+    }
+    const int perTask = specification.acceleratorsPerTask;
+    if (perTask <= 0 || capacity == 0) {
+        return capacity;
+    }
+    capacity = std::min(capacity, std::popcount(room.free) / perTask);
+    if (perTask == 1 || capacity == 0) {
+        return capacity;
+    }
+    auto free = room.free;
+    int found = 0;
+    while (found < capacity) {
+        const auto run = neighbouringAccelerators(free, perTask);
+        if (run == 0) {
+            break;
+        }
+        free &= ~run;
+        ++found;
+    }
+    return found;
+}
+
+std::optional<ChosenPlaces> packGang(const std::vector<Room> &rooms, int rackCount, const JobSpecification &specification)
+{
+    const int wanted = specification.taskCount;
+    std::vector<int> capacities(rooms.size(), 0);
+    std::vector<int> rackCapacities(rackCount, 0);
+    int total = 0;
+    int best = -1;
+    for (int index = 0; index < static_cast<int>(rooms.size()); ++index) {
+        const auto &room = rooms[index];
+        if (!holdsProcessors(room, specification)) {
+            continue;
+        }
+        const int capacity = taskCapacity(room, specification, wanted);
+        capacities[index] = capacity;
+        rackCapacities[room.rack] += capacity;
+        total += capacity;
+        if (capacity >= wanted && (best < 0 || looseness(room) < looseness(rooms[best]))) {
+            best = index;
+        }
+    }
+    if (wanted <= 0 || total < wanted) {
+        return std::nullopt;
+    }
+    ChosenPlaces places;
+    if (best >= 0) {
+        placeTasks(rooms[best], best, wanted, specification, places);
+        return places;
+    }
+    if (specification.adjacency == Adjacency::Worker) {
+        return std::nullopt;
+    }
+    std::vector<int> racks(rackCount);
+    std::iota(racks.begin(), racks.end(), 0);
+    std::ranges::stable_sort(racks, std::greater{}, [&](int rack) { return rackCapacities[rack]; });
+    // Racks that hold the whole gang come first in the order; the last of them fits best.
+    const auto tooSmall = std::ranges::find_if(racks, [&](int rack) { return rackCapacities[rack] < wanted; });
+    std::vector<bool> isChosenRack(rackCount, false);
+    if (tooSmall != racks.begin()) {
+        isChosenRack[*std::prev(tooSmall)] = true;
+    } else if (specification.adjacency == Adjacency::Rack) {
+        return std::nullopt;
+    } else {
+        int sum = 0;
+        for (auto rack = racks.begin(); sum < wanted; ++rack) {
+            isChosenRack[*rack] = true;
+            sum += rackCapacities[*rack];
+        }
+    }
+    std::vector<int> candidates;
+    for (int index = 0; index < static_cast<int>(rooms.size()); ++index) {
+        if (capacities[index] > 0 && isChosenRack[rooms[index].rack]) {
+            candidates.push_back(index);
+        }
+    }
+    return fillRooms(rooms, std::move(candidates), capacities, specification);
+}
+
+void takePlaces(std::vector<Room> &rooms, const ChosenPlaces &places, const JobSpecification &specification)
+{
+    for (const auto &place : places) {
+        takeTask(rooms[place.target], place.accelerators, specification);
+    }
+}
+
+}
