Add store, configuration, membership, permit and commands

Cause: the controllers of the control plane were empty stubs.

A full read reaches the other controllers as one reply in the inbox of the next round. tests/fakestore and tests/fakecluster put several boards on virtual time with one store and a network that can be cut.

--- a/core/blackboard.h
+++ b/core/blackboard.h
@@ -18,6 +18,7 @@
 #include "timerservice.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace sequoiastand
@@ -60,7 +61,11 @@
     TimerTable timers;
     Counters counters;
     std::vector<LogEntry> log;
-    bool isStopping = false; ///< Written by step on StopRequested.
+    TimePoint membershipCheckedAt;                               ///< Written by updateMembership; a long gap means that this host was paused.
+    std::optional<TimePoint> configurationAskedAt;               ///< Written by updateMembership.
+    std::map<long long, ConfigurationChange> recentChanges;      ///< By version, for operators who race; written by updateCommands.
+    std::map<AvailabilityZoneId, TimePoint> isolatedStartsUntil; ///< End of starts under an earlier, longer isolated period; written by updateConfiguration.
+    bool isStopping = false;                                     ///< Written by step on StopRequested.
     unsigned long long nextCallId = 1;
     unsigned long long randomState = 1;
 };
--- a/core/configuration.cpp
+++ b/core/configuration.cpp
@@ -1,5 +1,8 @@
 #include "configuration.h"
 
+#include <algorithm>
+#include <iterator>
+#include <ranges>
 #include <type_traits>
 
 namespace sequoiastand
@@ -90,6 +93,19 @@
     return found;
 }
 
+std::vector<ConfigurationItem> itemsOf(const Configuration &configuration)
+{
+    std::vector<ConfigurationItem> items;
+    const auto add = [&items](const auto &map) { std::ranges::copy(map | std::views::values, std::back_inserter(items)); };
+    add(configuration.organisations);
+    add(configuration.guarantees);
+    add(configuration.availabilityZones);
+    add(configuration.teams);
+    add(configuration.drains);
+    add(configuration.operators);
+    return items;
+}
+
 bool isZoneOut(const Configuration &configuration, const AvailabilityZoneId &zone)
 {
     const auto found = configuration.availabilityZones.find(zone);
--- a/core/configuration.h
+++ b/core/configuration.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace sequoiastand
 {
@@ -119,6 +120,9 @@
 /// The item at that path, if there is one.
 std::optional<ConfigurationItem> itemAt(const Configuration &configuration, const std::string &path);
 
+/// All items, kind by kind.
+std::vector<ConfigurationItem> itemsOf(const Configuration &configuration);
+
 bool isZoneOut(const Configuration &configuration, const AvailabilityZoneId &zone);
 
 bool isDrained(const Configuration &configuration, const RackId &rack, const TargetId &target);
--- /dev/null
+++ b/core/configurationcheck.cpp
@@ -0,0 +1,132 @@
+#include "configurationcheck.h"
+
+#include <algorithm>
+#include <string>
+#include <type_traits>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+using Finding = std::optional<std::string>;
+
+Finding checkItem(const Configuration &, const Organisation &organisation, const Table<TargetId, Target> &)
+{
+    if (organisation.maxWaitingJobs <= 0) {
+        return "the limit of waiting jobs must be positive";
+    }
+    return std::nullopt;
+}
+
+Finding checkItem(const Configuration &configuration, const Guarantee &guarantee, const Table<TargetId, Target> &)
+{
+    const Shape &shape = guarantee.shape;
+    if (std::min({shape.acceleratorsPerWorker, shape.workersPerRack, shape.racks, shape.count}) <= 0) {
+        return "every size of a guaranteed shape must be positive";
+    }
+    if (!configuration.organisations.contains(guarantee.organisation)) {
+        return "organisation \"" + guarantee.organisation.value + "\" does not exist";
+    }
+    if (!configuration.availabilityZones.contains(guarantee.availabilityZone)) {
+        return "availability zone \"" + guarantee.availabilityZone.value + "\" does not exist";
+    }
+    return std::nullopt;
+}
+
+Finding checkItem(const Configuration &, const AvailabilityZone &zone, const Table<TargetId, Target> &)
+{
+    if (zone.leaveNotice < Duration{0} || zone.isolatedStartPeriod < Duration{0}) {
+        return "periods must not be negative";
+    }
+    return std::nullopt;
+}
+
+Finding checkItem(const Configuration &configuration, const Team &team, const Table<TargetId, Target> &)
+{
+    if (team.acceleratorQuota < 0) {
+        return "the quota must not be negative";
+    }
+    if (!configuration.organisations.contains(team.organisation)) {
+        return "organisation \"" + team.organisation.value + "\" does not exist";
+    }
+    return std::nullopt;
+}
+
+/// The drained rack or worker may be one that this host does not know, so its name is not checked.
+Finding checkItem(const Configuration &, const Drain &, const Table<TargetId, Target> &)
+{
+    return std::nullopt;
+}
+
+Finding checkItem(const Configuration &, const OperatorAccount &, const Table<TargetId, Target> &)
+{
+    return std::nullopt;
+}
+
+Finding checkName(const std::string &path)
+{
+    const auto slash = path.rfind('/');
+    if (slash + 1 == path.size()) {
+        return "the name is empty";
+    }
+    return std::nullopt;
+}
+
+/// Items that still refer to what an edit removed.
+Finding checkReferences(const Configuration &after)
+{
+    for (const auto &[id, guarantee] : after.guarantees) {
+        if (!after.organisations.contains(guarantee.organisation) || !after.availabilityZones.contains(guarantee.availabilityZone)) {
+            return "guarantee \"" + id + "\" refers to it";
+        }
+    }
+    for (const auto &[id, team] : after.teams) {
+        if (!after.organisations.contains(team.organisation)) {
+            return "team \"" + id.value + "\" refers to it";
+        }
+    }
+    return std::nullopt;
+}
+
+Finding checkEdit(const Configuration &before, const Configuration &after, const ConfigurationEdit &edit, const Table<TargetId, Target> &targets)
+{
+    if (!edit.item) {
+        if (!itemAt(before, edit.removedPath)) {
+            return "it does not exist";
+        }
+        return checkReferences(after);
+    }
+    if (auto finding = checkName(itemPath(*edit.item))) {
+        return finding;
+    }
+    return std::visit([&](const auto &item) { return checkItem(after, item, targets); }, *edit.item);
+}
+
+}
+
+Configuration withEdits(Configuration configuration, const std::vector<ConfigurationEdit> &edits)
+{
+    for (const auto &edit : edits) {
+        configuration = edit.item ? withItem(std::move(configuration), *edit.item) : withoutItem(std::move(configuration), edit.removedPath);
+    }
+    return configuration;
+}
+
+std::optional<Refusal> validateEdits(const Configuration &configuration, const std::vector<ConfigurationEdit> &edits, const Table<TargetId, Target> &targets)
+{
+    if (edits.empty()) {
+        return Refusal{RefusalReason::BadRequest, RunClaim::NotRun, Duration{0}, "the command changes nothing"};
+    }
+    const Configuration after = withEdits(configuration, edits);
+    for (const auto &edit : edits) {
+        if (const auto finding = checkEdit(configuration, after, edit, targets)) {
+            const std::string path = edit.item ? itemPath(*edit.item) : edit.removedPath;
+            return Refusal{RefusalReason::BadRequest, RunClaim::NotRun, Duration{0}, path + ": " + *finding};
+        }
+    }
+    return std::nullopt;
+}
+
+}
--- a/core/controllers.h
+++ b/core/controllers.h
@@ -8,7 +8,7 @@
 /// Reads inbox, store results; writes configuration. Applies only versions higher than the present one.
 void updateConfiguration(Blackboard &board);
 
-/// Reads inbox, timers; writes peers and zoneCapacities. Sends and answers heartbeats, configuration requests and store relays.
+/// Reads inbox, timers; writes peers and zoneCapacities. Sends and answers heartbeats and configuration requests.
 void updateMembership(Blackboard &board);
 
 /// Reads store, peers, configuration; writes permit.
@@ -32,7 +32,7 @@
 /// Reads inbox, peers, store results; writes commands. Carries operators' changes to acceptance and confirmation.
 void updateCommands(Blackboard &board);
 
-/// Reads inbox, timers; writes store. Groups writes, resolves lost answers, keeps the host's lease and watch.
+/// Reads inbox, peers, timers; writes store. Groups writes, resolves lost answers, keeps the host's lease and watch, and relays calls of and for peers.
 void syncStore(Blackboard &board);
 
 /// Reads inbox, jobs, commands; writes calls. Answers callers.
--- a/core/event.h
+++ b/core/event.h
@@ -66,6 +66,16 @@
     friend bool operator==(const CommandRequest &, const CommandRequest &) = default;
 };
 
+/// An operator connected to this host stops starts on it, or lifts that. Needs no store.
+struct HoldRequest
+{
+    CallId id;
+    OperatorId operatorId;
+    bool isHeld = true;
+
+    friend bool operator==(const HoldRequest &, const HoldRequest &) = default;
+};
+
 /// The caller has closed its connection; its answer is not wanted any more.
 struct CallAbandoned
 {
@@ -147,6 +157,7 @@
                            TargetReply,
                            PeerHeard,
                            HostListRead,
-                           StopRequested>;
+                           StopRequested,
+                           HoldRequest>;
 
 }
--- a/core/peer.h
+++ b/core/peer.h
@@ -7,6 +7,7 @@
 #include "target.h"
 #include "time.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -37,7 +38,15 @@
     Epoch ownedEpoch = 0;                 ///< Zero unless it owns its availability zone.
     ZoneCapacity capacity;                ///< Of its zone, told by the zone's owner.
     bool isLeaving = false;
-    bool isListed = true; ///< The platform's host list has it as live.
+    bool isListed = true; ///< False once the platform's host list no longer has a host that it had.
+    bool wasListed = false;
+    bool isRecorded = false; ///< The store holds its record, so its store lease has not expired.
+    bool isSeed = false;     ///< Named in the settings; never forgotten.
+    Revision recordRevision = 0;
+    bool isListedLeaving = false;
+    TimePoint silenceFrom;                 ///< Silence counts from here if the peer was not heard later.
+    std::map<CallId, TimePoint> questions; ///< Heartbeats without an answer yet, by the time they were sent.
+    std::optional<TimePoint> lastQuestion;
 
     friend bool operator==(const Peer &, const Peer &) = default;
 };
--- a/core/permit.h
+++ b/core/permit.h
@@ -24,6 +24,9 @@
     TimePoint lastProven;       ///< Last time that rules 1 to 3 held; rule 4 counts from here.
     bool isHeldLocally = false; ///< An operator stopped starts on this host.
 
+    long long heldAtVersion = 0; ///< Configuration version at the hold; a newer one lifts it.
+    bool isEstablished = false;  ///< Rule 1 or 2 has held since the start; rules 3 and 4 need that.
+
     friend bool operator==(const StartPermit &, const StartPermit &) = default;
 };
 
--- a/core/permitupdate.cpp
+++ b/core/permitupdate.cpp
@@ -1,11 +1,168 @@
 #include "controllers.h"
 
+#include <algorithm>
+#include <optional>
+
 namespace sequoiastand
 {
 
+namespace
+{
+
+/// A moment at which the present configuration version was certainly the newest, and the rule that proves it.
+struct Proof
+{
+    TimePoint from;
+    PermitSource source = PermitSource::None;
+};
+
+bool isOutside(const Blackboard &board, const Peer &peer)
+{
+    return peer.availabilityZone != board.self.availabilityZone;
+}
+
+bool reachesStore(const Blackboard &board)
+{
+    const auto &read = board.store.lastReadSent;
+    return read && board.now < *read + board.self.limits.permitPeriod;
+}
+
+/// True if the store or a peer has shown a version that this host has not applied.
+bool knowsNewerVersion(const Blackboard &board)
+{
+    const long long applied = board.configuration.version;
+    return board.store.storedVersion > applied
+           || std::ranges::any_of(board.peers.rows(), [applied](const auto &row) { return row.second.configurationVersion > applied; });
+}
+
+/// Rule 1.
+std::optional<Proof> provenByStore(const Blackboard &board)
+{
+    if (!board.store.lastAppliedReadSent) {
+        return std::nullopt;
+    }
+    return Proof{*board.store.lastAppliedReadSent, PermitSource::StoreRead};
+}
+
+/// Rule 2. A peer with a newer version proves nothing until this host has applied that version.
+std::optional<Proof> provenByPeer(const Blackboard &board)
+{
+    std::optional<Proof> best;
+    for (const auto &[id, peer] : board.peers.rows()) {
+        if (!peer.lastAsked || !peer.storeReadAge || peer.configurationVersion > board.configuration.version) {
+            continue;
+        }
+        const TimePoint from = *peer.lastAsked - *peer.storeReadAge;
+        if (!best || from > best->from) {
+            best = Proof{from, PermitSource::PeerRead};
+        }
+    }
+    return best;
+}
+
+/// Rule 3. A zone that hears no other zone is isolated, which rule 4 covers, so one peer outside the zone must have answered.
+std::optional<Proof> provenByAll(const Blackboard &board)
+{
+    if (reachesStore(board) || knowsNewerVersion(board)) {
+        return std::nullopt;
+    }
+    std::optional<TimePoint> oldest;
+    bool hasOutside = false;
+    bool isOutsideHeard = false;
+    for (const auto &[id, peer] : board.peers.rows()) {
+        hasOutside = hasOutside || isOutside(board, peer);
+        if (peer.state == PeerState::Gone) {
+            continue;
+        }
+        if (!peer.lastAsked || peer.storeReadAge) {
+            return std::nullopt;
+        }
+        isOutsideHeard = isOutsideHeard || isOutside(board, peer);
+        oldest = std::min(*peer.lastAsked, oldest.value_or(*peer.lastAsked));
+    }
+    if (!oldest || (hasOutside && !isOutsideHeard)) {
+        return std::nullopt;
+    }
+    return Proof{*oldest, PermitSource::StoreDownForAll};
+}
+
+bool isIsolated(const Blackboard &board)
+{
+    return !reachesStore(board) && std::ranges::none_of(board.peers.rows(), [&board](const auto &row) {
+        return isOutside(board, row.second) && row.second.state == PeerState::Alive;
+    });
+}
+
+/// Rule 4.
+std::optional<TimePoint> isolatedUntil(const Blackboard &board)
+{
+    const auto zone = board.configuration.availabilityZones.find(board.self.availabilityZone);
+    if (zone == board.configuration.availabilityZones.end() || !isIsolated(board) || knowsNewerVersion(board)) {
+        return std::nullopt;
+    }
+    const TimePoint end = board.permit.lastProven + zone->second.isolatedStartPeriod;
+    if (end <= board.now) {
+        return std::nullopt;
+    }
+    return std::min(end, board.now + board.self.limits.permitPeriod);
+}
+
+void extend(StartPermit &permit, const Proof &proof, Duration period)
+{
+    const TimePoint until = proof.from + period;
+    if (until > permit.validUntil || permit.source == PermitSource::None) {
+        permit.validUntil = until;
+        permit.source = proof.source;
+    }
+    permit.lastProven = std::max(permit.lastProven, proof.from);
+}
+
+void updateHold(Blackboard &board, StartPermit &permit)
+{
+    if (permit.isHeldLocally && board.configuration.version > permit.heldAtVersion) {
+        permit.isHeldLocally = false;
+        board.log.push_back({"updatePermit", "", "", "local hold ends with configuration version " + std::to_string(board.configuration.version), false});
+    }
+    for (const auto &request : eventsOf<HoldRequest>(board)) {
+        permit.isHeldLocally = request.isHeld;
+        permit.heldAtVersion = board.configuration.version;
+        CallerReply reply;
+        reply.id = request.id;
+        reply.text = request.isHeld ? "held: host " + board.self.id.value + " starts no work until the hold is lifted or a newer configuration applies"
+                                    : "lifted: host " + board.self.id.value + " follows the configuration again";
+        reply.isInForce = true;
+        board.outbox.emplace_back(std::move(reply));
+        count(board.counters, "localHolds", request.isHeld ? "held" : "lifted");
+    }
+}
+
+}
+
 void updatePermit(Blackboard &board)
 {
-    static_cast<void>(board);
+    StartPermit permit = board.permit;
+    updateHold(board, permit);
+    const Duration period = board.self.limits.permitPeriod;
+    auto proof = provenByStore(board);
+    if (const auto byPeer = provenByPeer(board); byPeer && (!proof || byPeer->from > proof->from)) {
+        proof = byPeer;
+    }
+    if (proof) {
+        permit.isEstablished = true;
+        extend(permit, *proof, period);
+    }
+    if (permit.isEstablished && !isValid(permit, board.now + board.self.limits.permitRenewal)) {
+        if (const auto byAll = provenByAll(board)) {
+            extend(permit, *byAll, period);
+        }
+    }
+    if (permit.isEstablished) {
+        if (const auto until = isolatedUntil(board); until && *until > permit.validUntil) {
+            permit.validUntil = *until;
+            permit.source = PermitSource::IsolatedPeriod;
+        }
+    }
+    board.permit = permit;
 }
 
 }
--- a/core/step.cpp
+++ b/core/step.cpp
@@ -1,8 +1,10 @@
 #include "step.h"
 
 #include "controllers.h"
+#include "storeload.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace sequoiastand
@@ -25,6 +27,7 @@
     long long configuration = 0;
     Plan plan;
     StartPermit permit;
+    std::optional<TimePoint> appliedRead;
     std::vector<WriteResult> writeResults;
     std::vector<TransactionResult> transactionResults;
 
@@ -42,6 +45,7 @@
             board.configuration.version,
             board.plan,
             board.permit,
+            board.store.lastAppliedReadSent,
             board.store.results,
             board.store.transactionResults};
 }
@@ -89,6 +93,8 @@
         peer.id = seed.id;
         peer.availabilityZone = seed.availabilityZone;
         peer.address = seed.peerAddress;
+        peer.isSeed = true;
+        peer.silenceFrom = now;
         board.peers.put(seed.id, peer);
     }
     const auto &limits = settings.limits;
@@ -105,7 +111,7 @@
 {
     board.now = now;
     board.wallNow = wallNow;
-    board.inbox = std::move(events);
+    std::ranges::move(events, std::back_inserter(board.inbox));
     fireTimers(board.timers, now);
     if (std::ranges::any_of(board.inbox, [](const Event &event) { return std::holds_alternative<StopRequested>(event); })) {
         board.isStopping = true;
@@ -114,9 +120,9 @@
     for (int round = 0; round < maxRoundsPerStep; ++round) {
         const BoardVersions before = versionsOf(board);
         runControllers(board);
-        board.inbox.clear();
+        board.inbox = takeAnnouncement(board.store);
         board.timers.due.clear();
-        if (versionsOf(board) == before) {
+        if (board.inbox.empty() && versionsOf(board) == before) {
             break;
         }
     }
--- /dev/null
+++ b/core/storelease.cpp
@@ -0,0 +1,101 @@
+#include "storelease.h"
+
+#include <algorithm>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+/// Three chances to renew before the lease expires.
+constexpr int renewalsPerLease = 3;
+
+HostRecord ownRecord(const HostSettings &self)
+{
+    return {self.id, self.availabilityZone, self.peerAddress, self.httpAddress, self.incarnation};
+}
+
+bool isStopComplete(const Blackboard &board)
+{
+    const auto &session = board.store;
+    return board.isStopping && board.epoch == 0 && board.calls.isEmpty() && session.writes.empty() && session.transactions.empty() && !session.batch;
+}
+
+}
+
+void keepStoreLease(Blackboard &board)
+{
+    auto &session = board.store;
+    if (session.leaseCall) {
+        return;
+    }
+    if (isStopComplete(board)) {
+        if (session.lease != 0) {
+            sendStoreCall(board, StoreLeaseRevoke{session.lease});
+            session.lease = 0;
+        }
+        return;
+    }
+    const auto timeToLive = board.self.limits.storeLease;
+    if (session.lease == 0) {
+        session.leaseCall = sendStoreCall(board, StoreLeaseGrant{timeToLive}).id;
+    } else if (board.now >= *session.leaseRenewedAt + timeToLive / renewalsPerLease) {
+        session.leaseCall = sendStoreCall(board, StoreLeaseKeepAlive{session.lease}).id;
+    }
+    if (session.leaseCall) {
+        session.leaseCallSince = board.now;
+    }
+}
+
+void settleLease(Blackboard &board, const StoreAnswer &answer)
+{
+    auto &session = board.store;
+    if (!session.leaseCall || *session.leaseCall != answer.reply.id) {
+        return;
+    }
+    session.leaseCall.reset();
+    const auto &reply = answer.reply;
+    if (reply.outcome != StoreOutcome::Applied) {
+        return;
+    }
+    if (session.lease == 0 && reply.lease != 0) {
+        session.lease = reply.lease;
+        session.leaseRenewedAt = session.leaseCallSince;
+        count(board.counters, "storeLease", "granted");
+    } else if (reply.leaseTimeToLive <= Duration{0}) {
+        session.lease = 0;
+        session.recordedLease = 0;
+        count(board.counters, "storeLease", "expired");
+        board.log.push_back({"syncStore", "store", "", "the host's store lease expired; a new one is requested", true});
+        keepStoreLease(board);
+    } else {
+        session.leaseRenewedAt = session.leaseCallSince;
+    }
+}
+
+void checkHostRecord(Blackboard &board)
+{
+    auto &session = board.store;
+    const StoreKey key = hostKey(board.self.id);
+    const auto isDeleted = [&key](const StoreWatchEvent &event) { return std::ranges::find(event.deleted, key) != event.deleted.end(); };
+    const auto isMissing = [&](const StoreReply &reply) {
+        return session.fullRead == reply.id && std::ranges::find(reply.entries, key, &StoreEntry::key) == reply.entries.end();
+    };
+    if (std::ranges::any_of(eventsOf<StoreWatchEvent>(board), isDeleted) || std::ranges::any_of(eventsOf<StoreReply>(board), isMissing)) {
+        session.recordedLease = 0;
+    }
+}
+
+void keepHostRecord(Blackboard &board)
+{
+    auto &session = board.store;
+    if (session.lease == 0 || session.recordedLease == session.lease || board.isStopping) {
+        return;
+    }
+    // A paused host may leave its old record behind until the old lease expires, so the write has no condition.
+    requestWrite(session, StoreWrite{hostKey(board.self.id), ownRecord(board.self), std::nullopt, true}, "hostRecord");
+    session.recordedLease = session.lease;
+}
+
+}
--- /dev/null
+++ b/core/storeload.cpp
@@ -0,0 +1,230 @@
+#include "storeload.h"
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+/// Far above the delay of a watch, far below the 10 s in which a change must be in force.
+constexpr Duration watchLagLimit{1'000};
+constexpr Duration directLoadInterval{1'000};
+/// Without a watch the full read is the only news from the store; a peer carries each of them.
+constexpr Duration relayedLoadInterval{5'000};
+constexpr std::size_t itemsStage = 3;
+constexpr std::size_t versionStage = 4;
+
+/// Ranges of the full read. History and ledger grow without bound and are not read.
+const std::array<StoreRange, 5> &loadRanges()
+{
+    static const std::array<StoreRange, 5> ranges{
+        StoreRange{StoreKey{"jobs/"}, true},
+        StoreRange{StoreKey{"zones/"}, true},
+        StoreRange{StoreKey{"hosts/"}, true},
+        StoreRange{StoreKey{"config/item/"}, true},
+        StoreRange{StoreKey{"config/version"}, false},
+    };
+    return ranges;
+}
+
+void sendLoadStage(Blackboard &board)
+{
+    auto &load = *board.store.load;
+    load.call = sendStoreCall(board, loadRanges().at(load.stage)).id;
+    load.sentAt = board.now;
+}
+
+void delayLoad(Blackboard &board)
+{
+    const auto interval = relayPeer(board) ? relayedLoadInterval : directLoadInterval;
+    board.store.loadRetryAt = board.now + interval + takeJitter(board, interval);
+    subscribeNoLaterThan(board.timers, "storeLoad", *board.store.loadRetryAt);
+}
+
+void loseWatch(Blackboard &board, const std::string &reason)
+{
+    auto &session = board.store;
+    if (!session.isWatching) {
+        return;
+    }
+    session.isWatching = false;
+    session.watchMustReach = 0;
+    count(board.counters, "storeWatchLost", reason);
+    board.log.push_back({"syncStore", "store", "", "watch lost: " + reason, true});
+}
+
+bool isVersionEntry(const StoreEntry &entry)
+{
+    return std::holds_alternative<ConfigurationVersion>(entry.record);
+}
+
+/// The items may be newer than the version read after them only if the version changed in between; then both are read again.
+bool areItemsOfVersion(const StoreLoad &load)
+{
+    const auto version = std::ranges::find_if(load.entries, isVersionEntry);
+    return version == load.entries.end() || version->revision <= load.itemsRevision;
+}
+
+void readItemsAgain(Blackboard &board)
+{
+    auto &load = *board.store.load;
+    std::erase_if(load.entries, [](const StoreEntry &entry) { return isVersionEntry(entry) || std::holds_alternative<ConfigurationItem>(entry.record); });
+    load.stage = itemsStage;
+    sendLoadStage(board);
+}
+
+void finishLoad(Blackboard &board)
+{
+    auto &session = board.store;
+    StoreReply whole;
+    whole.id = session.load->call;
+    whole.outcome = StoreOutcome::Applied;
+    whole.revision = session.load->watchFrom;
+    whole.entries = std::move(session.load->entries);
+    for (const auto &entry : whole.entries) {
+        noteStoredVersion(board, entry);
+    }
+    session.announcement.fullRead = std::move(whole);
+    session.isLoaded = true;
+    session.isWatching = true;
+    session.watchRevision = session.load->watchFrom;
+    session.watchMustReach = 0;
+    session.load.reset();
+    delayLoad(board);
+    count(board.counters, "storeFullReads", "completed");
+}
+
+}
+
+void noteStoredVersion(Blackboard &board, const StoreEntry &entry)
+{
+    auto &session = board.store;
+    const auto *version = std::get_if<ConfigurationVersion>(&entry.record);
+    if (version != nullptr && entry.revision >= session.storedVersionRevision) {
+        session.storedVersion = version->version;
+        session.storedVersionRevision = entry.revision;
+        session.storedVersionNotedAt = board.now;
+    }
+}
+
+void distrustWatch(Blackboard &board, const std::string &reason, Duration spread)
+{
+    loseWatch(board, reason);
+    board.store.loadRetryAt = board.now + takeJitter(board, spread);
+    subscribeNoLaterThan(board.timers, "storeLoad", *board.store.loadRetryAt);
+}
+
+void checkProbe(Blackboard &board, const StoreReply &reply, TimePoint sent)
+{
+    auto &session = board.store;
+    if (sent < session.storedVersionNotedAt) {
+        return;
+    }
+    const long long before = std::exchange(session.storedVersion, 0);
+    session.storedVersionRevision = 0;
+    for (const auto &entry : reply.entries) {
+        noteStoredVersion(board, entry);
+    }
+    session.storedVersionNotedAt = sent;
+    expectWatch(board, session.storedVersionRevision);
+    if (session.storedVersion < before) {
+        loseWatch(board, "storeWentBack");
+    }
+}
+
+void followWatch(Blackboard &board)
+{
+    auto &session = board.store;
+    for (const auto &event : eventsOf<StoreWatchEvent>(board)) {
+        if (event.revision == session.announcement.ownRevision) {
+            continue;
+        }
+        std::ranges::for_each(event.put, [&board](const StoreEntry &entry) { noteStoredVersion(board, entry); });
+        session.watchRevision = std::max(session.watchRevision, event.revision);
+    }
+    session.announcement.ownRevision = 0;
+    for (const auto &lost : eventsOf<StoreWatchLost>(board)) {
+        loseWatch(board, lost.reason);
+    }
+    if (session.watchMustReach <= session.watchRevision) {
+        session.watchMustReach = 0;
+    } else if (board.now >= session.watchMustReachSince + watchLagLimit) {
+        loseWatch(board, "silent");
+    }
+}
+
+void expectWatch(Blackboard &board, Revision revision)
+{
+    auto &session = board.store;
+    if (!session.isWatching || session.watchMustReach > 0 || revision <= session.watchRevision) {
+        return;
+    }
+    session.watchMustReach = revision;
+    session.watchMustReachSince = board.now;
+    subscribeNoLaterThan(board.timers, "storeWatch", board.now + watchLagLimit);
+}
+
+void startLoad(Blackboard &board)
+{
+    auto &session = board.store;
+    const bool isDue = !session.loadRetryAt || board.now >= *session.loadRetryAt;
+    if (session.isWatching || session.load || !isDue) {
+        return;
+    }
+    session.load = StoreLoad{};
+    sendLoadStage(board);
+}
+
+void continueLoad(Blackboard &board, const StoreAnswer &answer)
+{
+    auto &session = board.store;
+    if (!session.load || session.load->call != answer.reply.id) {
+        return;
+    }
+    if (answer.reply.outcome != StoreOutcome::Applied) {
+        session.load.reset();
+        delayLoad(board);
+        count(board.counters, "storeFullReads", "failed");
+        return;
+    }
+    auto &load = *session.load;
+    std::ranges::copy(answer.reply.entries, std::back_inserter(load.entries));
+    if (load.stage == 0) {
+        load.watchFrom = answer.reply.revision;
+    }
+    if (load.stage == itemsStage) {
+        load.itemsRevision = answer.reply.revision;
+    }
+    if (load.stage < versionStage) {
+        ++load.stage;
+        sendLoadStage(board);
+    } else if (!areItemsOfVersion(load)) {
+        readItemsAgain(board);
+    } else {
+        finishLoad(board);
+    }
+}
+
+std::vector<Event> takeAnnouncement(StoreSession &session)
+{
+    std::vector<Event> events;
+    auto &announcement = session.announcement;
+    if (announcement.fullRead) {
+        session.fullRead = announcement.fullRead->id;
+        events.emplace_back(std::move(*announcement.fullRead));
+        announcement.fullRead.reset();
+    }
+    if (announcement.ownChange) {
+        announcement.ownRevision = announcement.ownChange->revision;
+        events.emplace_back(std::move(*announcement.ownChange));
+        announcement.ownChange.reset();
+    }
+    return events;
+}
+
+}
--- a/core/storerecord.cpp
+++ b/core/storerecord.cpp
@@ -7,6 +7,18 @@
 namespace sequoiastand
 {
 
+bool isSameRecord(const StoreRecord &left, const StoreRecord &right)
+{
+    const auto *leftJob = std::get_if<Job>(&left);
+    const auto *rightJob = std::get_if<Job>(&right);
+    if (leftJob == nullptr || rightJob == nullptr) {
+        return left == right;
+    }
+    Job stored = *rightJob;
+    stored.revision = leftJob->revision;
+    return *leftJob == stored;
+}
+
 StoreKey jobKey(const JobId &id)
 {
     return {"jobs/" + id.organisation.value + "/" + id.request.value};
@@ -27,6 +39,11 @@
     return {absl::StrFormat("config/history/%012d", version)};
 }
 
+StoreKey configurationCommandKey(const CommandId &command)
+{
+    return {"config/command/" + command.value};
+}
+
 StoreKey zoneOwnerKey(const AvailabilityZoneId &zone)
 {
     return {"zones/" + zone.value + "/owner"};
--- a/core/storerecord.h
+++ b/core/storerecord.h
@@ -170,10 +170,16 @@
     friend bool operator==(const StoreReply &, const StoreReply &) = default;
 };
 
+/// True if both records hold the same content; the revision that a job carries is not content.
+bool isSameRecord(const StoreRecord &left, const StoreRecord &right);
+
 StoreKey jobKey(const JobId &id);
 StoreKey configurationItemKey(const std::string &path);
 StoreKey configurationVersionKey();
 StoreKey configurationHistoryKey(long long version);
+
+/// Key that makes a command safe to send twice: it is created in the transaction that carries out the command.
+StoreKey configurationCommandKey(const CommandId &command);
 StoreKey zoneOwnerKey(const AvailabilityZoneId &zone);
 StoreKey hostKey(const HostId &host);
 StoreKey ledgerKey(WallTime day, const AvailabilityZoneId &zone, int number);
--- a/core/storesession.cpp
+++ b/core/storesession.cpp
@@ -21,4 +21,9 @@
     session.transactions.push_back({std::move(writes), purpose});
 }
 
+bool withdrawTransaction(StoreSession &session, const StoreKey &firstKey)
+{
+    return std::erase_if(session.transactions, [&firstKey](const PendingTransaction &pending) { return pending.writes.front().key == firstKey; }) > 0;
+}
+
 }
--- /dev/null
+++ b/tests/fakestore.cpp
@@ -0,0 +1,265 @@
+#include "fakestore.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+bool isReachable(const FakeStore &store, const HostId &host)
+{
+    return !store.faults.isDown && !store.faults.cutOff.contains(host);
+}
+
+bool takeOne(int &counter)
+{
+    if (counter <= 0) {
+        return false;
+    }
+    --counter;
+    return true;
+}
+
+StoreEntry storedEntry(const StoreKey &key, const StoreRecord &record, Revision revision)
+{
+    StoreEntry entry{key, record, revision};
+    if (auto *job = std::get_if<Job>(&entry.record)) {
+        job->revision = revision;
+    }
+    return entry;
+}
+
+/// Applies the writes as one revision.
+void applyWrites(FakeStore &store, const std::vector<StoreWrite> &writes, long long lease)
+{
+    ++store.revision;
+    StoreWatchEvent change;
+    change.revision = store.revision;
+    for (const auto &write : writes) {
+        ++store.appliedWrites[write.key];
+        store.boundTo.erase(write.key);
+        if (!write.record) {
+            store.rows.erase(write.key);
+            change.deleted.push_back(write.key);
+            continue;
+        }
+        const StoreEntry entry = storedEntry(write.key, *write.record, store.revision);
+        store.rows.insert_or_assign(write.key, entry);
+        change.put.push_back(entry);
+        if (write.isBoundToLease) {
+            store.boundTo[write.key] = lease;
+        }
+    }
+    store.history.push_back(std::move(change));
+}
+
+bool holds(const FakeStore &store, const StoreWrite &write)
+{
+    const auto row = store.rows.find(write.key);
+    return !write.expected || *write.expected == (row == store.rows.end() ? 0 : row->second.revision);
+}
+
+StoreReply carryOut(FakeStore &store, const StoreTransaction &transaction, const StoreCall &call)
+{
+    StoreReply reply;
+    const bool needsLease = std::ranges::any_of(transaction.writes, &StoreWrite::isBoundToLease);
+    if (needsLease && !store.leases.contains(call.lease)) {
+        reply.outcome = StoreOutcome::NotSent;
+        reply.error = "lease not found";
+        return reply;
+    }
+    if (std::ranges::all_of(transaction.writes, [&store](const StoreWrite &write) { return holds(store, write); })) {
+        applyWrites(store, transaction.writes, call.lease);
+        reply.outcome = StoreOutcome::Applied;
+        return reply;
+    }
+    reply.outcome = StoreOutcome::Conflict;
+    for (const auto &write : transaction.writes) {
+        if (const auto row = store.rows.find(write.key); row != store.rows.end()) {
+            reply.entries.push_back(row->second);
+        }
+    }
+    return reply;
+}
+
+StoreReply carryOut(FakeStore &store, const StoreRange &range, const StoreCall &)
+{
+    StoreReply reply;
+    reply.outcome = StoreOutcome::Applied;
+    for (const auto &[key, entry] : store.rows) {
+        if (key == range.key || (range.isPrefix && key.path.starts_with(range.key.path))) {
+            reply.entries.push_back(entry);
+        }
+    }
+    return reply;
+}
+
+StoreReply carryOut(FakeStore &store, const StoreLeaseGrant &grant, TimePoint now)
+{
+    StoreReply reply;
+    reply.outcome = StoreOutcome::Applied;
+    reply.lease = store.nextLease++;
+    reply.leaseTimeToLive = grant.timeToLive;
+    store.leases[reply.lease] = FakeLease{grant.timeToLive, now + grant.timeToLive};
+    return reply;
+}
+
+StoreReply carryOut(FakeStore &store, const StoreLeaseKeepAlive &keepAlive, TimePoint now)
+{
+    StoreReply reply;
+    reply.outcome = StoreOutcome::Applied;
+    reply.lease = keepAlive.lease;
+    const auto lease = store.leases.find(keepAlive.lease);
+    if (lease != store.leases.end()) {
+        lease->second.expiry = now + lease->second.timeToLive;
+        reply.leaseTimeToLive = lease->second.timeToLive;
+    }
+    return reply;
+}
+
+StoreReply carryOut(FakeStore &store, const StoreLeaseRevoke &revoke, TimePoint now)
+{
+    if (const auto lease = store.leases.find(revoke.lease); lease != store.leases.end()) {
+        lease->second.expiry = now;
+    }
+    expireLeases(store, now);
+    StoreReply reply;
+    reply.outcome = StoreOutcome::Applied;
+    return reply;
+}
+
+StoreReply carryOutCall(FakeStore &store, const StoreCall &call, TimePoint now)
+{
+    return std::visit(
+        [&](const auto &request) {
+            using Request = std::decay_t<decltype(request)>;
+            if constexpr (std::is_same_v<Request, StoreTransaction> || std::is_same_v<Request, StoreRange>) {
+                return carryOut(store, request, call);
+            } else {
+                return carryOut(store, request, now);
+            }
+        },
+        call.request);
+}
+
+void deliver(FakeStore &store, const HostId &host, TimePoint due, Event event)
+{
+    store.deliveries.push_back({host, due, std::move(event)});
+}
+
+void deliverChanges(FakeStore &store, const HostId &host, TimePoint now)
+{
+    const auto watcher = store.watchers.find(host);
+    if (watcher == store.watchers.end()) {
+        return;
+    }
+    if (!isReachable(store, host)) {
+        store.watchers.erase(watcher);
+        deliver(store, host, now, StoreWatchLost{"connection closed"});
+        return;
+    }
+    for (const auto &change : store.history) {
+        if (change.revision > watcher->second) {
+            watcher->second = change.revision;
+            if (!store.faults.areWatchesSilent) {
+                deliver(store, host, now + store.faults.watchLatency, change);
+            }
+        }
+    }
+}
+
+}
+
+void submitCall(FakeStore &store, const HostId &host, const StoreCall &call, TimePoint now)
+{
+    ++store.calls;
+    expireLeases(store, now);
+    StoreReply reply;
+    const bool isTransaction = std::holds_alternative<StoreTransaction>(call.request);
+    if (!isReachable(store, host)) {
+        reply.outcome = StoreOutcome::NotSent;
+        reply.error = "connection refused";
+    } else if (isTransaction && takeOne(store.faults.callsToLose)) {
+        reply.outcome = StoreOutcome::Unknown;
+        reply.error = "connection reset";
+    } else {
+        reply = carryOutCall(store, call, now);
+        reply.revision = store.revision;
+        if (takeOne(store.faults.answersToSwallow)) {
+            return;
+        }
+        if (isTransaction && takeOne(store.faults.answersToLose)) {
+            reply = StoreReply{};
+            reply.error = "connection reset";
+        }
+    }
+    reply.id = call.id;
+    deliver(store, host, now + store.faults.latency, std::move(reply));
+}
+
+void followSession(FakeStore &store, const HostId &host, bool isWatching, Revision watchRevision)
+{
+    if (!isWatching) {
+        store.watchers.erase(host);
+    } else {
+        store.watchers.try_emplace(host, watchRevision);
+    }
+}
+
+std::vector<Event> takeStoreEvents(FakeStore &store, const HostId &host, TimePoint now)
+{
+    expireLeases(store, now);
+    deliverChanges(store, host, now);
+    std::vector<Event> events;
+    std::deque<FakeDelivery> rest;
+    for (auto &delivery : store.deliveries) {
+        if (delivery.host == host && delivery.due <= now) {
+            events.push_back(std::move(delivery.event));
+        } else {
+            rest.push_back(std::move(delivery));
+        }
+    }
+    store.deliveries = std::move(rest);
+    return events;
+}
+
+void putRow(FakeStore &store, const StoreKey &key, const StoreRecord &record, TimePoint now)
+{
+    expireLeases(store, now);
+    applyWrites(store, {StoreWrite{key, record, std::nullopt}}, 0);
+}
+
+void putConfiguration(FakeStore &store, long long version, const std::vector<ConfigurationItem> &items, TimePoint now)
+{
+    expireLeases(store, now);
+    std::vector<StoreWrite> writes{StoreWrite{configurationVersionKey(), ConfigurationVersion{version, OperatorId{"test"}, CommandId{"test"}}, std::nullopt}};
+    std::ranges::transform(items, std::back_inserter(writes), [](const ConfigurationItem &item) {
+        return StoreWrite{configurationItemKey(itemPath(item)), item, std::nullopt};
+    });
+    applyWrites(store, writes, 0);
+}
+
+void expireLeases(FakeStore &store, TimePoint now)
+{
+    for (auto lease = store.leases.begin(); lease != store.leases.end();) {
+        if (now < lease->second.expiry) {
+            ++lease;
+            continue;
+        }
+        std::vector<StoreWrite> deletions;
+        for (const auto &[key, bound] : store.boundTo) {
+            if (bound == lease->first) {
+                deletions.push_back({key, std::nullopt, std::nullopt});
+            }
+        }
+        lease = store.leases.erase(lease);
+        if (!deletions.empty()) {
+            applyWrites(store, deletions, 0);
+        }
+    }
+}
+
+}
