--- /dev/null
+++ b/core/defragmentation.cpp
@@ -0,0 +1,73 @@
+#include "defragmentation.h"
+
+#include "candidates.h"
+#include "reservation.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+/// The gain rests on estimates, so it has to exceed the cost by this factor.
+constexpr int requiredGain = 2;
+
+bool hasMoveInProgress(const PlacementPass &pass)
+{
+    const auto isMove = [](const RunningWork &work) { return work.attempt && work.isStopping && work.attempt->stopCause == StopCause::Moved; };
+    return std::ranges::any_of(pass.map.work, isMove)
+           || std::ranges::any_of(pass.plan.preemptions, [](const Preemption &preemption) { return preemption.cause == StopCause::Moved; });
+}
+
+/// True if all victims fit elsewhere at once once the large job has its places.
+bool canBePlacedElsewhere(PlacementPass &pass, const PreemptionChoice &choice)
+{
+    auto rooms = pass.free;
+    for (const auto &place : choice.places) {
+        rooms[place.target].free &= ~place.accelerators;
+    }
+    return std::ranges::all_of(choice.victims, [&](int victim) {
+        const auto &specification = *pass.map.work[victim].specification;
+        const auto places = packGang(rooms, pass.map.rackCount, specification);
+        if (places) {
+            takePlaces(rooms, *places, specification);
+        }
+        return places.has_value();
+    });
+}
+
+}
+
+std::optional<PreemptionChoice> chooseMoves(PlacementPass &pass, const QueuedJob &queued)
+{
+    const auto &specification = queued.job->specification;
+    const auto *reservation = findReservation(pass, specification.id);
+    const auto tiers = tiersFor(pass, specification);
+    if (!reservation || tiers.empty() || hasMoveInProgress(pass)) {
+        return std::nullopt;
+    }
+    int freeAccelerators = 0;
+    for (const auto &room : pass.free) {
+        freeAccelerators += std::popcount(room.free);
+    }
+    if (freeAccelerators < acceleratorCount(specification)) {
+        return std::nullopt;
+    }
+    const auto movable = victimsByCost(pass, [](const RunningWork &work) {
+        return work.specification->isCheckpointable && work.specification->jobClass != JobClass::Urgent && work.attempt->step == AttemptStep::Running;
+    });
+    const auto choice = choosePreemption(pass, specification, allowedAccelerators(pass, specification, tiers.back()), movable);
+    if (!choice || choice->victims.empty() || !canBePlacedElsewhere(pass, *choice)) {
+        return std::nullopt;
+    }
+    Duration cost{0};
+    for (const int victim : choice->victims) {
+        cost += acceleratorTimeLost(pass.map.work[victim]);
+    }
+    return reservation->wait * acceleratorCount(specification) > cost * requiredGain ? choice : std::nullopt;
+}
+
+}
--- /dev/null
+++ b/core/joborder.cpp
@@ -0,0 +1,79 @@
+#include "joborder.h"
+
+#include <algorithm>
+#include <bit>
+#include <tuple>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+Priority basePriority(const Job &job, WallTime now)
+{
+    switch (job.specification.jobClass) {
+    case JobClass::Urgent:
+        return Priority::Urgent;
+    case JobClass::Ordinary:
+        return now - job.acceptedAt >= ageingBound ? Priority::Aged : Priority::Ordinary;
+    case JobClass::Patient:
+        return now - job.acceptedAt >= ageingBound ? Priority::Aged : Priority::Patient;
+    }
+    return Priority::Patient;
+}
+
+/// Least accelerator time first shortens the mean; urgent and aged jobs keep their order of arrival.
+auto orderKey(const QueuedJob &queued)
+{
+    const auto &specification = queued.job->specification;
+    const bool isByArrival = queued.priority == Priority::Urgent || queued.priority == Priority::Aged;
+    const auto cost = isByArrival ? Duration::rep{0} : queued.expected.count() * std::max(1, acceleratorCount(specification));
+    return std::tuple(queued.priority, cost, queued.job->acceptedAt);
+}
+
+}
+
+std::map<OrganisationId, int> unusedGuarantees(const CapacityMap &map, const CellMap &cells)
+{
+    std::map<OrganisationId, int> unused;
+    std::vector<std::vector<const Cell *>> cellsOfTarget(map.targets.size());
+    for (const auto &cell : cells.cells) {
+        unused[cell.organisation] += std::popcount(cell.accelerators);
+        cellsOfTarget[cell.target].push_back(&cell);
+    }
+    for (const auto &work : map.work) {
+        for (const auto &place : work.places) {
+            for (const auto *cell : cellsOfTarget[place.target]) {
+                if (work.specification && work.specification->id.organisation == cell->organisation) {
+                    unused[cell->organisation] -= std::popcount(place.accelerators & cell->accelerators);
+                }
+            }
+        }
+    }
+    return unused;
+}
+
+std::vector<QueuedJob> orderedJobs(const ClusterView &view, const CapacityMap &map, const CellMap &cells, const RunTimeModel &model)
+{
+    std::vector<QueuedJob> queue;
+    for (const auto *job : waitingJobs(view)) {
+        queue.push_back({job, basePriority(*job, view.wallNow), false, expectedRemaining(model, *job)});
+    }
+    std::ranges::stable_sort(queue, {}, orderKey);
+    auto unused = unusedGuarantees(map, cells);
+    for (auto &queued : queue) {
+        const auto &specification = queued.job->specification;
+        const int wanted = acceleratorCount(specification);
+        const auto left = unused.find(specification.id.organisation);
+        if (wanted > 0 && left != unused.end() && left->second >= wanted) {
+            left->second -= wanted;
+            queued.isWithinGuarantee = true;
+            queued.priority = std::min(queued.priority, Priority::Guaranteed);
+        }
+    }
+    std::ranges::stable_sort(queue, {}, &QueuedJob::priority);
+    return queue;
+}
+
+}
--- a/core/placement.cpp
+++ b/core/placement.cpp
@@ -1,8 +1,13 @@
-#include "clusterview.h"
-#include "packing.h"
+#include "candidates.h"
+#include "defragmentation.h"
+#include "explain.h"
+#include "preemption.h"
+#include "quarantine.h"
+#include "reservation.h"
+#include "zonemoves.h"
 
 #include <algorithm>
-#include <tuple>
+#include <utility>
 
 namespace sequoiastand
 {
@@ -10,53 +15,207 @@
 namespace
 {
 
-std::vector<Room> freeRooms(const CapacityMap &map)
+const Team *teamOf(const PlacementPass &pass, const JobSpecification &specification)
 {
-    std::vector<Room> rooms;
-    rooms.reserve(map.targets.size());
-    for (const auto &target : map.targets) {
-        rooms.push_back(target.isUsable ? Room{target.rack, target.all & ~target.used, target.freeMilliCpu, target.freeMemoryMb}
-                                        : Room{target.rack, 0, -1, -1});
+    const auto team = pass.view.configuration.teams.find(specification.team);
+    return team == pass.view.configuration.teams.end() ? nullptr : &team->second;
+}
+
+void explainWait(PlacementPass &pass, const JobSpecification &specification, std::string text)
+{
+    pass.plan.explanations.push_back({specification.id, std::move(text)});
+}
+
+void place(PlacementPass &pass, const QueuedJob &queued, const ChosenPlaces &places)
+{
+    const auto &specification = queued.job->specification;
+    const bool isBorrowed = !standsInOwnCells(cellsOf(pass, specification.id.organisation), places);
+    std::vector<int> targets(places.size());
+    std::ranges::transform(places, targets.begin(), &ChosenPlace::target);
+    pass.plan.placements.push_back({specification.id, plannedMembers(pass.map, places), isBorrowed, placedText(pass.map, targets, isBorrowed)});
+    claim(pass, places, specification);
+    pass.teamHeld[specification.team] += acceleratorCount(specification);
+    if (queued.priority != Priority::Urgent && acceleratorCount(specification) > 0) {
+        pass.startBudget -= acceleratorCount(specification);
+        pass.hasStartedNow = true;
     }
-    return rooms;
 }
 
-std::vector<PlannedMember> plannedMembers(const CapacityMap &map, const ChosenPlaces &places)
+void refuse(PlacementPass &pass, const JobSpecification &specification, RefusalReason reason, std::string text)
 {
-    std::vector<PlannedMember> members;
-    members.reserve(places.size());
-    std::ranges::transform(places, std::back_inserter(members), [&map](const ChosenPlace &place) {
-        return PlannedMember{map.targets[place.target].target->id, place.accelerators};
-    });
-    return members;
+    pass.plan.refusals.push_back({specification.id, reason, std::move(text)});
 }
 
+bool fitsEmptyZoneCached(PlacementPass &pass, const QueuedJob &queued)
+{
+    const auto request = requestOf(pass, queued);
+    const auto known = pass.emptyZoneFits.find(request);
+    return known != pass.emptyZoneFits.end() ? known->second
+                                             : pass.emptyZoneFits.emplace(request, fitsEmptyZone(pass, queued.job->specification)).first->second;
 }
 
-Plan planPlacements(const ClusterView &view)
+/// Refuses a job whose quota or deadline rules it out whatever the load is.
+bool refuseByRule(PlacementPass &pass, const QueuedJob &queued)
 {
-    Plan plan;
-    auto waiting = waitingJobs(view);
-    if (isZoneOut(view.configuration, view.availabilityZone)) {
-        for (const auto *job : waiting) {
-            plan.explanations.push_back({job->specification.id, "waits: zone " + view.availabilityZone.value + " is out of service"});
+    const auto &specification = queued.job->specification;
+    const auto *team = teamOf(pass, specification);
+    if (team && team->acceleratorQuota > 0 && acceleratorCount(specification) > team->acceleratorQuota) {
+        refuse(pass, specification, RefusalReason::QuotaExceeded, aboveQuotaText(specification, team->acceleratorQuota));
+        return true;
+    }
+    if (specification.deadline && *specification.deadline <= pass.view.wallNow && !queued.job->mayHaveStarted) {
+        refuse(pass, specification, RefusalReason::DeadlineUnreachable, deadlineText(specification));
+        return true;
+    }
+    return false;
+}
+
+/// Sends a job that even the empty zone could not hold to a larger zone, or refuses it.
+bool endIfTooLarge(PlacementPass &pass, const QueuedJob &queued, ZoneChoices &choices)
+{
+    if (fitsEmptyZoneCached(pass, queued)) {
+        return false;
+    }
+    const auto &specification = queued.job->specification;
+    int inventory = 0;
+    for (const auto &target : pass.map.targets) {
+        inventory += target.target->acceleratorCount;
+    }
+    auto larger = choices;
+    std::erase_if(larger.zones, [inventory](const auto &zone) { return zone.second.usableAccelerators <= inventory; });
+    if (const auto zone = chooseZone(larger, specification)) {
+        promise(choices, *zone, specification);
+        pass.plan.moves.push_back({specification.id, *zone, tooLargeMoveText(specification, pass.view.availabilityZone, *zone)});
+    } else {
+        refuse(pass, specification, RefusalReason::NeverFits, neverFitsText(specification, pass.view.availabilityZone));
+    }
+    return true;
+}
+
+/// Stops the victims, keeps their places for the job and explains its wait.
+void preempt(PlacementPass &pass, const QueuedJob &queued, const PreemptionChoice &choice, StopCause cause, const std::string &reason)
+{
+    for (const int victim : choice.victims) {
+        pass.plan.preemptions.push_back({pass.map.work[victim].id, cause, reason, queued.priority == Priority::Urgent});
+        pass.isStopping[victim] = true;
+    }
+    claim(pass, choice.places, queued.job->specification);
+    explainWait(pass, queued.job->specification, stoppingText(static_cast<int>(choice.victims.size()), pass.view.availabilityZone));
+}
+
+bool preemptOthers(PlacementPass &pass, const QueuedJob &queued)
+{
+    const auto &id = queued.job->specification.id;
+    if (queued.isWithinGuarantee) {
+        if (const auto choice = reclaimCells(pass, queued)) {
+            preempt(pass, queued, *choice, StopCause::Preempted, reclaimStopText(id));
+            return true;
+        }
+    }
+    if (queued.priority == Priority::Urgent) {
+        if (const auto choice = preemptForUrgent(pass, queued)) {
+            preempt(pass, queued, *choice, StopCause::Preempted, urgentStopText(id));
+            return true;
         }
-        return plan;
-    }
-    std::ranges::stable_sort(waiting, {}, [](const Job *job) { return std::tuple(job->specification.jobClass, job->acceptedAt); });
-    const auto map = capacityOf(view);
-    auto rooms = freeRooms(map);
-    for (const auto *job : waiting) {
-        const auto &specification = job->specification;
-        if (const auto places = packGang(rooms, map.rackCount, specification)) {
-            takePlaces(rooms, *places, specification);
-            plan.placements.push_back(
-                {specification.id, plannedMembers(map, *places), false, "placed on free capacity of zone " + view.availabilityZone.value});
-        } else {
-            plan.explanations.push_back({specification.id, "waits: no free place for the whole gang in zone " + view.availabilityZone.value});
+    }
+    if (queued.priority == Priority::Ordinary && isAnotherZoneOut(pass.view)) {
+        if (const auto choice = displacePatient(pass, queued)) {
+            preempt(pass, queued, *choice, StopCause::Preempted, patientStopText(id));
+            return true;
         }
     }
-    return plan;
+    if (const auto choice = chooseMoves(pass, queued)) {
+        preempt(pass, queued, *choice, StopCause::Moved, moveStopText(id));
+        return true;
+    }
+    return false;
+}
+
+bool moveToOtherZone(PlacementPass &pass, const QueuedJob &queued, ZoneChoices &choices)
+{
+    const auto &specification = queued.job->specification;
+    const bool isTied = queued.isWithinGuarantee || (queued.job->mayHaveStarted && !isPreemptible(specification));
+    const auto zone = isTied ? std::nullopt : chooseZoneWithRoom(choices, specification, pass.freeAccelerators);
+    if (!zone) {
+        return false;
+    }
+    promise(choices, *zone, specification);
+    pass.plan.moves.push_back({specification.id, *zone, noRoomMoveText(pass.view.availabilityZone, *zone)});
+    return true;
+}
+
+std::string waitText(PlacementPass &pass, const QueuedJob &queued)
+{
+    const auto &specification = queued.job->specification;
+    if (const auto *reservation = findReservation(pass, specification.id)) {
+        return reservedText(reservation->wait, pass.view.availabilityZone);
+    }
+    if (pass.cells.isBlockedByWork && !isPreemptible(specification)) {
+        return heldBackText(pass.cells.shortfalls);
+    }
+    return noRoomText(specification, pass.freeAccelerators, pass.usableAccelerators, pass.view.availabilityZone);
+}
+
+/// True if a rule of the configuration, not lack of room, makes the job wait.
+bool waitsByRule(PlacementPass &pass, const QueuedJob &queued)
+{
+    const auto &specification = queued.job->specification;
+    const int wanted = acceleratorCount(specification);
+    const auto *team = teamOf(pass, specification);
+    if (team && team->acceleratorQuota > 0 && wanted > 0 && pass.teamHeld[team->id] + wanted > team->acceleratorQuota) {
+        explainWait(pass, specification, overQuotaText(team->id, pass.teamHeld[team->id], wanted, team->acceleratorQuota));
+        return true;
+    }
+    // A job larger than the limit starts when nothing else did in the last second.
+    if (queued.priority != Priority::Urgent && wanted > pass.startBudget && pass.hasStartedNow) {
+        explainWait(pass, specification, startLimitText(pass.view.availabilityZone));
+        return true;
+    }
+    return false;
+}
+
+void decide(PlacementPass &pass, const QueuedJob &queued, ZoneChoices &choices)
+{
+    const auto &specification = queued.job->specification;
+    if (refuseByRule(pass, queued) || waitsByRule(pass, queued)) {
+        return;
+    }
+    if (const auto places = findFreePlaces(pass, queued)) {
+        place(pass, queued, *places);
+        return;
+    }
+    const bool isReserved = findReservation(pass, specification.id) != nullptr;
+    const auto request = requestOf(pass, queued);
+    if (const auto known = pass.waitTexts.find(request); known != pass.waitTexts.end() && !isReserved) {
+        explainWait(pass, specification, known->second);
+        return;
+    }
+    if (endIfTooLarge(pass, queued, choices) || preemptOthers(pass, queued) || moveToOtherZone(pass, queued, choices)) {
+        return;
+    }
+    auto text = waitText(pass, queued);
+    if (!isReserved) {
+        pass.waitTexts.emplace(request, text);
+    }
+    explainWait(pass, specification, std::move(text));
+}
+
+}
+
+Plan planPlacements(const ClusterView &view)
+{
+    if (isZoneOut(view.configuration, view.availabilityZone)) {
+        return planZoneLeave(view);
+    }
+    auto pass = makePass(view);
+    auto queue = orderedJobs(view, pass.map, pass.cells, pass.model);
+    auto choices = zoneChoicesOf(view);
+    planProbes(pass, queue);
+    addReservations(pass, queue);
+    for (const auto &queued : queue) {
+        decide(pass, queued, choices);
+    }
+    return std::move(pass.plan);
 }
 
 }
--- /dev/null
+++ b/core/placementpass.cpp
@@ -0,0 +1,164 @@
+#include "placementpass.h"
+
+#include <algorithm>
+#include <bit>
+#include <iterator>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+/// A zone refills at most this share of its capacity a second, so that a returning zone is not overrun.
+constexpr int refillPercentPerSecond = 10;
+
+std::vector<Room> freeRooms(const CapacityMap &map)
+{
+    std::vector<Room> rooms;
+    rooms.reserve(map.targets.size());
+    for (const auto &target : map.targets) {
+        rooms.push_back(target.isUsable ? Room{target.rack, target.all & ~target.used, target.freeMilliCpu, target.freeMemoryMb}
+                                        : Room{target.rack, 0, -1, -1});
+    }
+    return rooms;
+}
+
+/// Processors and memory of work that cannot be preempted; what stands in its owner's cell uses the cell's share.
+void addFixedWork(PlacementPass &pass)
+{
+    pass.fixedMilliCpu.assign(pass.map.targets.size(), 0);
+    pass.fixedMemoryMb.assign(pass.map.targets.size(), 0);
+    for (const auto &work : pass.map.work) {
+        if (!work.specification || isPreemptible(work)) {
+            continue;
+        }
+        const auto &own = cellsOf(pass, work.specification->id.organisation).own;
+        for (const auto &place : work.places) {
+            const bool isInOwnCell = place.accelerators != 0 && (place.accelerators & ~own[place.target]) == 0;
+            if (!isInOwnCell) {
+                pass.fixedMilliCpu[place.target] += place.tasks * work.specification->milliCpuPerTask;
+                pass.fixedMemoryMb[place.target] += place.tasks * work.specification->memoryMbPerTask;
+            }
+        }
+    }
+}
+
+int heldAccelerators(const RunningWork &work)
+{
+    int held = 0;
+    for (const auto &place : work.places) {
+        held += std::popcount(place.accelerators);
+    }
+    return held;
+}
+
+/// Counts what each team holds and what of the zone started within the last second.
+void addHeldWork(PlacementPass &pass)
+{
+    for (const auto &target : pass.map.targets) {
+        pass.usableAccelerators += target.isUsable ? std::popcount(target.all) : 0;
+        pass.freeAccelerators += target.isUsable ? std::popcount(target.all & ~target.used) : 0;
+    }
+    pass.startBudget = std::max(1, pass.usableAccelerators * refillPercentPerSecond / 100);
+    for (const auto &work : pass.map.work) {
+        if (!work.specification) {
+            continue;
+        }
+        const int held = heldAccelerators(work);
+        pass.teamHeld[work.specification->team] += held;
+        const bool isNew = work.attempt && !work.isStopping && work.elapsed < std::chrono::seconds{1};
+        if (isNew && held > 0 && work.specification->jobClass != JobClass::Urgent) {
+            pass.startBudget -= held;
+            pass.hasStartedNow = true;
+        }
+    }
+}
+
+}
+
+PlacementPass makePass(const ClusterView &view)
+{
+    PlacementPass pass{view, capacityOf(view), {}, learnRunTimes(view.jobs)};
+    pass.cells = bindCells(view, pass.map);
+    pass.free = freeRooms(pass.map);
+    pass.claimed.assign(pass.map.targets.size(), 0);
+    pass.isStopping.reserve(pass.map.work.size());
+    std::ranges::transform(pass.map.work, std::back_inserter(pass.isStopping), &RunningWork::isStopping);
+    addFixedWork(pass);
+    addHeldWork(pass);
+    pass.plan.shortfalls = pass.cells.shortfalls;
+    return pass;
+}
+
+const OrganisationCells &cellsOf(PlacementPass &pass, const OrganisationId &organisation)
+{
+    const auto known = pass.organisations.find(organisation);
+    if (known != pass.organisations.end()) {
+        return known->second;
+    }
+    return pass.organisations.emplace(organisation, cellsOf(pass.cells, organisation, pass.map.targets.size())).first->second;
+}
+
+bool standsInOwnCells(const OrganisationCells &cells, const ChosenPlaces &places)
+{
+    return std::ranges::all_of(places,
+                               [&cells](const ChosenPlace &place) { return place.accelerators != 0 && (place.accelerators & ~cells.own[place.target]) == 0; });
+}
+
+void claim(PlacementPass &pass, const ChosenPlaces &places, const JobSpecification &specification)
+{
+    for (const auto &place : places) {
+        pass.freeAccelerators -= std::popcount(place.accelerators & pass.free[place.target].free);
+    }
+    takePlaces(pass.free, places, specification);
+    const bool isFixed = !isPreemptible(specification);
+    const auto &own = cellsOf(pass, specification.id.organisation).own;
+    for (const auto &place : places) {
+        pass.claimed[place.target] |= place.accelerators;
+        if (isFixed && (place.accelerators == 0 || (place.accelerators & ~own[place.target]) != 0)) {
+            pass.fixedMilliCpu[place.target] += specification.milliCpuPerTask;
+            pass.fixedMemoryMb[place.target] += specification.memoryMbPerTask;
+        }
+    }
+}
+
+unsigned excludedReservations(const PlacementPass &pass, const QueuedJob &queued)
+{
+    unsigned excluded = 0;
+    for (std::size_t index = 0; index < pass.reservations.size(); ++index) {
+        const auto &reservation = pass.reservations[index];
+        const bool isOwn = reservation.job == queued.job->specification.id;
+        if (!isOwn && queued.priority != Priority::Urgent && queued.expected > reservation.wait) {
+            excluded |= 1U << index;
+        }
+    }
+    return excluded;
+}
+
+RoomRequest requestOf(const PlacementPass &pass, const QueuedJob &queued)
+{
+    const auto &specification = queued.job->specification;
+    return {specification.id.organisation,
+            isPreemptible(specification),
+            queued.isWithinGuarantee,
+            queued.priority,
+            specification.taskCount,
+            specification.acceleratorsPerTask,
+            specification.adjacency,
+            specification.milliCpuPerTask,
+            specification.memoryMbPerTask,
+            excludedReservations(pass, queued)};
+}
+
+std::vector<PlannedMember> plannedMembers(const CapacityMap &map, const ChosenPlaces &places)
+{
+    std::vector<PlannedMember> members;
+    members.reserve(places.size());
+    std::ranges::transform(places, std::back_inserter(members), [&map](const ChosenPlace &place) {
+        return PlannedMember{map.targets[place.target].target->id, place.accelerators};
+    });
+    return members;
+}
+
+}
--- a/core/plan.h
+++ b/core/plan.h
@@ -38,6 +38,7 @@
     AttemptId attempt;
     StopCause cause = StopCause::Preempted;
     std::string explanation;
+    bool skipsCheckpoint = false; ///< An urgent job cannot wait for a new checkpoint; the last one counts.
 
     friend bool operator==(const Preemption &, const Preemption &) = default;
 };
--- /dev/null
+++ b/core/preemption.cpp
@@ -0,0 +1,217 @@
+#include "preemption.h"
+
+#include "candidates.h"
+
+#include <algorithm>
+#include <bit>
+#include <span>
+#include <tuple>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+/// Stopping and starting again costs about this much of every accelerator's time, whatever the checkpoint covers.
+constexpr Duration restartCost = std::chrono::seconds{30};
+
+int accelerators(const RunningWork &work)
+{
+    int count = 0;
+    for (const auto &place : work.places) {
+        count += std::popcount(place.accelerators);
+    }
+    return count;
+}
+
+/// Gives the work's places back to the rooms, except what this pass gave away already.
+void returnPlaces(const PlacementPass &pass, const RunningWork &work, const std::vector<AcceleratorMask> &allowed, std::vector<Room> &rooms)
+{
+    for (const auto &place : work.places) {
+        if (!pass.map.targets[place.target].isUsable) {
+            continue;
+        }
+        auto &room = rooms[place.target];
+        room.free |= place.accelerators & allowed[place.target] & ~pass.claimed[place.target];
+        if (work.specification) {
+            room.milliCpu += place.tasks * work.specification->milliCpuPerTask;
+            room.memoryMb += place.tasks * work.specification->memoryMbPerTask;
+        }
+    }
+}
+
+bool holds(const Room &room, AcceleratorMask accelerators, int tasks, const JobSpecification &specification)
+{
+    return (accelerators & ~room.free) == 0 && room.milliCpu >= tasks * specification.milliCpuPerTask && room.memoryMb >= tasks * specification.memoryMbPerTask;
+}
+
+/// True if the rooms hold all the places.
+bool holdPlaces(const std::vector<Room> &rooms, const ChosenPlaces &places, const JobSpecification &specification)
+{
+    for (auto place = places.begin(); place != places.end();) {
+        const int target = place->target;
+        AcceleratorMask mask = 0;
+        int tasks = 0;
+        for (; place != places.end() && place->target == target; ++place) {
+            mask |= place->accelerators;
+            ++tasks;
+        }
+        if (!holds(rooms[target], mask, tasks, specification)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool touches(const RunningWork &work, const ChosenPlaces &places)
+{
+    return std::ranges::any_of(work.places,
+                               [&places](const HeldPlace &held) { return std::ranges::binary_search(places, held.target, {}, &ChosenPlace::target); });
+}
+
+struct RoomsWithVictims
+{
+    PlacementPass &pass;
+    const JobSpecification &specification;
+    const std::vector<AcceleratorMask> &allowed;
+    std::vector<Room> base; ///< Free and stopping capacity.
+};
+
+RoomsWithVictims baseRooms(PlacementPass &pass, const JobSpecification &specification, const std::vector<AcceleratorMask> &allowed)
+{
+    RoomsWithVictims rooms{pass, specification, allowed, pass.free};
+    for (std::size_t target = 0; target < rooms.base.size(); ++target) {
+        rooms.base[target].free &= allowed[target];
+    }
+    for (std::size_t index = 0; index < pass.map.work.size(); ++index) {
+        if (pass.isStopping[index]) {
+            returnPlaces(pass, pass.map.work[index], allowed, rooms.base);
+        }
+    }
+    return rooms;
+}
+
+std::vector<Room> withVictims(const RoomsWithVictims &base, std::span<const int> victims)
+{
+    auto rooms = base.base;
+    for (const int victim : victims) {
+        returnPlaces(base.pass, base.pass.map.work[victim], base.allowed, rooms);
+    }
+    if (!isPreemptible(base.specification)) {
+        keepCellShares(base.pass, base.specification, rooms);
+    }
+    return rooms;
+}
+
+/// Drops victims, dearest first, that the chosen places do not need.
+std::vector<int> neededVictims(const RoomsWithVictims &base, std::span<const int> victims, const ChosenPlaces &places)
+{
+    std::vector<int> needed;
+    std::ranges::copy_if(victims, std::back_inserter(needed), [&](int victim) { return touches(base.pass.map.work[victim], places); });
+    for (auto index = static_cast<int>(needed.size()) - 1; index >= 0; --index) {
+        auto fewer = needed;
+        fewer.erase(fewer.begin() + index);
+        if (holdPlaces(withVictims(base, fewer), places, base.specification)) {
+            needed = std::move(fewer);
+        }
+    }
+    return needed;
+}
+
+}
+
+Duration acceleratorTimeLost(const RunningWork &work)
+{
+    const auto covered = work.attempt ? work.attempt->checkpointedWork : Duration{0};
+    return (std::max(Duration{0}, work.elapsed - covered) + restartCost) * std::max(1, accelerators(work));
+}
+
+std::vector<int> victimsByCost(const PlacementPass &pass, const std::function<bool(const RunningWork &)> &isCandidate)
+{
+    std::vector<std::tuple<bool, Duration, int>> costs;
+    for (int index = 0; index < static_cast<int>(pass.map.work.size()); ++index) {
+        const auto &work = pass.map.work[index];
+        if (!pass.isStopping[index] && isPreemptible(work) && isCandidate(work)) {
+            costs.emplace_back(!work.specification->isCheckpointable, acceleratorTimeLost(work), index);
+        }
+    }
+    std::ranges::sort(costs);
+    std::vector<int> victims(costs.size());
+    std::ranges::transform(costs, victims.begin(), [](const auto &cost) { return std::get<int>(cost); });
+    return victims;
+}
+
+std::optional<PreemptionChoice>
+choosePreemption(PlacementPass &pass, const JobSpecification &specification, const std::vector<AcceleratorMask> &allowed, const std::vector<int> &victims)
+{
+    const auto base = baseRooms(pass, specification, allowed);
+    const auto packWith = [&](std::size_t count) { return packGang(withVictims(base, std::span(victims).first(count)), pass.map.rackCount, specification); };
+    std::size_t least = 0;
+    auto places = packWith(0);
+    if (!places) {
+        places = packWith(victims.size());
+        if (!places) {
+            return std::nullopt;
+        }
+        std::size_t tooFew = 0;
+        least = victims.size();
+        while (least - tooFew > 1) {
+            const auto middle = tooFew + (least - tooFew) / 2;
+            if (auto found = packWith(middle)) {
+                places = std::move(found);
+                least = middle;
+            } else {
+                tooFew = middle;
+            }
+        }
+    }
+    return PreemptionChoice{*places, neededVictims(base, std::span(victims).first(least), *places)};
+}
+
+std::optional<PreemptionChoice> reclaimCells(PlacementPass &pass, const QueuedJob &queued)
+{
+    const auto &specification = queued.job->specification;
+    const auto own = allowedAccelerators(pass, specification, PlacementTier::OwnCells);
+    const auto victims = victimsByCost(pass, [&](const RunningWork &work) {
+        const auto standsInOwnCell = [&own](const HeldPlace &place) { return own[place.target] != 0; };
+        return work.id.job.organisation != specification.id.organisation && std::ranges::any_of(work.places, standsInOwnCell);
+    });
+    return choosePreemption(pass, specification, own, victims);
+}
+
+std::optional<PreemptionChoice> preemptForUrgent(PlacementPass &pass, const QueuedJob &queued)
+{
+    const auto &specification = queued.job->specification;
+    const auto tiers = tiersFor(pass, specification);
+    if (tiers.empty()) {
+        return std::nullopt;
+    }
+    const auto victims = victimsByCost(pass, [&](const RunningWork &work) {
+        const bool isOwn = work.id.job.organisation == specification.id.organisation;
+        return work.specification->jobClass != JobClass::Urgent && (isOwn || isBorrowing(pass, work));
+    });
+    return choosePreemption(pass, specification, allowedAccelerators(pass, specification, tiers.back()), victims);
+}
+
+std::optional<PreemptionChoice> displacePatient(PlacementPass &pass, const QueuedJob &queued)
+{
+    const auto &specification = queued.job->specification;
+    const auto tiers = tiersFor(pass, specification);
+    if (tiers.empty()) {
+        return std::nullopt;
+    }
+    const auto victims = victimsByCost(pass, [&](const RunningWork &work) {
+        return work.specification->jobClass == JobClass::Patient && work.specification->isCheckpointable && isBorrowing(pass, work);
+    });
+    return choosePreemption(pass, specification, allowedAccelerators(pass, specification, tiers.back()), victims);
+}
+
+bool isBorrowing(PlacementPass &pass, const RunningWork &work)
+{
+    const auto &own = cellsOf(pass, work.id.job.organisation).own;
+    return std::ranges::any_of(work.places,
+                               [&own](const HeldPlace &place) { return place.accelerators == 0 || (place.accelerators & ~own[place.target]) != 0; });
+}
+
+}
--- /dev/null
+++ b/core/zonemoves.cpp
@@ -0,0 +1,133 @@
+#include "zonemoves.h"
+
+#include "explain.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <functional>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+/// Limits the writes that one pass causes; the rest follows in the next pass.
+constexpr int maxMovesPerPass = 100;
+/// Reports are about 1 s old, ten passes; together they move at most half of what was reported free.
+constexpr int budgetPercentPerPass = 5;
+
+/// FNV-1a: unlike std::hash the same in every build, so equal views give equal plans.
+unsigned long long hashOf(const JobId &id, unsigned long long seed)
+{
+    unsigned long long hash = 14695981039346656037ULL ^ seed;
+    for (const char character : toString(id)) {
+        hash = (hash ^ static_cast<unsigned char>(character)) * 1099511628211ULL;
+    }
+    return hash ^ (hash >> 32);
+}
+
+bool isMovable(const JobSpecification &specification, const Job &job)
+{
+    return isPreemptible(specification) || !job.mayHaveStarted;
+}
+
+void planStops(const ClusterView &view, Duration notice, Plan &plan)
+{
+    const auto map = capacityOf(view);
+    const auto model = learnRunTimes(view.jobs);
+    for (const auto &work : map.work) {
+        if (!isPreemptible(work) || work.isStopping) {
+            continue;
+        }
+        const auto remaining = expectedRemaining(model, work);
+        if (work.attempt->step == AttemptStep::Running && remaining <= notice) {
+            continue;
+        }
+        plan.preemptions.push_back({work.id, StopCause::ZoneOut, zoneOutStopText(view.availabilityZone, remaining, notice)});
+    }
+}
+
+}
+
+ZoneChoices zoneChoicesOf(const ClusterView &view)
+{
+    ZoneChoices choices;
+    choices.movesLeft = maxMovesPerPass;
+    for (const auto &[id, capacity] : view.otherZones) {
+        if (id != view.availabilityZone && !isZoneOut(view.configuration, id) && capacity.usableAccelerators > 0) {
+            choices.zones.emplace(id, capacity);
+            choices.budgets.emplace(id, std::max(1, capacity.freeAccelerators * budgetPercentPerPass / 100));
+        }
+    }
+    return choices;
+}
+
+bool isAnotherZoneOut(const ClusterView &view)
+{
+    return std::ranges::any_of(view.configuration.availabilityZones,
+                               [&view](const auto &item) { return item.first != view.availabilityZone && item.second.isOut; });
+}
+
+std::optional<AvailabilityZoneId> chooseZone(const ZoneChoices &choices, const JobSpecification &specification)
+{
+    std::vector<const AvailabilityZoneId *> large;
+    for (const auto &[id, capacity] : choices.zones) {
+        if (capacity.usableAccelerators >= acceleratorCount(specification)) {
+            large.push_back(&id);
+        }
+    }
+    if (large.empty()) {
+        return std::nullopt;
+    }
+    const auto *first = large[hashOf(specification.id, 1) % large.size()];
+    const auto *second = large[hashOf(specification.id, 2) % large.size()];
+    if (first == second) {
+        second = large[(hashOf(specification.id, 1) + 1) % large.size()];
+    }
+    const auto freeOf = [&choices](const AvailabilityZoneId &zone) { return choices.zones.at(zone).freeAccelerators; };
+    return freeOf(*second) > freeOf(*first) ? *second : *first;
+}
+
+std::optional<AvailabilityZoneId> chooseZoneWithRoom(const ZoneChoices &choices, const JobSpecification &specification, int ownFree)
+{
+    const int wanted = std::max(1, acceleratorCount(specification));
+    if (choices.movesLeft <= 0 || ownFree >= wanted) {
+        return std::nullopt;
+    }
+    // Twice the need must be free there, else jobs would move to and fro between full zones.
+    auto withRoom = choices;
+    std::erase_if(withRoom.zones, [&](const auto &zone) { return zone.second.freeAccelerators < 2 * wanted || choices.budgets.at(zone.first) <= 0; });
+    return chooseZone(withRoom, specification);
+}
+
+void promise(ZoneChoices &choices, const AvailabilityZoneId &zone, const JobSpecification &specification)
+{
+    choices.zones.at(zone).freeAccelerators -= acceleratorCount(specification);
+    choices.budgets.at(zone) -= acceleratorCount(specification);
+    --choices.movesLeft;
+}
+
+Plan planZoneLeave(const ClusterView &view)
+{
+    Plan plan;
+    const auto zone = view.configuration.availabilityZones.find(view.availabilityZone);
+    planStops(view, zone == view.configuration.availabilityZones.end() ? Duration{0} : zone->second.leaveNotice, plan);
+    auto choices = zoneChoicesOf(view);
+    auto waiting = waitingJobs(view);
+    std::ranges::stable_sort(waiting, {}, [](const Job *job) { return std::pair(job->specification.jobClass, job->acceptedAt); });
+    for (const auto *job : waiting) {
+        const auto &specification = job->specification;
+        const auto chosen = isMovable(specification, *job) && choices.movesLeft > 0 ? chooseZone(choices, specification) : std::nullopt;
+        if (chosen) {
+            promise(choices, *chosen, specification);
+            plan.moves.push_back({specification.id, *chosen, zoneOutMoveText(view.availabilityZone, *chosen)});
+        } else {
+            plan.explanations.push_back({specification.id, zoneOutWaitText(view.availabilityZone, choices.zones.empty())});
+        }
+    }
+    return plan;
+}
+
+}
--- /dev/null
+++ b/tools/policyevents.cpp
@@ -0,0 +1,325 @@
+#include "policyevents.h"
+
+#include "core/capacity.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+constexpr Duration checkpointPeriod = std::chrono::minutes{10};
+/// Reading the last checkpoint back at the next start.
+constexpr Duration restoreTime = std::chrono::seconds{20};
+constexpr Duration failureDelay = std::chrono::seconds{5};
+constexpr Duration firstProbeDelay = std::chrono::seconds{60};
+constexpr Duration maxProbeDelay = std::chrono::minutes{30};
+constexpr int failuresBeforeQuarantine = 3;
+constexpr int maxAttempts = 4;
+
+double hours(Duration duration, int accelerators)
+{
+    return std::chrono::duration<double, std::ratio<3600>>(duration).count() * accelerators;
+}
+
+const LoadedJob &loaded(const PolicyWorld &world, const JobId &id)
+{
+    return world.policyCase.jobs[world.jobIndex.at(id)];
+}
+
+/// Time after the restore of a checkpoint in which the attempt progressed.
+Duration progressOf(const Job &job, const Attempt &attempt, TimePoint now)
+{
+    if (!attempt.runningSince) {
+        return Duration{0};
+    }
+    const auto restore = job.checkpointedWork > Duration{0} ? restoreTime : Duration{0};
+    return std::max(Duration{0}, now - *attempt.runningSince - restore);
+}
+
+/// Progress within the zone change counts in the remaining zones, whenever the attempt began.
+void addWindowWork(PolicyWorld &world, const ZoneState &zone, const Attempt &attempt, Duration kept, int accelerators)
+{
+    if (!world.policyCase.leavingZone || zone.id == *world.policyCase.leavingZone || !attempt.runningSince) {
+        return;
+    }
+    const auto from = std::max(attempt.runningSince->time_since_epoch(), world.policyCase.leaveAt);
+    const auto until = std::min(world.now.time_since_epoch(), world.policyCase.returnAt);
+    const auto ran = std::max(Duration{1}, world.now - *attempt.runningSince);
+    if (until > from) {
+        // What was kept is spread evenly over the attempt.
+        world.totals.windowHours += hours(until - from, accelerators) * static_cast<double>(kept.count()) / static_cast<double>(ran.count());
+    }
+}
+
+void endAttempt(ZoneState &zone, const AttemptId &id, Job job)
+{
+    zone.attempts.erase(id);
+    zone.jobs.put(id.job, std::move(job));
+    zone.needsPass = true;
+}
+
+/// The attempt is over before its job finished; keeps what a checkpoint covers and counts the rest as lost.
+void interrupt(PolicyWorld &world, ZoneState &zone, const AttemptId &id, bool isGraceful)
+{
+    const auto *attempt = zone.attempts.find(id);
+    auto job = *zone.jobs.find(id.job);
+    const int accelerators = acceleratorCount(job.specification);
+    const auto held = attempt->runningSince ? world.now - *attempt->runningSince : Duration{0};
+    const auto progress = progressOf(job, *attempt, world.now - (isGraceful ? checkpointTime : Duration{0}));
+    const auto kept = job.specification.isCheckpointable ? (isGraceful ? progress : std::min(progress, attempt->checkpointedWork)) : Duration{0};
+    job.checkpointedWork += kept;
+    world.totals.lostHours += hours(held - kept, accelerators);
+    addWindowWork(world, zone, *attempt, kept, accelerators);
+    const bool mayRunAgain = isPreemptible(job.specification);
+    job.state = mayRunAgain && job.attemptCount < maxAttempts * 10 ? JobState::Waiting : JobState::Unknown;
+    if (job.state == JobState::Unknown) {
+        close(world, id.job, [](JobOutcome &outcome, Duration) { outcome.hasFailed = true; });
+    }
+    endAttempt(zone, id, std::move(job));
+}
+
+void submit(PolicyWorld &world, int index)
+{
+    const auto &load = world.policyCase.jobs[index];
+    Job job;
+    job.specification = load.specification;
+    job.acceptedAt = WallTime{world.now.time_since_epoch()};
+    int zone = chooseZoneFor(world, load.specification);
+    if (load.isReclaimProbe) {
+        // A reclaim asks for the guarantee in its own zone.
+        const auto guarantee = std::ranges::find_if(world.configuration.guarantees,
+                                                    [&](const auto &item) { return item.second.organisation == load.specification.id.organisation; });
+        const auto home = std::ranges::find(world.zones, guarantee->second.availabilityZone, &ZoneState::id);
+        zone = static_cast<int>(home - world.zones.begin());
+    }
+    admit(world, std::move(job), zone);
+}
+
+void start(PolicyWorld &world, const WorldEvent &event)
+{
+    auto &zone = world.zones[event.zone];
+    const auto *found = zone.attempts.find(event.attempt);
+    if (!found || found->step != AttemptStep::Starting) {
+        return;
+    }
+    auto attempt = *found;
+    attempt.step = AttemptStep::Running;
+    attempt.runningSince = world.now;
+    auto job = *zone.jobs.find(event.attempt.job);
+    job.state = JobState::Running;
+    auto &outcome = world.outcomes[world.jobIndex.at(event.attempt.job)];
+    if (outcome.firstStart < Duration{0}) {
+        outcome.firstStart = world.now.time_since_epoch();
+        job.startedAt = WallTime{world.now.time_since_epoch()};
+    }
+    const auto restore = job.checkpointedWork > Duration{0} ? restoreTime : Duration{0};
+    const auto left = std::max(Duration{1}, loaded(world, event.attempt.job).trueRunTime - job.checkpointedWork);
+    const auto bad =
+        std::ranges::find_if(attempt.members, [&](const AttemptMember &member) { return world.policyCase.failingTargets.contains(member.target); });
+    if (bad != attempt.members.end()) {
+        schedule(world, world.now + failureDelay, WorldEventKind::Fail, event.zone, event.attempt, static_cast<int>(bad - attempt.members.begin()));
+    } else {
+        schedule(world, world.now + restore + left, WorldEventKind::Finish, event.zone, event.attempt);
+        if (job.specification.isCheckpointable && left > checkpointPeriod) {
+            schedule(world, world.now + restore + checkpointPeriod, WorldEventKind::Checkpoint, event.zone, event.attempt);
+        }
+    }
+    zone.attempts.put(event.attempt, std::move(attempt));
+    zone.jobs.put(event.attempt.job, std::move(job));
+}
+
+void checkpoint(PolicyWorld &world, const WorldEvent &event)
+{
+    auto &zone = world.zones[event.zone];
+    const auto *found = zone.attempts.find(event.attempt);
+    if (!found || found->step != AttemptStep::Running) {
+        return;
+    }
+    auto attempt = *found;
+    attempt.checkpointedWork = progressOf(*zone.jobs.find(event.attempt.job), attempt, world.now);
+    zone.attempts.put(event.attempt, std::move(attempt));
+    schedule(world, world.now + checkpointPeriod, WorldEventKind::Checkpoint, event.zone, event.attempt);
+}
+
+void noteTargetResult(PolicyWorld &world, ZoneState &zone, const TargetId &id, const JobId &job, bool hasFailed)
+{
+    auto target = *zone.targets.find(id);
+    if (!hasFailed) {
+        if (target.consecutiveFailures == 0 && target.health == TargetHealth::Healthy) {
+            return;
+        }
+        target.health = TargetHealth::Healthy;
+        target.consecutiveFailures = 0;
+        target.lastFailedJob.reset();
+    } else {
+        target.consecutiveFailures += target.lastFailedJob == job ? 0 : 1;
+        target.lastFailedJob = job;
+        const bool isProbe = target.health == TargetHealth::Quarantined;
+        if (isProbe || target.consecutiveFailures >= failuresBeforeQuarantine) {
+            target.health = TargetHealth::Quarantined;
+            target.probeDelay = isProbe ? std::min(maxProbeDelay, target.probeDelay * 2) : firstProbeDelay;
+            target.probeDue = world.now + target.probeDelay;
+        }
+    }
+    zone.targets.put(id, std::move(target));
+}
+
+void finish(PolicyWorld &world, const WorldEvent &event)
+{
+    auto &zone = world.zones[event.zone];
+    const auto *attempt = zone.attempts.find(event.attempt);
+    if (!attempt || attempt->step != AttemptStep::Running) {
+        return;
+    }
+    auto job = *zone.jobs.find(event.attempt.job);
+    const auto progress = progressOf(job, *attempt, world.now);
+    const int accelerators = acceleratorCount(job.specification);
+    world.totals.usefulHours += hours(job.checkpointedWork + progress, accelerators);
+    world.totals.lostHours += hours(world.now - *attempt->runningSince - progress, accelerators);
+    addWindowWork(world, zone, *attempt, progress, accelerators);
+    job.state = JobState::Finished;
+    job.finishedAt = WallTime{world.now.time_since_epoch()};
+    job.held.push_back({event.attempt.number, accelerators, WallTime{Duration{0}}, WallTime{job.checkpointedWork + progress}});
+    close(world, event.attempt.job, [](JobOutcome &outcome, Duration at) { outcome.finished = at; });
+    if (world.isOurs) {
+        for (const auto &member : attempt->members) {
+            noteTargetResult(world, zone, member.target, event.attempt.job, false);
+        }
+    }
+    endAttempt(zone, event.attempt, std::move(job));
+}
+
+void fail(PolicyWorld &world, const WorldEvent &event)
+{
+    auto &zone = world.zones[event.zone];
+    const auto *attempt = zone.attempts.find(event.attempt);
+    if (!attempt || attempt->step != AttemptStep::Running) {
+        return;
+    }
+    if (world.isOurs) {
+        noteTargetResult(world, zone, attempt->members[event.index].target, event.attempt.job, true);
+    }
+    // The task fails before it does anything, so the worker knows that a job that is not idempotent may start again; four attempts at most.
+    auto job = *zone.jobs.find(event.attempt.job);
+    world.totals.lostHours += hours(failureDelay, acceleratorCount(job.specification));
+    job.state = job.attemptCount < maxAttempts ? JobState::Waiting : JobState::Failed;
+    if (job.state == JobState::Failed) {
+        close(world, event.attempt.job, [](JobOutcome &outcome, Duration) { outcome.hasFailed = true; });
+    }
+    endAttempt(zone, event.attempt, std::move(job));
+}
+
+void cancel(PolicyWorld &world, int index)
+{
+    const auto &id = world.policyCase.jobs[index].specification.id;
+    auto &outcome = world.outcomes[index];
+    for (auto &zone : world.zones) {
+        const auto *found = zone.jobs.find(id);
+        if (!found || isTerminal(found->state)) {
+            continue;
+        }
+        auto job = *found;
+        job.state = JobState::Cancelled;
+        const auto attempt = zone.attempts.rows().lower_bound({id, 0});
+        const bool hasAttempt = attempt != zone.attempts.rows().end() && attempt->first.job == id;
+        if (hasAttempt) {
+            endAttempt(zone, AttemptId{attempt->first}, job);
+        }
+        zone.jobs.put(id, std::move(job));
+        zone.needsPass = true;
+        outcome.isCancelled = true;
+        --world.openJobs;
+    }
+}
+
+void setZoneOut(PolicyWorld &world, bool isOut)
+{
+    auto zone = world.configuration.availabilityZones.at(*world.policyCase.leavingZone);
+    zone.isOut = isOut;
+    world.configuration = withItem(world.configuration, zone);
+    ++world.configuration.version;
+    std::ranges::for_each(world.zones, [](ZoneState &state) { state.needsPass = true; });
+    if (!isOut) {
+        return;
+    }
+    for (const auto &state : world.zones) {
+        if (state.id != *world.policyCase.leavingZone) {
+            for (const auto &[id, target] : state.targets.rows()) {
+                world.totals.windowAllowed += hours(world.policyCase.returnAt - world.policyCase.leaveAt, target.acceleratorCount);
+            }
+        }
+    }
+    if (!world.isOurs) {
+        // The baselines know no zone change; their callers submit waiting jobs again elsewhere.
+        auto &state = *std::ranges::find(world.zones, *world.policyCase.leavingZone, &ZoneState::id);
+        for (const auto *job : waitingJobs(viewOf(world, state))) {
+            const auto copy = *job;
+            state.jobs.erase(copy.specification.id);
+            admit(world, copy, chooseZoneFor(world, copy.specification));
+        }
+    }
+}
+
+/// The zone's power goes: what still runs is lost.
+void endNotice(PolicyWorld &world)
+{
+    auto &zone = *std::ranges::find(world.zones, *world.policyCase.leavingZone, &ZoneState::id);
+    std::vector<AttemptId> left;
+    std::ranges::transform(zone.attempts.rows(), std::back_inserter(left), [](const auto &row) { return row.first; });
+    for (const auto &id : left) {
+        interrupt(world, zone, id, false);
+        const auto job = *zone.jobs.find(id.job);
+        if (!world.isOurs && job.state == JobState::Waiting) {
+            zone.jobs.erase(id.job);
+            admit(world, job, chooseZoneFor(world, job.specification));
+        }
+    }
+}
+
+}
+
+void schedule(PolicyWorld &world, TimePoint at, WorldEventKind kind, int zone, const AttemptId &attempt, int index)
+{
+    world.events.push({at, world.nextSequence++, kind, zone, attempt, index});
+}
+
+void handle(PolicyWorld &world, const WorldEvent &event)
+{
+    switch (event.kind) {
+    case WorldEventKind::Submit:
+        return submit(world, event.index);
+    case WorldEventKind::Start:
+        return start(world, event);
+    case WorldEventKind::Checkpoint:
+        return checkpoint(world, event);
+    case WorldEventKind::Finish:
+        return finish(world, event);
+    case WorldEventKind::Fail:
+        return fail(world, event);
+    case WorldEventKind::Stopped:
+        if (const auto *attempt = world.zones[event.zone].attempts.find(event.attempt); attempt && attempt->step == AttemptStep::Stopping) {
+            interrupt(world, world.zones[event.zone], event.attempt, event.index != 0);
+        }
+        return;
+    case WorldEventKind::Cancel:
+        return cancel(world, event.index);
+    case WorldEventKind::ZoneOut:
+        return setZoneOut(world, true);
+    case WorldEventKind::NoticeOver:
+        return endNotice(world);
+    case WorldEventKind::ZoneBack:
+        return setZoneOut(world, false);
+    case WorldEventKind::Tick:
+        world.zones[event.zone].hasTick = false;
+        world.zones[event.zone].needsPass = true;
+        return;
+    case WorldEventKind::Sample:
+        return;
+    }
+}
+
+}
--- /dev/null
+++ b/tools/policyload.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "policyworld.h"
+
+#include <string>
+#include <vector>
+
+namespace sequoiastand
+{
+
+/// A deployment whose size is measured: both users of today and the target in two years.
+enum class Deployment
+{
+    Kask,
+    Colombo,
+    Target,
+};
+
+enum class Disturbance
+{
+    Steady,
+    SmallBursts,
+    LargeBursts,
+    WrongDeclarations,
+    CancellationWaves,
+    ZoneChange,
+    FailingTargets,
+};
+
+const char *name(Deployment deployment);
+const char *name(Disturbance disturbance);
+
+/// The whole case, made from the seed alone.
+PolicyCase makeCase(Deployment deployment, Disturbance disturbance, unsigned seed);
+
+}
--- /dev/null
+++ b/tools/policyreport.cpp
@@ -0,0 +1,141 @@
+#include "policyreport.h"
+
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+#include <numeric>
+#include <vector>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+Quantiles quantilesOf(std::vector<double> values)
+{
+    if (values.empty()) {
+        return {};
+    }
+    std::ranges::sort(values);
+    const auto at = [&values](double share) { return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))]; };
+    return {static_cast<int>(values.size()), std::accumulate(values.begin(), values.end(), 0.0) / static_cast<double>(values.size()), at(0.5), at(0.99)};
+}
+
+template<typename Predicate>
+Quantiles completions(const PolicyWorld &world, const Predicate &isWanted)
+{
+    std::vector<double> values;
+    for (const auto &outcome : world.outcomes) {
+        if (outcome.finished >= Duration{0} && !outcome.isReclaimProbe && isWanted(outcome)) {
+            values.push_back(seconds(outcome.finished - outcome.submitted));
+        }
+    }
+    return quantilesOf(std::move(values));
+}
+
+template<typename Predicate>
+Quantiles starts(const PolicyWorld &world, const Predicate &isWanted)
+{
+    std::vector<double> values;
+    for (const auto &outcome : world.outcomes) {
+        if (isWanted(outcome) && outcome.firstStart >= Duration{0}) {
+            values.push_back(seconds(outcome.firstStart - outcome.submitted));
+        }
+    }
+    return quantilesOf(std::move(values));
+}
+
+}
+
+PolicyFigures figuresOf(const PolicyWorld &world)
+{
+    const auto ofClass = [&world](JobClass jobClass) {
+        return completions(world, [jobClass](const JobOutcome &outcome) { return outcome.jobClass == jobClass; });
+    };
+    PolicyFigures figures;
+    figures.all = completions(world, [](const JobOutcome &) { return true; });
+    figures.urgent = ofClass(JobClass::Urgent);
+    figures.ordinary = ofClass(JobClass::Ordinary);
+    figures.patient = ofClass(JobClass::Patient);
+    figures.urgentStart = starts(world, [](const JobOutcome &outcome) { return outcome.jobClass == JobClass::Urgent; });
+    figures.reclaim = starts(world, [](const JobOutcome &outcome) { return outcome.isReclaimProbe; });
+    figures.unfinished = world.openJobs;
+    for (const auto &outcome : world.outcomes) {
+        figures.failed += outcome.hasFailed ? 1 : 0;
+        figures.refused += outcome.isRefused ? 1 : 0;
+    }
+    const auto &totals = world.totals;
+    figures.fragmentation = totals.fragmentationSamples > 0 ? totals.fragmentationSum / totals.fragmentationSamples : 0;
+    figures.zoneChangeShare = totals.windowAllowed > 0 ? totals.windowHours / totals.windowAllowed : 0;
+    figures.totals = totals;
+    return figures;
+}
+
+std::string headerLine()
+{
+    return absl::StrFormat("%-24s %-9s %8s %8s %8s | %8s %8s %8s | %8s %8s %8s | %8s %8s %8s | %9s %9s %9s | %5s %9s %8s %5s | %5s %4s %4s | %6s %6s %6s %s",
+                           "case",
+                           "policy",
+                           "all mean",
+                           "p50",
+                           "p99",
+                           "urg mean",
+                           "p50",
+                           "p99",
+                           "ord mean",
+                           "p50",
+                           "p99",
+                           "pat mean",
+                           "p50",
+                           "p99",
+                           "urg start",
+                           "rec mean",
+                           "rec p99",
+                           "frag",
+                           "useful h",
+                           "lost h",
+                           "zone",
+                           "open",
+                           "fail",
+                           "ref",
+                           "preem",
+                           "moves",
+                           "breaks",
+                           "(short)/checks");
+}
+
+std::string figuresLine(const std::string &policyCase, const std::string &policy, const PolicyFigures &figures)
+{
+    const auto &totals = figures.totals;
+    const auto triple = [](const Quantiles &value) { return absl::StrFormat("%8.0f %8.0f %8.0f", value.mean, value.p50, value.p99); };
+    return absl::StrFormat("%-24s %-9s %s | %s | %s | %s | %9.2f %9.1f %9.1f | %5.2f %9.1f %8.1f %5.2f | %5d %4d %4d | %6d %6d %6d (%d)/%d",
+                           policyCase,
+                           policy,
+                           triple(figures.all),
+                           triple(figures.urgent),
+                           triple(figures.ordinary),
+                           triple(figures.patient),
+                           figures.urgentStart.p99,
+                           figures.reclaim.mean,
+                           figures.reclaim.p99,
+                           figures.fragmentation,
+                           totals.usefulHours,
+                           totals.lostHours,
+                           figures.zoneChangeShare,
+                           figures.unfinished,
+                           figures.failed,
+                           figures.refused,
+                           totals.preemptions,
+                           totals.moves,
+                           totals.ruleBreaks,
+                           totals.shortfallSteps,
+                           totals.ruleChecks);
+}
+
+}
--- /dev/null
+++ b/tools/policyreport.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "policyworld.h"
+
+#include <string>
+
+namespace sequoiastand
+{
+
+struct Quantiles
+{
+    int count = 0;
+    double mean = 0;
+    double p50 = 0;
+    double p99 = 0;
+
+    friend bool operator==(const Quantiles &, const Quantiles &) = default;
+};
+
+/// Figures of one run, in seconds and accelerator-hours.
+struct PolicyFigures
+{
+    Quantiles all;
+    Quantiles urgent;
+    Quantiles ordinary;
+    Quantiles patient;
+    Quantiles urgentStart;
+    Quantiles reclaim;
+    int unfinished = 0;
+    int failed = 0;
+    int refused = 0;
+    double fragmentation = 0;
+    double zoneChangeShare = 0; ///< Zero if no zone changed.
+    WorldTotals totals;
+};
+
+PolicyFigures figuresOf(const PolicyWorld &world);
+
+std::string headerLine();
+std::string figuresLine(const std::string &policyCase, const std::string &policy, const PolicyFigures &figures);
+
+}
--- /dev/null
+++ b/tools/policyworld.cpp
@@ -0,0 +1,186 @@
+#include "policyworld.h"
+
+#include "policyevents.h"
+
+#include "core/fragmentation.h"
+#include "core/guarantees.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+constexpr Duration samplePeriod = std::chrono::minutes{2};
+constexpr int timeLimitFactor = 3;
+
+void addEvent(PolicyWorld &world, Duration at, WorldEventKind kind, int index = 0)
+{
+    schedule(world, TimePoint{at}, kind, 0, {}, index);
+}
+
+int freeAccelerators(const ClusterView &view)
+{
+    int free = 0;
+    for (const auto &target : capacityOf(view).targets) {
+        free += target.isUsable ? std::popcount(target.all & ~target.used) : 0;
+    }
+    return free;
+}
+
+void sample(PolicyWorld &world)
+{
+    for (const auto &zone : world.zones) {
+        if (!isZoneOut(world.configuration, zone.id)) {
+            world.totals.fragmentationSum += fragmentation(viewOf(world, zone));
+            ++world.totals.fragmentationSamples;
+        }
+    }
+    // Zones tell each other what is free as often as they are sampled and at each pass; the core has to cope with stale figures.
+    for (auto &zone : world.zones) {
+        zone.needsPass = true;
+    }
+    if (world.openJobs > 0 || world.now.time_since_epoch() < world.policyCase.horizon) {
+        schedule(world, world.now + samplePeriod, WorldEventKind::Sample);
+    }
+}
+
+void tellOthers(PolicyWorld &world, const ZoneState &changed)
+{
+    const auto view = viewOf(world, changed);
+    ZoneCapacity capacity;
+    capacity.freeAccelerators = freeAccelerators(view);
+    for (const auto &[id, target] : changed.targets.rows()) {
+        capacity.usableAccelerators += isUsable(view, target) ? target.acceleratorCount : 0;
+    }
+    for (auto &zone : world.zones) {
+        if (zone.id != changed.id) {
+            zone.otherZones[changed.id] = capacity;
+        }
+    }
+}
+
+/// After every pass: the plan itself must respect foreign cells, and what now stands must leave all guarantees formable.
+void checkRule(PolicyWorld &world, const ZoneState &zone, bool isPlanBreaking)
+{
+    const auto view = viewOf(world, zone);
+    const auto map = capacityOf(view);
+    const auto cells = bindCells(view, map);
+    ++world.totals.ruleChecks;
+    const bool isDisturbed = !world.policyCase.failingTargets.empty() || world.policyCase.leavingZone.has_value();
+    if (isPlanBreaking || cells.isBlockedByWork || (!cells.shortfalls.empty() && !isDisturbed)) {
+        ++world.totals.ruleBreaks;
+    } else if (!cells.shortfalls.empty()) {
+        ++world.totals.shortfallSteps;
+    }
+}
+
+void planZone(PolicyWorld &world, int index)
+{
+    auto &zone = world.zones[index];
+    zone.needsPass = false;
+    const auto view = viewOf(world, zone);
+    const auto plan = world.plan(view);
+    const bool isPlanBreaking = world.isOurs && !placementsBreakingGuarantees(view, plan).empty();
+    applyPlan(world, index, plan);
+    ++world.totals.passes;
+    if (world.isOurs && !isZoneOut(world.configuration, zone.id)) {
+        checkRule(world, zone, isPlanBreaking);
+    }
+    tellOthers(world, zone);
+    const bool hasWaiting = !waitingJobs(viewOf(world, zone)).empty();
+    // After a start the limit of starts per second may hold others back; otherwise only the passing of time changes a decision.
+    const Duration tickPeriod = plan.placements.empty() ? std::chrono::seconds{15} : std::chrono::seconds{1};
+    if (hasWaiting && !zone.hasTick) {
+        zone.hasTick = true;
+        schedule(world, world.now + tickPeriod, WorldEventKind::Tick, index);
+    }
+}
+
+}
+
+PolicyWorld makeWorld(const PolicyCase &policyCase, PlanFunction plan, bool isOurs)
+{
+    PolicyWorld world{policyCase, std::move(plan), isOurs, policyCase.configuration, {}, {}, {}, {}, 0, {}, std::mt19937(policyCase.seed)};
+    for (const auto &id : policyCase.zones) {
+        ZoneState zone;
+        zone.id = id;
+        for (const auto &[targetId, target] : policyCase.targets.rows()) {
+            if (target.availabilityZone == id) {
+                zone.targets.put(targetId, target);
+                zone.startable.insert(targetId);
+            }
+        }
+        world.zones.push_back(std::move(zone));
+    }
+    for (const auto &zone : world.zones) {
+        tellOthers(world, zone);
+    }
+    for (int index = 0; index < static_cast<int>(policyCase.jobs.size()); ++index) {
+        const auto &job = policyCase.jobs[index];
+        world.jobIndex.emplace(job.specification.id, index);
+        world.outcomes.push_back({job.specification.jobClass, job.submitAt});
+        world.outcomes.back().isReclaimProbe = job.isReclaimProbe;
+        addEvent(world, job.submitAt, WorldEventKind::Submit, index);
+        if (job.cancelAt > Duration{0}) {
+            addEvent(world, job.cancelAt, WorldEventKind::Cancel, index);
+        }
+    }
+    world.openJobs = static_cast<int>(policyCase.jobs.size());
+    if (policyCase.leavingZone) {
+        addEvent(world, policyCase.leaveAt, WorldEventKind::ZoneOut);
+        const auto notice = policyCase.configuration.availabilityZones.at(*policyCase.leavingZone).leaveNotice;
+        addEvent(world, policyCase.leaveAt + notice, WorldEventKind::NoticeOver);
+        addEvent(world, policyCase.returnAt, WorldEventKind::ZoneBack);
+    }
+    schedule(world, world.now + samplePeriod, WorldEventKind::Sample);
+    return world;
+}
+
+ClusterView viewOf(const PolicyWorld &world, const ZoneState &zone)
+{
+    return {zone.id,
+            world.configuration,
+            zone.targets,
+            zone.startable,
+            zone.jobs,
+            zone.attempts,
+            zone.otherZones,
+            world.now,
+            WallTime{world.now.time_since_epoch()}};
+}
+
+bool stepWorld(PolicyWorld &world)
+{
+    if (world.events.empty()) {
+        return false;
+    }
+    world.now = world.events.top().at;
+    while (!world.events.empty() && world.events.top().at == world.now) {
+        const auto event = world.events.top();
+        world.events.pop();
+        if (event.kind == WorldEventKind::Sample) {
+            sample(world);
+        } else {
+            handle(world, event);
+        }
+    }
+    for (int index = 0; index < static_cast<int>(world.zones.size()); ++index) {
+        if (world.zones[index].needsPass) {
+            planZone(world, index);
+        }
+    }
+    return true;
+}
+
+void run(PolicyWorld &world)
+{
+    const TimePoint limit{world.policyCase.horizon * timeLimitFactor};
+    while (world.openJobs > 0 && world.now < limit && stepWorld(world)) {
+    }
+}
+
+}
