--- a/core/attempt.h
+++ b/core/attempt.h
@@ -31,6 +31,10 @@
     AcceleratorMask accelerators = 0;
     MemberStep step = MemberStep::Reserving;
     std::optional<CallId> callInFlight;
+    TimePoint since;         ///< When the step or the call in flight last changed.
+    bool mayHaveRun = false; ///< A start was sent and not certainly refused.
+    Duration checkpointedWork{0};
+    bool isLost = false;          ///< Ended without a report of how.
     std::optional<TaskState> end; ///< Finished, Failed or Stopped once the target reported it.
     std::string result;
 
@@ -70,6 +74,8 @@
     std::optional<TimePoint> runningSince;
     Duration checkpointedWork{0};
     bool isBorrowed = false;
+    bool isAdopted = false; ///< Built from targets' reports after a change of owner.
+    int throttlePercent = 100;
 
     friend bool operator==(const Attempt &, const Attempt &) = default;
 };
--- /dev/null
+++ b/core/attemptcalls.cpp
@@ -0,0 +1,155 @@
+#include "attemptcalls.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+/// Added to a call's own timeout before the core gives it up, so that the front end reports the timeout first.
+constexpr Duration replacementGrace{500};
+
+/// A call under the present lease; none if the lease may not be used.
+std::optional<TargetCall> makeCall(Blackboard &board, const TargetId &targetId, TargetRequest request)
+{
+    const Target *target = board.targets.find(targetId);
+    const TargetLease *lease = board.leases.find(targetId);
+    if (target == nullptr || lease == nullptr || !isUsable(*lease, board.now)) {
+        return std::nullopt;
+    }
+    TargetCall call;
+    call.id = takeCallId(board);
+    call.target = targetId;
+    call.address = target->address;
+    call.host = board.self.id;
+    call.epoch = lease->epoch;
+    call.request = std::move(request);
+    call.timeout = board.self.limits.targetCallTimeout;
+    return call;
+}
+
+}
+
+void sendMemberCall(AttemptWork &work, const Attempt &attempt, AttemptMember &member, TargetRequest request)
+{
+    std::optional<TargetCall> call = makeCall(work.board, member.target, std::move(request));
+    if (!call) {
+        return;
+    }
+    member.callInFlight = call->id;
+    member.since = work.board.now;
+    work.board.attemptIndex.calls.insert_or_assign(call->id, MemberRef{attempt.id, member.index});
+    work.board.outbox.emplace_back(std::move(*call));
+}
+
+void sendThrottle(AttemptWork &work, const Attempt &attempt, int percent)
+{
+    for (const AttemptMember &member : attempt.members) {
+        if (auto call = makeCall(work.board, member.target, ThrottleTask{attempt.id, member.index, percent})) {
+            work.board.outbox.emplace_back(std::move(*call));
+        }
+    }
+}
+
+void sendStrayStop(AttemptWork &work, const TargetId &target, const ReportedTask &task)
+{
+    auto &stops = work.board.attemptIndex.strayStops;
+    const MemberRef ref{task.attempt, task.member};
+    const bool isUnderWay = std::ranges::any_of(stops, [&ref](const auto &entry) { return entry.second == ref; });
+    if (isUnderWay) {
+        return;
+    }
+    if (auto call = makeCall(work.board, target, StopTask{task.attempt, task.member, false})) {
+        stops.emplace(call->id, ref);
+        count(work.board.counters, "strayTasksStopped", work.board.self.availabilityZone.value);
+        work.board.outbox.emplace_back(std::move(*call));
+    }
+}
+
+AttemptMember withOutcome(AttemptMember member, TargetOutcome outcome, TimePoint now)
+{
+    member.callInFlight.reset();
+    member.since = now;
+    const bool isAccepted = outcome == TargetOutcome::Accepted;
+    const bool isInDoubt = outcome == TargetOutcome::Unknown;
+    switch (member.step) {
+    case MemberStep::Reserving:
+        member.step = isAccepted ? MemberStep::Reserved : isInDoubt ? MemberStep::InDoubt : MemberStep::Ended;
+        break;
+    case MemberStep::Starting:
+        if (isAccepted) {
+            member.step = MemberStep::Running;
+        } else if (isInDoubt) {
+            member.step = MemberStep::InDoubt;
+        } else {
+            // A call that was not sent may be sent again while the reservation lasts; a refusal is final.
+            member.step = outcome == TargetOutcome::NotSent ? MemberStep::Reserved : MemberStep::Ended;
+            member.mayHaveRun = false;
+        }
+        break;
+    case MemberStep::Stopping:
+        // The target drops a reservation at once; the end of a task is in a later report.
+        if (isAccepted && !member.mayHaveRun) {
+            member.step = MemberStep::Ended;
+        }
+        break;
+    case MemberStep::Reserved:
+    case MemberStep::InDoubt:
+    case MemberStep::Running:
+    case MemberStep::Ended:
+        break;
+    }
+    return member;
+}
+
+void applyMemberReplies(AttemptWork &work)
+{
+    AttemptIndex &index = work.board.attemptIndex;
+    for (const Event &event : work.board.inbox) {
+        const auto *reply = std::get_if<TargetReply>(&event);
+        if (reply == nullptr) {
+            continue;
+        }
+        index.strayStops.erase(reply->id);
+        const auto call = index.calls.find(reply->id);
+        if (call == index.calls.end()) {
+            continue;
+        }
+        const MemberRef ref = call->second;
+        index.calls.erase(call);
+        Attempt *attempt = editAttempt(work, ref.attempt);
+        AttemptMember *member = attempt == nullptr ? nullptr : memberOf(*attempt, ref.member);
+        if (member != nullptr && member->callInFlight == reply->id) {
+            *member = withOutcome(std::move(*member), reply->outcome, work.board.now);
+            if (reply->outcome != TargetOutcome::Accepted) {
+                count(work.board.counters,
+                      "memberCallsFailed",
+                      reply->outcome == TargetOutcome::Refused   ? "refused"
+                      : reply->outcome == TargetOutcome::NotSent ? "notSent"
+                                                                 : "answerLost");
+            }
+        }
+    }
+}
+
+void expireMemberCalls(AttemptWork &work, const AttemptId &id)
+{
+    const TimePoint oldest = work.board.now - work.board.self.limits.targetCallTimeout - replacementGrace;
+    const auto isSilent = [oldest](const AttemptMember &member) { return member.callInFlight && member.since <= oldest; };
+    const Attempt *present = readAttempt(work, id);
+    if (present == nullptr || std::ranges::none_of(present->members, isSilent)) {
+        return;
+    }
+    for (AttemptMember &member : editAttempt(work, id)->members) {
+        if (isSilent(member)) {
+            work.board.attemptIndex.calls.erase(*member.callInFlight);
+            member = withOutcome(std::move(member), TargetOutcome::Unknown, work.board.now);
+            count(work.board.counters, "memberCallsFailed", "silent");
+        }
+    }
+}
+
+}
--- a/core/blackboard.h
+++ b/core/blackboard.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "attempt.h"
+#include "attemptindex.h"
 #include "call.h"
 #include "clusterview.h"
 #include "configuration.h"
@@ -8,14 +9,17 @@
 #include "event.h"
 #include "hostsettings.h"
 #include "job.h"
+#include "jobwork.h"
 #include "message.h"
 #include "peer.h"
 #include "permit.h"
 #include "plan.h"
+#include "planbasis.h"
 #include "storesession.h"
 #include "table.h"
 #include "target.h"
 #include "timerservice.h"
+#include "zoneclaim.h"
 
 #include <map>
 #include <vector>
@@ -50,11 +54,16 @@
     Table<TargetId, TargetLease> leases;
     Epoch epoch = 0;            ///< Epoch under which this host owns its zone; zero if it does not. Written by updateOwnership.
     Epoch highestEpochSeen = 0; ///< Written by updateOwnership.
+    ZoneClaim zoneClaim;        ///< Written by updateOwnership.
     Table<JobId, Job> jobs;
+    JobWork jobWork; ///< Written by updateJobs.
     Table<AttemptId, Attempt> attempts;
+    AttemptIndex attemptIndex; ///< Written by driveAttempts.
     Plan plan;
+    PlanProgress planProgress;                                 ///< Written by updatePlan.
     std::map<AvailabilityZoneId, ZoneCapacity> zoneCapacities; ///< Written by updateMembership.
     Table<CallId, OpenCall> calls;
+    CallIndex callIndex; ///< Written by answerCallers.
     Table<CommandId, CommandProgress> commands;
     StoreSession store;
     TimerTable timers;
--- a/core/call.h
+++ b/core/call.h
@@ -5,7 +5,9 @@
 #include "time.h"
 
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -22,6 +24,16 @@
     friend bool operator==(const OpenCall &, const OpenCall &) = default;
 };
 
+/// Ways to open calls by job and by deadline.
+struct CallIndex
+{
+    std::set<std::pair<JobId, CallId>> byJob;
+    std::set<std::pair<TimePoint, CallId>> byDeadline;
+    std::optional<TimePoint> stoppingSince;
+
+    friend bool operator==(const CallIndex &, const CallIndex &) = default;
+};
+
 enum class CommandStep
 {
     Writing,
--- a/core/callanswers.cpp
+++ b/core/callanswers.cpp
@@ -1,11 +1,246 @@
 #include "controllers.h"
 
+#include "jobrecord.h"
+#include "storereach.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
 namespace sequoiastand
 {
 
+namespace
+{
+
+/// updateJobs settles a submission earlier; this bound holds if it could not.
+constexpr Duration submitLimit{10'000};
+constexpr Duration cancelLimit{5'000};
+constexpr Duration longestStatusWait{600'000};
+constexpr Duration retryAfter{1'000};
+
+JobId jobOf(const OpenCall &call)
+{
+    return std::visit(
+        [](const auto &request) {
+            if constexpr (std::is_same_v<std::decay_t<decltype(request)>, SubmitRequest>) {
+                return request.specification.id;
+            } else {
+                return request.job;
+            }
+        },
+        call.request);
+}
+
+void open(Blackboard &board, OpenCall call)
+{
+    board.callIndex.byJob.emplace(jobOf(call), call.id);
+    board.callIndex.byDeadline.emplace(call.answerBy, call.id);
+    const CallId id = call.id;
+    board.calls.put(id, std::move(call));
+}
+
+void close(Blackboard &board, const CallId &id)
+{
+    const OpenCall *call = board.calls.find(id);
+    if (call == nullptr) {
+        return;
+    }
+    board.callIndex.byJob.erase({jobOf(*call), id});
+    board.callIndex.byDeadline.erase({call->answerBy, id});
+    board.calls.erase(id);
+}
+
+void answer(Blackboard &board, const CallId &id, const Job &job)
+{
+    board.outbox.emplace_back(CallerReply{.id = id, .job = job});
+    count(board.counters, "answers", "job");
+    close(board, id);
+}
+
+void refuse(Blackboard &board, const CallId &id, Refusal refusal)
+{
+    count(board.counters, "answers", std::string(name(refusal.reason)));
+    board.outbox.emplace_back(CallerReply{.id = id, .refusal = std::move(refusal)});
+    close(board, id);
+}
+
+/// Whether an unknown job certainly does not exist.
+Refusal unknownJobRefusal(const Blackboard &board)
+{
+    if (board.store.isLoaded && canReachStore(board)) {
+        return {RefusalReason::NotFound, RunClaim::NotRun, Duration{0}, "no job with this request id is known"};
+    }
+    return {RefusalReason::StoreUnavailable, RunClaim::Unknown, retryAfter, "this host cannot read the store, so it does not know every job"};
+}
+
+void considerSubmit(Blackboard &board, const CallId &id, const SubmitRequest &request)
+{
+    const Job *job = board.jobs.find(request.specification.id);
+    if (job == nullptr) {
+        return;
+    }
+    if (job->specification != request.specification) {
+        refuse(board, id, {RefusalReason::RequestIdReused, RunClaim::NotRun, Duration{0}, "the request id was used before with different content"});
+    } else if (!board.jobWork.submissions.contains(request.specification.id)) {
+        answer(board, id, *job);
+    }
+}
+
+void considerStatus(Blackboard &board, const CallId &id, const StatusRequest &request)
+{
+    const Job *job = board.jobs.find(request.job);
+    const bool isPending = board.jobWork.submissions.contains(request.job);
+    if (job == nullptr && !isPending) {
+        refuse(board, id, unknownJobRefusal(board));
+    } else if (job != nullptr && !isPending && (isTerminal(job->state) || request.wait <= Duration{0})) {
+        answer(board, id, *job);
+    }
+}
+
+/// A cancellation is answered once it can no longer get lost: the flag is stored, or the job has ended.
+void considerCancel(Blackboard &board, const CallId &id, const CancelRequest &request)
+{
+    const Job *job = board.jobs.find(request.job);
+    if (job == nullptr && !board.jobWork.submissions.contains(request.job)) {
+        refuse(board, id, unknownJobRefusal(board));
+    } else if (job != nullptr && (isTerminal(job->state) || (job->isCancelRequested && job->revision > 0 && !board.jobWork.unsaved.contains(request.job)))) {
+        answer(board, id, *job);
+    }
+}
+
+/// Answers the call if the present state allows it.
+void consider(Blackboard &board, const CallId &id)
+{
+    const OpenCall *open = board.calls.find(id);
+    if (open == nullptr) {
+        return;
+    }
+    const OpenCall call = *open;
+    if (const auto *submit = std::get_if<SubmitRequest>(&call.request)) {
+        considerSubmit(board, id, *submit);
+    } else if (const auto *status = std::get_if<StatusRequest>(&call.request)) {
+        considerStatus(board, id, *status);
+    } else if (const auto *cancel = std::get_if<CancelRequest>(&call.request)) {
+        considerCancel(board, id, *cancel);
+    }
+}
+
+std::vector<CallId> callsOf(const Blackboard &board, const JobId &job)
+{
+    std::vector<CallId> ids;
+    for (auto entry = board.callIndex.byJob.lower_bound({job, CallId{0}}); entry != board.callIndex.byJob.end() && entry->first == job; ++entry) {
+        ids.push_back(entry->second);
+    }
+    return ids;
+}
+
+TimePoint answerByWhenStopping(const Blackboard &board)
+{
+    return board.callIndex.stoppingSince.value_or(board.now) + board.self.limits.stopLimit;
+}
+
+void openCalls(Blackboard &board, std::vector<CallId> &affected)
+{
+    for (const Event &event : board.inbox) {
+        if (const auto *submit = std::get_if<SubmitRequest>(&event)) {
+            open(board, {submit->id, *submit, board.now + submitLimit});
+            affected.push_back(submit->id);
+        } else if (const auto *status = std::get_if<StatusRequest>(&event)) {
+            const TimePoint answerBy = board.now + std::clamp(status->wait, Duration{0}, longestStatusWait);
+            open(board, {status->id, *status, board.isStopping ? std::min(answerBy, answerByWhenStopping(board)) : answerBy});
+            affected.push_back(status->id);
+        } else if (const auto *cancel = std::get_if<CancelRequest>(&event)) {
+            open(board, {cancel->id, *cancel, board.now + cancelLimit});
+            affected.push_back(cancel->id);
+        } else if (const auto *abandoned = std::get_if<CallAbandoned>(&event)) {
+            close(board, abandoned->id);
+        }
+    }
+}
+
+void refuseSubmissions(Blackboard &board)
+{
+    for (const RefusedSubmission &refused : board.jobWork.refusals) {
+        const std::vector<CallId> ids = refused.call ? std::vector<CallId>{*refused.call} : callsOf(board, refused.job);
+        for (const CallId &id : ids) {
+            const OpenCall *call = board.calls.find(id);
+            if (call != nullptr && std::holds_alternative<SubmitRequest>(call->request)) {
+                refuse(board, id, refused.refusal);
+            }
+        }
+    }
+}
+
+Refusal overdueRefusal(const Blackboard &board, const OpenCall &call)
+{
+    if (board.isStopping) {
+        return {RefusalReason::ShuttingDown, RunClaim::Unknown, Duration{0}, "this host stops; send the same request id to another host"};
+    }
+    if (std::holds_alternative<CancelRequest>(call.request)) {
+        return {RefusalReason::StoreUnavailable, RunClaim::Unknown, retryAfter, "the cancellation is queued but not stored yet"};
+    }
+    return {RefusalReason::Timeout, RunClaim::Unknown, retryAfter, "no answer in time; send the same request id again to learn the job's state"};
+}
+
+/// Ends calls whose time is over: a wait for a state with the present state, everything else with a refusal.
+void answerOverdueCalls(Blackboard &board)
+{
+    while (!board.callIndex.byDeadline.empty() && board.callIndex.byDeadline.begin()->first <= board.now) {
+        const CallId id = board.callIndex.byDeadline.begin()->second;
+        const OpenCall call = *board.calls.find(id);
+        const Job *job = board.jobs.find(jobOf(call));
+        const bool isCutOff = board.isStopping && board.now >= answerByWhenStopping(board);
+        if (std::holds_alternative<StatusRequest>(call.request) && job != nullptr && !isCutOff) {
+            answer(board, id, *job);
+        } else {
+            refuse(board, id, overdueRefusal(board, call));
+        }
+    }
+}
+
+/// At a stop no call may stay open beyond the stop's own limit.
+void limitToStop(Blackboard &board)
+{
+    if (!board.isStopping || board.callIndex.stoppingSince) {
+        return;
+    }
+    board.callIndex.stoppingSince = board.now;
+    const TimePoint limit = answerByWhenStopping(board);
+    std::vector<OpenCall> late;
+    for (const auto &[id, call] : board.calls.rows()) {
+        if (call.answerBy > limit) {
+            late.push_back(call);
+        }
+    }
+    for (OpenCall &call : late) {
+        close(board, call.id);
+        call.answerBy = limit;
+        open(board, std::move(call));
+    }
+}
+
+}
+
 void answerCallers(Blackboard &board)
 {
-    static_cast<void>(board);
+    std::vector<CallId> affected;
+    limitToStop(board);
+    openCalls(board, affected);
+    refuseSubmissions(board);
+    for (const JobId &job : board.jobs.changes()) {
+        const std::vector<CallId> ids = callsOf(board, job);
+        affected.insert(affected.end(), ids.begin(), ids.end());
+    }
+    for (const CallId &id : affected) {
+        consider(board, id);
+    }
+    answerOverdueCalls(board);
+    if (board.callIndex.byDeadline.empty()) {
+        unsubscribe(board.timers, "answers");
+    } else {
+        subscribe(board.timers, "answers", board.callIndex.byDeadline.begin()->first);
+    }
 }
 
 }
--- a/core/job.h
+++ b/core/job.h
@@ -92,6 +92,8 @@
     std::string result;
     std::string explanation;
     std::vector<HeldInterval> held;
+    int failedAttempts = 0;            ///< Attempts that failed or lost a member; stops on purpose do not count.
+    std::optional<WallTime> notBefore; ///< Earliest next attempt. Not stored: a new owner may try at once.
     long long revision = 0;
 
     friend bool operator==(const Job &, const Job &) = default;
--- /dev/null
+++ b/core/joboutcome.cpp
@@ -0,0 +1,194 @@
+#include "joboutcome.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+bool isComplete(const Attempt &attempt, const JobSpecification &specification)
+{
+    return static_cast<int>(attempt.members.size()) >= specification.taskCount;
+}
+
+bool hasEndedAs(const AttemptMember &member, TaskState state)
+{
+    return member.end == state;
+}
+
+std::string causeText(StopCause cause)
+{
+    switch (cause) {
+    case StopCause::Cancelled:
+        return "cancelled";
+    case StopCause::Preempted:
+        return "preempted";
+    case StopCause::Moved:
+        return "stopped to be moved";
+    case StopCause::MemberLost:
+        return "stopped because a member of the gang was lost";
+    case StopCause::ReservationFailed:
+        return "released because not every member could start";
+    case StopCause::ZoneOut:
+        return "stopped because the zone, rack or target is out of service";
+    case StopCause::None:
+        break;
+    }
+    return "ended";
+}
+
+/// Adds the interval in which the attempt held its accelerators, with the run time that no checkpoint covers.
+Job withHeldInterval(Job job, const Attempt &attempt, AttemptEnd end, Duration checkpoint, TimePoint now, WallTime wallNow)
+{
+    if (!attempt.runningSince || end == AttemptEnd::NeverRan) {
+        return job;
+    }
+    const Duration ran = now - *attempt.runningSince;
+    HeldInterval held;
+    held.attempt = attempt.id.number;
+    held.accelerators = acceleratorCount(job.specification);
+    held.from = wallNow - ran;
+    held.until = wallNow;
+    held.isBorrowed = attempt.isBorrowed;
+    if (end != AttemptEnd::Finished) {
+        held.lostWork = std::max(Duration{0}, ran - std::max(Duration{0}, checkpoint - job.checkpointedWork));
+    }
+    job.held.push_back(held);
+    return job;
+}
+
+Job withTerminalState(Job job, JobState state, WallTime wallNow, const std::string &explanation)
+{
+    job.state = state;
+    job.finishedAt = wallNow;
+    job.explanation = explanation;
+    return job;
+}
+
+Job withNextAttempt(Job job, Duration checkpoint, const std::string &explanation)
+{
+    job.state = JobState::Waiting;
+    job.mayHaveStarted = false;
+    job.checkpointedWork = checkpoint;
+    job.explanation = explanation;
+    return job;
+}
+
+std::string attemptText(const Attempt &attempt)
+{
+    return "attempt " + std::to_string(attempt.id.number);
+}
+
+Job withFailedAttempt(Job job, const Attempt &attempt, Duration checkpoint, int maxAttempts, WallTime wallNow, const std::string &what)
+{
+    ++job.failedAttempts;
+    if (job.failedAttempts >= maxAttempts) {
+        job.result = resultOf(attempt);
+        return withTerminalState(std::move(job), JobState::Failed, wallNow, what + "; that was the last of " + std::to_string(maxAttempts) + " attempts");
+    }
+    return withNextAttempt(std::move(job), checkpoint, what + "; waits for another attempt");
+}
+
+Job withFailure(Job job, const Attempt &attempt, Duration checkpoint, int maxAttempts, WallTime wallNow)
+{
+    const std::string what = "a task of " + attemptText(attempt) + " failed";
+    if (job.specification.isIdempotent) {
+        return withFailedAttempt(std::move(job), attempt, checkpoint, maxAttempts, wallNow, what);
+    }
+    job.result = resultOf(attempt);
+    return withTerminalState(std::move(job), JobState::Failed, wallNow, what + "; the job is not idempotent, so it is not tried again");
+}
+
+/// A job that is not idempotent resumes only from a checkpoint after a stop that every target confirmed.
+Job withStop(Job job, const Attempt &attempt, Duration checkpoint, WallTime wallNow)
+{
+    const std::string what = attemptText(attempt) + " was " + causeText(attempt.stopCause);
+    const bool mayResume = job.specification.isIdempotent || (job.specification.isCheckpointable && checkpoint > job.checkpointedWork);
+    if (mayResume) {
+        return withNextAttempt(std::move(job), checkpoint, what + "; waits for another attempt");
+    }
+    return withTerminalState(std::move(job), JobState::Unknown, wallNow, what + " after it had run; it is not idempotent and is not tried again");
+}
+
+Job withLoss(Job job, const Attempt &attempt, Duration checkpoint, int maxAttempts, WallTime wallNow)
+{
+    const std::string what = attemptText(attempt) + " lost a task";
+    if (job.specification.isIdempotent) {
+        return withFailedAttempt(std::move(job), attempt, checkpoint, maxAttempts, wallNow, what);
+    }
+    return withTerminalState(std::move(job), JobState::Unknown, wallNow, what + " that may have run; the job is not idempotent and is not tried again");
+}
+
+}
+
+std::string resultOf(const Attempt &attempt)
+{
+    std::vector<AttemptMember> members = attempt.members;
+    std::ranges::sort(members, {}, &AttemptMember::index);
+    std::string result;
+    for (const AttemptMember &member : members) {
+        if (member.index > 0 && !result.empty()) {
+            result += "\n";
+        }
+        result += member.result;
+    }
+    return result;
+}
+
+AttemptEnd endOf(const Attempt &attempt, const JobSpecification &specification)
+{
+    const auto &members = attempt.members;
+    const bool isWhole = isComplete(attempt, specification);
+    if (isWhole && std::ranges::all_of(members, [](const auto &member) { return hasEndedAs(member, TaskState::Finished); })) {
+        return AttemptEnd::Finished;
+    }
+    if (std::ranges::any_of(members, [](const auto &member) { return hasEndedAs(member, TaskState::Failed); })) {
+        return AttemptEnd::Failed;
+    }
+    if (!isWhole || std::ranges::any_of(members, [](const auto &member) { return member.mayHaveRun && !member.end; })) {
+        return AttemptEnd::MemberLost;
+    }
+    if (std::ranges::none_of(members, [](const auto &member) { return member.mayHaveRun; })) {
+        return AttemptEnd::NeverRan;
+    }
+    return AttemptEnd::Stopped;
+}
+
+Duration checkpointOf(const Attempt &attempt, const Job &job)
+{
+    return job.specification.isCheckpointable ? std::max(job.checkpointedWork, attempt.checkpointedWork) : Duration{0};
+}
+
+Job withAttemptEnd(Job job, const Attempt &attempt, int maxAttempts, TimePoint now, WallTime wallNow)
+{
+    const AttemptEnd end = endOf(attempt, job.specification);
+    const Duration checkpoint = checkpointOf(attempt, job);
+    job.attemptCount = std::max(job.attemptCount, attempt.id.number);
+    job = withHeldInterval(std::move(job), attempt, end, checkpoint, now, wallNow);
+    if (end == AttemptEnd::Finished) {
+        job.result = resultOf(attempt);
+        return withTerminalState(std::move(job), JobState::Finished, wallNow, "finished in " + attemptText(attempt));
+    }
+    if (job.isCancelRequested && end != AttemptEnd::Failed) {
+        return withTerminalState(std::move(job), JobState::Cancelled, wallNow, "cancelled in " + attemptText(attempt));
+    }
+    // A failed job whose cancellation came too late is not tried again.
+    const int attemptLimit = job.isCancelRequested ? 0 : maxAttempts;
+    switch (end) {
+    case AttemptEnd::Failed:
+        return withFailure(std::move(job), attempt, checkpoint, attemptLimit, wallNow);
+    case AttemptEnd::NeverRan:
+        return withNextAttempt(std::move(job), checkpoint, attemptText(attempt) + " was " + causeText(attempt.stopCause) + "; waits for another attempt");
+    case AttemptEnd::Stopped:
+        return withStop(std::move(job), attempt, checkpoint, wallNow);
+    case AttemptEnd::MemberLost:
+    case AttemptEnd::Finished:
+        break;
+    }
+    return withLoss(std::move(job), attempt, checkpoint, maxAttempts, wallNow);
+}
+
+}
--- /dev/null
+++ b/core/jobrecovery.cpp
@@ -0,0 +1,234 @@
+#include "jobrecovery.h"
+
+#include "jobrecord.h"
+#include "jobretry.h"
+#include "storereach.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+/// Targets keep tasks for 10 minutes after their holder's lease has expired; later an unreported task has certainly ended.
+constexpr Duration taskRetention{600'000};
+
+/// True once every target of the zone has answered under this host's lease since it became owner.
+bool hasHeardAllTargets(const Blackboard &board)
+{
+    return std::ranges::all_of(board.targets.rows(), [&board](const auto &row) {
+        const auto &[id, target] = row;
+        if (target.availabilityZone != board.self.availabilityZone) {
+            return true;
+        }
+        const TargetLease *lease = board.leases.find(id);
+        return lease != nullptr && isUsable(*lease, board.now) && target.reportAskedAt && *target.reportAskedAt >= *board.zoneClaim.ownedSince;
+    });
+}
+
+Job withoutReport(Job job, int maxAttempts, WallTime wallNow)
+{
+    const std::string what = "no target reports attempt " + std::to_string(job.attemptCount);
+    job.mayHaveStarted = false;
+    if (job.isCancelRequested) {
+        job.state = JobState::Cancelled;
+        job.finishedAt = wallNow;
+        job.explanation = "cancelled; " + what;
+    } else if (!job.specification.isIdempotent) {
+        job.state = JobState::Unknown;
+        job.mayHaveStarted = true;
+        job.finishedAt = wallNow;
+        job.explanation = what + ", which may have run; the job is not idempotent and is not tried again";
+    } else if (++job.failedAttempts >= maxAttempts) {
+        job.state = JobState::Failed;
+        job.finishedAt = wallNow;
+        job.explanation = what + "; that was the last of " + std::to_string(maxAttempts) + " attempts";
+    } else {
+        job.state = JobState::Waiting;
+        job.explanation = what + "; waits for another attempt";
+    }
+    return job;
+}
+
+/// Resolves one active job whose tasks nobody reports.
+void recoverUnattended(Blackboard &board, const Job &job, bool hasHeardAll)
+{
+    const JobId &id = job.specification.id;
+    const TimePoint since = board.jobWork.unattended.try_emplace(id, board.now).first->second;
+    const Duration limit = job.specification.isIdempotent ? board.self.limits.silentZoneTakeover : taskRetention;
+    if (!hasHeardAll && board.now - since < limit) {
+        return;
+    }
+    Job after = withoutReport(job, board.self.limits.maxJobAttempts, board.wallNow);
+    if (after.state == JobState::Waiting) {
+        after = withRetryDelay(board, std::move(after), AttemptEnd::MemberLost);
+    } else {
+        count(board.counters, "jobs", std::string(name(after.state)));
+    }
+    board.jobWork.unattended.erase(id);
+    saveJob(board, std::move(after));
+}
+
+/// Jobs with a task on a target whose lease this host holds; driveAttempts adopts them.
+std::set<JobId> reportedJobs(const Blackboard &board)
+{
+    std::set<JobId> reported;
+    for (const auto &[id, lease] : board.leases.rows()) {
+        const Target *target = isUsable(lease, board.now) ? board.targets.find(id) : nullptr;
+        if (target != nullptr) {
+            std::ranges::for_each(target->tasks, [&reported](const ReportedTask &task) { reported.insert(task.attempt.job); });
+        }
+    }
+    return reported;
+}
+
+void recoverUnattendedJobs(Blackboard &board)
+{
+    std::vector<JobId> unattended;
+    for (const auto &[id, job] : board.jobs.rows()) {
+        if (isTerminal(job.state) || !isScheduledHere(board, job) || attemptOf(board, id) != nullptr) {
+            continue;
+        }
+        if (job.state != JobState::Waiting) {
+            unattended.push_back(id);
+        } else if (job.isCancelRequested) {
+            board.jobWork.cancellations.insert(id);
+        }
+    }
+    const bool hasHeardAll = !unattended.empty() && hasHeardAllTargets(board);
+    const std::set<JobId> reported = unattended.empty() ? std::set<JobId>{} : reportedJobs(board);
+    std::erase_if(unattended, [&reported](const JobId &id) { return reported.contains(id); });
+    std::erase_if(board.jobWork.unattended, [&unattended](const auto &entry) { return !std::ranges::binary_search(unattended, entry.first); });
+    for (const JobId &id : unattended) {
+        Job job = *board.jobs.find(id);
+        if (job.state == JobState::Reserving) {
+            job.state = JobState::Waiting;
+            board.jobs.put(id, std::move(job));
+        } else {
+            recoverUnattended(board, job, hasHeardAll);
+        }
+    }
+}
+
+/// The zone among those with an owner that takes the job over. Every owner computes the same; the store decides if they differ.
+bool takesOver(const Blackboard &board, const JobId &id)
+{
+    const std::string key = toString(id);
+    const unsigned long long own = rendezvousWeight(key, board.self.availabilityZone.value);
+    return std::ranges::none_of(board.peers.rows(), [&](const auto &row) {
+        const Peer &peer = row.second;
+        const bool isRival = peer.ownedEpoch > 0 && peer.state == PeerState::Alive && peer.availabilityZone != board.self.availabilityZone
+                             && !isZoneOut(board.configuration, peer.availabilityZone);
+        return isRival && rendezvousWeight(key, peer.availabilityZone.value) > own;
+    });
+}
+
+/// Not idempotent work is taken over only if the record shows that no attempt started.
+bool mayTakeOver(const Job &job)
+{
+    if (isTerminal(job.state) || job.revision == 0) {
+        return false;
+    }
+    return job.specification.isIdempotent || (job.state == JobState::Waiting && !job.mayHaveStarted);
+}
+
+void takeOverSilentZones(Blackboard &board)
+{
+    if (!canReachStore(board) || isZoneOut(board.configuration, board.self.availabilityZone)) {
+        return;
+    }
+    std::set<AvailabilityZoneId> silentZones;
+    for (const auto &[id, zone] : board.configuration.availabilityZones) {
+        if (id != board.self.availabilityZone && isZoneSilent(board, id)) {
+            silentZones.insert(id);
+        }
+    }
+    if (silentZones.empty()) {
+        return;
+    }
+    std::vector<Job> taken;
+    for (const auto &[id, job] : board.jobs.rows()) {
+        if (static_cast<int>(taken.size()) >= board.self.limits.bulkOperationsPerStep) {
+            break;
+        }
+        if (silentZones.contains(job.availabilityZone) && mayTakeOver(job) && !board.jobWork.unsaved.contains(id) && takesOver(board, id)) {
+            taken.push_back(job);
+        }
+    }
+    for (Job &job : taken) {
+        job.explanation = "taken over from zone " + job.availabilityZone.value + ", which is silent";
+        job.availabilityZone = board.self.availabilityZone;
+        job.state = JobState::Waiting;
+        job.mayHaveStarted = false;
+        // A number of its own keeps late reports of the silent zone's attempt apart.
+        ++job.attemptCount;
+        count(board.counters, "jobsTakenOver", board.self.availabilityZone.value);
+        saveJob(board, std::move(job));
+    }
+}
+
+}
+
+void adoptReportedJobs(Blackboard &board)
+{
+    if (canReachStore(board) && !board.store.isLoaded) {
+        return;
+    }
+    for (const TargetId &targetId : board.targets.changes()) {
+        const Target *target = board.targets.find(targetId);
+        const TargetLease *lease = board.leases.find(targetId);
+        if (target == nullptr || lease == nullptr || !isUsable(*lease, board.now)) {
+            continue;
+        }
+        for (const ReportedTask &task : target->tasks) {
+            if (!task.specification || board.jobs.contains(task.attempt.job) || task.state == TaskState::Reserved) {
+                continue;
+            }
+            Job job;
+            job.specification = *task.specification;
+            job.availabilityZone = board.self.availabilityZone;
+            job.state = JobState::Starting;
+            job.attemptCount = task.attempt.number;
+            job.mayHaveStarted = true;
+            job.attemptOwner = board.self.id;
+            job.acceptedAt = board.wallNow;
+            job.explanation = "found on target " + targetId.value;
+            count(board.counters, "jobsAdopted", board.self.availabilityZone.value);
+            saveJob(board, std::move(job));
+        }
+    }
+}
+
+bool isZoneSilent(const Blackboard &board, const AvailabilityZoneId &zone)
+{
+    const auto configured = board.configuration.availabilityZones.find(zone);
+    const Duration isolatedStarts = configured == board.configuration.availabilityZones.end() ? Duration{0} : configured->second.isolatedStartPeriod;
+    const Duration limit = std::max(board.self.limits.silentZoneTakeover, board.self.limits.permitPeriod + isolatedStarts);
+    int silentHosts = 0;
+    for (const auto &[id, peer] : board.peers.rows()) {
+        if (peer.availabilityZone != zone) {
+            continue;
+        }
+        // A host that keeps its record in the store alive is cut off from this one only, and its zone still works.
+        if (peer.state != PeerState::Gone || (peer.lastHeard && board.now - *peer.lastHeard < limit)) {
+            return false;
+        }
+        ++silentHosts;
+    }
+    return silentHosts > 0;
+}
+
+void recoverJobs(Blackboard &board)
+{
+    if (!schedules(board)) {
+        board.jobWork.unattended.clear();
+        return;
+    }
+    recoverUnattendedJobs(board);
+    takeOverSilentZones(board);
+}
+
+}
--- a/core/jobupdate.cpp
+++ b/core/jobupdate.cpp
@@ -1,11 +1,231 @@
 #include "controllers.h"
 
+#include "admission.h"
+#include "joboutcome.h"
+#include "jobrecord.h"
+#include "jobrecovery.h"
+#include "jobretry.h"
+
+#include <algorithm>
+#include <utility>
+
 namespace sequoiastand
 {
 
+namespace
+{
+
+constexpr Duration maintenancePeriod{1'000};
+
+/// Marks a job for cancellation. Any host may: the owner of the job's zone sees the flag in the record.
+void requestCancellation(Blackboard &board, const JobId &id)
+{
+    const Job *job = board.jobs.find(id);
+    if (job == nullptr || isTerminal(job->state) || job->isCancelRequested) {
+        return;
+    }
+    Job flagged = *job;
+    flagged.isCancelRequested = true;
+    saveJob(board, std::move(flagged));
+}
+
+void applyCancelRequests(Blackboard &board)
+{
+    for (const Event &event : board.inbox) {
+        if (const auto *request = std::get_if<CancelRequest>(&event)) {
+            requestCancellation(board, request->job);
+        }
+    }
+    for (const JobId &id : board.jobs.changes()) {
+        const Job *job = board.jobs.find(id);
+        if (job != nullptr && job->isCancelRequested && !isTerminal(job->state)) {
+            board.jobWork.cancellations.insert(id);
+        }
+    }
+}
+
+bool canCancelNow(const Blackboard &board, const Job &job)
+{
+    return isScheduledHere(board, job) && attemptOf(board, job.specification.id) == nullptr && !isTerminal(job.state)
+           && (job.state == JobState::Waiting || job.state == JobState::Reserving);
+}
+
+/// Cancels waiting jobs, a bounded number per step. Jobs with an attempt are stopped by driveAttempts.
+void cancelWaitingJobs(Blackboard &board)
+{
+    int remaining = board.self.limits.bulkOperationsPerStep;
+    std::set<JobId> &cancellations = board.jobWork.cancellations;
+    for (auto next = cancellations.begin(); next != cancellations.end();) {
+        const Job *job = board.jobs.find(*next);
+        if (job == nullptr || !canCancelNow(board, *job)) {
+            next = cancellations.erase(next);
+            continue;
+        }
+        if (remaining-- == 0) {
+            subscribeNoLaterThan(board.timers, "attempts", board.now);
+            return;
+        }
+        Job cancelled = *job;
+        cancelled.state = JobState::Cancelled;
+        cancelled.finishedAt = board.wallNow;
+        cancelled.explanation = "cancelled before it started";
+        count(board.counters, "jobs", "cancelled");
+        saveJob(board, std::move(cancelled));
+        next = cancellations.erase(next);
+    }
+}
+
+bool isIdleHere(const Blackboard &board, const JobId &id)
+{
+    const Job *job = board.jobs.find(id);
+    return job != nullptr && job->state == JobState::Waiting && isScheduledHere(board, *job) && attemptOf(board, id) == nullptr;
+}
+
+void applyPlan(Blackboard &board)
+{
+    for (const PlannedRefusal &refusal : board.plan.refusals) {
+        if (isIdleHere(board, refusal.job)) {
+            Job job = *board.jobs.find(refusal.job);
+            job.state = JobState::Refused;
+            job.finishedAt = board.wallNow;
+            job.explanation = std::string(name(refusal.reason)) + ": " + refusal.explanation;
+            count(board.counters, "jobsRefused", std::string(name(refusal.reason)));
+            saveJob(board, std::move(job));
+        }
+    }
+    for (const ZoneMove &move : board.plan.moves) {
+        const Job *job = board.jobs.find(move.job);
+        // The move must be stored before the other zone may act, so it waits while the last write is open.
+        if (isIdleHere(board, move.job) && job->revision > 0 && !board.jobWork.unsaved.contains(move.job)) {
+            Job moved = *job;
+            moved.availabilityZone = move.availabilityZone;
+            moved.explanation = move.explanation;
+            count(board.counters, "jobsMoved", move.availabilityZone.value);
+            saveJob(board, std::move(moved));
+        }
+    }
+    for (const Explanation &explanation : board.plan.explanations) {
+        if (isIdleHere(board, explanation.job)) {
+            Job job = *board.jobs.find(explanation.job);
+            job.explanation = explanation.text;
+            board.jobs.put(explanation.job, std::move(job));
+        }
+    }
+}
+
+std::string placementText(const Blackboard &board, const Attempt &attempt)
+{
+    const auto planned = std::ranges::find_if(board.plan.placements, [&attempt](const Placement &placement) { return placement.job == attempt.id.job; });
+    return planned == board.plan.placements.end() ? "placed on " + std::to_string(attempt.members.size()) + " targets" : planned->explanation;
+}
+
+void endAttempt(Blackboard &board, const Job &job, const Attempt &attempt)
+{
+    const bool wasRecorded = job.mayHaveStarted || attempt.runningSince || attempt.isAdopted;
+    const AttemptEnd end = endOf(attempt, job.specification);
+    Job after = withAttemptEnd(job, attempt, board.self.limits.maxJobAttempts, board.now, board.wallNow);
+    if (after.state == JobState::Waiting) {
+        after = withRetryDelay(board, std::move(after), end);
+    } else {
+        count(board.counters, "jobs", std::string(name(after.state)));
+        addRetryBudget(board, after);
+    }
+    if (wasRecorded || isTerminal(after.state)) {
+        saveJob(board, std::move(after));
+    } else {
+        board.jobs.put(attempt.id.job, std::move(after));
+    }
+}
+
+/// Follows one attempt of this zone. Repeating it for an unchanged attempt changes nothing.
+void followAttempt(Blackboard &board, const Attempt &attempt)
+{
+    const Job *job = board.jobs.find(attempt.id.job);
+    if (job == nullptr || isTerminal(job->state) || isStaleAttempt(*job, attempt.id, board.self.availabilityZone)) {
+        return;
+    }
+    Job after = *job;
+    after.attemptCount = attempt.id.number;
+    switch (attempt.step) {
+    case AttemptStep::Reserving:
+        if (job->state != JobState::Reserving) {
+            after.state = JobState::Reserving;
+            after.explanation = placementText(board, attempt);
+            board.jobs.put(attempt.id.job, std::move(after));
+        }
+        return;
+    case AttemptStep::Recording:
+    case AttemptStep::Starting:
+        if (job->state != JobState::Starting) {
+            after.state = JobState::Starting;
+            after.mayHaveStarted = true;
+            after.attemptOwner = board.self.id;
+            saveJob(board, std::move(after));
+        }
+        return;
+    case AttemptStep::Running:
+        if (job->state != JobState::Running) {
+            after.state = JobState::Running;
+            after.mayHaveStarted = true;
+            after.attemptOwner = board.self.id;
+            after.startedAt = job->startedAt ? job->startedAt : board.wallNow;
+            addSample(board.counters,
+                      "startDelaySeconds." + std::string(name(job->specification.jobClass)),
+                      static_cast<double>((board.wallNow - job->acceptedAt).count()) / 1'000.0);
+            saveJob(board, std::move(after));
+        }
+        return;
+    case AttemptStep::Stopping:
+        after.state = JobState::Stopping;
+        board.jobs.put(attempt.id.job, std::move(after));
+        return;
+    case AttemptStep::Ended:
+        endAttempt(board, *job, attempt);
+        return;
+    }
+}
+
+void followAttempts(Blackboard &board)
+{
+    if (!schedules(board)) {
+        return;
+    }
+    for (const AttemptId &id : board.attempts.changes()) {
+        if (const Attempt *attempt = board.attempts.find(id)) {
+            followAttempt(board, *attempt);
+        }
+    }
+    if (isDue(board.timers, "attempts")) {
+        // A step ends after a limited number of rounds, so an end may not have been followed yet.
+        for (const auto &[id, attempt] : board.attempts.rows()) {
+            if (attempt.step == AttemptStep::Ended) {
+                followAttempt(board, attempt);
+            }
+        }
+    }
+}
+
+}
+
 void updateJobs(Blackboard &board)
 {
-    static_cast<void>(board);
+    board.jobWork.refusals.clear();
+    applyStoredJobs(board);
+    admitSubmissions(board);
+    applyCancelRequests(board);
+    if (schedules(board)) {
+        adoptReportedJobs(board);
+        applyPlan(board);
+        followAttempts(board);
+    }
+    cancelWaitingJobs(board);
+    settleSubmissions(board);
+    const bool isMaintenanceDue = !board.jobWork.lastMaintenance || board.now - *board.jobWork.lastMaintenance >= maintenancePeriod;
+    if (isDue(board.timers, "attempts") && isMaintenanceDue) {
+        board.jobWork.lastMaintenance = board.now;
+        requestMissingWrites(board);
+        recoverJobs(board);
+    }
 }
 
 }
--- /dev/null
+++ b/core/leaserounds.cpp
@@ -0,0 +1,260 @@
+#include "leaserounds.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+/// Added to a call's own timeout before the core replaces it, so that the front end reports the timeout first.
+constexpr Duration replacementGrace{500};
+constexpr Duration longestRetryDelay{1'000};
+constexpr std::size_t maxAcknowledgementsPerCall = 64;
+
+TargetLease withoutCall(TargetLease lease)
+{
+    lease.callInFlight.reset();
+    return lease;
+}
+
+TargetLease withGrant(TargetLease lease, Duration duration)
+{
+    lease.state = LeaseState::Held;
+    lease.expiry = lease.callSentAt + duration;
+    lease.wantsPrompt = false;
+    lease.refusedFor = HostId{};
+    return lease;
+}
+
+/// The epoch of a refused lease is the one that the target follows, so that the owner sees what it has to exceed.
+TargetLease withRefusal(TargetLease lease, const TargetReply &reply, const HostId &self, TimePoint now, Duration round)
+{
+    lease.lapsedAt = lease.state == LeaseState::Held ? now : lease.lapsedAt;
+    lease.state = LeaseState::Refused;
+    lease.retryAt = now + round;
+    if (reply.report) {
+        lease.refusedFor = reply.report->holder;
+        lease.epoch = reply.report->epoch;
+        // Another holder keeps the target until its lease ends; a refusal for any other reason is worth an early retry.
+        lease.retryAt = now + (reply.report->holder == self ? round : std::max(round, reply.report->leaseRemaining));
+    }
+    return lease;
+}
+
+void applyLeaseReply(Blackboard &board, const TargetReply &reply)
+{
+    const TargetLease *present = board.leases.find(reply.target);
+    if (present == nullptr || present->callInFlight != reply.id) {
+        return;
+    }
+    TargetLease lease = withoutCall(*present);
+    if (reply.report) {
+        board.highestEpochSeen = std::max(board.highestEpochSeen, reply.report->epoch);
+    }
+    if (lease.state == LeaseState::Releasing) {
+        if (reply.outcome == TargetOutcome::Accepted || reply.outcome == TargetOutcome::Refused) {
+            board.leases.erase(reply.target);
+            return;
+        }
+        lease.retryAt = board.now + board.self.limits.leaseRound;
+    } else if (reply.outcome == TargetOutcome::Accepted) {
+        lease = withGrant(std::move(lease), board.self.limits.targetLease);
+    } else if (reply.outcome == TargetOutcome::Refused) {
+        lease = withRefusal(std::move(lease), reply, board.self.id, board.now, board.self.limits.leaseRound);
+        count(board.counters, "leaseRefusals", board.self.availabilityZone.value);
+    } else {
+        lease.wantsPrompt = true;
+        lease.retryAt = board.now + takeJitter(board, longestRetryDelay);
+        count(board.counters, "leaseRetries", reply.outcome == TargetOutcome::NotSent ? "notSent" : "answerLost");
+    }
+    board.leases.put(reply.target, std::move(lease));
+}
+
+/// Lapsed leases are to be acquired anew, and calls past their deadline are given up.
+void expireLeases(Blackboard &board)
+{
+    std::vector<TargetLease> changed;
+    for (const auto &[id, lease] : board.leases.rows()) {
+        const bool isLapsed = lease.state == LeaseState::Held && board.now >= lease.expiry;
+        const bool isSilent = lease.callInFlight && board.now >= lease.callDeadline;
+        if (!isLapsed && !isSilent) {
+            continue;
+        }
+        TargetLease updated = lease;
+        if (isLapsed) {
+            updated.state = LeaseState::Acquiring;
+            updated.lapsedAt = board.now;
+            count(board.counters, "leasesLapsed", board.self.availabilityZone.value);
+        }
+        if (isSilent) {
+            updated.callInFlight.reset();
+            updated.wantsPrompt = true;
+            count(board.counters, "leaseRetries", "silent");
+        }
+        changed.push_back(std::move(updated));
+    }
+    for (TargetLease &lease : changed) {
+        const TargetId id = lease.target;
+        board.leases.put(id, std::move(lease));
+    }
+}
+
+/// Rows for targets that this owner does not have a lease row for yet.
+void addMissingLeases(Blackboard &board)
+{
+    for (const auto &[id, target] : board.targets.rows()) {
+        if (target.availabilityZone == board.self.availabilityZone && !board.leases.contains(id)) {
+            TargetLease lease;
+            lease.target = id;
+            lease.epoch = board.epoch;
+            board.leases.put(id, lease);
+        }
+    }
+}
+
+/// A host that does not own its zone, or is leaving, gives back what it holds and forgets the rest.
+void startReleases(Blackboard &board)
+{
+    std::vector<TargetLease> released;
+    std::vector<TargetId> forgotten;
+    for (const auto &[id, lease] : board.leases.rows()) {
+        if (isUsable(lease, board.now)) {
+            TargetLease updated = withoutCall(lease);
+            updated.state = LeaseState::Releasing;
+            updated.retryAt = board.now;
+            released.push_back(std::move(updated));
+        } else if (lease.state != LeaseState::Releasing || board.now >= lease.expiry) {
+            forgotten.push_back(id);
+        }
+    }
+    for (TargetLease &lease : released) {
+        const TargetId id = lease.target;
+        board.leases.put(id, std::move(lease));
+    }
+    for (const TargetId &id : forgotten) {
+        board.leases.erase(id);
+    }
+}
+
+void removeVanishedTargets(Blackboard &board)
+{
+    std::vector<TargetId> vanished;
+    for (const auto &[id, lease] : board.leases.rows()) {
+        const Target *target = board.targets.find(id);
+        const bool isGone = target == nullptr || (target->isListedLeaving && target->health == TargetHealth::Silent && !isUsable(lease, board.now));
+        if (isGone) {
+            vanished.push_back(id);
+        }
+    }
+    for (const TargetId &id : vanished) {
+        board.leases.erase(id);
+    }
+}
+
+std::vector<AttemptId> endedToAcknowledge(const Blackboard &board, const Target &target)
+{
+    std::vector<AttemptId> ended;
+    for (const ReportedTask &task : target.tasks) {
+        const bool isNew = ended.empty() || ended.back() != task.attempt;
+        // A labelled task of an unknown job is one that this board still has to adopt.
+        const bool awaitsAdoption = task.specification && !board.jobs.contains(task.attempt.job);
+        if (hasEnded(task.state) && isNew && !awaitsAdoption && ended.size() < maxAcknowledgementsPerCall && isOutcomeKept(board, task.attempt)) {
+            ended.push_back(task.attempt);
+        }
+    }
+    return ended;
+}
+
+TargetCall makeLeaseCall(Blackboard &board, const Target &target, const TargetLease &lease)
+{
+    const Limits &limits = board.self.limits;
+    TargetCall call;
+    call.id = takeCallId(board);
+    call.target = target.id;
+    call.address = target.address;
+    call.host = board.self.id;
+    call.timeout = limits.targetCallTimeout;
+    if (lease.state == LeaseState::Releasing) {
+        call.epoch = lease.epoch;
+        call.request = ReleaseTarget{};
+        return call;
+    }
+    const bool isRenewal = lease.state == LeaseState::Held && !lease.wantsPrompt && lease.epoch == board.epoch;
+    const Duration wait = isRenewal ? limits.targetLeaseWait : Duration{0};
+    call.epoch = board.epoch;
+    call.request = LeaseTarget{limits.targetLease, wait, endedToAcknowledge(board, target)};
+    call.timeout += wait;
+    return call;
+}
+
+void sendLeaseCall(Blackboard &board, const TargetLease &lease)
+{
+    const Target *target = board.targets.find(lease.target);
+    if (target == nullptr) {
+        return;
+    }
+    TargetCall call = makeLeaseCall(board, *target, lease);
+    TargetLease updated = lease;
+    updated.callInFlight = call.id;
+    updated.callSentAt = board.now;
+    updated.callDeadline = board.now + call.timeout + replacementGrace;
+    updated.epoch = call.epoch;
+    if (updated.state == LeaseState::Refused) {
+        updated.state = LeaseState::Acquiring;
+    }
+    board.outbox.emplace_back(std::move(call));
+    board.leases.put(updated.target, updated);
+}
+
+}
+
+bool isOutcomeKept(const Blackboard &board, const AttemptId &attempt)
+{
+    const Job *job = board.jobs.find(attempt.job);
+    if (job == nullptr) {
+        // A loaded board without the record: it was folded into the ledger with its outcome.
+        return board.store.isLoaded && !board.attempts.contains(attempt);
+    }
+    if (job->revision == 0 || board.jobWork.unsaved.contains(attempt.job) || board.attempts.contains(attempt)) {
+        return false;
+    }
+    return isTerminal(job->state) || job->attemptCount > attempt.number || (job->state == JobState::Waiting && job->attemptCount == attempt.number);
+}
+
+void applyLeaseReplies(Blackboard &board)
+{
+    for (const Event &event : board.inbox) {
+        if (const auto *reply = std::get_if<TargetReply>(&event)) {
+            applyLeaseReply(board, *reply);
+        }
+    }
+}
+
+void sendLeaseCalls(Blackboard &board)
+{
+    expireLeases(board);
+    removeVanishedTargets(board);
+    const bool mayHold = board.epoch > 0 && !board.zoneClaim.isReleasing;
+    if (mayHold) {
+        addMissingLeases(board);
+    } else {
+        startReleases(board);
+    }
+    std::vector<TargetLease> ready;
+    for (const auto &[id, lease] : board.leases.rows()) {
+        if (!lease.callInFlight && board.now >= lease.retryAt) {
+            ready.push_back(lease);
+        }
+    }
+    // Held leases first, those closest to expiry before the others.
+    std::ranges::sort(ready, {}, [](const TargetLease &lease) { return std::pair{lease.state != LeaseState::Held, lease.expiry}; });
+    const auto limit = static_cast<std::size_t>(board.self.limits.leaseCallsPerRound);
+    for (std::size_t index = 0; index < std::min(limit, ready.size()); ++index) {
+        sendLeaseCall(board, ready[index]);
+    }
+}
+
+}
--- a/core/ownership.cpp
+++ b/core/ownership.cpp
@@ -1,11 +1,303 @@
 #include "controllers.h"
 
+#include "leaserounds.h"
+#include "storereach.h"
+
+#include <algorithm>
+
 namespace sequoiastand
 {
 
+namespace
+{
+
+/// A stop hands over at the latest after this time, although starts or records may still be open.
+constexpr Duration longestWaitBeforeRelease{8'000};
+constexpr Duration longestRelease{3'000};
+
+bool isInZone(const Blackboard &board, const Peer &peer)
+{
+    return peer.availabilityZone == board.self.availabilityZone;
+}
+
+/// True if the peer may still use leases of the zone: it was heard within the lifetime of a target lease.
+bool maySchedule(const Blackboard &board, const Peer &peer)
+{
+    return peer.state != PeerState::Gone && peer.lastHeard && board.now - *peer.lastHeard < board.self.limits.targetLease;
+}
+
+bool isOwnedByPeer(const Blackboard &board)
+{
+    return std::ranges::any_of(
+        board.peers.rows(), [&board](const auto &row) { return isInZone(board, row.second) && row.second.ownedEpoch > 0 && maySchedule(board, row.second); });
+}
+
+/// True if the record in the store names another host that may own the zone although this host has not heard it say so.
+/// Without this rule two hosts that reach the store but not each other would take the zone from one another for ever.
+bool isOwnedInStore(const Blackboard &board)
+{
+    const std::optional<ZoneOwner> &stored = board.zoneClaim.stored;
+    if (!stored || stored->host == board.self.id || !canReachStore(board)) {
+        return false;
+    }
+    const Peer *peer = board.peers.find(stored->host);
+    if (peer == nullptr) {
+        return true;
+    }
+    if (peer->state == PeerState::Gone || peer->isLeaving || peer->ownedEpoch >= stored->epoch) {
+        return false;
+    }
+    return !maySchedule(board, *peer) || board.now - board.zoneClaim.storedSince < board.self.limits.suspectAfter;
+}
+
+unsigned long long weightInZone(const Blackboard &board, const HostId &host)
+{
+    return rendezvousWeight(board.self.availabilityZone.value, host.value);
+}
+
+std::optional<HostId> firstPeer(const Blackboard &board)
+{
+    std::optional<HostId> first;
+    for (const auto &[id, peer] : board.peers.rows()) {
+        const bool isCandidate = isInZone(board, peer) && peer.state == PeerState::Alive && !peer.isLeaving;
+        if (isCandidate && (!first || weightInZone(board, id) > weightInZone(board, *first))) {
+            first = id;
+        }
+    }
+    return first;
+}
+
+bool isFirstCandidate(const Blackboard &board)
+{
+    const std::optional<HostId> peer = firstPeer(board);
+    return !peer || weightInZone(board, board.self.id) > weightInZone(board, *peer);
+}
+
+/// A new host first listens, so that it does not claim a zone whose owner it has not heard yet.
+bool hasListened(const Blackboard &board)
+{
+    const bool allHeard = std::ranges::all_of(
+        board.peers.rows(), [&board](const auto &row) { return !isInZone(board, row.second) || row.second.lastHeard || row.second.state == PeerState::Gone; });
+    return allHeard || board.now - board.zoneClaim.watchedSince.value_or(board.now) >= board.self.limits.suspectAfter;
+}
+
+void observeStoredOwner(Blackboard &board, const StoreEntry &entry)
+{
+    const auto *owner = std::get_if<ZoneOwner>(&entry.record);
+    if (owner == nullptr || entry.key != zoneOwnerKey(board.self.availabilityZone) || entry.revision < board.zoneClaim.storedRevision) {
+        return;
+    }
+    if (board.zoneClaim.stored != *owner) {
+        board.zoneClaim.stored = *owner;
+        board.zoneClaim.storedSince = board.now;
+    }
+    board.zoneClaim.storedRevision = entry.revision;
+    board.highestEpochSeen = std::max(board.highestEpochSeen, owner->epoch);
+}
+
+void observeEpochs(Blackboard &board)
+{
+    for (const StoreEntry &entry : storeEntriesSeen(board)) {
+        observeStoredOwner(board, entry);
+    }
+    for (const StoreKey &key : storeDeletionsSeen(board)) {
+        if (key == zoneOwnerKey(board.self.availabilityZone)) {
+            // The epoch stays in highestEpochSeen; only the condition of the next write changes.
+            board.zoneClaim.stored.reset();
+            board.zoneClaim.storedRevision = 0;
+        }
+    }
+    for (const auto &[id, peer] : board.peers.rows()) {
+        if (isInZone(board, peer)) {
+            board.highestEpochSeen = std::max(board.highestEpochSeen, peer.ownedEpoch);
+        }
+    }
+    for (const Event &event : board.inbox) {
+        const auto *heard = std::get_if<PeerHeard>(&event);
+        const auto *handover = heard == nullptr ? nullptr : std::get_if<Handover>(&heard->message);
+        if (handover != nullptr && handover->availabilityZone == board.self.availabilityZone) {
+            board.highestEpochSeen = std::max(board.highestEpochSeen, handover->epoch);
+            board.zoneClaim.handedOverEpoch = handover->epoch;
+        }
+    }
+}
+
+void own(Blackboard &board, Epoch epoch)
+{
+    if (!board.zoneClaim.ownedSince) {
+        board.zoneClaim.ownedSince = board.now;
+    }
+    board.epoch = epoch;
+    board.highestEpochSeen = std::max(board.highestEpochSeen, epoch);
+    board.zoneClaim.requestedEpoch.reset();
+    board.zoneClaim.handedOverEpoch.reset();
+    count(board.counters, "zoneClaims", board.self.availabilityZone.value);
+    board.log.push_back({"updateOwnership", "", "", "owns zone " + board.self.availabilityZone.value + " with epoch " + std::to_string(epoch), false});
+}
+
+void disown(Blackboard &board, const std::string &reason)
+{
+    board.epoch = 0;
+    board.zoneClaim.ownedSince.reset();
+    board.zoneClaim.isStoreBehind = false;
+    count(board.counters, "zoneLosses", reason);
+    board.log.push_back({"updateOwnership", "", "", "gives up zone " + board.self.availabilityZone.value + ": " + reason, false});
+}
+
+void writeOwner(Blackboard &board, Epoch epoch)
+{
+    const ZoneOwner owner{board.self.id, board.self.incarnation, epoch};
+    board.zoneClaim.requestedEpoch = epoch;
+    board.zoneClaim.requestedAt = board.now;
+    requestWrite(board.store, {zoneOwnerKey(board.self.availabilityZone), owner, board.zoneClaim.storedRevision, true}, "updateOwnership");
+}
+
+/// Raises the epoch: through the store if it can be reached, else at once, and the targets decide.
+void raiseEpoch(Blackboard &board)
+{
+    const Epoch epoch = std::max(board.highestEpochSeen, board.epoch) + 1;
+    if (canReachStore(board)) {
+        writeOwner(board, epoch);
+        return;
+    }
+    own(board, epoch);
+    board.zoneClaim.isStoreBehind = true;
+}
+
+void applyOwnerWrites(Blackboard &board)
+{
+    for (const WriteResult &result : board.store.results) {
+        if (result.key != zoneOwnerKey(board.self.availabilityZone)) {
+            continue;
+        }
+        const std::optional<Epoch> requested = board.zoneClaim.requestedEpoch;
+        board.zoneClaim.requestedEpoch.reset();
+        if (result.outcome == WriteOutcome::Conflict) {
+            if (result.present) {
+                observeStoredOwner(board, *result.present);
+            } else {
+                board.zoneClaim.stored.reset();
+                board.zoneClaim.storedRevision = 0;
+            }
+        } else if (requested) {
+            board.zoneClaim.stored = ZoneOwner{board.self.id, board.self.incarnation, *requested};
+            board.zoneClaim.storedRevision = result.revision;
+            board.zoneClaim.isStoreBehind = false;
+            if (board.epoch != *requested && !board.isStopping) {
+                own(board, *requested);
+            }
+        }
+    }
+}
+
+/// Why this owner must give up its zone; empty if it need not.
+std::string reasonToYield(const Blackboard &board)
+{
+    const std::optional<ZoneOwner> &stored = board.zoneClaim.stored;
+    if (stored && stored->host != board.self.id && stored->epoch > board.epoch) {
+        return "higherEpochInStore";
+    }
+    const bool peerIsAhead = std::ranges::any_of(board.peers.rows(), [&board](const auto &row) {
+        const auto &[id, peer] = row;
+        if (!isInZone(board, peer) || !maySchedule(board, peer)) {
+            return false;
+        }
+        const bool winsTie = peer.ownedEpoch == board.epoch && weightInZone(board, id) > weightInZone(board, board.self.id);
+        return peer.ownedEpoch > board.epoch || winsTie;
+    });
+    return peerIsAhead ? "higherEpochOfPeer" : "";
+}
+
+/// True if a target follows a higher epoch than this owner's, whose holder is not a live owner.
+bool isOutbidOnTargets(const Blackboard &board)
+{
+    return std::ranges::any_of(board.leases.rows(), [&board](const auto &row) {
+        const TargetLease &lease = row.second;
+        return lease.state == LeaseState::Refused && lease.epoch > board.epoch;
+    });
+}
+
+void decideOwnership(Blackboard &board)
+{
+    ZoneClaim &claim = board.zoneClaim;
+    // A write may wait long for the store; without an answer the claim is decided anew, and a late answer is only an observation.
+    if (claim.requestedEpoch && board.now - claim.requestedAt > board.self.limits.permitPeriod) {
+        withdrawWrite(board.store, zoneOwnerKey(board.self.availabilityZone));
+        claim.requestedEpoch.reset();
+    }
+    if (board.epoch > 0) {
+        if (const std::string reason = reasonToYield(board); !reason.empty()) {
+            disown(board, reason);
+        } else if (!claim.requestedEpoch && isOutbidOnTargets(board)) {
+            raiseEpoch(board);
+        } else if (!claim.requestedEpoch && claim.isStoreBehind && canReachStore(board)) {
+            writeOwner(board, board.epoch);
+        }
+        return;
+    }
+    if (claim.requestedEpoch || (!claim.handedOverEpoch && isOwnedByPeer(board))) {
+        return;
+    }
+    if (claim.handedOverEpoch || (!isOwnedInStore(board) && hasListened(board) && isFirstCandidate(board))) {
+        raiseEpoch(board);
+    }
+}
+
+bool hasOpenStarts(const Blackboard &board)
+{
+    return std::ranges::any_of(board.attempts.rows(), [](const auto &row) { return row.second.step < AttemptStep::Running; });
+}
+
+/// Gives the leases back once starts are decided and records are stored, then names the successor.
+void handOver(Blackboard &board)
+{
+    ZoneClaim &claim = board.zoneClaim;
+    if (!claim.stoppingSince) {
+        claim.stoppingSince = board.now;
+    }
+    if (claim.isHandedOver) {
+        return;
+    }
+    if (board.epoch == 0) {
+        claim.isHandedOver = true;
+        return;
+    }
+    const Duration stoppingFor = board.now - *claim.stoppingSince;
+    const bool isSettled = !hasOpenStarts(board) && (board.jobWork.unsaved.empty() || !canReachStore(board));
+    claim.isReleasing = claim.isReleasing || isSettled || stoppingFor >= longestWaitBeforeRelease;
+    if (!claim.isReleasing) {
+        return;
+    }
+    const bool isReleased = board.leases.isEmpty() || stoppingFor >= longestWaitBeforeRelease + longestRelease;
+    if (!isReleased) {
+        return;
+    }
+    if (const std::optional<HostId> successor = firstPeer(board)) {
+        const Peer &peer = *board.peers.find(*successor);
+        board.outbox.emplace_back(PeerSend{*successor, peer.address, Handover{board.self.availabilityZone, board.highestEpochSeen}});
+    }
+    claim.isHandedOver = true;
+    disown(board, "stopping");
+}
+
+}
+
 void updateOwnership(Blackboard &board)
 {
-    static_cast<void>(board);
+    if (!board.zoneClaim.watchedSince) {
+        board.zoneClaim.watchedSince = board.now;
+    }
+    observeEpochs(board);
+    applyOwnerWrites(board);
+    applyLeaseReplies(board);
+    if (board.isStopping) {
+        handOver(board);
+    } else {
+        decideOwnership(board);
+    }
+    if (isDue(board.timers, "ownership")) {
+        sendLeaseCalls(board);
+    }
 }
 
 }
--- /dev/null
+++ b/core/storereach.cpp
@@ -0,0 +1,71 @@
+#include "storereach.h"
+
+#include <algorithm>
+
+namespace sequoiastand
+{
+
+bool canReachStore(const Blackboard &board)
+{
+    const Duration freshness = board.self.limits.permitPeriod;
+    if (board.store.lastReadSent && board.now - *board.store.lastReadSent <= freshness) {
+        return true;
+    }
+    return std::ranges::any_of(board.peers.rows(), [&](const auto &row) {
+        const Peer &peer = row.second;
+        return peer.state == PeerState::Alive && peer.storeReadAge && peer.lastHeard && *peer.storeReadAge + (board.now - *peer.lastHeard) <= freshness;
+    });
+}
+
+std::vector<StoreEntry> storeEntriesSeen(const Blackboard &board)
+{
+    std::vector<StoreEntry> entries;
+    const auto append = [&entries](const std::vector<StoreEntry> &seen) { entries.insert(entries.end(), seen.begin(), seen.end()); };
+    for (const Event &event : board.inbox) {
+        if (const auto *watch = std::get_if<StoreWatchEvent>(&event)) {
+            append(watch->put);
+        } else if (const auto *reply = std::get_if<StoreReply>(&event)) {
+            append(reply->entries);
+        } else if (const auto *heard = std::get_if<PeerHeard>(&event)) {
+            if (const auto *relayed = std::get_if<StoreRelayReply>(&heard->message)) {
+                append(relayed->reply.entries);
+            }
+        }
+    }
+    return entries;
+}
+
+std::vector<StoreKey> storeDeletionsSeen(const Blackboard &board)
+{
+    std::vector<StoreKey> keys;
+    for (const Event &event : board.inbox) {
+        if (const auto *watch = std::get_if<StoreWatchEvent>(&event)) {
+            keys.insert(keys.end(), watch->deleted.begin(), watch->deleted.end());
+        }
+    }
+    return keys;
+}
+
+bool withdrawWrite(StoreSession &session, const StoreKey &key)
+{
+    if (isInFlight(session, key)) {
+        return false;
+    }
+    return std::erase_if(session.writes, [&key](const PendingWrite &pending) { return pending.write.key == key; }) > 0;
+}
+
+bool isQueued(const StoreSession &session, const StoreKey &key)
+{
+    return std::ranges::any_of(session.writes, [&key](const PendingWrite &pending) { return pending.write.key == key; });
+}
+
+bool isInFlight(const StoreSession &session, const StoreKey &key)
+{
+    if (!session.inFlight) {
+        return false;
+    }
+    const auto *transaction = std::get_if<StoreTransaction>(&session.inFlight->request);
+    return transaction != nullptr && std::ranges::any_of(transaction->writes, [&key](const StoreWrite &write) { return write.key == key; });
+}
+
+}
--- /dev/null
+++ b/core/submissions.cpp
@@ -0,0 +1,116 @@
+#include "admission.h"
+
+#include "jobrecord.h"
+#include "storereach.h"
+
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+/// A submission that is neither stored nor started by then is refused. Longer than one store call and its read-back.
+constexpr Duration submissionLimit{5'000};
+constexpr Duration startLimit{2'000};
+constexpr Duration retryAfter{2'000};
+
+void answerOffer(Blackboard &board, const PendingSubmission &pending, std::optional<Refusal> refusal, std::optional<Job> job)
+{
+    if (!pending.offeredBy) {
+        return;
+    }
+    const Peer *peer = board.peers.find(*pending.offeredBy);
+    const std::string address = peer == nullptr ? "" : peer->address;
+    board.outbox.emplace_back(PeerSend{*pending.offeredBy, address, OfferReply{*pending.offeredByCall, std::move(refusal), std::move(job)}});
+}
+
+void refusePending(Blackboard &board, const PendingSubmission &pending, const Refusal &refusal)
+{
+    count(board.counters, "refusals", std::string(name(refusal.reason)));
+    board.jobWork.refusals.push_back({pending.specification.id, std::nullopt, refusal});
+    answerOffer(board, pending, refusal, std::nullopt);
+}
+
+void applyOfferReply(Blackboard &board, const HostId &from, const OfferReply &reply)
+{
+    for (const auto &[id, pending] : board.jobWork.submissions) {
+        if (pending.offeredTo != from || pending.offerCall != reply.id) {
+            continue;
+        }
+        const PendingSubmission answered = pending;
+        board.jobWork.submissions.erase(id);
+        if (reply.job && !board.jobs.contains(answered.specification.id)) {
+            // The owner writes the record; this copy serves status requests until the watch shows it.
+            Job copy = *reply.job;
+            copy.revision = 0;
+            board.jobs.put(answered.specification.id, std::move(copy));
+        } else if (reply.refusal) {
+            refusePending(board, answered, *reply.refusal);
+        }
+        return;
+    }
+}
+
+bool isAccepted(const PendingSubmission &pending, const Job *job)
+{
+    if (job == nullptr || pending.offeredTo) {
+        return false;
+    }
+    const bool hasRun = job->state == JobState::Running || job->state == JobState::Finished || job->state == JobState::Failed;
+    return job->revision > 0 || (pending.isAcceptedByStart && hasRun);
+}
+
+/// True if the submission has no effect any more: its write is taken back and nothing of it started.
+bool takeBack(Blackboard &board, const PendingSubmission &pending)
+{
+    const JobId &id = pending.specification.id;
+    if (pending.offeredTo || attemptOf(board, id) != nullptr || !withdrawWrite(board.store, jobKey(id))) {
+        return false;
+    }
+    board.jobWork.unsaved.erase(id);
+    board.jobs.erase(id);
+    return true;
+}
+
+bool isOverdue(const Blackboard &board, const PendingSubmission &pending)
+{
+    const bool isUnstarted = pending.isAcceptedByStart && attemptOf(board, pending.specification.id) == nullptr;
+    return board.now - pending.since >= (isUnstarted ? startLimit : submissionLimit);
+}
+
+}
+
+void settleSubmissions(Blackboard &board)
+{
+    for (const Event &event : board.inbox) {
+        const auto *heard = std::get_if<PeerHeard>(&event);
+        if (const auto *reply = heard == nullptr ? nullptr : std::get_if<OfferReply>(&heard->message)) {
+            applyOfferReply(board, heard->from, *reply);
+        }
+    }
+    std::vector<PendingSubmission> accepted;
+    std::vector<PendingSubmission> overdue;
+    for (const auto &[id, pending] : board.jobWork.submissions) {
+        if (isAccepted(pending, board.jobs.find(id))) {
+            accepted.push_back(pending);
+        } else if (isOverdue(board, pending)) {
+            overdue.push_back(pending);
+        }
+    }
+    for (const PendingSubmission &pending : accepted) {
+        count(board.counters, "accepted", pending.isAcceptedByStart ? "started" : "stored");
+        answerOffer(board, pending, std::nullopt, *board.jobs.find(pending.specification.id));
+        board.jobWork.submissions.erase(pending.specification.id);
+    }
+    for (const PendingSubmission &pending : overdue) {
+        const bool isTakenBack = takeBack(board, pending);
+        const std::string message = isTakenBack ? "the job could not be recorded in time; nothing of it was run"
+                                                : "the job may have been recorded; send the same request id again to learn its state";
+        refusePending(board, pending, {RefusalReason::StoreUnavailable, isTakenBack ? RunClaim::NotRun : RunClaim::Unknown, retryAfter, message});
+        board.jobWork.submissions.erase(pending.specification.id);
+    }
+}
+
+}
--- a/core/target.h
+++ b/core/target.h
@@ -77,6 +77,10 @@
     std::optional<TimePoint> probeDue; ///< When a quarantined target gets its next probe.
     Duration probeDelay{0};
     std::optional<TimePoint> lastHeard;
+    std::optional<TimePoint> reportAskedAt; ///< When the lease call was sent whose answer holds `tasks`.
+    std::vector<JobId> failedJobs;          ///< The different jobs counted by consecutiveFailures.
+    bool isListedLeaving = false;
+    bool isReportedLeaving = false;
     std::vector<ReportedTask> tasks;
 
     friend bool operator==(const Target &, const Target &) = default;
@@ -98,9 +102,19 @@
     LeaseState state = LeaseState::Acquiring;
     TimePoint expiry; ///< Counted from when the call was sent, so never later than the target's own expiry.
     std::optional<CallId> callInFlight;
-    HostId refusedFor; ///< Holder that the target named when it refused.
+    TimePoint callSentAt;
+    TimePoint callDeadline;   ///< The call in flight is replaced after this time.
+    TimePoint retryAt;        ///< No call before this time.
+    TimePoint lapsedAt;       ///< When this host noticed that it no longer holds the lease.
+    bool wantsPrompt = false; ///< The last call was silent, so the next one does not wait.
+    HostId refusedFor;        ///< Holder that the target named when it refused.
 
     friend bool operator==(const TargetLease &, const TargetLease &) = default;
 };
 
+/// True if calls may be made under the lease. A lease that lapsed by local time is never used.
+bool isUsable(const TargetLease &lease, TimePoint now);
+
+bool hasEnded(TaskState state);
+
 }
--- /dev/null
+++ b/core/zonechoice.cpp
@@ -0,0 +1,126 @@
+#include "admission.h"
+
+#include "jobrecord.h"
+
+#include <algorithm>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+constexpr Duration zoneRetry{5'000};
+
+/// Size of a zone by the platform's list; the counts include targets that are busy or silent.
+struct ZoneSize
+{
+    int accelerators = 0;
+    int freeAccelerators = 0;
+    int largestTarget = 0;
+    int largestMilliCpu = 0;
+    int largestMemoryMb = 0;
+};
+
+std::map<AvailabilityZoneId, ZoneSize> sizesOf(const Blackboard &board)
+{
+    std::map<AvailabilityZoneId, ZoneSize> sizes;
+    for (const auto &[id, target] : board.targets.rows()) {
+        ZoneSize &size = sizes[target.availabilityZone];
+        size.accelerators += target.acceleratorCount;
+        size.freeAccelerators += target.acceleratorCount;
+        size.largestTarget = std::max(size.largestTarget, target.acceleratorCount);
+        size.largestMilliCpu = std::max(size.largestMilliCpu, target.milliCpu);
+        size.largestMemoryMb = std::max(size.largestMemoryMb, target.memoryMb);
+    }
+    if (const auto own = sizes.find(board.self.availabilityZone); own != sizes.end()) {
+        for (const auto &[id, attempt] : board.attempts.rows()) {
+            if (const Job *job = board.jobs.find(id.job)) {
+                own->second.freeAccelerators -= acceleratorCount(job->specification);
+            }
+        }
+    }
+    for (const auto &[zone, capacity] : board.zoneCapacities) {
+        if (zone != board.self.availabilityZone) {
+            sizes[zone].freeAccelerators = capacity.freeAccelerators;
+        }
+    }
+    return sizes;
+}
+
+bool fits(const ZoneSize &size, const JobSpecification &specification)
+{
+    return acceleratorCount(specification) <= size.accelerators && specification.acceleratorsPerTask <= size.largestTarget
+           && specification.milliCpuPerTask <= size.largestMilliCpu && specification.memoryMbPerTask <= size.largestMemoryMb;
+}
+
+Refusal neverFitsRefusal(const JobSpecification &specification)
+{
+    return {RefusalReason::NeverFits,
+            RunClaim::NotRun,
+            Duration{0},
+            "no availability zone has " + std::to_string(specification.taskCount) + " x " + std::to_string(specification.acceleratorsPerTask)
+                + " accelerators with the processors and memory asked for"};
+}
+
+}
+
+std::optional<HostId> ownerOf(const Blackboard &board, const AvailabilityZoneId &zone)
+{
+    if (zone == board.self.availabilityZone && schedules(board)) {
+        return board.self.id;
+    }
+    std::optional<HostId> owner;
+    Epoch epoch = 0;
+    for (const auto &[id, peer] : board.peers.rows()) {
+        if (peer.availabilityZone == zone && peer.state == PeerState::Alive && peer.ownedEpoch > epoch) {
+            owner = id;
+            epoch = peer.ownedEpoch;
+        }
+    }
+    return owner;
+}
+
+ZoneChoice chooseZone(Blackboard &board, const JobSpecification &specification)
+{
+    const std::map<AvailabilityZoneId, ZoneSize> sizes = sizesOf(board);
+    std::vector<AvailabilityZoneId> inService;
+    for (const auto &[id, zone] : board.configuration.availabilityZones) {
+        if (!zone.isOut) {
+            inService.push_back(id);
+        }
+    }
+    if (inService.empty()) {
+        return {{}, Refusal{RefusalReason::ZoneOut, RunClaim::NotRun, zoneRetry, "every availability zone is out of service"}};
+    }
+    // Before the platform's list has been read nothing is known about sizes.
+    std::vector<AvailabilityZoneId> fitting = inService;
+    if (!sizes.empty()) {
+        std::erase_if(fitting, [&](const AvailabilityZoneId &zone) {
+            const auto size = sizes.find(zone);
+            return size == sizes.end() || !fits(size->second, specification);
+        });
+        if (fitting.empty()) {
+            const bool fitsSomewhere = std::ranges::any_of(sizes, [&](const auto &entry) { return fits(entry.second, specification); });
+            if (fitsSomewhere) {
+                return {{}, Refusal{RefusalReason::ZoneOut, RunClaim::NotRun, zoneRetry, "the availability zones that could run the job are out of service"}};
+            }
+            return {{}, neverFitsRefusal(specification)};
+        }
+    }
+    std::vector<AvailabilityZoneId> owned = fitting;
+    std::erase_if(owned, [&](const AvailabilityZoneId &zone) { return !ownerOf(board, zone); });
+    if (owned.empty()) {
+        const bool ownFits = std::ranges::find(fitting, board.self.availabilityZone) != fitting.end();
+        return {ownFits ? board.self.availabilityZone : fitting.front(), std::nullopt};
+    }
+    const auto freeIn = [&sizes](const AvailabilityZoneId &zone) {
+        const auto size = sizes.find(zone);
+        return size == sizes.end() ? 0 : size->second.freeAccelerators;
+    };
+    const AvailabilityZoneId &first = owned[takeRandom(board) % owned.size()];
+    const AvailabilityZoneId &second = owned[takeRandom(board) % owned.size()];
+    return {freeIn(first) >= freeIn(second) ? first : second, std::nullopt};
+}
+
+}
