--- a/core/joboutcome.cpp
+++ b/core/joboutcome.cpp
@@ -87,7 +87,8 @@
     ++job.failedAttempts;
     if (job.failedAttempts >= maxAttempts) {
         job.result = resultOf(attempt);
-        return withTerminalState(std::move(job), JobState::Failed, wallNow, what + "; that was the last of " + std::to_string(maxAttempts) + " attempts");
+        const std::string why = job.isCancelRequested ? "; the job was to be cancelled" : "; that was the last of " + std::to_string(maxAttempts) + " attempts";
+        return withTerminalState(std::move(job), JobState::Failed, wallNow, what + why);
     }
     return withNextAttempt(std::move(job), checkpoint, what + "; waits for another attempt");
 }
--- a/core/ownership.cpp
+++ b/core/ownership.cpp
@@ -208,12 +208,13 @@
     return peerIsAhead ? "higherEpochOfPeer" : "";
 }
 
-/// True if a target follows a higher epoch than this owner's, whose holder is not a live owner.
+/// True if a target follows a higher epoch than this owner's, or refuses the same epoch because it lost its holder in a restart.
 bool isOutbidOnTargets(const Blackboard &board)
 {
     return std::ranges::any_of(board.leases.rows(), [&board](const auto &row) {
         const TargetLease &lease = row.second;
-        return lease.state == LeaseState::Refused && lease.epoch > board.epoch;
+        const bool isRefusedAtOwnEpoch = lease.epoch == board.epoch && lease.refusedFor != board.self.id;
+        return lease.state == LeaseState::Refused && (lease.epoch > board.epoch || isRefusedAtOwnEpoch);
     });
 }
 
