--- /dev/null
+++ b/net/hostlistclient.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "eventsink.h"
+#include "httpclient.h"
+
+#include <string>
+
+namespace sequoiastand
+{
+
+/// Polls the platform's list of live and leaving hosts. A poll that fails is reported and repeated at the next period; the list read before stays in use.
+class HostListClient
+{
+public:
+    HostListClient(EventLoop &loop, HttpClient &http, std::string address, Duration period, EventSink post, FaultSink fault);
+
+    void start();
+
+private:
+    void poll();
+    void finish(const HttpAnswer &answer);
+
+    HttpClient &m_http;
+    std::string m_address;
+    Duration m_period;
+    EventSink m_post;
+    FaultSink m_fault;
+    Timer m_timer;
+};
+
+}
--- /dev/null
+++ b/net/httpclient.cpp
@@ -0,0 +1,236 @@
+#include "httpclient.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+// A full read of the store is the largest answer; at the target size it is below 20 MB.
+constexpr std::size_t maxAnswerBytes = std::size_t{64} * 1024 * 1024;
+
+// Load balancers and agents drop connections that are idle for a minute; a connection that rested longer than this is not reused.
+constexpr long maxIdleSeconds = 20;
+
+}
+
+struct HttpClient::Transfer
+{
+    unsigned long long id = 0;
+    CURL *easy = nullptr;
+    curl_slist *headers = nullptr;
+    std::string address;
+    std::string requestBody;
+    std::string body;
+    bool hasSentBytes = false;
+    DataCallback onData;
+    AnswerCallback onEnd;
+
+    Transfer() = default;
+    Transfer(const Transfer &) = delete;
+    Transfer &operator=(const Transfer &) = delete;
+
+    ~Transfer()
+    {
+        curl_slist_free_all(headers);
+        curl_easy_cleanup(easy);
+    }
+};
+
+HttpClient::HttpClient(EventLoop &loop)
+    : m_loop(loop)
+    , m_multi(nullptr)
+    , m_timer(loop, [this] { onTimer(); })
+{
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    m_multi = curl_multi_init();
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &HttpClient::onSocketChange);
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &HttpClient::onTimerChange);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+}
+
+HttpClient::~HttpClient()
+{
+    for (const auto &[id, transfer] : m_transfers) {
+        curl_multi_remove_handle(m_multi, transfer->easy);
+    }
+    m_transfers.clear();
+    curl_multi_cleanup(m_multi);
+    curl_global_cleanup();
+}
+
+void HttpClient::send(const HttpCall &call, AnswerCallback callback)
+{
+    start(call, {}, std::move(callback));
+}
+
+unsigned long long HttpClient::open(const HttpCall &call, DataCallback onData, AnswerCallback onEnd)
+{
+    return start(call, std::move(onData), std::move(onEnd));
+}
+
+unsigned long long HttpClient::start(const HttpCall &call, DataCallback onData, AnswerCallback onEnd)
+{
+    auto transfer = std::make_unique<Transfer>();
+    transfer->id = m_nextId++;
+    transfer->easy = curl_easy_init();
+    transfer->address = call.address;
+    transfer->requestBody = call.body;
+    transfer->onData = std::move(onData);
+    transfer->onEnd = std::move(onEnd);
+    auto *easy = transfer->easy;
+    curl_easy_setopt(easy, CURLOPT_URL, ("http://" + call.address + call.path).c_str());
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, maxIdleSeconds);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
+    if (call.method != "GET") {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->requestBody.c_str());
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(transfer->requestBody.size()));
+        transfer->headers = curl_slist_append(transfer->headers, "Content-Type: application/json");
+    }
+    // Without this libcurl holds bodies over 1 MB back for up to a second to wait for "100 Continue".
+    transfer->headers = curl_slist_append(transfer->headers, "Expect:");
+    if (!call.bearerToken.empty()) {
+        transfer->headers = curl_slist_append(transfer->headers, ("Authorization: Bearer " + call.bearerToken).c_str());
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &HttpClient::onBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
+    // The trace is the only place where libcurl tells that request bytes were written, including those of its own resend on a dead connection.
+    curl_easy_setopt(easy, CURLOPT_VERBOSE, 1L);
+    curl_easy_setopt(easy, CURLOPT_DEBUGFUNCTION, &HttpClient::onTrace);
+    curl_easy_setopt(easy, CURLOPT_DEBUGDATA, transfer.get());
+    if (m_failedAddresses.contains(call.address)) {
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    }
+    const auto id = transfer->id;
+    m_transfers.emplace(id, std::move(transfer));
+    curl_multi_add_handle(m_multi, easy);
+    return id;
+}
+
+void HttpClient::close(unsigned long long id)
+{
+    const auto found = m_transfers.find(id);
+    if (found != m_transfers.end()) {
+        curl_multi_remove_handle(m_multi, found->second->easy);
+        m_transfers.erase(found);
+    }
+}
+
+void HttpClient::onSocketReady(curl_socket_t descriptor, int events)
+{
+    const int action = ((events & EV_READ) != 0 ? CURL_CSELECT_IN : 0) | ((events & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
+    int running = 0;
+    curl_multi_socket_action(m_multi, descriptor, action, &running);
+    finishTransfers();
+}
+
+void HttpClient::onTimer()
+{
+    int running = 0;
+    curl_multi_socket_action(m_multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    finishTransfers();
+}
+
+void HttpClient::finishTransfers()
+{
+    // Callbacks may start or close calls, so the ended ones are collected first and looked up again by id.
+    std::vector<std::pair<unsigned long long, CURLcode>> ended;
+    int left = 0;
+    while (const CURLMsg *message = curl_multi_info_read(m_multi, &left)) {
+        if (message->msg == CURLMSG_DONE) {
+            char *owner = nullptr;
+            curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &owner);
+            ended.emplace_back(reinterpret_cast<Transfer *>(owner)->id, message->data.result);
+        }
+    }
+    for (const auto &[id, code] : ended) {
+        const auto found = m_transfers.find(id);
+        if (found != m_transfers.end()) {
+            finish(*found->second, code);
+        }
+    }
+}
+
+void HttpClient::finish(Transfer &transfer, CURLcode code)
+{
+    HttpAnswer answer;
+    if (code == CURLE_OK) {
+        long status = 0;
+        curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
+        answer.outcome = HttpOutcome::Answered;
+        answer.status = static_cast<int>(status);
+        m_failedAddresses.erase(transfer.address);
+    } else {
+        answer.outcome = transfer.hasSentBytes ? HttpOutcome::Unknown : HttpOutcome::NotSent;
+        answer.error = curl_easy_strerror(code);
+        m_failedAddresses.insert(transfer.address);
+    }
+    answer.body = std::move(transfer.body);
+    const auto onEnd = std::move(transfer.onEnd);
+    close(transfer.id);
+    onEnd(answer);
+}
+
+int HttpClient::onSocketChange(CURL *, curl_socket_t descriptor, int action, void *self, void *)
+{
+    auto &client = *static_cast<HttpClient *>(self);
+    if (action == CURL_POLL_REMOVE) {
+        client.m_watches.erase(descriptor);
+        return 0;
+    }
+    auto &watch = client.m_watches[descriptor];
+    if (!watch) {
+        watch = std::make_unique<SocketWatch>(client.m_loop, [&client, descriptor](int events) { client.onSocketReady(descriptor, events); });
+    }
+    watch->watch(descriptor, ((action & CURL_POLL_IN) != 0 ? EV_READ : 0) | ((action & CURL_POLL_OUT) != 0 ? EV_WRITE : 0));
+    return 0;
+}
+
+int HttpClient::onTimerChange(CURLM *, long delayMs, void *self)
+{
+    auto &client = *static_cast<HttpClient *>(self);
+    if (delayMs < 0) {
+        client.m_timer.stop();
+    } else {
+        client.m_timer.startIn(Duration{delayMs});
+    }
+    return 0;
+}
+
+std::size_t HttpClient::onBody(char *data, std::size_t size, std::size_t count, void *owner)
+{
+    auto &transfer = *static_cast<Transfer *>(owner);
+    const std::size_t bytes = size * count;
+    if (transfer.onData) {
+        transfer.onData(std::string(data, bytes));
+        return bytes;
+    }
+    if (transfer.body.size() + bytes > maxAnswerBytes) {
+        return 0;
+    }
+    transfer.body.append(data, bytes);
+    return bytes;
+}
+
+int HttpClient::onTrace(CURL *, curl_infotype type, char *, std::size_t size, void *owner)
+{
+    if (size > 0 && (type == CURLINFO_HEADER_OUT || type == CURLINFO_DATA_OUT)) {
+        static_cast<Transfer *>(owner)->hasSentBytes = true;
+    }
+    return 0;
+}
+
+}
--- /dev/null
+++ b/net/httpserver.cpp
@@ -0,0 +1,377 @@
+#include "httpserver.h"
+
+#include "core/errors.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/strip.h>
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <chrono>
+#include <optional>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+// A chunked body has no length beforehand; what exceeds the limit is read and dropped up to this many times the limit, so that the client sees the refusal.
+constexpr std::size_t droppedBodyFactor = 4;
+
+// Connections above the limit that are accepted only to be told so.
+constexpr unsigned refusedConnections = 64;
+
+constexpr Duration sweepPeriod{1'000};
+
+}
+
+struct HttpServer::Connection
+{
+    int descriptor = -1;
+    std::optional<TimePoint> deadline; ///< Of the present phase: idle, receiving or sending; none while the request is being handled.
+    bool isAboveLimit = false;
+};
+
+struct HttpServer::Request
+{
+    HttpRequestId id = 0;
+    HttpRequest request;
+    MHD_Connection *connection = nullptr;
+    bool isHeadRead = false;
+    bool isHandled = false;
+    bool isSuspended = false;
+    bool isResponseQueued = false;
+    std::size_t bodyBytes = 0;
+    std::optional<HttpResponse> response;
+    std::unique_ptr<SocketWatch> abandonWatch;
+};
+
+HttpServer::HttpServer(EventLoop &loop, HttpServerLimits limits)
+    : m_loop(loop)
+    , m_limits(limits)
+    , m_watch(loop, [this](int) { runDaemon(); })
+    , m_runTimer(loop, [this] { runDaemon(); })
+    , m_sweepTimer(loop, [this] { closeSlowConnections(); })
+{
+}
+
+HttpServer::~HttpServer()
+{
+    m_watch.stop();
+    m_abandonHandler = {};
+    m_handler = {};
+    if (m_daemon != nullptr) {
+        for (const auto &[id, request] : m_requests) {
+            resume(*request);
+        }
+        MHD_stop_daemon(m_daemon);
+    }
+}
+
+void HttpServer::setHandler(Handler handler)
+{
+    m_handler = std::move(handler);
+}
+
+void HttpServer::setAbandonHandler(AbandonHandler handler)
+{
+    m_abandonHandler = std::move(handler);
+}
+
+void HttpServer::setLimitResponse(LimitResponse response)
+{
+    m_limitResponse = std::move(response);
+}
+
+absl::Status HttpServer::listen(const std::string &address, int port)
+{
+    sockaddr_in socketAddress{};
+    socketAddress.sin_family = AF_INET;
+    socketAddress.sin_port = htons(static_cast<std::uint16_t>(port));
+    if (inet_pton(AF_INET, address.c_str(), &socketAddress.sin_addr) != 1) {
+        return errorAt(absl::StatusCode::kInvalidArgument, "listenHttp", address, "not an IPv4 number");
+    }
+    m_daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME,
+                                static_cast<std::uint16_t>(port),
+                                nullptr,
+                                nullptr,
+                                &HttpServer::onAccessRaw,
+                                this,
+                                MHD_OPTION_SOCK_ADDR,
+                                &socketAddress,
+                                MHD_OPTION_LISTENING_ADDRESS_REUSE,
+                                1U,
+                                MHD_OPTION_CONNECTION_LIMIT,
+                                m_limits.maxConnections + refusedConnections,
+                                MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                                m_limits.maxHeaderBytes,
+                                MHD_OPTION_NOTIFY_COMPLETED,
+                                &HttpServer::onCompletedRaw,
+                                this,
+                                MHD_OPTION_NOTIFY_CONNECTION,
+                                &HttpServer::onConnectionRaw,
+                                this,
+                                MHD_OPTION_URI_LOG_CALLBACK,
+                                &HttpServer::onUriRaw,
+                                this,
+                                MHD_OPTION_END);
+    if (m_daemon == nullptr) {
+        return errorAt(absl::StatusCode::kUnavailable, "listenHttp", address + ":" + std::to_string(port), "cannot listen; is the port in use?");
+    }
+    m_watch.watch(MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd, EV_READ);
+    m_sweepTimer.startIn(sweepPeriod);
+    return absl::OkStatus();
+}
+
+int HttpServer::port() const
+{
+    return MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
+void HttpServer::stopAccepting()
+{
+    const auto listener = MHD_quiesce_daemon(m_daemon);
+    if (listener != MHD_INVALID_SOCKET) {
+        ::close(listener);
+    }
+}
+
+void HttpServer::runDaemon()
+{
+    MHD_run(m_daemon);
+    MHD_UNSIGNED_LONG_LONG waitMs = 0;
+    if (MHD_get_timeout(m_daemon, &waitMs) == MHD_YES) {
+        m_runTimer.startIn(Duration{static_cast<long long>(waitMs)});
+    } else {
+        m_runTimer.stop();
+    }
+}
+
+void HttpServer::closeSlowConnections()
+{
+    const auto now = EventLoop::now();
+    for (const auto &[raw, connection] : m_connections) {
+        if (connection->deadline && *connection->deadline < now) {
+            // libmicrohttpd has no call that closes one connection; it sees the end of the stream and closes it itself.
+            ::shutdown(connection->descriptor, SHUT_RDWR);
+            connection->deadline.reset();
+        }
+    }
+    m_sweepTimer.startIn(std::min(sweepPeriod, m_limits.requestTimeout));
+}
+
+HttpServer::Connection *HttpServer::connectionOf(MHD_Connection *connection) const
+{
+    const auto found = m_connections.find(connection);
+    return found == m_connections.end() ? nullptr : found->second.get();
+}
+
+void HttpServer::readHead(Request &request, MHD_Connection *connection, const char *method, const char *path)
+{
+    request.isHeadRead = true;
+    request.request.method = method;
+    request.request.path = path;
+    if (const char *header = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Authorization")) {
+        absl::string_view token = header;
+        if (absl::StartsWithIgnoreCase(token, "Bearer ")) {
+            token.remove_prefix(7);
+            request.request.bearerToken = std::string(absl::StripAsciiWhitespace(token));
+        }
+    }
+    MHD_get_connection_values(
+        connection,
+        MHD_GET_ARGUMENT_KIND,
+        [](void *owner, MHD_ValueKind, const char *key, const char *value) {
+            static_cast<HttpRequest *>(owner)->query[key] = value == nullptr ? "" : value;
+            return MHD_YES;
+        },
+        &request.request);
+    const auto *state = connectionOf(connection);
+    if (state != nullptr && state->isAboveLimit) {
+        request.response = m_limitResponse ? m_limitResponse(HttpLimit::TooManyConnections) : HttpResponse{503, "text/plain", "too many connections\n"};
+    } else if (const char *length = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Content-Length")) {
+        if (std::strtoull(length, nullptr, 10) > m_limits.maxBodyBytes) {
+            request.response = m_limitResponse ? m_limitResponse(HttpLimit::BodyTooLarge) : HttpResponse{413, "text/plain", "body too large\n"};
+        }
+    }
+    if (request.response) {
+        request.response->closesConnection = true;
+    }
+}
+
+MHD_Result HttpServer::onAccess(Request &request, MHD_Connection *connection, const char *method, const char *path, const char *data, std::size_t *size)
+{
+    if (!request.isHeadRead) {
+        readHead(request, connection, method, path);
+        return request.response ? queueResponse(request, connection) : MHD_YES;
+    }
+    if (*size > 0) {
+        request.bodyBytes += *size;
+        if (request.bodyBytes > m_limits.maxBodyBytes * droppedBodyFactor) {
+            return MHD_NO;
+        }
+        if (request.bodyBytes <= m_limits.maxBodyBytes) {
+            request.request.body.append(data, *size);
+        }
+        *size = 0;
+        return MHD_YES;
+    }
+    if (request.bodyBytes > m_limits.maxBodyBytes) {
+        request.response = m_limitResponse ? m_limitResponse(HttpLimit::BodyTooLarge) : HttpResponse{413, "text/plain", "body too large\n"};
+        request.response->closesConnection = true;
+    }
+    if (!request.isHandled && !request.response) {
+        request.isHandled = true;
+        if (auto *state = connectionOf(connection)) {
+            state->deadline.reset();
+        }
+        if (m_handler) {
+            m_handler(request.id, request.request);
+        }
+    }
+    return request.response ? queueResponse(request, connection) : waitForResponse(request, connection);
+}
+
+MHD_Result HttpServer::waitForResponse(Request &request, MHD_Connection *connection)
+{
+    request.isSuspended = true;
+    MHD_suspend_connection(connection);
+    watchForAbandon(request);
+    return MHD_YES;
+}
+
+MHD_Result HttpServer::queueResponse(Request &request, MHD_Connection *connection)
+{
+    const auto &answer = *request.response;
+    auto *response = MHD_create_response_from_buffer(answer.body.size(), const_cast<char *>(answer.body.data()), MHD_RESPMEM_MUST_COPY);
+    MHD_add_response_header(response, "Content-Type", answer.contentType.c_str());
+    if (answer.closesConnection) {
+        MHD_add_response_header(response, "Connection", "close");
+    }
+    if (answer.retryAfter > Duration{0}) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(answer.retryAfter).count();
+        MHD_add_response_header(response, "Retry-After", std::to_string(seconds).c_str());
+    }
+    const auto result = MHD_queue_response(connection, static_cast<unsigned>(answer.status), response);
+    MHD_destroy_response(response);
+    request.isResponseQueued = result == MHD_YES;
+    if (auto *state = connectionOf(connection)) {
+        state->deadline = EventLoop::now() + m_limits.responseTimeout;
+    }
+    return result;
+}
+
+void HttpServer::respond(HttpRequestId id, HttpResponse response)
+{
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end() || found->second->response) {
+        return;
+    }
+    found->second->response = std::move(response);
+    resume(*found->second);
+}
+
+void HttpServer::resume(Request &request)
+{
+    request.abandonWatch.reset();
+    if (request.isSuspended) {
+        request.isSuspended = false;
+        MHD_resume_connection(request.connection);
+        m_runTimer.startIn(Duration{0});
+    }
+}
+
+void HttpServer::watchForAbandon(Request &request)
+{
+    // libmicrohttpd does not look at the socket of a suspended connection, so the end of the stream is looked for here.
+    const auto id = request.id;
+    const int descriptor = MHD_get_connection_info(request.connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+    request.abandonWatch = std::make_unique<SocketWatch>(m_loop, [this, id, descriptor](int) {
+        const auto found = m_requests.find(id);
+        if (found == m_requests.end()) {
+            return;
+        }
+        char byte = 0;
+        const auto count = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const bool isWaiting = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+        if (isWaiting) {
+            return;
+        }
+        if (count > 0) {
+            found->second->abandonWatch.reset(); // The next request is already there; it waits for its turn.
+            return;
+        }
+        if (m_abandonHandler) {
+            m_abandonHandler(id);
+        }
+        respond(id, HttpResponse{.status = 503, .closesConnection = true});
+    });
+    request.abandonWatch->watch(descriptor, EV_READ);
+}
+
+MHD_Result HttpServer::onAccessRaw(void *self,
+                                   MHD_Connection *connection,
+                                   const char *path,
+                                   const char *method,
+                                   const char *,
+                                   const char *data,
+                                   size_t *size,
+                                   void **request)
+{
+    if (*request == nullptr) {
+        return MHD_NO;
+    }
+    return static_cast<HttpServer *>(self)->onAccess(*static_cast<Request *>(*request), connection, method, path, data, size);
+}
+
+void HttpServer::onCompletedRaw(void *self, MHD_Connection *connection, void **request, MHD_RequestTerminationCode)
+{
+    auto &server = *static_cast<HttpServer *>(self);
+    if (*request == nullptr) {
+        return;
+    }
+    const auto &ended = *static_cast<Request *>(*request);
+    if (ended.isHandled && !ended.response && server.m_abandonHandler) {
+        server.m_abandonHandler(ended.id);
+    }
+    server.m_requests.erase(ended.id);
+    *request = nullptr;
+    if (auto *state = server.connectionOf(connection)) {
+        state->deadline = EventLoop::now() + server.m_limits.idleTimeout;
+    }
+}
+
+void HttpServer::onConnectionRaw(void *self, MHD_Connection *connection, void **, MHD_ConnectionNotificationCode code)
+{
+    auto &server = *static_cast<HttpServer *>(self);
+    if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+        server.m_connections.erase(connection);
+        return;
+    }
+    auto state = std::make_unique<Connection>();
+    state->descriptor = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+    state->deadline = EventLoop::now() + server.m_limits.requestTimeout;
+    state->isAboveLimit = server.m_connections.size() >= server.m_limits.maxConnections;
+    server.m_connections.emplace(connection, std::move(state));
+}
+
+void *HttpServer::onUriRaw(void *self, const char *, MHD_Connection *connection)
+{
+    auto &server = *static_cast<HttpServer *>(self);
+    auto request = std::make_unique<Request>();
+    request->id = server.m_nextId++;
+    request->connection = connection;
+    auto *raw = request.get();
+    server.m_requests.emplace(raw->id, std::move(request));
+    if (auto *state = server.connectionOf(connection)) {
+        state->deadline = EventLoop::now() + server.m_limits.requestTimeout;
+    }
+    return raw;
+}
+
+}
--- /dev/null
+++ b/net/httpserver.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "eventloop.h"
+
+#include <absl/status/status.h>
+#include <microhttpd.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace sequoiastand
+{
+
+struct HttpRequest
+{
+    std::string method;
+    std::string path;
+    std::map<std::string, std::string> query;
+    std::string bearerToken;
+    std::string body;
+
+    friend bool operator==(const HttpRequest &, const HttpRequest &) = default;
+};
+
+struct HttpResponse
+{
+    int status = 200;
+    std::string contentType = "application/json";
+    std::string body;
+    bool closesConnection = false;
+    Duration retryAfter{0}; ///< Sent as Retry-After in whole seconds unless zero.
+
+    friend bool operator==(const HttpResponse &, const HttpResponse &) = default;
+};
+
+struct HttpServerLimits
+{
+    std::size_t maxBodyBytes = std::size_t{1024} * 1024;
+    std::size_t maxHeaderBytes = std::size_t{16} * 1024;
+    unsigned maxConnections = 1'500;  ///< Half of 3,000 caller connections reach each host with two of six down, on average 750; twice that is accepted.
+    Duration requestTimeout{10'000};  ///< From the first line of a request to its last byte.
+    Duration responseTimeout{30'000}; ///< To send a response to a slow reader.
+    Duration idleTimeout{75'000};     ///< A connection without a request.
+
+    friend bool operator==(const HttpServerLimits &, const HttpServerLimits &) = default;
+};
+
+/// A limit that the server enforces before a request reaches the handler.
+enum class HttpLimit
+{
+    BodyTooLarge,
+    TooManyConnections,
+};
+
+/// Name of one request of this server.
+using HttpRequestId = unsigned long long;
+
+/// HTTP server by libmicrohttpd, run by the loop without threads. A request waits suspended until respond() is called for it.
+class HttpServer
+{
+public:
+    using Handler = std::function<void(HttpRequestId, const HttpRequest &)>;
+    using AbandonHandler = std::function<void(HttpRequestId)>;
+    using LimitResponse = std::function<HttpResponse(HttpLimit)>;
+
+    HttpServer(EventLoop &loop, HttpServerLimits limits);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    void setHandler(Handler handler);
+
+    /// Called when the client has closed its connection before it was answered.
+    void setAbandonHandler(AbandonHandler handler);
+    void setLimitResponse(LimitResponse response);
+
+    /// Listens on an IP number; port 0 takes a free one.
+    absl::Status listen(const std::string &address, int port);
+    int port() const;
+
+    /// Answers a request; ids of requests that have ended are ignored.
+    void respond(HttpRequestId id, HttpResponse response);
+
+    /// Accepts no new connections; open requests are still answered.
+    void stopAccepting();
+
+    std::size_t openRequests() const
+    {
+        return m_requests.size();
+    }
+
+    std::size_t openConnections() const
+    {
+        return m_connections.size();
+    }
+
+private:
+    struct Request;
+    struct Connection;
+
+    void runDaemon();
+    void closeSlowConnections();
+    MHD_Result onAccess(Request &request, MHD_Connection *connection, const char *method, const char *path, const char *data, std::size_t *size);
+    void readHead(Request &request, MHD_Connection *connection, const char *method, const char *path);
+    MHD_Result waitForResponse(Request &request, MHD_Connection *connection);
+    MHD_Result queueResponse(Request &request, MHD_Connection *connection);
+    void resume(Request &request);
+    void watchForAbandon(Request &request);
+    Connection *connectionOf(MHD_Connection *connection) const;
+
+    static MHD_Result onAccessRaw(void *self, MHD_Connection *connection, const char *path, const char *method, const char *, const char *, size_t *, void **);
+    static void onCompletedRaw(void *self, MHD_Connection *connection, void **request, MHD_RequestTerminationCode code);
+    static void onConnectionRaw(void *self, MHD_Connection *connection, void **context, MHD_ConnectionNotificationCode code);
+    static void *onUriRaw(void *self, const char *uri, MHD_Connection *connection);
+
+    EventLoop &m_loop;
+    HttpServerLimits m_limits;
+    Handler m_handler;
+    AbandonHandler m_abandonHandler;
+    LimitResponse m_limitResponse;
+    MHD_Daemon *m_daemon = nullptr;
+    SocketWatch m_watch;
+    Timer m_runTimer;
+    Timer m_sweepTimer;
+    std::map<HttpRequestId, std::unique_ptr<Request>> m_requests;
+    std::map<MHD_Connection *, std::unique_ptr<Connection>> m_connections;
+    HttpRequestId m_nextId = 1;
+};
+
+}
--- /dev/null
+++ b/net/peerlink.cpp
@@ -0,0 +1,243 @@
+#include "peerlink.h"
+
+#include "socketaddress.h"
+#include "socketread.h"
+#include "wire/peerframe.h"
+
+#include <absl/strings/str_cat.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace sequoiastand
+{
+
+struct PeerLinks::Outgoing
+{
+    Outgoing(EventLoop &loop, SocketWatch::Callback onReady, Timer::Callback onRetry, Timer::Callback onSilence)
+        : watch(loop, std::move(onReady))
+        , retryTimer(loop, std::move(onRetry))
+        , silenceTimer(loop, std::move(onSilence))
+    {
+    }
+
+    std::string peerName() const
+    {
+        return absl::StrCat(peer.value, " (", address, ")");
+    }
+
+    HostId peer;
+    std::string address;
+    int descriptor = -1;
+    bool isConnecting = false;
+    std::deque<std::string> queue; ///< Whole frames; the first may be partly sent.
+    std::size_t queuedBytes = 0;
+    std::size_t sentOfFirst = 0;
+    long long sentFrames = 0;
+    long long acknowledgedFrames = 0;
+    std::string input;
+    int failuresInARow = 0;
+    SocketWatch watch;
+    Timer retryTimer;
+    Timer silenceTimer; ///< Deadline of the connect, then of the next acknowledgement.
+};
+
+PeerLinks::PeerLinks(EventLoop &loop, HostId self, PeerLinkLimits limits, FaultSink fault)
+    : m_loop(loop)
+    , m_self(std::move(self))
+    , m_limits(limits)
+    , m_fault(std::move(fault))
+    , m_random(std::random_device{}())
+{
+}
+
+PeerLinks::~PeerLinks()
+{
+    for (const auto &[peer, link] : m_outgoing) {
+        link->watch.stop();
+        if (link->descriptor >= 0) {
+            ::close(link->descriptor);
+        }
+    }
+}
+
+bool PeerLinks::hasQueuedFrames() const
+{
+    return std::ranges::any_of(m_outgoing, [](const auto &row) { return row.second->descriptor >= 0 && !row.second->queue.empty(); });
+}
+
+void PeerLinks::send(const PeerSend &message)
+{
+    auto &slot = m_outgoing[message.peer];
+    if (!slot) {
+        const auto peer = message.peer;
+        slot = std::make_unique<Outgoing>(
+            m_loop,
+            [this, peer](int events) { onOutgoingReady(*m_outgoing.at(peer), events); },
+            [this, peer] {
+                if (!m_outgoing.at(peer)->queue.empty()) {
+                    connect(*m_outgoing.at(peer));
+                }
+            },
+            [this, peer] {
+                auto &link = *m_outgoing.at(peer);
+                fail(link, link.isConnecting ? "connectPeer" : "sendPeer", link.isConnecting ? "connect timed out" : "connection is silent");
+            });
+        slot->peer = message.peer;
+        slot->address = message.address;
+    }
+    auto &link = *slot;
+    if (link.address != message.address) {
+        // The peer restarted elsewhere; what was queued was meant for its earlier life.
+        if (link.descriptor >= 0) {
+            fail(link, "sendPeer", absl::StrCat("address changed to ", message.address));
+        }
+        link.address = message.address;
+    }
+    auto frame = encodePeerFrame({m_self, message.message, std::nullopt});
+    if (frame.size() > maxPeerFrameBytes || link.queuedBytes + frame.size() > m_limits.maxQueuedBytes) {
+        m_fault("sendPeer", link.peerName(), absl::StrCat("message of ", frame.size(), " bytes dropped: ", link.queuedBytes, " bytes are queued"));
+        return;
+    }
+    link.queuedBytes += frame.size();
+    link.queue.push_back(std::move(frame));
+    if (link.descriptor < 0) {
+        if (!link.retryTimer.isActive()) {
+            connect(link);
+        }
+    } else if (!link.isConnecting) {
+        flush(link);
+    }
+}
+
+void PeerLinks::connect(Outgoing &link)
+{
+    const auto address = socketAddressFromText(link.address);
+    if (!address.ok()) {
+        fail(link, "connectPeer", std::string(address.status().message()));
+        return;
+    }
+    link.descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (link.descriptor < 0) {
+        fail(link, "connectPeer", std::strerror(errno));
+        return;
+    }
+    setNoDelay(link.descriptor);
+    link.isConnecting = true;
+    if (::connect(link.descriptor, reinterpret_cast<const sockaddr *>(&*address), sizeof(sockaddr_in)) != 0 && errno != EINPROGRESS) {
+        fail(link, "connectPeer", std::strerror(errno));
+        return;
+    }
+    link.silenceTimer.startIn(m_limits.connectTimeout);
+    link.watch.watch(link.descriptor, EV_WRITE);
+}
+
+void PeerLinks::onOutgoingReady(Outgoing &link, int events)
+{
+    if (link.isConnecting && !finishConnect(link)) {
+        return;
+    }
+    if ((events & EV_READ) != 0 && !readAcknowledgements(link)) {
+        return;
+    }
+    flush(link);
+}
+
+bool PeerLinks::finishConnect(Outgoing &link)
+{
+    int error = 0;
+    socklen_t size = sizeof error;
+    ::getsockopt(link.descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) {
+        fail(link, "connectPeer", std::strerror(error));
+        return false;
+    }
+    link.isConnecting = false;
+    link.silenceTimer.stop();
+    return true;
+}
+
+bool PeerLinks::readAcknowledgements(Outgoing &link)
+{
+    const auto end = readInto(link.input, link.descriptor, maxPeerFrameBytes);
+    while (true) {
+        const auto read = decodePeerFrame(link.input, link.peerName());
+        if (!read.ok()) {
+            fail(link, "sendPeer", std::string(read.status().message()));
+            return false;
+        }
+        if (!*read) {
+            break;
+        }
+        const auto &frame = (*read)->frame;
+        if (frame.acknowledgedFrames) {
+            link.acknowledgedFrames = std::clamp(*frame.acknowledgedFrames, link.acknowledgedFrames, link.sentFrames);
+            link.failuresInARow = 0;
+            link.silenceTimer.stop();
+        }
+        link.input.erase(0, (*read)->byteCount);
+    }
+    if (end != ReadEnd::WouldBlock) {
+        fail(link, "sendPeer", end == ReadEnd::Closed ? "closed by the peer" : std::strerror(errno));
+        return false;
+    }
+    return true;
+}
+
+void PeerLinks::flush(Outgoing &link)
+{
+    bool hasSentBytes = false;
+    while (!link.queue.empty()) {
+        const auto &frame = link.queue.front();
+        const auto count = ::send(link.descriptor, frame.data() + link.sentOfFirst, frame.size() - link.sentOfFirst, MSG_NOSIGNAL);
+        if (count < 0) {
+            if (!wouldBlock(errno)) {
+                fail(link, "sendPeer", std::strerror(errno));
+                return;
+            }
+            break;
+        }
+        hasSentBytes = true;
+        link.sentOfFirst += static_cast<std::size_t>(count);
+        if (link.sentOfFirst == frame.size()) {
+            link.queuedBytes -= frame.size();
+            link.sentOfFirst = 0;
+            link.queue.pop_front();
+            ++link.sentFrames;
+        }
+    }
+    const bool isOwedAcknowledgement = !link.queue.empty() || link.acknowledgedFrames < link.sentFrames;
+    // A large message may take longer than the timeout; while its bytes are taken the connection is not silent.
+    const bool isSendingLargeMessage = hasSentBytes && !link.queue.empty();
+    if (isOwedAcknowledgement && (isSendingLargeMessage || !link.silenceTimer.isActive())) {
+        link.silenceTimer.startIn(m_limits.acknowledgeTimeout);
+    }
+    link.watch.watch(link.descriptor, EV_READ | (link.queue.empty() ? 0 : EV_WRITE));
+}
+
+void PeerLinks::fail(Outgoing &link, const std::string &step, const std::string &reason)
+{
+    m_fault(step, link.peerName(), link.queue.empty() ? reason : absl::StrCat(reason, "; ", link.queue.size(), " queued messages dropped"));
+    link.watch.stop();
+    link.silenceTimer.stop();
+    if (link.descriptor >= 0) {
+        ::close(link.descriptor);
+        link.descriptor = -1;
+    }
+    link.isConnecting = false;
+    link.queue.clear();
+    link.queuedBytes = 0;
+    link.sentOfFirst = 0;
+    link.sentFrames = 0;
+    link.acknowledgedFrames = 0;
+    link.input.clear();
+    const auto bound = std::min(m_limits.maxReconnectDelay, m_limits.reconnectDelay * (1L << std::min(link.failuresInARow, 10)));
+    ++link.failuresInARow;
+    link.retryTimer.startIn(Duration{static_cast<Duration::rep>(m_random() % static_cast<unsigned long>(bound.count() + 1))});
+}
+
+}
--- /dev/null
+++ b/net/peerlistener.cpp
@@ -0,0 +1,194 @@
+#include "peerlistener.h"
+
+#include "core/errors.h"
+#include "socketaddress.h"
+#include "socketread.h"
+#include "wire/peerframe.h"
+
+#include <absl/strings/str_cat.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+// An acknowledgement takes about 20 bytes and only the newest count matters, so none is added to a queue this long.
+constexpr std::size_t maxQueuedAcknowledgementBytes = std::size_t{64} * 1024;
+
+}
+
+struct PeerListener::Incoming
+{
+    Incoming(EventLoop &loop, SocketWatch::Callback onReady, Timer::Callback onIdle)
+        : watch(loop, std::move(onReady))
+        , idleTimer(loop, std::move(onIdle))
+    {
+    }
+
+    std::string peerName() const
+    {
+        return sender.value.empty() ? address : absl::StrCat(sender.value, " (", address, ")");
+    }
+
+    int descriptor = -1;
+    std::string address;
+    HostId sender;
+    std::string input;
+    std::string output;
+    long long readFrames = 0;
+    SocketWatch watch;
+    Timer idleTimer;
+};
+
+PeerListener::PeerListener(EventLoop &loop, HostId self, PeerListenerLimits limits, EventSink post, FaultSink fault)
+    : m_loop(loop)
+    , m_self(std::move(self))
+    , m_limits(limits)
+    , m_post(std::move(post))
+    , m_fault(std::move(fault))
+    , m_listenerWatch(loop, [this](int) { onAccept(); })
+{
+}
+
+PeerListener::~PeerListener()
+{
+    for (const auto &[descriptor, link] : m_incoming) {
+        link->watch.stop();
+        ::close(descriptor);
+    }
+    m_listenerWatch.stop();
+    if (m_listener >= 0) {
+        ::close(m_listener);
+    }
+}
+
+absl::Status PeerListener::listen(const std::string &address)
+{
+    const auto socketAddress = socketAddressFromText(address);
+    if (!socketAddress.ok()) {
+        return socketAddress.status();
+    }
+    m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int isOn = 1;
+    ::setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &isOn, sizeof isOn);
+    if (::bind(m_listener, reinterpret_cast<const sockaddr *>(&*socketAddress), sizeof(sockaddr_in)) != 0 || ::listen(m_listener, SOMAXCONN) != 0) {
+        return errorAt(absl::StatusCode::kUnavailable, "listenPeers", address, std::strerror(errno));
+    }
+    m_listenerWatch.watch(m_listener, EV_READ);
+    return absl::OkStatus();
+}
+
+int PeerListener::port() const
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    ::getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
+    return ntohs(address.sin_port);
+}
+
+void PeerListener::onAccept()
+{
+    while (true) {
+        sockaddr_in address{};
+        socklen_t size = sizeof address;
+        const int descriptor = ::accept4(m_listener, reinterpret_cast<sockaddr *>(&address), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (descriptor < 0) {
+            return;
+        }
+        if (m_incoming.size() >= m_limits.maxConnections) {
+            m_fault("acceptPeer", toString(address), absl::StrCat("refused: ", m_incoming.size(), " connections are open"));
+            ::close(descriptor);
+            continue;
+        }
+        setNoDelay(descriptor);
+        auto link = std::make_unique<Incoming>(
+            m_loop, [this, descriptor](int events) { onIncomingReady(descriptor, events); }, [this, descriptor] { closeIncoming(descriptor, "idle"); });
+        link->descriptor = descriptor;
+        link->address = toString(address);
+        link->watch.watch(descriptor, EV_READ);
+        link->idleTimer.startIn(m_limits.idle);
+        m_incoming.emplace(descriptor, std::move(link));
+    }
+}
+
+void PeerListener::onIncomingReady(int descriptor, int events)
+{
+    auto &link = *m_incoming.at(descriptor);
+    if ((events & EV_READ) != 0) {
+        link.idleTimer.startIn(m_limits.idle);
+        const auto end = readInto(link.input, descriptor, maxPeerFrameBytes);
+        if (!handleFrames(link)) {
+            return;
+        }
+        if (end != ReadEnd::WouldBlock) {
+            closeIncoming(descriptor, end == ReadEnd::Closed && link.input.empty() ? std::string{} : "closed within a frame");
+            return;
+        }
+    }
+    acknowledge(link);
+}
+
+bool PeerListener::handleFrames(Incoming &link)
+{
+    std::size_t begin = 0;
+    while (true) {
+        auto read = decodePeerFrame(std::string_view(link.input).substr(begin), link.peerName());
+        if (!read.ok()) {
+            closeIncoming(link.descriptor, std::string(read.status().message()));
+            return false;
+        }
+        if (!*read) {
+            break;
+        }
+        auto &frame = (*read)->frame;
+        if (frame.sender.value.empty() || frame.sender == m_self || (!link.sender.value.empty() && frame.sender != link.sender)) {
+            closeIncoming(link.descriptor, absl::StrCat("unexpected sender \"", frame.sender.value, "\""));
+            return false;
+        }
+        link.sender = frame.sender;
+        begin += (*read)->byteCount;
+        ++link.readFrames;
+        if (frame.message) {
+            m_post(PeerHeard{frame.sender, *std::move(frame.message)});
+        }
+    }
+    link.input.erase(0, begin);
+    if (begin > 0 && link.output.size() < maxQueuedAcknowledgementBytes) {
+        link.output += encodePeerFrame({m_self, std::nullopt, link.readFrames});
+    }
+    return true;
+}
+
+void PeerListener::acknowledge(Incoming &link)
+{
+    if (!link.output.empty()) {
+        const auto count = ::send(link.descriptor, link.output.data(), link.output.size(), MSG_NOSIGNAL);
+        if (count < 0 && !wouldBlock(errno)) {
+            closeIncoming(link.descriptor, std::strerror(errno));
+            return;
+        }
+        link.output.erase(0, static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+    }
+    link.watch.watch(link.descriptor, EV_READ | (link.output.empty() ? 0 : EV_WRITE));
+}
+
+void PeerListener::closeIncoming(int descriptor, const std::string &reason)
+{
+    const auto found = m_incoming.find(descriptor);
+    if (!reason.empty()) {
+        m_fault("readPeer", found->second->peerName(), reason);
+    }
+    found->second->watch.stop();
+    ::close(descriptor);
+    m_incoming.erase(found);
+}
+
+}
--- /dev/null
+++ b/net/socketaddress.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+#include <netinet/in.h>
+
+#include <string>
+#include <string_view>
+
+namespace sequoiastand
+{
+
+/// Reads "127.0.0.1:7443". Only IPv4 numbers are taken: a name would need a resolver, which blocks or starts a thread.
+absl::StatusOr<sockaddr_in> socketAddressFromText(std::string_view text);
+
+std::string toString(const sockaddr_in &address);
+
+}
--- /dev/null
+++ b/net/socketread.cpp
@@ -0,0 +1,47 @@
+#include "socketread.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+constexpr std::size_t readChunkBytes = std::size_t{64} * 1024;
+
+}
+
+ReadEnd readInto(std::string &buffer, int descriptor, std::size_t maxBytes)
+{
+    std::array<char, readChunkBytes> chunk{};
+    while (buffer.size() < maxBytes) {
+        const auto count = ::recv(descriptor, chunk.data(), chunk.size(), 0);
+        if (count == 0) {
+            return ReadEnd::Closed;
+        }
+        if (count < 0) {
+            return wouldBlock(errno) ? ReadEnd::WouldBlock : ReadEnd::Failed;
+        }
+        buffer.append(chunk.data(), static_cast<std::size_t>(count));
+    }
+    return ReadEnd::WouldBlock;
+}
+
+bool wouldBlock(int error)
+{
+    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+}
+
+void setNoDelay(int descriptor)
+{
+    const int isOn = 1;
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &isOn, sizeof isOn);
+}
+
+}
--- /dev/null
+++ b/wire/storejson.cpp
@@ -0,0 +1,309 @@
+#include "storejson.h"
+
+#include "core/errors.h"
+#include "wire/jsonfields.h"
+#include "wire/recordjson.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/strip.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+const std::string keyPrefix = "sequoiastand/";
+
+std::string base64(const std::string &text)
+{
+    return absl::Base64Escape(text);
+}
+
+std::string encodedKey(const StoreKey &key)
+{
+    return base64(keyPrefix + key.path);
+}
+
+/// First key after all keys with the prefix. The product's keys are ASCII, so the last byte never overflows.
+std::string encodedRangeEnd(const StoreKey &key)
+{
+    std::string end = keyPrefix + key.path;
+    ++end.back();
+    return base64(end);
+}
+
+/// The gateway writes 64-bit integers as strings and leaves out zeros.
+long long integer(const Json &json, const char *key)
+{
+    const auto found = json.find(key);
+    if (found == json.end() || found->is_null()) {
+        return 0;
+    }
+    if (found->is_string()) {
+        long long value = 0;
+        if (!absl::SimpleAtoi(found->get<std::string>(), &value)) {
+            throw std::invalid_argument(absl::StrCat(key, " is not a number: ", found->dump()));
+        }
+        return value;
+    }
+    return found->get<long long>();
+}
+
+Json putOperation(const StoreWrite &write, long long lease)
+{
+    Json put{{"key", encodedKey(write.key)}, {"value", base64(toText(toJson(*write.record)))}};
+    if (write.isBoundToLease) {
+        put["lease"] = std::to_string(lease);
+    }
+    return {{"request_put", std::move(put)}};
+}
+
+StoreHttpCall encodeRequest(const StoreTransaction &transaction, long long lease)
+{
+    Json compare = Json::array();
+    Json success = Json::array();
+    Json failure = Json::array();
+    for (const auto &write : transaction.writes) {
+        const auto key = encodedKey(write.key);
+        if (write.expected) {
+            compare.push_back({{"key", key}, {"target", "MOD"}, {"result", "EQUAL"}, {"mod_revision", std::to_string(*write.expected)}});
+        }
+        success.push_back(write.record ? putOperation(write, lease) : Json{{"request_delete_range", {{"key", key}}}});
+        failure.push_back({{"request_range", {{"key", key}}}});
+    }
+    return {"/v3/kv/txn", Json{{"compare", std::move(compare)}, {"success", std::move(success)}, {"failure", std::move(failure)}}.dump()};
+}
+
+StoreHttpCall encodeRequest(const StoreRange &range, long long)
+{
+    Json body{{"key", encodedKey(range.key)}};
+    if (range.isPrefix) {
+        body["range_end"] = encodedRangeEnd(range.key);
+    }
+    return {"/v3/kv/range", body.dump()};
+}
+
+StoreHttpCall encodeRequest(const StoreLeaseGrant &grant, long long)
+{
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(grant.timeToLive).count();
+    return {"/v3/lease/grant", Json{{"TTL", std::to_string(seconds)}}.dump()};
+}
+
+StoreHttpCall encodeRequest(const StoreLeaseKeepAlive &keepAlive, long long)
+{
+    return {"/v3/lease/keepalive", Json{{"ID", std::to_string(keepAlive.lease)}}.dump()};
+}
+
+StoreHttpCall encodeRequest(const StoreLeaseRevoke &revoke, long long)
+{
+    return {"/v3/lease/revoke", Json{{"ID", std::to_string(revoke.lease)}}.dump()};
+}
+
+StoreKey decodeKey(const Json &keyValue)
+{
+    std::string key;
+    if (!absl::Base64Unescape(keyValue.at("key").get<std::string>(), &key)) {
+        throw std::invalid_argument("key is not base64");
+    }
+    return {std::string(absl::StripPrefix(key, keyPrefix))};
+}
+
+absl::StatusOr<StoreEntry> decodeEntry(const Json &keyValue)
+{
+    StoreEntry entry;
+    entry.key = decodeKey(keyValue);
+    entry.revision = integer(keyValue, "mod_revision");
+    std::string value;
+    const auto json =
+        absl::Base64Unescape(keyValue.value("value", std::string{}), &value) ? Json::parse(value, nullptr, false) : Json(Json::value_t::discarded);
+    if (json.is_discarded()) {
+        return errorAt(absl::StatusCode::kDataLoss, "decodeRecord", entry.key.path, "value is not JSON");
+    }
+    auto record = storeRecordFromJson(json, entry.key);
+    if (!record.ok()) {
+        return record.status();
+    }
+    entry.record = *std::move(record);
+    // The record was written before its own revision was known.
+    if (auto *job = std::get_if<Job>(&entry.record)) {
+        job->revision = entry.revision;
+    }
+    return entry;
+}
+
+/// Adds the entries of a range; the first that is unreadable is named in `error`, because hiding the rest would lose more than one record.
+void addEntries(const Json &range, StoreReply &reply)
+{
+    const auto rows = range.find("kvs");
+    if (rows == range.end()) {
+        return;
+    }
+    for (const auto &row : *rows) {
+        auto entry = decodeEntry(row);
+        if (entry.ok()) {
+            reply.entries.push_back(*std::move(entry));
+        } else if (reply.error.empty()) {
+            reply.error = std::string(entry.status().message());
+        }
+    }
+}
+
+void decodeAnswer(const StoreTransaction &, const Json &json, StoreReply &reply)
+{
+    reply.outcome = json.value("succeeded", false) ? StoreOutcome::Applied : StoreOutcome::Conflict;
+    const auto responses = json.find("responses");
+    if (reply.outcome == StoreOutcome::Applied || responses == json.end()) {
+        return;
+    }
+    for (const auto &response : *responses) {
+        if (response.contains("response_range")) {
+            addEntries(response.at("response_range"), reply);
+        }
+    }
+}
+
+void decodeAnswer(const StoreRange &, const Json &json, StoreReply &reply)
+{
+    addEntries(json, reply);
+}
+
+void decodeLease(const Json &json, StoreReply &reply)
+{
+    reply.lease = integer(json, "ID");
+    reply.leaseTimeToLive = std::chrono::seconds{integer(json, "TTL")};
+}
+
+void decodeAnswer(const StoreLeaseGrant &, const Json &json, StoreReply &reply)
+{
+    decodeLease(json, reply);
+}
+
+void decodeAnswer(const StoreLeaseKeepAlive &, const Json &json, StoreReply &reply)
+{
+    decodeLease(json.at("result"), reply);
+}
+
+void decodeAnswer(const StoreLeaseRevoke &, const Json &, StoreReply &)
+{
+}
+
+Revision headerRevision(const Json &json)
+{
+    const auto &body = json.contains("result") ? json.at("result") : json;
+    const auto header = body.find("header");
+    return header == body.end() ? 0 : integer(*header, "revision");
+}
+
+absl::Status unreadable(const std::string &step, const std::string &peer, const std::string &why)
+{
+    return errorAt(absl::StatusCode::kDataLoss, step, peer, absl::StrCat("unreadable answer: ", why));
+}
+
+void addChange(const Json &event, WatchMessage &message)
+{
+    const auto &keyValue = event.at("kv");
+    // The header may be ahead of the changes sent so far, so the changes say from where the watch resumes.
+    message.changes.revision = std::max(message.changes.revision, integer(keyValue, "mod_revision"));
+    if (event.value("type", std::string("PUT")) == "DELETE") {
+        message.changes.deleted.push_back(decodeKey(keyValue));
+        return;
+    }
+    auto entry = decodeEntry(keyValue);
+    if (entry.ok()) {
+        message.changes.put.push_back(*std::move(entry));
+    } else {
+        message.unreadable.emplace_back(entry.status().message());
+    }
+}
+
+WatchMessage readWatchResult(const Json &result)
+{
+    WatchMessage message;
+    message.isCreated = result.value("created", false);
+    message.isCancelled = result.value("canceled", false);
+    message.compactRevision = integer(result, "compact_revision");
+    const auto events = result.find("events");
+    if (events == result.end() || events->empty()) {
+        message.changes.revision = headerRevision(result);
+    } else {
+        for (const auto &event : *events) {
+            addChange(event, message);
+        }
+    }
+    return message;
+}
+
+}
+
+StoreHttpCall encodeStoreCall(const StoreCall &call)
+{
+    return std::visit([&call](const auto &request) { return encodeRequest(request, call.lease); }, call.request);
+}
+
+absl::StatusOr<StoreReply> decodeStoreReply(const StoreCall &call, const std::string &body, const std::string &peer)
+{
+    const auto json = Json::parse(body, nullptr, false);
+    if (!json.is_object()) {
+        return unreadable("decodeStoreReply", peer, "not a JSON object");
+    }
+    StoreReply reply;
+    reply.id = call.id;
+    reply.outcome = StoreOutcome::Applied;
+    try {
+        reply.revision = headerRevision(json);
+        std::visit([&json, &reply](const auto &request) { decodeAnswer(request, json, reply); }, call.request);
+    } catch (const std::exception &error) {
+        return unreadable("decodeStoreReply", peer, error.what());
+    }
+    return reply;
+}
+
+std::string storeErrorText(const std::string &body)
+{
+    const auto json = Json::parse(body, nullptr, false);
+    if (json.is_object()) {
+        for (const char *key : {"message", "error"}) {
+            if (const auto text = json.find(key); text != json.end() && text->is_string()) {
+                return text->get<std::string>();
+            }
+        }
+    }
+    return body.substr(0, 200);
+}
+
+StoreHttpCall encodeWatch(Revision from)
+{
+    const StoreKey all;
+    return {"/v3/watch",
+            Json{{"create_request",
+                  {{"key", encodedKey(all)}, {"range_end", encodedRangeEnd(all)}, {"start_revision", std::to_string(from)}, {"progress_notify", true}}}}
+                .dump()};
+}
+
+absl::StatusOr<WatchMessage> decodeWatchMessage(const std::string &line, const std::string &peer)
+{
+    const auto json = Json::parse(line, nullptr, false);
+    if (!json.is_object()) {
+        return unreadable("decodeWatch", peer, "not a JSON object");
+    }
+    if (json.contains("error")) {
+        return errorAt(absl::StatusCode::kUnavailable, "decodeWatch", peer, json.at("error").dump());
+    }
+    try {
+        return readWatchResult(json.at("result"));
+    } catch (const std::exception &error) {
+        return unreadable("decodeWatch", peer, error.what());
+    }
+}
+
+}
