Limit bulk work per step and test admission, outages and stops

Admission, acceptance without the store and planned stops had no tests.

Conclusion: a wave of cancellations no longer holds up the loop.

--- a/core/attemptdriver.cpp
+++ b/core/attemptdriver.cpp
@@ -99,7 +99,9 @@
         discardAttempts(board);
         return;
     }
-    AttemptWork work{board, {}, board.self.limits.bulkOperationsPerStep};
+    const bool mayStop = !board.attemptIndex.areStopsPaused || isDue(board.timers, "attempts");
+    AttemptWork work{board, {}, mayStop ? board.self.limits.bulkOperationsPerStep : 0};
+    board.attemptIndex.areStopsPaused = !mayStop;
     applyMemberReplies(work);
     applyReports(work);
     applyPlan(work);
--- a/core/attemptsteps.cpp
+++ b/core/attemptsteps.cpp
@@ -178,6 +178,7 @@
         }
         if (work.remainingStops <= 0) {
             // The rest follows in the next step, so that a wave of cancellations does not hold up the loop.
+            work.board.attemptIndex.areStopsPaused = true;
             subscribeNoLaterThan(work.board.timers, "attempts", work.board.now);
             break;
         }
--- a/core/jobupdate.cpp
+++ b/core/jobupdate.cpp
@@ -53,6 +53,10 @@
 /// Cancels waiting jobs, a bounded number per step. Jobs with an attempt are stopped by driveAttempts.
 void cancelWaitingJobs(Blackboard &board)
 {
+    if (board.jobWork.isBulkPaused && !isDue(board.timers, "attempts")) {
+        return;
+    }
+    board.jobWork.isBulkPaused = false;
     int remaining = board.self.limits.bulkOperationsPerStep;
     std::set<JobId> &cancellations = board.jobWork.cancellations;
     for (auto next = cancellations.begin(); next != cancellations.end();) {
@@ -62,6 +66,7 @@
             continue;
         }
         if (remaining-- == 0) {
+            board.jobWork.isBulkPaused = true;
             subscribeNoLaterThan(board.timers, "attempts", board.now);
             return;
         }
--- a/core/jobwork.h
+++ b/core/jobwork.h
@@ -44,6 +44,7 @@
     std::map<JobId, PendingSubmission> submissions;
     std::vector<RefusedSubmission> refusals;
     std::set<JobId> cancellations;             ///< Waiting jobs to cancel; worked off in bounded steps.
+    bool isBulkPaused = false;                 ///< The step's limit is used up; the timer takes the work up again.
     std::map<OrganisationId, int> retryTenths; ///< Retry budget in tenths of a retry.
     std::map<JobId, TimePoint> unattended;     ///< Active jobs without an attempt on this board, and since when.
     std::optional<TimePoint> lastMaintenance;
--- a/tests/testjobretry.cpp
+++ b/tests/testjobretry.cpp
@@ -1,5 +1,7 @@
 #include "tests/clusterfixture.h"
 
+#include <algorithm>
+
 namespace sequoiastand
 {
 
@@ -201,4 +203,30 @@
     runUntil([&] { return board("a1").targets.find({"t1"})->health == TargetHealth::Healthy; }, Duration{400'000});
 }
 
+// Guards against a loop that is held up while one large wave of running gangs is stopped.
+TEST_F(JobRetry, stopCallsOfOneStepAreLimited)
+{
+    for (int index = 0; index < 60; ++index) {
+        addTarget("u" + std::to_string(index), "r2", "a");
+    }
+    run(Duration{2'000});
+    std::vector<JobId> jobs;
+    for (int index = 0; index < 400; ++index) {
+        JobSpecification job = specification("j" + std::to_string(index));
+        job.payload = payload(120'000);
+        jobs.push_back(job.id);
+        submit(job);
+    }
+    runUntil([&] { return std::ranges::all_of(jobs, [&](const JobId &id) { return stateOf(id) == JobState::Running; }); }, Duration{20'000});
+    for (const JobId &id : jobs) {
+        cancel(id);
+    }
+    for (int count = 0; count < 3; ++count) {
+        sentCalls.clear();
+        run(tick);
+        EXPECT_LE(std::ranges::count_if(sentCalls, [](const TargetCall &call) { return std::holds_alternative<StopTask>(call.request); }), 200);
+    }
+    runUntil([&] { return std::ranges::all_of(jobs, [&](const JobId &id) { return isStored(id, JobState::Cancelled); }); }, Duration{5'000});
+}
+
 }
--- /dev/null
+++ b/tests/teststoreoutage.cpp
@@ -0,0 +1,182 @@
+#include "tests/clusterfixture.h"
+
+namespace sequoiastand
+{
+
+/// Two hosts of one zone, of which a1 or a2 owns it, while the store is away.
+struct StoreOutage : Cluster
+{
+    StoreOutage()
+    {
+        addTarget("t1", "r1", "a");
+        addHost("a1", "a");
+        addHost("a2", "a");
+        run(Duration{4'000});
+        store.isUp = false;
+        run(Duration{4'000});
+    }
+
+    std::string owner()
+    {
+        return board("a1").epoch > 0 ? "a1" : "a2";
+    }
+
+    std::string standby()
+    {
+        return owner() == "a1" ? "a2" : "a1";
+    }
+
+    CallerReply replyTo(CallId call, const std::string &host)
+    {
+        runUntil([&] { return !repliesTo(call, host).empty(); }, Duration{15'000});
+        const std::vector<CallerReply> replies = repliesTo(call, host);
+        return replies.empty() ? CallerReply{} : replies.front();
+    }
+};
+
+TEST_F(StoreOutage, idempotentJobIsAcceptedOnceItsTargetsHaveStartedIt)
+{
+    const JobSpecification job = specification("scan");
+    const CallId call = submit(job, owner());
+    const CallerReply reply = replyTo(call, owner());
+    ASSERT_TRUE(reply.job);
+    EXPECT_EQ(startsOf(job.id), 1);
+    store.isUp = true;
+    runUntil([&] { return isStored(job.id, JobState::Finished); }, Duration{10'000});
+    EXPECT_EQ(startsOf(job.id), 1);
+}
+
+TEST_F(StoreOutage, standbyOffersTheJobToTheOwner)
+{
+    const JobSpecification job = specification("scan");
+    const CallId call = submit(job, standby());
+    ASSERT_TRUE(replyTo(call, standby()).job);
+    EXPECT_EQ(startsOf(job.id), 1);
+    EXPECT_EQ(repliesTo(call, standby()).size(), 1U);
+}
+
+TEST_F(StoreOutage, jobThatIsNotIdempotentIsRefusedAsNotRun)
+{
+    JobSpecification job = specification("profile");
+    job.isIdempotent = false;
+    const CallerReply reply = replyTo(submit(job, owner()), owner());
+    ASSERT_TRUE(reply.refusal);
+    EXPECT_EQ(reply.refusal->reason, RefusalReason::StoreUnavailable);
+    EXPECT_EQ(reply.refusal->run, RunClaim::NotRun);
+    store.isUp = true;
+    run(Duration{10'000});
+    EXPECT_EQ(startsOf(job.id), 0);
+    EXPECT_EQ(storedJob(store, job.id), nullptr);
+}
+
+// Guards against a refusal "not run" after which the job is recorded and run all the same.
+TEST_F(StoreOutage, jobThatCannotStartAtOnceIsRefusedAndNeverRuns)
+{
+    JobSpecification first = specification("first", 8);
+    first.payload = payload(30'000);
+    ASSERT_TRUE(replyTo(submit(first, owner()), owner()).job);
+    const JobSpecification second = specification("second");
+    const CallerReply reply = replyTo(submit(second, owner()), owner());
+    ASSERT_TRUE(reply.refusal);
+    EXPECT_EQ(reply.refusal->run, RunClaim::NotRun);
+    store.isUp = true;
+    run(Duration{60'000});
+    EXPECT_EQ(startsOf(second.id), 0);
+    EXPECT_EQ(storedJob(store, second.id), nullptr);
+    EXPECT_TRUE(isStored(first.id, JobState::Finished));
+}
+
+// The failure of one host must not undo an acceptance: the targets hold the job as a label.
+TEST_F(StoreOutage, acceptedJobSurvivesTheDeathOfItsOwner)
+{
+    JobSpecification job = specification("scan");
+    job.payload = payload(5'000);
+    const std::string first = owner();
+    const std::string second = standby();
+    ASSERT_TRUE(replyTo(submit(job, first), first).job);
+    hosts.at(first).isDown = true;
+    runUntil([&] { return board(second).epoch > 0 && stateOf(job.id, second) == JobState::Finished; }, Duration{30'000});
+    const CallId call = askStatus(job.id, Duration{0}, second);
+    EXPECT_EQ(replyTo(call, second).job->result, "pressed");
+    store.isUp = true;
+    runUntil([&] { return isStored(job.id, JobState::Finished); }, Duration{10'000});
+    EXPECT_EQ(startsOf(job.id), 1);
+}
+
+TEST_F(StoreOutage, statusOfUnknownJobIsNotDenied)
+{
+    const CallerReply reply = replyTo(askStatus({{"kask"}, {"elsewhere"}}, Duration{0}), "a1");
+    ASSERT_TRUE(reply.refusal);
+    EXPECT_EQ(reply.refusal->reason, RefusalReason::StoreUnavailable);
+    EXPECT_EQ(reply.refusal->run, RunClaim::Unknown);
+}
+
+TEST_F(StoreOutage, runningJobIsCancelledByItsOwner)
+{
+    store.isUp = true;
+    JobSpecification job = specification("long");
+    job.payload = payload(60'000);
+    submit(job, owner());
+    runUntil([&] { return isStored(job.id, JobState::Running); }, Duration{5'000});
+    store.isUp = false;
+    run(Duration{4'000});
+    const CallId call = cancel(job.id, owner());
+    const CallerReply reply = replyTo(call, owner());
+    ASSERT_TRUE(reply.job);
+    EXPECT_EQ(reply.job->state, JobState::Cancelled);
+    EXPECT_EQ(runningTasksOf(job.id), 0);
+}
+
+/// One host that owns its zone while the store goes away in the middle of something.
+struct StoreLossMidway : Cluster
+{
+    StoreLossMidway()
+    {
+        addTarget("t1", "r1", "a");
+        addHost("a1", "a");
+        run(Duration{500});
+    }
+};
+
+TEST_F(StoreLossMidway, submissionThatIsNotStoredInTimeIsTakenBack)
+{
+    store.isUp = false;
+    const JobSpecification job = specification("scan");
+    const CallId call = submit(job);
+    runUntil([&] { return !repliesTo(call).empty(); }, Duration{10'000});
+    EXPECT_EQ(repliesTo(call).front().refusal->run, RunClaim::NotRun);
+    store.isUp = true;
+    run(Duration{10'000});
+    EXPECT_EQ(startsOf(job.id), 0);
+    EXPECT_EQ(storedJob(store, job.id), nullptr);
+}
+
+// Guards against a start of work that is not idempotent whose record is not stored yet.
+TEST_F(StoreLossMidway, notIdempotentJobDoesNotStartBeforeItsRecordIsStored)
+{
+    permitsStarts = false;
+    JobSpecification job = specification("profile");
+    job.isIdempotent = false;
+    submit(job);
+    runUntil([&] { return storedJob(store, job.id) != nullptr; }, Duration{1'000});
+    store.isUp = false;
+    permitsStarts = true;
+    run(Duration{10'000});
+    EXPECT_EQ(startsOf(job.id), 0);
+    store.isUp = true;
+    runUntil([&] { return isStored(job.id, JobState::Finished); }, Duration{20'000});
+    EXPECT_EQ(startsOf(job.id), 1);
+}
+
+TEST_F(StoreLossMidway, noTaskStartsWithoutPermit)
+{
+    permitsStarts = false;
+    const JobSpecification job = specification("scan");
+    submit(job);
+    run(Duration{5'000});
+    EXPECT_EQ(startsOf(job.id), 0);
+    permitsStarts = true;
+    runUntil([&] { return startsOf(job.id) == 1; }, Duration{2'000});
+}
+
+}
