Test the control plane's failures and fix what they showed

Cause: tests of lost answers, gaps in the watch and commands sent again had two failures: a watch that skipped a change was not noticed once it delivered a later one, and a command sent again while its outcome was open was answered with the first sending's deadline.

Change: a version that the store shows and the host has not applied for 1 s leads to a full read; each waiting operator has a deadline of its own.

--- a/core/call.h
+++ b/core/call.h
@@ -34,7 +34,8 @@
 struct CommandWaiter
 {
     CallId id;
-    TimePoint answerBy;
+    TimePoint answerBy;      ///< When "pending" is the answer to an accepted command.
+    TimePoint storeDeadline; ///< When a command that the store has not taken is refused or reported as open.
 
     friend bool operator==(const CommandWaiter &, const CommandWaiter &) = default;
 };
--- a/core/commandupdate.cpp
+++ b/core/commandupdate.cpp
@@ -19,11 +19,6 @@
 constexpr Duration raceRetry{100};
 constexpr Duration outageRetry{1'000};
 
-TimePoint storeDeadline(const CommandProgress &progress)
-{
-    return progress.receivedAt + std::max(storeLimit, progress.request.wait);
-}
-
 void noteChanges(Blackboard &board, const std::vector<StoreEntry> &entries)
 {
     for (const auto &entry : entries) {
@@ -72,7 +67,8 @@
 
 void takeRequest(Blackboard &board, const CommandRequest &request)
 {
-    const CommandWaiter waiter{request.id, board.now + request.wait};
+    const CommandWaiter waiter{request.id, board.now + request.wait, board.now + std::max(storeLimit, request.wait)};
+    subscribeNoLaterThan(board.timers, "commands", waiter.storeDeadline);
     if (const auto *known = board.commands.find(request.command)) {
         if (!isSameCommand(known->request, request)) {
             refuseCaller(board, request.id, {RefusalReason::RequestIdReused, RunClaim::NotRun, Duration{0}, "the command id was used for another change"});
@@ -95,7 +91,6 @@
     progress.request = request;
     progress.receivedAt = board.now;
     progress.waiters.push_back(waiter);
-    subscribeNoLaterThan(board.timers, "commands", storeDeadline(progress));
     board.commands.put(request.command, std::move(progress));
 }
 
@@ -213,22 +208,31 @@
 /// Answers for a store that is away: "not run" only for a command that has certainly not been applied.
 void limitWaiting(Blackboard &board)
 {
+    const auto isOverdue = [&board](const CommandWaiter &waiter) { return board.now >= waiter.storeDeadline; };
     const auto rows = board.commands.rows();
     for (const auto &[id, progress] : rows) {
-        const bool isOpen = progress.step == CommandStep::Queued || progress.step == CommandStep::Writing;
-        if (!isOpen || board.now < storeDeadline(progress)) {
+        const bool isQueued = progress.step == CommandStep::Queued;
+        if (!isQueued && progress.step != CommandStep::Writing) {
             continue;
         }
-        if (progress.step == CommandStep::Queued || withdrawTransaction(board.store, configurationCommandKey(id))) {
+        const bool isWanted = board.now < progress.receivedAt + storeLimit || !std::ranges::all_of(progress.waiters, isOverdue);
+        if (!isWanted && (isQueued || withdrawTransaction(board.store, configurationCommandKey(id)))) {
             refuseCommand(board, id, {RefusalReason::StoreUnavailable, RunClaim::NotRun, outageRetry, "the store does not take the change"});
             continue;
         }
-        const Refusal open{RefusalReason::Timeout, RunClaim::Unknown, outageRetry, "the store has not answered; send the command again with the same id"};
         CommandProgress waiting = progress;
+        std::erase_if(waiting.waiters, [&](const CommandWaiter &waiter) {
+            const bool isOver = isOverdue(waiter);
+            if (isOver) {
+                refuseCaller(board,
+                             waiter.id,
+                             {RefusalReason::Timeout, RunClaim::Unknown, outageRetry, "the store has not answered; send the command again with the same id"});
+            }
+            return isOver;
+        });
         for (const auto &waiter : waiting.waiters) {
-            refuseCaller(board, waiter.id, open);
+            subscribeNoLaterThan(board.timers, "commands", waiter.storeDeadline);
         }
-        waiting.waiters.clear();
         board.commands.put(id, std::move(waiting));
     }
 }
--- a/core/storeload.cpp
+++ b/core/storeload.cpp
@@ -137,6 +137,21 @@
     }
 }
 
+/// A change that the watch skipped, or that an outage of the watch hid, comes with a full read.
+void checkVersionLag(Blackboard &board)
+{
+    auto &session = board.store;
+    if (session.storedVersion <= board.configuration.version) {
+        session.versionLagSince.reset();
+    } else if (!session.versionLagSince) {
+        session.versionLagSince = board.now;
+        subscribeNoLaterThan(board.timers, "storeWatch", board.now + watchLagLimit);
+    } else if (board.now >= *session.versionLagSince + watchLagLimit) {
+        session.versionLagSince.reset();
+        loseWatch(board, "versionLag");
+    }
+}
+
 void followWatch(Blackboard &board)
 {
     auto &session = board.store;
@@ -156,6 +171,7 @@
     } else if (board.now >= session.watchMustReachSince + watchLagLimit) {
         loseWatch(board, "silent");
     }
+    checkVersionLag(board);
 }
 
 void expectWatch(Blackboard &board, Revision revision)
--- a/core/storesession.h
+++ b/core/storesession.h
@@ -131,6 +131,7 @@
     Revision watchRevision = 0;
     Revision watchMustReach = 0; ///< A revision under the prefix that the watch has yet to report; zero if none.
     TimePoint watchMustReachSince;
+    std::optional<TimePoint> versionLagSince; ///< Since when the store has shown a version that this host has not applied.
     long long lease = 0;
     std::optional<CallId> leaseCall;
     std::optional<TimePoint> leaseCallSince;
--- a/tests/teststoresync.cpp
+++ b/tests/teststoresync.cpp
@@ -67,4 +67,196 @@
     EXPECT_EQ(cluster.store.calls - before, 1);
 }
 
+/// The same host with a load behind it; failures start from there.
+struct StoreSyncInFailure : StoreSync
+{
+    StoreSyncInFailure()
+    {
+        run(cluster, Duration{1'500});
+    }
+
+    std::string stored(const std::string &request)
+    {
+        const auto row = cluster.store.rows.find(key(request));
+        return row == cluster.store.rows.end() ? "" : std::get<Job>(row->second.record).explanation;
+    }
+
+    int applied(const std::string &request)
+    {
+        return cluster.store.appliedWrites[key(request)];
+    }
+
+    /// Runs until the write to the key is settled and returns the result.
+    std::optional<WriteResult> result(const std::string &request)
+    {
+        std::optional<WriteResult> found;
+        runUntil(cluster, Duration{30'000}, [&] {
+            for (const auto &candidate : board().store.results) {
+                if (candidate.key == key(request)) {
+                    found = candidate;
+                }
+            }
+            return found.has_value() || (board().store.writes.empty() && !board().store.batch && !stored(request).empty());
+        });
+        return found;
+    }
+};
+
+// Guards against writing twice when the answer was lost after the write took effect.
+TEST_F(StoreSyncInFailure, writeWithLostAnswerIsReadBackAndNotRepeated)
+{
+    cluster.store.faults.answersToLose = 1;
+    write("r1", "one", 0);
+    result("r1");
+    run(cluster, Duration{5'000});
+    EXPECT_EQ(stored("r1"), "one");
+    EXPECT_EQ(applied("r1"), 1);
+    EXPECT_FALSE(board().store.batch);
+}
+
+// Guards against taking a lost call for an applied one.
+TEST_F(StoreSyncInFailure, writeLostOnTheWayIsSentAgain)
+{
+    cluster.store.faults.callsToLose = 1;
+    write("r1", "one", 0);
+    result("r1");
+    EXPECT_EQ(stored("r1"), "one");
+    EXPECT_EQ(applied("r1"), 1);
+}
+
+// Guards against a session that waits for ever for an answer that never comes.
+TEST_F(StoreSyncInFailure, swallowedAnswerIsGivenUpAndReadBack)
+{
+    write("r1", "one", 0);
+    cluster.store.faults.answersToSwallow = 1;
+    result("r1");
+    run(cluster, Duration{10'000});
+    EXPECT_EQ(stored("r1"), "one");
+    EXPECT_EQ(applied("r1"), 1);
+    EXPECT_FALSE(board().store.inFlight);
+}
+
+// Guards against one conflicting write holding up the group that it was sent with.
+TEST_F(StoreSyncInFailure, conflictIsReportedAndTheRestOfTheGroupApplied)
+{
+    putRow(cluster.store, key("r1"), job("r1", "other"), cluster.now);
+    write("r1", "one", 0);
+    write("r2", "two", 0);
+    run(cluster, Duration{500});
+    EXPECT_EQ(stored("r1"), "other");
+    EXPECT_EQ(stored("r2"), "two");
+    EXPECT_EQ((board().counters.values[{"storeWrites", "conflict"}]), 1);
+}
+
+// Guards against a host conflicting with itself when it changes a record faster than the store answers.
+TEST_F(StoreSyncInFailure, queuedWriteFollowsTheOneInFlight)
+{
+    cluster.store.faults.latency = Duration{200};
+    write("r1", "one", 0);
+    run(cluster, Duration{100});
+    write("r1", "two", 0);
+    run(cluster, Duration{1'000});
+    EXPECT_EQ(stored("r1"), "two");
+    EXPECT_EQ((board().counters.values[{"storeWrites", "conflict"}]), 0);
+}
+
+// Guards against losing what was accepted before an outage, and against calls in a tight loop during it.
+TEST_F(StoreSyncInFailure, writesWaitThroughOutageAndCallsStayFew)
+{
+    cluster.store.faults.isDown = true;
+    write("r1", "one", 0);
+    write("r2", "two", 0);
+    const int before = cluster.store.calls;
+    run(cluster, Duration{60'000});
+    EXPECT_LT(cluster.store.calls - before, 60 * 4);
+    EXPECT_EQ(stored("r1"), "");
+    cluster.store.faults.isDown = false;
+    run(cluster, Duration{3'000});
+    EXPECT_EQ(stored("r1"), "one");
+    EXPECT_EQ(stored("r2"), "two");
+    EXPECT_TRUE(board().store.isWatching);
+}
+
+// Guards against a connection that stays open and says nothing: a change must still reach the host.
+TEST_F(StoreSyncInFailure, silentWatchIsReplacedByFullRead)
+{
+    cluster.store.faults.areWatchesSilent = true;
+    putConfiguration(cluster.store, 2, {AvailabilityZone{AvailabilityZoneId{"z"}}}, cluster.now);
+    run(cluster, Duration{100});
+    EXPECT_EQ(board().configuration.version, 1);
+    run(cluster, Duration{5'000});
+    EXPECT_EQ(board().configuration.version, 2);
+    EXPECT_GE((board().counters.values[{"storeWatchLost", "silent"}]), 1);
+}
+
+// Guards against a host that stays unlisted after a pause longer than its lease.
+TEST_F(StoreSyncInFailure, recordReturnsUnderNewLeaseAfterPause)
+{
+    const auto lease = board().store.lease;
+    cluster.paused.insert(HostId{"a1"});
+    run(cluster, Duration{12'000});
+    EXPECT_FALSE(cluster.store.rows.contains(hostKey(HostId{"a1"})));
+    cluster.paused.clear();
+    run(cluster, Duration{6'000});
+    EXPECT_TRUE(cluster.store.rows.contains(hostKey(HostId{"a1"})));
+    EXPECT_NE(board().store.lease, lease);
+}
+
+// Guards against items and version of different changes being taken for one state.
+TEST_F(StoreSyncInFailure, itemsAreReadAgainIfTheVersionChangedMeanwhile)
+{
+    addHost(cluster, "a2", "a");
+    cluster.store.faults.latency = Duration{100};
+    ASSERT_TRUE(runUntil(cluster, Duration{2'000}, [this] {
+        const auto &load = boardOf(cluster, "a2").store.load;
+        return load && load->stage == 3;
+    }));
+    run(cluster, Duration{50});
+    putConfiguration(cluster.store, 2, {AvailabilityZone{AvailabilityZoneId{"z"}}}, cluster.now);
+    ASSERT_TRUE(runUntil(cluster, Duration{3'000}, [this] { return boardOf(cluster, "a2").store.isLoaded; }));
+    run(cluster, Duration{20});
+    EXPECT_EQ(boardOf(cluster, "a2").configuration.version, 2);
+    EXPECT_TRUE(boardOf(cluster, "a2").configuration.availabilityZones.contains(AvailabilityZoneId{"z"}));
+}
+
+/// Two hosts of which one does not reach the store.
+struct StoreRelayService : StoreSyncInFailure
+{
+    StoreRelayService()
+    {
+        addHost(cluster, "b1", "b");
+        run(cluster, Duration{2'000});
+        cluster.store.faults.cutOff.insert(HostId{"a1"});
+        run(cluster, Duration{4'000});
+    }
+};
+
+TEST_F(StoreRelayService, writeGoesThroughPeerAndIsAppliedOnce)
+{
+    write("r1", "one", 0);
+    run(cluster, Duration{3'000});
+    EXPECT_EQ(stored("r1"), "one");
+    EXPECT_EQ(applied("r1"), 1);
+    EXPECT_TRUE(board().store.writes.empty());
+}
+
+TEST_F(StoreRelayService, leaseIsKeptThroughPeer)
+{
+    const auto lease = board().store.lease;
+    run(cluster, Duration{30'000});
+    EXPECT_EQ(board().store.lease, lease);
+    EXPECT_TRUE(cluster.store.rows.contains(hostKey(HostId{"a1"})));
+}
+
+TEST_F(StoreRelayService, directWayIsUsedAgainOnceItWorks)
+{
+    cluster.store.faults.cutOff.clear();
+    run(cluster, Duration{4'000});
+    const auto relayed = board().counters.values[{"storeCalls", "relayed"}];
+    write("r1", "one", 0);
+    run(cluster, Duration{4'000});
+    EXPECT_EQ(stored("r1"), "one");
+    EXPECT_EQ((board().counters.values[{"storeCalls", "relayed"}]), relayed);
+}
+
 }
