--- a/core/placement.cpp
+++ b/core/placement.cpp
@@ -156,28 +156,32 @@
     return noRoomText(specification, pass.freeAccelerators, pass.usableAccelerators, pass.view.availabilityZone);
 }
 
-/// True if a rule of the configuration, not lack of room, makes the job wait.
-bool waitsByRule(PlacementPass &pass, const QueuedJob &queued)
+/// Why a rule, not lack of room, makes the job wait; empty if none does.
+std::string ruleThatHolds(PlacementPass &pass, const QueuedJob &queued)
 {
     const auto &specification = queued.job->specification;
     const int wanted = acceleratorCount(specification);
     const auto *team = teamOf(pass, specification);
     if (team && team->acceleratorQuota > 0 && wanted > 0 && pass.teamHeld[team->id] + wanted > team->acceleratorQuota) {
-        explainWait(pass, specification, overQuotaText(team->id, pass.teamHeld[team->id], wanted, team->acceleratorQuota));
-        return true;
+        return overQuotaText(team->id, pass.teamHeld[team->id], wanted, team->acceleratorQuota);
     }
     // A job larger than the limit starts when nothing else did in the last second.
     if (queued.priority != Priority::Urgent && wanted > pass.startBudget && pass.hasStartedNow) {
-        explainWait(pass, specification, startLimitText(pass.view.availabilityZone));
-        return true;
+        return startLimitText(pass.view.availabilityZone);
     }
-    return false;
+    return {};
 }
 
 void decide(PlacementPass &pass, const QueuedJob &queued, ZoneChoices &choices)
 {
     const auto &specification = queued.job->specification;
-    if (refuseByRule(pass, queued) || waitsByRule(pass, queued)) {
+    if (refuseByRule(pass, queued)) {
+        return;
+    }
+    if (auto rule = ruleThatHolds(pass, queued); !rule.empty()) {
+        if (!endIfTooLarge(pass, queued, choices)) {
+            explainWait(pass, specification, std::move(rule));
+        }
         return;
     }
     if (const auto places = findFreePlaces(pass, queued)) {
--- /dev/null
+++ b/tools/placementbenchmain.cpp
@@ -0,0 +1,170 @@
+#include "core/clusterview.h"
+
+#include <benchmark/benchmark.h>
+
+#include <algorithm>
+#include <chrono>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace sequoiastand;
+
+/// One zone at the size of the benchmark with running work on most of it.
+struct BenchZone
+{
+    Configuration configuration;
+    Table<TargetId, Target> targets;
+    std::set<TargetId> startable;
+    Table<JobId, Job> jobs;
+    Table<AttemptId, Attempt> attempts;
+    std::map<AvailabilityZoneId, ZoneCapacity> otherZones;
+    TimePoint now{std::chrono::hours{10}};
+};
+
+const AvailabilityZoneId zoneId{"zone-01"};
+constexpr int targetsPerAcceleratedTarget = 3;
+
+ClusterView viewOf(const BenchZone &zone)
+{
+    return {
+        zoneId, zone.configuration, zone.targets, zone.startable, zone.jobs, zone.attempts, zone.otherZones, zone.now, WallTime{zone.now.time_since_epoch()}};
+}
+
+JobSpecification specification(int number, JobClass jobClass, int tasks, int accelerators, std::mt19937 &random)
+{
+    JobSpecification made;
+    made.id = {{"org" + std::to_string(number % 24)}, {"job" + std::to_string(number)}};
+    made.team = {"team" + std::to_string(number % 370)};
+    made.jobClass = jobClass;
+    made.taskCount = tasks;
+    made.acceleratorsPerTask = accelerators;
+    made.milliCpuPerTask = 2'000;
+    made.memoryMbPerTask = 4'000;
+    made.isIdempotent = true;
+    made.isCheckpointable = number % 3 != 0;
+    made.declaredRunTime = std::chrono::minutes{20 + random() % 400};
+    return made;
+}
+
+void addTarget(BenchZone &zone, int number)
+{
+    const auto text = std::to_string(100'000 + number);
+    Target target{{"w" + text}, {"r" + std::to_string(1'000 + number / 8)}, zoneId};
+    target.acceleratorCount = number % targetsPerAcceleratedTarget == 0 ? 8 : 0;
+    target.milliCpu = 64'000;
+    target.memoryMb = 256'000;
+    target.health = TargetHealth::Healthy;
+    zone.startable.insert(target.id);
+    zone.targets.put(target.id, target);
+}
+
+/// Places one attempt of the given tasks on a target, next to those placed there before.
+void addRunning(BenchZone &zone, const TargetId &target, const JobSpecification &made, int firstAccelerator, std::mt19937 &random)
+{
+    Job job;
+    job.specification = made;
+    job.availabilityZone = zoneId;
+    job.state = JobState::Running;
+    job.attemptCount = 1;
+    Attempt attempt;
+    attempt.id = {made.id, 1};
+    attempt.step = AttemptStep::Running;
+    attempt.runningSince = zone.now - std::chrono::seconds{60 + random() % 10'000};
+    attempt.checkpointedWork = std::chrono::seconds{random() % 60};
+    for (int task = 0; task < made.taskCount; ++task) {
+        const auto mask = ((AcceleratorMask{1} << made.acceleratorsPerTask) - 1) << (firstAccelerator + task * made.acceleratorsPerTask);
+        attempt.members.push_back({task, target, made.acceleratorsPerTask > 0 ? mask : 0, MemberStep::Running});
+    }
+    zone.attempts.put(attempt.id, attempt);
+    zone.jobs.put(made.id, job);
+}
+
+BenchZone makeZone(int targets, int tasks, int waiting)
+{
+    BenchZone zone;
+    std::mt19937 random(1);
+    for (int number = 0; number < targets; ++number) {
+        addTarget(zone, number);
+    }
+    for (int organisation = 0; organisation < targets / 40; ++organisation) {
+        const auto id = "guarantee" + std::to_string(organisation);
+        zone.configuration.guarantees[id] = {id, {"org" + std::to_string(organisation % 24)}, zoneId, {8, organisation % 2 + 1, 1, 1}};
+    }
+    int placed = 0;
+    int number = 0;
+    // All accelerators are taken, so that every decision has to weigh what stands there.
+    for (const auto &[id, target] : zone.targets.rows()) {
+        for (int free = 0; free < target.acceleratorCount;) {
+            const int width = std::min(target.acceleratorCount - free, 1 << random() % 3);
+            addRunning(zone, id, specification(number++, JobClass::Ordinary, 1, width, random), free, random);
+            free += width;
+            ++placed;
+        }
+    }
+    for (auto target = zone.targets.rows().begin(); placed < tasks; ++placed) {
+        addRunning(zone, target->first, specification(number++, JobClass::Patient, 1, 0, random), 0, random);
+        target = std::next(target) == zone.targets.rows().end() ? zone.targets.rows().begin() : std::next(target);
+    }
+    for (int job = 0; job < waiting; ++job) {
+        Job made;
+        made.specification = specification(number++, job % 2 == 0 ? JobClass::Ordinary : JobClass::Patient, job % 10 == 0 ? 4 : 1, 1 << random() % 4, random);
+        made.availabilityZone = zoneId;
+        made.acceptedAt = WallTime{zone.now.time_since_epoch()} - std::chrono::seconds{random() % 1'000};
+        zone.jobs.put(made.specification.id, made);
+    }
+    return zone;
+}
+
+void addUrgent(BenchZone &zone)
+{
+    std::mt19937 random(2);
+    Job job;
+    job.specification = specification(1'000'000, JobClass::Urgent, 1, 1, random);
+    job.availabilityZone = zoneId;
+    job.acceptedAt = WallTime{zone.now.time_since_epoch()};
+    zone.jobs.put(job.specification.id, job);
+}
+
+/// Google Benchmark reports means; the goals are quantiles, so each pass is timed as well.
+void measure(benchmark::State &state, const BenchZone &zone)
+{
+    std::vector<double> milliseconds;
+    for (auto iteration : state) {
+        static_cast<void>(iteration);
+        const auto start = std::chrono::steady_clock::now();
+        auto plan = planPlacements(viewOf(zone));
+        benchmark::DoNotOptimize(plan);
+        milliseconds.push_back(std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - start).count());
+    }
+    std::ranges::sort(milliseconds);
+    const auto at = [&milliseconds](double share) { return milliseconds[static_cast<std::size_t>(share * static_cast<double>(milliseconds.size() - 1))]; };
+    state.counters["p50_ms"] = at(0.50);
+    state.counters["p99_ms"] = at(0.99);
+}
+
+/// One urgent job waits in a full zone: the pass has to find the cheapest borrower.
+void urgentDecision(benchmark::State &state)
+{
+    auto zone = makeZone(static_cast<int>(state.range(0)), static_cast<int>(state.range(1)), 0);
+    addUrgent(zone);
+    measure(state, zone);
+}
+
+/// A full zone with a queue of ordinary, patient and gang jobs and one urgent job.
+void fullPass(benchmark::State &state)
+{
+    auto zone = makeZone(static_cast<int>(state.range(0)), static_cast<int>(state.range(1)), static_cast<int>(state.range(2)));
+    addUrgent(zone);
+    measure(state, zone);
+}
+
+}
+
+BENCHMARK(urgentDecision)->Args({209, 1'364})->Args({2'300, 15'000})->Unit(benchmark::kMillisecond)->Iterations(500);
+BENCHMARK(fullPass)->Args({209, 1'364, 500})->Args({2'300, 15'000, 500})->Unit(benchmark::kMillisecond)->Iterations(200);
+
+BENCHMARK_MAIN();
--- a/tools/policybenchmain.cpp
+++ b/tools/policybenchmain.cpp
@@ -16,7 +16,7 @@
 
 Options:
   --deployment=NAME  kask, colombo, target or all [default: all]
-  --load=NAME        steady, bursts-small, bursts-large, wrong-10x, cancel-waves, zone-change, failing-targets or all [default: all]
+  --load=NAME        steady, heavy, bursts-small, bursts-large, wrong-10x, cancel-waves, zone-change, failing-targets or all [default: all]
   --seed=N           Seed of fleets and loads [default: 1]
 )";
 
@@ -41,6 +41,7 @@
     std::puts(headerLine().c_str());
     for (const auto deployment : {Deployment::Kask, Deployment::Colombo, Deployment::Target}) {
         for (const auto load : {Disturbance::Steady,
+                                Disturbance::Heavy,
                                 Disturbance::SmallBursts,
                                 Disturbance::LargeBursts,
                                 Disturbance::WrongDeclarations,
--- a/tools/policyload.cpp
+++ b/tools/policyload.cpp
@@ -42,6 +42,9 @@
 constexpr int workersPerRack = 8;
 constexpr int acceleratorsPerWorker = 8;
 constexpr double loadShare = 0.80;
+constexpr double heavyLoadShare = 1.0;
+/// Organisations may have 2,000 jobs waiting each; a larger burst would be refused at admission, before the decisions measured here.
+constexpr int maxBurstJobs = 1'500;
 constexpr double runTimeSpread = 0.7; ///< Sigma of the logarithm.
 constexpr const char *reclaimer = "reclaimer";
 
@@ -244,7 +247,7 @@
 void addLoad(LoadMaker &maker, const PolicyCase &made, const FleetShape &fleet, int accelerators, Disturbance disturbance)
 {
     const bool hasBursts = disturbance == Disturbance::SmallBursts || disturbance == Disturbance::LargeBursts;
-    const auto total = std::chrono::duration_cast<Duration>(made.horizon * (accelerators * loadShare));
+    const auto total = std::chrono::duration_cast<Duration>(made.horizon * (accelerators * (disturbance == Disturbance::Heavy ? heavyLoadShare : loadShare)));
     auto steady = hasBursts ? total * 2 / 3 : total;
     while (steady > Duration{0}) {
         const Duration at{static_cast<Duration::rep>(maker.uniform(0, static_cast<double>(made.horizon.count())))};
@@ -257,8 +260,9 @@
     constexpr int bursts = 4;
     for (int burst = 0; burst < bursts; ++burst) {
         auto left = total / 3 / bursts;
+        int jobs = 0;
         const Duration from = made.horizon * (burst + 1) / (bursts + 2);
-        while (left > Duration{0}) {
+        while (left > Duration{0} && jobs++ < maxBurstJobs) {
             left -= maker.add(kind, from + Duration{static_cast<Duration::rep>(maker.uniform(0, 10'000))}, false);
         }
     }
@@ -274,7 +278,7 @@
 
 const char *name(Disturbance disturbance)
 {
-    constexpr std::array names{"steady", "bursts-small", "bursts-large", "wrong-10x", "cancel-waves", "zone-change", "failing-targets"};
+    constexpr std::array names{"steady", "heavy", "bursts-small", "bursts-large", "wrong-10x", "cancel-waves", "zone-change", "failing-targets"};
     return names[static_cast<std::size_t>(disturbance)];
 }
 
--- a/tools/policyload.h
+++ b/tools/policyload.h
@@ -19,6 +19,7 @@
 enum class Disturbance
 {
     Steady,
+    Heavy, ///< As steady, but as much work as the fleet can do.
     SmallBursts,
     LargeBursts,
     WrongDeclarations,
