--- a/standins/keyvaluemodel.h
+++ b/standins/keyvaluemodel.h
@@ -126,7 +126,7 @@
     friend bool operator==(const KeyValueLeaseRevoke &, const KeyValueLeaseRevoke &) = default;
 };
 
-/// Forgets the changes up to the revision. Present rows stay.
+/// Forgets the changes before the revision. Present rows stay, and a watch can still start at the revision.
 struct KeyValueCompaction
 {
     long long revision = 0;
--- /dev/null
+++ b/standins/keyvalueservice.cpp
@@ -0,0 +1,222 @@
+#include "keyvalueservice.h"
+
+#include "wire/jsonfields.h"
+
+#include <algorithm>
+#include <ranges>
+#include <vector>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+/// Changes kept before the oldest half is compacted, so that a long run does not fill the memory.
+constexpr std::size_t maxChanges = 100'000;
+
+void writeMessage(KeyValueService &service, ExchangeId id, const nlohmann::json &message)
+{
+    writeStream(service.server, id, toText(message) + "\n");
+}
+
+void dropWatches(KeyValueService &service)
+{
+    for (const auto id : service.watches | std::views::keys) {
+        drop(service.server, id);
+    }
+    service.watches.clear();
+}
+
+void sendProgress(KeyValueService &service, TimePoint now)
+{
+    if (!service.progressDue || *service.progressDue > now) {
+        return;
+    }
+    service.progressDue = now + service.progressPeriod;
+    for (const auto &[id, watch] : service.watches) {
+        if (watch.wantsProgress) {
+            writeMessage(service, id, watchProgressToJson(service.model.revision));
+        }
+    }
+}
+
+/// Sends new changes to the watches and arms the timer; follows every change of the model.
+void settle(KeyValueService &service)
+{
+    const auto now = monotonicNow();
+    service.model = expireLeases(std::move(service.model), now);
+    for (auto &[id, watch] : service.watches) {
+        const auto changes = changesFrom(service.model, watch.span, watch.nextRevision);
+        if (changes.ok() && !changes->empty()) {
+            writeMessage(service, id, watchChangesToJson(service.model.revision, *changes));
+        }
+        watch.nextRevision = std::max(watch.nextRevision, service.model.revision + 1);
+    }
+    if (service.model.changes.size() > maxChanges) {
+        const KeyValueCompaction oldestHalf{service.model.changes.at(maxChanges / 2).modRevision};
+        service.model = applyRequest(std::move(service.model), oldestHalf, now).model;
+    }
+    sendProgress(service, now);
+    auto due = nextLeaseExpiry(service.model);
+    if (service.progressDue && (!due || *service.progressDue < *due)) {
+        due = service.progressDue;
+    }
+    armTimer(service.server.loop, service.timer, due);
+}
+
+void onTimer(struct ev_loop *, ev_timer *watcher, int)
+{
+    settle(*static_cast<KeyValueService *>(watcher->data));
+}
+
+HttpResponse errorResponse(const absl::Status &status)
+{
+    return {httpStatus(status), toText(keyValueErrorToJson(status))};
+}
+
+void answerWatch(KeyValueService &service, const HttpRequest &request, const nlohmann::json &body)
+{
+    const auto wanted = keyValueWatchFromJson(body);
+    if (!wanted.ok()) {
+        respond(service.server, request.id, errorResponse(wanted.status()));
+        return;
+    }
+    const auto &model = service.model;
+    openStream(service.server, request.id);
+    writeMessage(service, request.id, watchCreatedToJson(model.revision));
+    if (wanted->startRevision > 0 && wanted->startRevision < model.compactedRevision) {
+        writeMessage(service, request.id, watchCompactedToJson(model.revision, model.compactedRevision));
+        return;
+    }
+    const auto next = wanted->startRevision > 0 ? wanted->startRevision : model.revision + 1;
+    service.watches[request.id] = {wanted->span, next, wanted->wantsProgress};
+    if (!service.progressDue) {
+        service.progressDue = monotonicNow() + service.progressPeriod;
+    }
+    settle(service);
+}
+
+void answerCall(KeyValueService &service, const HttpRequest &request, const nlohmann::json &body)
+{
+    const auto call = keyValueRequestFromJson(request.path, body);
+    if (!call.ok()) {
+        respond(service.server, request.id, errorResponse(call.status()));
+        return;
+    }
+    const bool isRead = std::holds_alternative<KeyValueRange>(*call);
+    (isRead ? service.reads : service.writes) += 1;
+    auto step = applyRequest(std::move(service.model), *call, monotonicNow());
+    service.model = std::move(step.model);
+    settle(service);
+    if (service.faults.losesAnswers) {
+        drop(service.server, request.id);
+        return;
+    }
+    auto response = step.answer.ok() ? HttpResponse{200, toText(keyValueAnswerToJson(*call, *step.answer))} : errorResponse(step.answer.status());
+    respondLater(service.server, request.id, std::move(response), service.faults.delay);
+}
+
+nlohmann::json statusToJson(const KeyValueService &service)
+{
+    return {{"outage", service.faults.isOut},
+            {"loseAnswers", service.faults.losesAnswers},
+            {"delayMs", service.faults.delay.count()},
+            {"watches", service.watches.size()},
+            {"keys", service.model.rows.size()},
+            {"leases", service.model.leases.size()},
+            {"revision", service.model.revision},
+            {"compactedRevision", service.model.compactedRevision},
+            {"reads", service.reads},
+            {"writes", service.writes}};
+}
+
+/// Settings keep their value when they are absent; actions are taken when they are true.
+absl::Status switchFaults(KeyValueService &service, const nlohmann::json &body, ExchangeId exchange)
+{
+    auto faults = service.faults;
+    bool isDroppingWatches = false;
+    bool isCompacting = false;
+    bool isSilencing = false;
+    bool isSaving = false;
+    bool isRestoring = false;
+    auto reader = fieldsOf(body, "fault");
+    readField(reader, "outage", faults.isOut);
+    readField(reader, "loseAnswers", faults.losesAnswers);
+    readField(reader, "delayMs", faults.delay);
+    readField(reader, "dropWatches", isDroppingWatches);
+    readField(reader, "compact", isCompacting);
+    readField(reader, "silentConnections", isSilencing);
+    readField(reader, "save", isSaving);
+    readField(reader, "restore", isRestoring);
+    if (auto status = finishFields(reader); !status.ok()) {
+        return status;
+    }
+    if (isRestoring && !service.saved) {
+        return absl::FailedPreconditionError("fault.restore: nothing was saved");
+    }
+    service.faults = faults;
+    if (isSilencing) {
+        silenceConnections(service.server, exchange);
+    }
+    if (isSaving) {
+        service.saved = service.model;
+    }
+    if (isRestoring) {
+        service.model = *service.saved;
+    }
+    if (isCompacting && service.model.revision > service.model.compactedRevision) {
+        service.model = applyRequest(std::move(service.model), KeyValueCompaction{service.model.revision}, monotonicNow()).model;
+    }
+    if (isDroppingWatches || isRestoring || faults.isOut) {
+        dropWatches(service);
+    }
+    settle(service);
+    return absl::OkStatus();
+}
+
+void onRequest(KeyValueService &service, const HttpRequest &request)
+{
+    if (request.path == "/fault") {
+        const auto body = parseJson(request.method == "GET" ? "{}" : request.body, "fault");
+        const auto status = body.ok() ? switchFaults(service, *body, request.id) : body.status();
+        respond(service.server, request.id, status.ok() ? HttpResponse{200, toText(statusToJson(service)) + "\n"} : errorResponse(status));
+        return;
+    }
+    if (service.faults.isOut) {
+        drop(service.server, request.id);
+        return;
+    }
+    if (request.method != "POST") {
+        respond(service.server, request.id, {405, R"({"error": "Method Not Allowed"})"});
+        return;
+    }
+    const auto body = parseJson(request.body, "body");
+    if (!body.ok()) {
+        respond(service.server, request.id, errorResponse(body.status()));
+    } else if (request.path == "/v3/watch") {
+        answerWatch(service, request, *body);
+    } else {
+        answerCall(service, request, *body);
+    }
+}
+
+}
+
+absl::Status startKeyValueService(KeyValueService &service, struct ev_loop *loop, int port)
+{
+    service.server.loop = loop;
+    service.server.onRequest = [&service](const HttpRequest &request) { onRequest(service, request); };
+    service.server.onClosed = [&service](ExchangeId id) { service.watches.erase(id); };
+    ev_timer_init(&service.timer, onTimer, 0.0, 0.0);
+    service.timer.data = &service;
+    return startServer(service.server, port);
+}
+
+void stopKeyValueService(KeyValueService &service)
+{
+    stopServer(service.server);
+    ev_timer_stop(service.server.loop, &service.timer);
+}
+
+}
--- /dev/null
+++ b/standins/keyvalueservice.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "httpserver.h"
+#include "keyvaluejson.h"
+#include "keyvaluemodel.h"
+
+#include <map>
+#include <optional>
+
+namespace sequoiastand
+{
+
+/// Faults that stay until they are switched off.
+struct KeyValueFaults
+{
+    bool isOut = false;        ///< Every request's connection is closed before it has an effect.
+    bool losesAnswers = false; ///< Requests have their effect, then their connection is closed.
+    Duration delay{0};         ///< Before each answer but those of watches.
+
+    friend bool operator==(const KeyValueFaults &, const KeyValueFaults &) = default;
+};
+
+struct KeyValueWatch
+{
+    KeyValueSpan span;
+    long long nextRevision = 0;
+    bool wantsProgress = false;
+
+    friend bool operator==(const KeyValueWatch &, const KeyValueWatch &) = default;
+};
+
+/// The model behind the JSON gateway.
+struct KeyValueService
+{
+    HttpServer server;
+    KeyValueModel model;
+    std::optional<KeyValueModel> saved; ///< For a return to an earlier state.
+    KeyValueFaults faults;
+    std::map<ExchangeId, KeyValueWatch> watches;
+    Duration progressPeriod{1'000};
+    std::optional<TimePoint> progressDue;
+    ev_timer timer{};
+    long long reads = 0;
+    long long writes = 0;
+};
+
+/// The service must stay where it is until it is stopped.
+absl::Status startKeyValueService(KeyValueService &service, struct ev_loop *loop, int port);
+
+void stopKeyValueService(KeyValueService &service);
+
+}
