--- a/tests/testmembership.cpp
+++ b/tests/testmembership.cpp
@@ -142,13 +142,20 @@
     EXPECT_FALSE(peer("b1", "a1")->isLeaving);
 }
 
-TEST_F(Membership, capacityOfZoneWithoutOwnerIsNotListed)
+// Guards against jobs given to a zone that nobody serves.
+TEST_F(Membership, capacityOfZoneIsListedWhileItsOwnerIsAlive)
 {
     auto &board = boardOf(cluster, "a1");
-    boardOf(cluster, "b1").epoch = 4;
-    run(cluster, Duration{2'500});
-    EXPECT_TRUE(board.zoneCapacities.contains(AvailabilityZoneId{"b"}));
-    EXPECT_FALSE(board.zoneCapacities.contains(AvailabilityZoneId{"a"}));
+    ASSERT_TRUE(runUntil(cluster, Duration{10'000}, [&board] { return board.zoneCapacities.contains(AvailabilityZoneId{"b"}); }));
+    EXPECT_GT(peer("a1", "b1")->ownedEpoch, 0);
+    cluster.paused.insert(HostId{"b1"});
+    run(cluster, Duration{5'000});
+    EXPECT_FALSE(board.zoneCapacities.contains(AvailabilityZoneId{"b"}));
+}
+
+TEST_F(Membership, handoverFreesTheZoneAtOnce)
+{
+    ASSERT_TRUE(runUntil(cluster, Duration{10'000}, [this] { return peer("a1", "b1")->ownedEpoch > 0; }));
     post(cluster, "a1", PeerHeard{HostId{"b1"}, Handover{AvailabilityZoneId{"b"}, 4}});
     run(cluster, Duration{10});
     EXPECT_EQ(peer("a1", "b1")->ownedEpoch, 0);
--- a/tests/teststoresync.cpp
+++ b/tests/teststoresync.cpp
@@ -18,22 +18,22 @@
         return boardOf(cluster, "a1");
     }
 
-    static Job job(const std::string &request, const std::string &explanation)
+    /// A record that no controller reacts to.
+    static ConfigurationChange record(const std::string &text)
     {
-        Job value;
-        value.specification.id = JobId{OrganisationId{"kask"}, RequestId{request}};
-        value.explanation = explanation;
+        ConfigurationChange value;
+        value.statement = text;
         return value;
     }
 
-    static StoreKey key(const std::string &request)
+    static StoreKey key(const std::string &name)
     {
-        return jobKey(JobId{OrganisationId{"kask"}, RequestId{request}});
+        return {"config/history/" + name};
     }
 
-    void write(const std::string &request, const std::string &explanation, Revision expected)
+    void write(const std::string &name, const std::string &text, Revision expected)
     {
-        requestWrite(board().store, StoreWrite{key(request), job(request, explanation), expected}, "test");
+        requestWrite(board().store, StoreWrite{key(name), record(text), expected}, "test");
     }
 
     FakeCluster cluster;
@@ -78,7 +78,7 @@
     std::string stored(const std::string &request)
     {
         const auto row = cluster.store.rows.find(key(request));
-        return row == cluster.store.rows.end() ? "" : std::get<Job>(row->second.record).explanation;
+        return row == cluster.store.rows.end() ? "" : std::get<ConfigurationChange>(row->second.record).statement;
     }
 
     int applied(const std::string &request)
@@ -139,7 +139,7 @@
 // Guards against one conflicting write holding up the group that it was sent with.
 TEST_F(StoreSyncInFailure, conflictIsReportedAndTheRestOfTheGroupApplied)
 {
-    putRow(cluster.store, key("r1"), job("r1", "other"), cluster.now);
+    putRow(cluster.store, key("r1"), record("other"), cluster.now);
     write("r1", "one", 0);
     write("r2", "two", 0);
     run(cluster, Duration{500});
