Compare choices of a job's zone under stale reports

The design states the better of two random zones without a figure behind it. The better of two stays.

--- a/core/capacity.cpp
+++ b/core/capacity.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <compare>
 #include <map>
 
 namespace sequoiastand
@@ -113,11 +114,11 @@
         bool hasAttempt = false;
         while (attempt != end) {
             const auto order = attempt->first.job <=> id;
-            if (order > 0) {
+            if (std::is_gt(order)) {
                 break;
             }
-            const bool isLive = addNext(order == 0 ? &job : nullptr);
-            hasAttempt = hasAttempt || (isLive && order == 0);
+            const bool isLive = addNext(std::is_eq(order) ? &job : nullptr);
+            hasAttempt = hasAttempt || (isLive && std::is_eq(order));
         }
         if (job.state == JobState::Finished) {
             map.finished.push_back(&job);
--- a/core/joborder.cpp
+++ b/core/joborder.cpp
@@ -57,6 +57,7 @@
 std::vector<QueuedJob> orderedJobs(const ClusterView &view, const CapacityMap &map, const CellMap &cells, const RunTimeModel &model)
 {
     std::vector<QueuedJob> queue;
+    queue.reserve(map.waiting.size());
     for (const auto *job : map.waiting) {
         queue.push_back({job, basePriority(*job, view.wallNow), false, expectedRemaining(model, *job)});
     }
--- a/core/placementpass.cpp
+++ b/core/placementpass.cpp
@@ -53,7 +53,7 @@
     }
     pass.startBudget = std::max(1, pass.usableAccelerators * refillPercentPerSecond / 100);
     for (const auto &work : pass.map.work) {
-        if (!work.specification) {
+        if (!work.specification || work.accelerators == 0) {
             continue;
         }
         const int held = work.accelerators;
@@ -74,6 +74,8 @@
     pass.model = learnRunTimes(pass.map.finished);
     pass.cells = bindCells(view, pass.map);
     pass.free = freeRooms(pass.map);
+    pass.bound.assign(pass.map.targets.size(), 0);
+    std::ranges::for_each(pass.cells.cells, [&pass](const Cell &cell) { pass.bound[cell.target] |= cell.accelerators; });
     pass.claimed.assign(pass.map.targets.size(), 0);
     pass.isStopping.reserve(pass.map.work.size());
     std::ranges::transform(pass.map.work, std::back_inserter(pass.isStopping), &RunningWork::isStopping);
--- a/core/placementpass.h
+++ b/core/placementpass.h
@@ -34,6 +34,7 @@
     CapacityMap map;
     CellMap cells;
     RunTimeModel model;
+    std::vector<AcceleratorMask> bound;   ///< Per target: accelerators in any organisation's cells.
     std::vector<Room> free;               ///< Free and not given away in this pass.
     std::vector<AcceleratorMask> claimed; ///< Given away in this pass, including what preempted work still holds.
     std::vector<int> fixedMilliCpu;       ///< Per target: taken by work that cannot be preempted and stands outside its own cells.
--- a/core/preemption.cpp
+++ b/core/preemption.cpp
@@ -222,9 +222,12 @@
 
 bool isBorrowing(PlacementPass &pass, const RunningWork &work)
 {
+    const auto isOutsideAllCells = [&pass](const HeldPlace &place) { return place.accelerators == 0 || (place.accelerators & ~pass.bound[place.target]) != 0; };
+    if (std::ranges::any_of(work.places, isOutsideAllCells)) {
+        return true;
+    }
     const auto &own = cellsOf(pass, work.id.job.organisation).own;
-    return std::ranges::any_of(work.places,
-                               [&own](const HeldPlace &place) { return place.accelerators == 0 || (place.accelerators & ~own[place.target]) != 0; });
+    return std::ranges::any_of(work.places, [&own](const HeldPlace &place) { return (place.accelerators & ~own[place.target]) != 0; });
 }
 
 }
--- a/tools/policybenchmain.cpp
+++ b/tools/policybenchmain.cpp
@@ -1,6 +1,7 @@
 #include "policybaseline.h"
 #include "policyload.h"
 #include "policyreport.h"
+#include "zonechoice.h"
 
 #include <docopt/docopt.h>
 
@@ -12,7 +13,9 @@
 
 constexpr const char *usage = R"(Measures the placement policy against baselines on virtual time.
 
-Usage: policybench [--deployment=NAME] [--load=NAME] [--seed=N]
+Usage:
+  policybench [--deployment=NAME] [--load=NAME] [--seed=N]
+  policybench zonechoice [--seed=N]
 
 Options:
   --deployment=NAME  kask, colombo, target or all [default: all]
@@ -22,6 +25,23 @@
 
 using namespace sequoiastand;
 
+void measureZoneChoices(unsigned seed)
+{
+    std::puts("choice        load  start p50  start p99  worst overshoot  used share, fullest minus emptiest");
+    for (const double load : {0.80, 0.95}) {
+        for (const auto choice : {ZoneChoice::Random, ZoneChoice::LeastLoaded, ZoneChoice::BestOfTwo}) {
+            const auto figures = measureZoneChoice(choice, load, seed);
+            std::printf("%-12s  %4.2f  %7.2f s  %7.2f s  %15.1f  %6.3f\n",
+                        name(choice),
+                        load,
+                        figures.startP50,
+                        figures.startP99,
+                        figures.worstOvershoot,
+                        figures.meanImbalance);
+        }
+    }
+}
+
 void measure(const PolicyCase &policyCase, const char *policy, const PlanFunction &plan, bool isOurs)
 {
     auto world = makeWorld(policyCase, plan, isOurs);
@@ -38,6 +58,10 @@
     const auto wantedDeployment = arguments.at("--deployment").asString();
     const auto wantedLoad = arguments.at("--load").asString();
     const auto seed = static_cast<unsigned>(std::stoul(arguments.at("--seed").asString()));
+    if (arguments.at("zonechoice").asBool()) {
+        measureZoneChoices(seed);
+        return 0;
+    }
     std::puts(headerLine().c_str());
     for (const auto deployment : {Deployment::Kask, Deployment::Colombo, Deployment::Target}) {
         for (const auto load : {Disturbance::Steady,
--- /dev/null
+++ b/tools/zonechoice.cpp
@@ -0,0 +1,130 @@
+#include "zonechoice.h"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <functional>
+#include <queue>
+#include <random>
+#include <vector>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+constexpr int zoneCount = 11;
+constexpr int acceleratorsPerZone = 512;
+constexpr double meanRunSeconds = 20;
+constexpr double reportPeriodSeconds = 1;
+constexpr double horizonSeconds = 600;
+/// Callers send this many jobs at a time.
+constexpr int burstJobs = 8;
+
+struct Zone
+{
+    std::priority_queue<double, std::vector<double>, std::greater<>> ends;
+    std::deque<double> waiting;
+    int reportedFree = acceleratorsPerZone;
+    int receivedSinceReport = 0;
+
+    int free() const
+    {
+        return acceleratorsPerZone - static_cast<int>(ends.size());
+    }
+};
+
+std::size_t chooseZone(ZoneChoice choice, const std::vector<Zone> &zones, std::mt19937 &random)
+{
+    const auto draw = [&] { return std::uniform_int_distribution<std::size_t>(0, zones.size() - 1)(random); };
+    switch (choice) {
+    case ZoneChoice::Random:
+        return draw();
+    case ZoneChoice::LeastLoaded:
+        return static_cast<std::size_t>(std::ranges::max_element(zones, {}, &Zone::reportedFree) - zones.begin());
+    case ZoneChoice::BestOfTwo: {
+        const auto first = draw();
+        const auto second = draw();
+        return zones[second].reportedFree > zones[first].reportedFree ? second : first;
+    }
+    }
+    return 0;
+}
+
+struct Recorder
+{
+    std::vector<double> waits;
+    double worstOvershoot = 0;
+    double imbalanceSum = 0;
+    int reports = 0;
+};
+
+/// Ends work that is due and starts what waits.
+void advance(Zone &zone, double now, std::mt19937 &random, Recorder &recorder)
+{
+    std::exponential_distribution<double> runTime(1 / meanRunSeconds);
+    while (!zone.ends.empty() && zone.ends.top() <= now) {
+        const double freedAt = zone.ends.top();
+        zone.ends.pop();
+        if (!zone.waiting.empty()) {
+            recorder.waits.push_back(freedAt - zone.waiting.front());
+            zone.waiting.pop_front();
+            zone.ends.push(freedAt + runTime(random));
+        }
+    }
+}
+
+void report(std::vector<Zone> &zones, double jobsPerReport, Recorder &recorder)
+{
+    const double fairShare = jobsPerReport / zoneCount;
+    for (auto &zone : zones) {
+        recorder.worstOvershoot = std::max(recorder.worstOvershoot, zone.receivedSinceReport / fairShare);
+        zone.receivedSinceReport = 0;
+        zone.reportedFree = zone.free() - static_cast<int>(zone.waiting.size());
+    }
+    const auto [emptiest, fullest] = std::ranges::minmax(zones, {}, [](const Zone &zone) { return zone.ends.size(); });
+    recorder.imbalanceSum += static_cast<double>(fullest.ends.size() - emptiest.ends.size()) / acceleratorsPerZone;
+    ++recorder.reports;
+}
+
+}
+
+const char *name(ZoneChoice choice)
+{
+    constexpr std::array names{"random", "least-loaded", "best-of-two"};
+    return names[static_cast<std::size_t>(choice)];
+}
+
+ZoneChoiceFigures measureZoneChoice(ZoneChoice choice, double load, unsigned seed)
+{
+    std::mt19937 random(seed);
+    std::vector<Zone> zones(zoneCount);
+    Recorder recorder;
+    const double jobsPerSecond = load * zoneCount * acceleratorsPerZone / meanRunSeconds;
+    std::exponential_distribution<double> gap(jobsPerSecond / burstJobs);
+    std::exponential_distribution<double> runTime(1 / meanRunSeconds);
+    double nextReport = 0;
+    for (double now = gap(random); now < horizonSeconds; now += gap(random)) {
+        for (; nextReport <= now; nextReport += reportPeriodSeconds) {
+            std::ranges::for_each(zones, [&](Zone &zone) { advance(zone, nextReport, random, recorder); });
+            report(zones, jobsPerSecond * reportPeriodSeconds, recorder);
+        }
+        for (int job = 0; job < burstJobs; ++job) {
+            auto &zone = zones[chooseZone(choice, zones, random)];
+            advance(zone, now, random, recorder);
+            ++zone.receivedSinceReport;
+            if (zone.free() > 0) {
+                zone.ends.push(now + runTime(random));
+                recorder.waits.push_back(0);
+            } else {
+                zone.waiting.push_back(now);
+            }
+        }
+    }
+    std::ranges::sort(recorder.waits);
+    const auto at = [&recorder](double share) { return recorder.waits[static_cast<std::size_t>(share * static_cast<double>(recorder.waits.size() - 1))]; };
+    return {at(0.5), at(0.99), recorder.worstOvershoot, recorder.imbalanceSum / recorder.reports};
+}
+
+}
