--- a/net/eventloop.cpp
+++ b/net/eventloop.cpp
@@ -55,6 +55,8 @@
     , m_callback(std::move(callback))
 {
     ev_init(&m_watcher, &SocketWatch::onReady);
+    // After a pause of the process data and deadlines are due together; what has arrived counts before what seems to be missing.
+    ev_set_priority(&m_watcher, EV_MAXPRI);
     m_watcher.data = this;
 }
 
--- a/net/hostloop.cpp
+++ b/net/hostloop.cpp
@@ -94,9 +94,9 @@
 
 void HostLoop::runStep()
 {
-    const auto begin = EventLoop::now();
-    m_takeStep(m_board, std::exchange(m_inbox, {}), begin, EventLoop::wallNow());
-    addSample(m_board.counters, "stepMs", static_cast<double>((EventLoop::now() - begin).count()));
+    const auto begin = std::chrono::steady_clock::now();
+    m_takeStep(m_board, std::exchange(m_inbox, {}), EventLoop::now(), EventLoop::wallNow());
+    addSample(m_board.counters, "stepMs", std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - begin).count());
     for (const auto &message : std::exchange(m_board.outbox, {})) {
         deliver(message);
     }
@@ -121,9 +121,13 @@
 
 void HostLoop::keepWatch()
 {
-    if (m_board.store.isLoaded && m_board.store.watchRevision > 0) {
+    const bool shouldWatch = m_board.store.isWatching;
+    if (shouldWatch && !m_wasWatching) {
         m_store.watchFrom(m_board.store.watchRevision + 1);
+    } else if (!shouldWatch) {
+        m_store.stopWatching();
     }
+    m_wasWatching = shouldWatch;
 }
 
 void HostLoop::writeLog()
@@ -146,7 +150,7 @@
 {
     const bool hasOpenCommand = std::ranges::any_of(m_board.commands.rows(), [](const auto &row) { return row.second.step != CommandStep::Answered; });
     return m_board.isStopping && m_board.calls.isEmpty() && !hasOpenCommand && m_board.leases.isEmpty() && m_board.store.writes.empty()
-           && m_board.store.transactions.empty() && !m_board.store.inFlight && m_callers.openCalls() == 0 && m_server.openRequests() == 0
+           && m_board.store.transactions.empty() && !m_board.store.batch && m_callers.openCalls() == 0 && m_server.openRequests() == 0
            && !m_peers.hasQueuedFrames();
 }
 
--- a/net/hostloop.h
+++ b/net/hostloop.h
@@ -109,6 +109,7 @@
     Metrics m_metrics;
     std::function<void()> m_onStopped;
     TimePoint m_stopDeadline;
+    bool m_wasWatching = false;
 };
 
 }
--- a/net/storeclient.cpp
+++ b/net/storeclient.cpp
@@ -99,6 +99,14 @@
     }
 }
 
+void StoreClient::stopWatching()
+{
+    closeWatch();
+    m_watchTimer.stop();
+    m_retryTimer.stop();
+    m_isWatching = false;
+}
+
 void StoreClient::retryLater()
 {
     m_retryTimer.startIn(Duration{static_cast<long long>(m_random() % static_cast<unsigned long>(m_settings.watchRetry.count() + 1))});
@@ -206,9 +214,7 @@
 void StoreClient::loseWatch(const std::string &reason)
 {
     m_http.distrust(address());
-    closeWatch();
-    m_watchTimer.stop();
-    m_isWatching = false;
+    stopWatching();
     m_lossReason = reason;
     const auto message = absl::StrCat("watchStore: ", address(), ": ", reason);
     m_addressIndex = (m_addressIndex + 1) % m_settings.addresses.size();
--- a/net/storeclient.h
+++ b/net/storeclient.h
@@ -18,7 +18,7 @@
     std::vector<std::string> addresses;
     Duration watchOpenTimeout{2'000}; ///< Until the store must have confirmed a watch.
     Duration watchSilence{5'000};     ///< A watch that was silent for so long is opened again from where it stood.
-    Duration watchRetry{1'000};       ///< Bound of the random delay before a lost watch is opened again.
+    Duration watchRetry{200};         ///< Bound of the random delay before a watch is opened again; the core gives a watch up after a lag of 1 s.
 
     friend bool operator==(const StoreClientSettings &, const StoreClientSettings &) = default;
 };
@@ -34,6 +34,9 @@
     /// Opens the watch unless there is one. StoreWatchLost is posted when it cannot be kept; then there is none until the next call of watchFrom().
     void watchFrom(Revision revision);
 
+    /// Closes the watch without posting anything.
+    void stopWatching();
+
     bool isWatching() const
     {
         return m_isWatching;
@@ -70,7 +73,7 @@
     Revision m_nextRevision = 0;
     std::string m_buffer;
     std::string m_lossReason; ///< Set within a data callback, where the stream cannot be closed.
-    Timer m_watchTimer;
+    Timer m_watchTimer;       ///< Deadline of the next message of the watch.
     Timer m_retryTimer;
 };
 
--- a/wire/recordjson.cpp
+++ b/wire/recordjson.cpp
@@ -194,7 +194,7 @@
     if (path == "config/version") {
         return ConfigurationVersion{json.at("version").get<long long>(), {text(json, "changedBy")}, {text(json, "command")}};
     }
-    if (path.starts_with("config/history/")) {
+    if (path.starts_with("config/history/") || path.starts_with("config/command/")) {
         return ConfigurationChange{json.at("version").get<long long>(),
                                    {text(json, "changedBy")},
                                    {text(json, "command")},
