Run the stand-ins in the loop of net

Cause: the network part has its own loop, timers and a server with the same names, so that tests could not link both. Change: the stand-ins use EventLoop, Timer and SocketWatch; their server is StandInServer. Conclusion: a test can run the product's loop and the stand-ins in one process.

--- a/standins/hostlistmain.cpp
+++ b/standins/hostlistmain.cpp
@@ -3,6 +3,7 @@
 
 #include <docopt/docopt.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
@@ -50,13 +51,15 @@
         }
         hosts.push_back({sequoiastand::ListedKind::EntryHost, parts[0], {}, {parts[1]}, parts[2], 0, 0, 0, false});
     }
-    sequoiastand::HostListService service;
-    auto *loop = ev_default_loop(0);
-    if (const auto status = startHostListService(service, loop, number("--port"), std::move(hosts)); !status.ok()) {
+    sequoiastand::EventLoop loop;
+    sequoiastand::HostListService service{{loop}};
+    if (const auto status = startHostListService(service, number("--port"), std::move(hosts)); !status.ok()) {
         std::cerr << status.message() << "\n";
         return EXIT_FAILURE;
     }
-    sequoiastand::runUntilSignal(loop);
+    const sequoiastand::SignalWatch interrupt(loop, SIGINT, [&loop] { loop.stop(); });
+    const sequoiastand::SignalWatch terminate(loop, SIGTERM, [&loop] { loop.stop(); });
+    loop.run();
     stopHostListService(service);
     return EXIT_SUCCESS;
 }
--- a/standins/hostlistservice.cpp
+++ b/standins/hostlistservice.cpp
@@ -14,7 +14,7 @@
 /// The list as it was one lag ago; forgets older ones.
 const std::vector<ListedHost> &shownList(HostListService &service)
 {
-    const auto shownUntil = monotonicNow() - service.lag;
+    const auto shownUntil = EventLoop::now() - service.lag;
     while (service.lists.size() > 1 && service.lists.at(1).first <= shownUntil) {
         service.lists.pop_front();
     }
@@ -72,7 +72,7 @@
         }
     }
     if (list != service.lists.back().second) {
-        service.lists.emplace_back(monotonicNow(), std::move(list));
+        service.lists.emplace_back(EventLoop::now(), std::move(list));
     }
     return absl::OkStatus();
 }
@@ -87,7 +87,7 @@
             {"listed", shownList(service).size()}};
 }
 
-void onRequest(HostListService &service, const HttpRequest &request)
+void onRequest(HostListService &service, const StandInRequest &request)
 {
     if (request.path == "/fault") {
         const auto body = parseJson(request.method == "GET" ? "{}" : request.body, "fault");
@@ -109,12 +109,11 @@
 
 }
 
-absl::Status startHostListService(HostListService &service, struct ev_loop *loop, int port, std::vector<ListedHost> hosts)
+absl::Status startHostListService(HostListService &service, int port, std::vector<ListedHost> hosts)
 {
     service.hosts = std::move(hosts);
-    service.lists.emplace_back(monotonicNow(), service.hosts);
-    service.server.loop = loop;
-    service.server.onRequest = [&service](const HttpRequest &request) { onRequest(service, request); };
+    service.lists.emplace_back(EventLoop::now(), service.hosts);
+    service.server.onRequest = [&service](const StandInRequest &request) { onRequest(service, request); };
     return startServer(service.server, port);
 }
 
--- a/standins/hostlistservice.h
+++ b/standins/hostlistservice.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/event.h"
-#include "httpserver.h"
+#include "standinserver.h"
 
 #include <deque>
 #include <utility>
@@ -13,7 +13,7 @@
 /// The platform's list of live and leaving hosts, which lags behind the truth.
 struct HostListService
 {
-    HttpServer server;
+    StandInServer server;
     std::vector<ListedHost> hosts;                                   ///< All that exist.
     std::deque<std::pair<TimePoint, std::vector<ListedHost>>> lists; ///< The list as it became true, newest last.
     Duration lag{0};
@@ -23,7 +23,7 @@
 };
 
 /// The service must stay where it is until it is stopped.
-absl::Status startHostListService(HostListService &service, struct ev_loop *loop, int port, std::vector<ListedHost> hosts);
+absl::Status startHostListService(HostListService &service, int port, std::vector<ListedHost> hosts);
 
 void stopHostListService(HostListService &service);
 
--- a/standins/keyvaluemain.cpp
+++ b/standins/keyvaluemain.cpp
@@ -2,6 +2,7 @@
 
 #include <docopt/docopt.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
@@ -24,14 +25,16 @@
 int main(int argc, char **argv)
 {
     auto arguments = docopt::docopt(usage, {argv + 1, argv + argc});
-    sequoiastand::KeyValueService service;
+    sequoiastand::EventLoop loop;
+    sequoiastand::KeyValueService service{{loop}};
     service.progressPeriod = sequoiastand::Duration{arguments["--progress"].asLong()};
-    auto *loop = ev_default_loop(0);
-    if (const auto status = startKeyValueService(service, loop, static_cast<int>(arguments["--port"].asLong())); !status.ok()) {
+    if (const auto status = startKeyValueService(service, static_cast<int>(arguments["--port"].asLong())); !status.ok()) {
         std::cerr << status.message() << "\n";
         return EXIT_FAILURE;
     }
-    sequoiastand::runUntilSignal(loop);
+    const sequoiastand::SignalWatch interrupt(loop, SIGINT, [&loop] { loop.stop(); });
+    const sequoiastand::SignalWatch terminate(loop, SIGTERM, [&loop] { loop.stop(); });
+    loop.run();
     stopKeyValueService(service);
     return EXIT_SUCCESS;
 }
--- a/standins/keyvalueservice.cpp
+++ b/standins/keyvalueservice.cpp
@@ -44,7 +44,7 @@
 /// Sends new changes to the watches and arms the timer; follows every change of the model.
 void settle(KeyValueService &service)
 {
-    const auto now = monotonicNow();
+    const auto now = EventLoop::now();
     service.model = expireLeases(std::move(service.model), now);
     for (auto &[id, watch] : service.watches) {
         const auto changes = changesFrom(service.model, watch.span, watch.nextRevision);
@@ -62,20 +62,18 @@
     if (service.progressDue && (!due || *service.progressDue < *due)) {
         due = service.progressDue;
     }
-    armTimer(service.server.loop, service.timer, due);
-}
-
-void onTimer(struct ev_loop *, ev_timer *watcher, int)
-{
-    settle(*static_cast<KeyValueService *>(watcher->data));
+    service.timer->stop();
+    if (due) {
+        service.timer->startAt(*due);
+    }
 }
 
-HttpResponse errorResponse(const absl::Status &status)
+StandInResponse errorResponse(const absl::Status &status)
 {
     return {httpStatus(status), toText(keyValueErrorToJson(status))};
 }
 
-void answerWatch(KeyValueService &service, const HttpRequest &request, const nlohmann::json &body)
+void answerWatch(KeyValueService &service, const StandInRequest &request, const nlohmann::json &body)
 {
     const auto wanted = keyValueWatchFromJson(body);
     if (!wanted.ok()) {
@@ -92,12 +90,12 @@
     const auto next = wanted->startRevision > 0 ? wanted->startRevision : model.revision + 1;
     service.watches[request.id] = {wanted->span, next, wanted->wantsProgress};
     if (!service.progressDue) {
-        service.progressDue = monotonicNow() + service.progressPeriod;
+        service.progressDue = EventLoop::now() + service.progressPeriod;
     }
     settle(service);
 }
 
-void answerCall(KeyValueService &service, const HttpRequest &request, const nlohmann::json &body)
+void answerCall(KeyValueService &service, const StandInRequest &request, const nlohmann::json &body)
 {
     const auto call = keyValueRequestFromJson(request.path, body);
     if (!call.ok()) {
@@ -106,14 +104,14 @@
     }
     const bool isRead = std::holds_alternative<KeyValueRange>(*call);
     (isRead ? service.reads : service.writes) += 1;
-    auto step = applyRequest(std::move(service.model), *call, monotonicNow());
+    auto step = applyRequest(std::move(service.model), *call, EventLoop::now());
     service.model = std::move(step.model);
     settle(service);
     if (service.faults.losesAnswers) {
         drop(service.server, request.id);
         return;
     }
-    auto response = step.answer.ok() ? HttpResponse{200, toText(keyValueAnswerToJson(*call, *step.answer))} : errorResponse(step.answer.status());
+    auto response = step.answer.ok() ? StandInResponse{200, toText(keyValueAnswerToJson(*call, *step.answer))} : errorResponse(step.answer.status());
     respondLater(service.server, request.id, std::move(response), service.faults.delay);
 }
 
@@ -166,7 +164,7 @@
         service.model = *service.saved;
     }
     if (isCompacting && service.model.revision > service.model.compactedRevision) {
-        service.model = applyRequest(std::move(service.model), KeyValueCompaction{service.model.revision}, monotonicNow()).model;
+        service.model = applyRequest(std::move(service.model), KeyValueCompaction{service.model.revision}, EventLoop::now()).model;
     }
     if (isDroppingWatches || isRestoring || faults.isOut) {
         dropWatches(service);
@@ -175,12 +173,12 @@
     return absl::OkStatus();
 }
 
-void onRequest(KeyValueService &service, const HttpRequest &request)
+void onRequest(KeyValueService &service, const StandInRequest &request)
 {
     if (request.path == "/fault") {
         const auto body = parseJson(request.method == "GET" ? "{}" : request.body, "fault");
         const auto status = body.ok() ? switchFaults(service, *body, request.id) : body.status();
-        respond(service.server, request.id, status.ok() ? HttpResponse{200, toText(statusToJson(service)) + "\n"} : errorResponse(status));
+        respond(service.server, request.id, status.ok() ? StandInResponse{200, toText(statusToJson(service)) + "\n"} : errorResponse(status));
         return;
     }
     if (service.faults.isOut) {
@@ -203,20 +201,18 @@
 
 }
 
-absl::Status startKeyValueService(KeyValueService &service, struct ev_loop *loop, int port)
+absl::Status startKeyValueService(KeyValueService &service, int port)
 {
-    service.server.loop = loop;
-    service.server.onRequest = [&service](const HttpRequest &request) { onRequest(service, request); };
+    service.server.onRequest = [&service](const StandInRequest &request) { onRequest(service, request); };
     service.server.onClosed = [&service](ExchangeId id) { service.watches.erase(id); };
-    ev_timer_init(&service.timer, onTimer, 0.0, 0.0);
-    service.timer.data = &service;
+    service.timer = std::make_unique<Timer>(service.server.loop, [&service] { settle(service); });
     return startServer(service.server, port);
 }
 
 void stopKeyValueService(KeyValueService &service)
 {
     stopServer(service.server);
-    ev_timer_stop(service.server.loop, &service.timer);
+    service.timer->stop();
 }
 
 }
--- a/standins/keyvalueservice.h
+++ b/standins/keyvalueservice.h
@@ -1,10 +1,11 @@
 #pragma once
 
-#include "httpserver.h"
 #include "keyvaluejson.h"
 #include "keyvaluemodel.h"
+#include "standinserver.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 
 namespace sequoiastand
@@ -32,20 +33,20 @@
 /// The model behind the JSON gateway.
 struct KeyValueService
 {
-    HttpServer server;
+    StandInServer server;
     KeyValueModel model;
     std::optional<KeyValueModel> saved; ///< For a return to an earlier state.
     KeyValueFaults faults;
     std::map<ExchangeId, KeyValueWatch> watches;
     Duration progressPeriod{1'000};
     std::optional<TimePoint> progressDue;
-    ev_timer timer{};
+    std::unique_ptr<Timer> timer;
     long long reads = 0;
     long long writes = 0;
 };
 
 /// The service must stay where it is until it is stopped.
-absl::Status startKeyValueService(KeyValueService &service, struct ev_loop *loop, int port);
+absl::Status startKeyValueService(KeyValueService &service, int port);
 
 void stopKeyValueService(KeyValueService &service);
 
--- a/standins/httpserver.cpp
+++ b/standins/standinserver.cpp
@@ -1,4 +1,4 @@
-#include "httpserver.h"
+#include "standinserver.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -23,68 +23,52 @@
 constexpr Duration maxSilence{600'000};
 
 /// Lets libmicrohttpd work and arms the timer for when it wants to work again.
-void runDaemon(HttpServer &server)
+void runDaemon(StandInServer &server)
 {
     MHD_run(server.daemon);
     MHD_UNSIGNED_LONG_LONG milliseconds = 0;
-    ev_timer_stop(server.loop, &server.timeout);
+    server.runTimer->stop();
     if (MHD_get_timeout(server.daemon, &milliseconds) == MHD_YES) {
-        ev_timer_set(&server.timeout, static_cast<double>(milliseconds) / 1000.0, 0.0);
-        ev_timer_start(server.loop, &server.timeout);
+        server.runTimer->startIn(Duration{milliseconds});
     }
 }
 
-void onReady(struct ev_loop *, ev_io *watcher, int)
+void answerDelayed(StandInServer &server)
 {
-    runDaemon(*static_cast<HttpServer *>(watcher->data));
-}
-
-void onTimeout(struct ev_loop *, ev_timer *watcher, int)
-{
-    runDaemon(*static_cast<HttpServer *>(watcher->data));
-}
-
-std::optional<TimePoint> firstDelayed(const HttpServer &server)
-{
-    return server.delayed.empty() ? std::nullopt : std::optional{server.delayed.begin()->first};
-}
-
-void onDelay(struct ev_loop *loop, ev_timer *watcher, int)
-{
-    auto &server = *static_cast<HttpServer *>(watcher->data);
-    while (!server.delayed.empty() && server.delayed.begin()->first <= monotonicNow()) {
+    while (!server.delayed.empty() && server.delayed.begin()->first <= EventLoop::now()) {
         const auto node = server.delayed.extract(server.delayed.begin());
         respond(server, node.mapped().first, node.mapped().second);
     }
-    armTimer(loop, server.delayTimer, firstDelayed(server));
+    if (!server.delayed.empty()) {
+        server.delayTimer->startAt(server.delayed.begin()->first);
+    }
 }
 
-HttpExchange *findExchange(HttpServer &server, ExchangeId id)
+StandInExchange *findExchange(StandInServer &server, ExchangeId id)
 {
     const auto found = server.exchanges.find(id);
     return found == server.exchanges.end() || server.silentConnections.contains(found->second->connection) ? nullptr : found->second.get();
 }
 
-void suspend(HttpExchange &exchange)
+void suspend(StandInExchange &exchange)
 {
     exchange.isSuspended = true;
     MHD_suspend_connection(exchange.connection);
 }
 
-void resume(HttpExchange &exchange)
+void resume(StandInExchange &exchange)
 {
     if (exchange.isSuspended) {
         exchange.isSuspended = false;
         MHD_resume_connection(exchange.connection);
         // The resumed connection is served by the next MHD_run, which its epoll descriptor does not ask for.
-        ev_feed_event(exchange.server->loop, &exchange.server->ready, EV_READ);
+        exchange.server->runTimer->startIn(Duration{0});
     }
 }
 
-void onCleanup(struct ev_loop *loop, ev_timer *watcher, int)
+void closeUnanswered(StandInServer &server)
 {
-    auto &server = *static_cast<HttpServer *>(watcher->data);
-    const auto now = monotonicNow();
+    const auto now = EventLoop::now();
     for (const auto &exchange : server.exchanges | std::views::values) {
         const auto limit = server.silentConnections.contains(exchange->connection) ? maxSilence : maxAnswerTime;
         if (exchange->isSuspended && !exchange->isStream && now - exchange->since > limit) {
@@ -92,12 +76,12 @@
             resume(*exchange);
         }
     }
-    armTimer(loop, server.cleanupTimer, now + cleanupPeriod);
+    server.cleanupTimer->startIn(cleanupPeriod);
 }
 
 ssize_t readStream(void *context, uint64_t, char *buffer, std::size_t size)
 {
-    auto &exchange = *static_cast<HttpExchange *>(context);
+    auto &exchange = *static_cast<StandInExchange *>(context);
     if (exchange.isDropped) {
         return MHD_CONTENT_READER_END_WITH_ERROR;
     }
@@ -111,7 +95,7 @@
     return static_cast<ssize_t>(count);
 }
 
-MHD_Result queueResponse(HttpExchange &exchange)
+MHD_Result queueResponse(StandInExchange &exchange)
 {
     MHD_Response *response = nullptr;
     unsigned status = MHD_HTTP_OK;
@@ -129,7 +113,7 @@
 }
 
 /// Called when the request is complete, and again after the connection was resumed.
-MHD_Result handleComplete(HttpExchange &exchange)
+MHD_Result handleComplete(StandInExchange &exchange)
 {
     auto &server = *exchange.server;
     if (exchange.isDropped) {
@@ -141,7 +125,7 @@
     }
     if (!std::exchange(exchange.isDelivered, true)) {
         if (exchange.isTooLarge) {
-            exchange.response = HttpResponse{MHD_HTTP_CONTENT_TOO_LARGE, R"({"error": "body is too large"})"};
+            exchange.response = StandInResponse{MHD_HTTP_CONTENT_TOO_LARGE, R"({"error": "body is too large"})"};
         } else {
             server.onRequest(exchange.request);
         }
@@ -159,18 +143,18 @@
 MHD_Result
 onAccess(void *context, MHD_Connection *connection, const char *url, const char *method, const char *, const char *data, std::size_t *size, void **state)
 {
-    auto &server = *static_cast<HttpServer *>(context);
+    auto &server = *static_cast<StandInServer *>(context);
     if (!*state) {
-        auto exchange = std::make_unique<HttpExchange>();
+        auto exchange = std::make_unique<StandInExchange>();
         exchange->server = &server;
         exchange->connection = connection;
-        exchange->since = monotonicNow();
+        exchange->since = EventLoop::now();
         exchange->request = {++server.lastExchange, method, url, ""};
         *state = exchange.get();
         server.exchanges.emplace(server.lastExchange, std::move(exchange));
         return MHD_YES;
     }
-    auto &exchange = *static_cast<HttpExchange *>(*state);
+    auto &exchange = *static_cast<StandInExchange *>(*state);
     if (*size > 0) {
         exchange.isTooLarge = exchange.isTooLarge || exchange.request.body.size() + *size > maxBodyBytes;
         if (!exchange.isTooLarge) {
@@ -184,9 +168,9 @@
 
 void onCompleted(void *context, MHD_Connection *, void **state, MHD_RequestTerminationCode)
 {
-    auto &server = *static_cast<HttpServer *>(context);
+    auto &server = *static_cast<StandInServer *>(context);
     if (*state) {
-        const auto id = static_cast<HttpExchange *>(*state)->request.id;
+        const auto id = static_cast<StandInExchange *>(*state)->request.id;
         server.exchanges.erase(id);
         *state = nullptr;
         if (server.onClosed) {
@@ -197,7 +181,7 @@
 
 void onConnection(void *context, MHD_Connection *connection, void **, MHD_ConnectionNotificationCode code)
 {
-    auto &server = *static_cast<HttpServer *>(context);
+    auto &server = *static_cast<StandInServer *>(context);
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
         server.connections.insert(connection);
     } else {
@@ -208,7 +192,7 @@
 
 }
 
-absl::Status startServer(HttpServer &server, int port)
+absl::Status startServer(StandInServer &server, int port)
 {
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -237,20 +221,16 @@
         return absl::UnavailableError("startServer: 127.0.0.1:" + std::to_string(port) + ": cannot listen");
     }
     const auto *info = MHD_get_daemon_info(server.daemon, MHD_DAEMON_INFO_EPOLL_FD);
-    ev_io_init(&server.ready, onReady, info->epoll_fd, EV_READ);
-    ev_timer_init(&server.timeout, onTimeout, 0.0, 0.0);
-    ev_timer_init(&server.delayTimer, onDelay, 0.0, 0.0);
-    ev_timer_init(&server.cleanupTimer, onCleanup, 0.0, 0.0);
-    server.ready.data = &server;
-    server.timeout.data = &server;
-    server.delayTimer.data = &server;
-    server.cleanupTimer.data = &server;
-    armTimer(server.loop, server.cleanupTimer, monotonicNow() + cleanupPeriod);
-    ev_io_start(server.loop, &server.ready);
+    server.ready = std::make_unique<SocketWatch>(server.loop, [&server](int) { runDaemon(server); });
+    server.runTimer = std::make_unique<Timer>(server.loop, [&server] { runDaemon(server); });
+    server.delayTimer = std::make_unique<Timer>(server.loop, [&server] { answerDelayed(server); });
+    server.cleanupTimer = std::make_unique<Timer>(server.loop, [&server] { closeUnanswered(server); });
+    server.ready->watch(info->epoll_fd, EV_READ);
+    server.cleanupTimer->startIn(cleanupPeriod);
     return absl::OkStatus();
 }
 
-void stopServer(HttpServer &server)
+void stopServer(StandInServer &server)
 {
     if (!server.daemon) {
         return;
@@ -261,15 +241,15 @@
         resume(*exchange);
     }
     MHD_run(server.daemon);
-    ev_io_stop(server.loop, &server.ready);
-    ev_timer_stop(server.loop, &server.timeout);
-    ev_timer_stop(server.loop, &server.delayTimer);
-    ev_timer_stop(server.loop, &server.cleanupTimer);
+    server.ready->stop();
+    server.runTimer->stop();
+    server.delayTimer->stop();
+    server.cleanupTimer->stop();
     MHD_stop_daemon(server.daemon);
     server.daemon = nullptr;
 }
 
-void respond(HttpServer &server, ExchangeId id, HttpResponse response)
+void respond(StandInServer &server, ExchangeId id, StandInResponse response)
 {
     auto *exchange = findExchange(server, id);
     if (exchange && !exchange->response) {
@@ -278,17 +258,17 @@
     }
 }
 
-void respondLater(HttpServer &server, ExchangeId id, HttpResponse response, Duration delay)
+void respondLater(StandInServer &server, ExchangeId id, StandInResponse response, Duration delay)
 {
     if (delay <= Duration{0}) {
         respond(server, id, std::move(response));
         return;
     }
-    server.delayed.emplace(monotonicNow() + delay, std::pair{id, std::move(response)});
-    armTimer(server.loop, server.delayTimer, firstDelayed(server));
+    server.delayed.emplace(EventLoop::now() + delay, std::pair{id, std::move(response)});
+    server.delayTimer->startAt(server.delayed.begin()->first);
 }
 
-void drop(HttpServer &server, ExchangeId id)
+void drop(StandInServer &server, ExchangeId id)
 {
     if (auto *exchange = findExchange(server, id)) {
         exchange->isDropped = true;
@@ -296,7 +276,7 @@
     }
 }
 
-void openStream(HttpServer &server, ExchangeId id)
+void openStream(StandInServer &server, ExchangeId id)
 {
     if (auto *exchange = findExchange(server, id)) {
         exchange->isStream = true;
@@ -304,7 +284,7 @@
     }
 }
 
-void writeStream(HttpServer &server, ExchangeId id, const std::string &text)
+void writeStream(StandInServer &server, ExchangeId id, const std::string &text)
 {
     if (auto *exchange = findExchange(server, id)) {
         exchange->streamed += text;
@@ -312,7 +292,7 @@
     }
 }
 
-void silenceConnections(HttpServer &server, ExchangeId except)
+void silenceConnections(StandInServer &server, ExchangeId except)
 {
     server.silentConnections = server.connections;
     if (const auto kept = server.exchanges.find(except); kept != server.exchanges.end()) {
--- a/standins/targetsmain.cpp
+++ b/standins/targetsmain.cpp
@@ -2,6 +2,7 @@
 
 #include <docopt/docopt.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
@@ -37,13 +38,15 @@
                                       number("--milli-cpu"),
                                       number("--memory-mb"),
                                       number("--port")};
-    sequoiastand::TargetsService service;
-    auto *loop = ev_default_loop(0);
-    if (const auto status = startTargetsService(service, loop, layout); !status.ok()) {
+    sequoiastand::EventLoop loop;
+    sequoiastand::TargetsService service{{loop}};
+    if (const auto status = startTargetsService(service, layout); !status.ok()) {
         std::cerr << status.message() << "\n";
         return EXIT_FAILURE;
     }
-    sequoiastand::runUntilSignal(loop);
+    const sequoiastand::SignalWatch interrupt(loop, SIGINT, [&loop] { loop.stop(); });
+    const sequoiastand::SignalWatch terminate(loop, SIGTERM, [&loop] { loop.stop(); });
+    loop.run();
     stopTargetsService(service);
     return EXIT_SUCCESS;
 }
--- a/standins/targetsservice.cpp
+++ b/standins/targetsservice.cpp
@@ -13,14 +13,17 @@
 namespace
 {
 
-HttpResponse errorResponse(const absl::Status &status)
+StandInResponse errorResponse(const absl::Status &status)
 {
     return {absl::IsNotFound(status) ? 404 : 400, toText({{"error", std::string{status.message()}}})};
 }
 
 void armNext(TargetsService &service)
 {
-    armTimer(service.server.loop, service.timer, service.due.empty() ? std::nullopt : std::optional{service.due.begin()->first});
+    service.timer->stop();
+    if (!service.due.empty()) {
+        service.timer->startAt(service.due.begin()->first);
+    }
 }
 
 /// Carries out a step of one model: the answers go to their exchanges, the next change to the timer.
@@ -48,10 +51,9 @@
     armNext(service);
 }
 
-void onTimer(struct ev_loop *, ev_timer *watcher, int)
+void onTimer(TargetsService &service)
 {
-    auto &service = *static_cast<TargetsService *>(watcher->data);
-    const auto now = monotonicNow();
+    const auto now = EventLoop::now();
     while (!service.due.empty() && service.due.begin()->first <= now) {
         const auto id = service.due.begin()->second;
         takeStep(service, id, [now](TargetModel model) { return advance(std::move(model), now); });
@@ -126,7 +128,7 @@
     if (isSilencing) {
         silenceConnections(service.server, exchange);
     }
-    const auto now = monotonicNow();
+    const auto now = EventLoop::now();
     for (const auto &id : selected) {
         takeStep(service, id, [&](TargetModel model) {
             auto faults = model.faults;
@@ -166,7 +168,7 @@
     return {{"outage", service.isOut}, {"delayMs", service.delay.count()}, {"calls", service.calls}, {"targets", std::move(targets)}};
 }
 
-void answerFault(TargetsService &service, const HttpRequest &request)
+void answerFault(TargetsService &service, const StandInRequest &request)
 {
     if (request.method != "GET") {
         const auto body = parseJson(request.body, "fault");
@@ -178,7 +180,7 @@
     respond(service.server, request.id, {200, toText(statusToJson(service)) + "\n"});
 }
 
-void answerCall(TargetsService &service, const HttpRequest &request)
+void answerCall(TargetsService &service, const StandInRequest &request)
 {
     const auto end = request.path.find('/', 1);
     const TargetId id{request.path.substr(1, end == std::string::npos ? end : end - 1)};
@@ -198,14 +200,14 @@
     service.waiting[request.id] = {id, call->id};
     call->id.value = request.id;
     call->target = id;
-    const auto now = monotonicNow();
+    const auto now = EventLoop::now();
     takeStep(service, id, [&](TargetModel model) { return receiveCall(std::move(model), *call, now); });
     if (service.models.at(id).faults.losesAnswers) {
         drop(service.server, request.id);
     }
 }
 
-void onRequest(TargetsService &service, const HttpRequest &request)
+void onRequest(TargetsService &service, const StandInRequest &request)
 {
     if (request.path == "/fault") {
         answerFault(service, request);
@@ -218,7 +220,7 @@
 
 }
 
-absl::Status startTargetsService(TargetsService &service, struct ev_loop *loop, const Layout &layout)
+absl::Status startTargetsService(TargetsService &service, const Layout &layout)
 {
     for (const auto &worker : workersOf(layout)) {
         const TargetId id{worker.id};
@@ -229,18 +231,16 @@
         model.milliCpu = worker.milliCpu;
         model.memoryMb = worker.memoryMb;
     }
-    service.server.loop = loop;
-    service.server.onRequest = [&service](const HttpRequest &request) { onRequest(service, request); };
+    service.server.onRequest = [&service](const StandInRequest &request) { onRequest(service, request); };
     service.server.onClosed = [&service](ExchangeId id) { service.waiting.erase(id); };
-    ev_timer_init(&service.timer, onTimer, 0.0, 0.0);
-    service.timer.data = &service;
+    service.timer = std::make_unique<Timer>(service.server.loop, [&service] { onTimer(service); });
     return startServer(service.server, layout.port);
 }
 
 void stopTargetsService(TargetsService &service)
 {
     stopServer(service.server);
-    ev_timer_stop(service.server.loop, &service.timer);
+    service.timer->stop();
 }
 
 }
--- a/standins/targetsservice.h
+++ b/standins/targetsservice.h
@@ -1,10 +1,11 @@
 #pragma once
 
-#include "httpserver.h"
 #include "layout.h"
+#include "standinserver.h"
 #include "targetmodel.h"
 
 #include <map>
+#include <memory>
 #include <set>
 #include <utility>
 #include <vector>
@@ -24,19 +25,19 @@
 /// Many workers behind one port, each under the path prefix "/<target id>".
 struct TargetsService
 {
-    HttpServer server;
+    StandInServer server;
     std::map<TargetId, TargetModel> models;
     std::map<TargetId, ListedHost> places;
     std::map<ExchangeId, WaitingCall> waiting;
     std::set<std::pair<TimePoint, TargetId>> due; ///< Next change of each model.
-    ev_timer timer{};
+    std::unique_ptr<Timer> timer;
     bool isOut = false; ///< Every call's connection is closed before it has an effect.
     Duration delay{0};  ///< Before each answer.
     long long calls = 0;
 };
 
 /// The service must stay where it is until it is stopped.
-absl::Status startTargetsService(TargetsService &service, struct ev_loop *loop, const Layout &layout);
+absl::Status startTargetsService(TargetsService &service, const Layout &layout);
 
 void stopTargetsService(TargetsService &service);
 
