--- a/core/capacity.cpp
+++ b/core/capacity.cpp
@@ -147,6 +147,10 @@
         if (job.state != JobState::Waiting || job.isCancelRequested || job.availabilityZone != view.availabilityZone) {
             continue;
         }
+        // A job in its delay before the next attempt neither starts nor holds a reservation.
+        if (job.notBefore && *job.notBefore > view.wallNow) {
+            continue;
+        }
         const auto attempt = view.attempts.rows().lower_bound({id, 0});
         const bool hasAttempt = attempt != view.attempts.rows().end() && attempt->first.job == id && attempt->second.step != AttemptStep::Ended;
         if (!hasAttempt) {
--- a/core/fleet.cpp
+++ b/core/fleet.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr int failuresBeforeQuarantine = 3;
+/// How long a target stays the last choice for a job that failed on it.
+constexpr Duration failureMemory{5'000};
 constexpr Duration firstProbeDelay{60'000};
 constexpr Duration longestProbeDelay{1'800'000};
 
@@ -57,6 +59,7 @@
 Target withFailure(Target target, const JobId &job, TimePoint now)
 {
     target.lastFailedJob = job;
+    target.lastFailedAt = now;
     if (target.health == TargetHealth::Quarantined) {
         target.probeDelay = std::min(target.probeDelay * 2, longestProbeDelay);
         target.probeDue = now + target.probeDelay;
@@ -157,18 +160,32 @@
     board.targets.put(reply.target, std::move(updated));
 }
 
-void markSilentTargets(Blackboard &board)
+/// What time alone changes about a target.
+Target withPassedTime(Target target, TimePoint now, Duration longestSilence)
+{
+    if (target.lastHeard && now - *target.lastHeard > longestSilence) {
+        target.health = TargetHealth::Silent;
+    }
+    if (target.lastFailedJob && now - target.lastFailedAt >= failureMemory) {
+        target.lastFailedJob.reset();
+    }
+    return target;
+}
+
+void letTimePass(Blackboard &board)
 {
     const Duration longestSilence = board.self.limits.targetLeaseWait + board.self.limits.targetCallTimeout;
     for (const auto &[id, lease] : board.leases.rows()) {
         const Target *target = board.targets.find(id);
-        if (target == nullptr || !target->lastHeard || target->health == TargetHealth::Silent || board.now - *target->lastHeard <= longestSilence) {
+        const bool mayChange = target != nullptr && target->lastHeard && (target->lastFailedJob || board.now - *target->lastHeard > longestSilence);
+        if (!mayChange) {
             continue;
         }
-        Target silent = *target;
-        silent.health = TargetHealth::Silent;
-        count(board.counters, "targetsSilent", silent.availabilityZone.value);
-        board.targets.put(id, std::move(silent));
+        Target updated = withPassedTime(*target, board.now, longestSilence);
+        if (updated.health == TargetHealth::Silent && target->health != TargetHealth::Silent) {
+            count(board.counters, "targetsSilent", updated.availabilityZone.value);
+        }
+        board.targets.put(id, std::move(updated));
     }
 }
 
@@ -184,7 +201,7 @@
         }
     }
     if (isDue(board.timers, "ownership")) {
-        markSilentTargets(board);
+        letTimePass(board);
     }
 }
 
--- a/core/storereach.h
+++ b/core/storereach.h
@@ -3,6 +3,8 @@
 #include "blackboard.h"
 #include "storerecord.h"
 
+#include <optional>
+#include <set>
 #include <vector>
 
 namespace sequoiastand
@@ -17,6 +19,15 @@
 /// Keys that the watch showed as deleted in the present inbox.
 std::vector<StoreKey> storeDeletionsSeen(const Blackboard &board);
 
+/// Revision and keys of a complete read of the store, if one is in the present inbox.
+struct FullRead
+{
+    Revision revision = 0;
+    std::set<StoreKey> keys;
+};
+
+std::optional<FullRead> fullReadSeen(const Blackboard &board);
+
 /// True if a queued write of the key was taken back. False if there is none or its transaction may already have had its effect.
 bool withdrawWrite(StoreSession &session, const StoreKey &key);
 
--- a/tests/fakestore.cpp
+++ b/tests/fakestore.cpp
@@ -1,4 +1,4 @@
-#include "tests/fakestore.h"
+#include "fakestore.h"
 
 #include <algorithm>
 #include <utility>
@@ -9,84 +9,257 @@
 namespace
 {
 
-bool holds(const FakeStore &store, const StoreWrite &write)
+bool isReachable(const FakeStore &store, const HostId &host)
 {
-    const auto present = store.entries.find(write.key);
-    const Revision revision = present == store.entries.end() ? 0 : present->second.revision;
-    return !write.expected || *write.expected == revision;
+    return !store.faults.isDown && !store.faults.cutOff.contains(host);
 }
 
-void apply(FakeStore &store, const StoreWrite &write, StoreWatchEvent &event)
+bool takeOne(int &counter)
 {
-    if (write.record) {
-        const StoreEntry entry{write.key, *write.record, store.revision};
-        store.entries.insert_or_assign(write.key, entry);
-        event.put.push_back(entry);
-    } else {
-        store.entries.erase(write.key);
-        event.deleted.push_back(write.key);
+    if (counter <= 0) {
+        return false;
     }
-    ++store.writeCount;
+    --counter;
+    return true;
 }
 
+StoreEntry storedEntry(const StoreKey &key, const StoreRecord &record, Revision revision)
+{
+    StoreEntry entry{key, record, revision};
+    if (auto *job = std::get_if<Job>(&entry.record)) {
+        job->revision = revision;
+    }
+    return entry;
 }
 
-WriteResult writeRow(FakeStore &store, const StoreWrite &write)
+/// Applies the writes as one revision.
+void applyWrites(FakeStore &store, const std::vector<StoreWrite> &writes, long long lease)
 {
-    const auto present = store.entries.find(write.key);
-    if (!holds(store, write)) {
-        std::optional<StoreEntry> entry;
-        if (present != store.entries.end()) {
-            entry = present->second;
+    ++store.revision;
+    StoreWatchEvent change;
+    change.revision = store.revision;
+    for (const auto &write : writes) {
+        ++store.appliedWrites[write.key];
+        store.boundTo.erase(write.key);
+        if (!write.record) {
+            store.rows.erase(write.key);
+            change.deleted.push_back(write.key);
+            continue;
+        }
+        const StoreEntry entry = storedEntry(write.key, *write.record, store.revision);
+        store.rows.insert_or_assign(write.key, entry);
+        change.put.push_back(entry);
+        if (write.isBoundToLease) {
+            store.boundTo[write.key] = lease;
         }
-        return {write.key, WriteOutcome::Conflict, entry ? entry->revision : 0, entry};
     }
-    ++store.revision;
-    StoreWatchEvent event{store.revision, {}, {}};
-    apply(store, write, event);
-    store.history.push_back(event);
-    return {write.key, WriteOutcome::Applied, write.record ? store.revision : 0, std::nullopt};
+    store.history.push_back(std::move(change));
+}
+
+bool holds(const FakeStore &store, const StoreWrite &write)
+{
+    const auto row = store.rows.find(write.key);
+    return !write.expected || *write.expected == (row == store.rows.end() ? 0 : row->second.revision);
 }
 
-std::optional<StoreReply> answerCall(FakeStore &store, const StoreCall &call)
+StoreReply carryOut(FakeStore &store, const StoreTransaction &transaction, const StoreCall &call)
 {
-    if (!store.isUp) {
-        return std::nullopt;
+    StoreReply reply;
+    const bool needsLease = std::ranges::any_of(transaction.writes, &StoreWrite::isBoundToLease);
+    if (needsLease && !store.leases.contains(call.lease)) {
+        reply.outcome = StoreOutcome::NotSent;
+        reply.error = "lease not found";
+        return reply;
+    }
+    if (std::ranges::all_of(transaction.writes, [&store](const StoreWrite &write) { return holds(store, write); })) {
+        applyWrites(store, transaction.writes, call.lease);
+        reply.outcome = StoreOutcome::Applied;
+        return reply;
+    }
+    reply.outcome = StoreOutcome::Conflict;
+    for (const auto &write : transaction.writes) {
+        if (const auto row = store.rows.find(write.key); row != store.rows.end()) {
+            reply.entries.push_back(row->second);
+        }
     }
+    return reply;
+}
+
+StoreReply carryOut(FakeStore &store, const StoreRange &range, const StoreCall &)
+{
+    StoreReply reply;
+    reply.outcome = StoreOutcome::Applied;
+    for (const auto &[key, entry] : store.rows) {
+        if (key == range.key || (range.isPrefix && key.path.starts_with(range.key.path))) {
+            reply.entries.push_back(entry);
+        }
+    }
+    return reply;
+}
+
+StoreReply carryOut(FakeStore &store, const StoreLeaseGrant &grant, TimePoint now)
+{
+    StoreReply reply;
+    reply.outcome = StoreOutcome::Applied;
+    reply.lease = store.nextLease++;
+    reply.leaseTimeToLive = grant.timeToLive;
+    store.leases[reply.lease] = FakeLease{grant.timeToLive, now + grant.timeToLive};
+    return reply;
+}
+
+StoreReply carryOut(FakeStore &store, const StoreLeaseKeepAlive &keepAlive, TimePoint now)
+{
     StoreReply reply;
-    reply.id = call.id;
     reply.outcome = StoreOutcome::Applied;
-    reply.lease = 1;
-    reply.leaseTimeToLive = Duration{10'000};
-    if (const auto *range = std::get_if<StoreRange>(&call.request)) {
-        for (const auto &[key, entry] : store.entries) {
-            if (key == range->key || (range->isPrefix && key.path.starts_with(range->key.path))) {
-                reply.entries.push_back(entry);
+    reply.lease = keepAlive.lease;
+    const auto lease = store.leases.find(keepAlive.lease);
+    if (lease != store.leases.end()) {
+        lease->second.expiry = now + lease->second.timeToLive;
+        reply.leaseTimeToLive = lease->second.timeToLive;
+    }
+    return reply;
+}
+
+StoreReply carryOut(FakeStore &store, const StoreLeaseRevoke &revoke, TimePoint now)
+{
+    if (const auto lease = store.leases.find(revoke.lease); lease != store.leases.end()) {
+        lease->second.expiry = now;
+    }
+    expireLeases(store, now);
+    StoreReply reply;
+    reply.outcome = StoreOutcome::Applied;
+    return reply;
+}
+
+StoreReply carryOutCall(FakeStore &store, const StoreCall &call, TimePoint now)
+{
+    return std::visit(
+        [&](const auto &request) {
+            using Request = std::decay_t<decltype(request)>;
+            if constexpr (std::is_same_v<Request, StoreTransaction> || std::is_same_v<Request, StoreRange>) {
+                return carryOut(store, request, call);
+            } else {
+                return carryOut(store, request, now);
+            }
+        },
+        call.request);
+}
+
+void deliver(FakeStore &store, const HostId &host, TimePoint due, Event event)
+{
+    store.deliveries.push_back({host, due, std::move(event)});
+}
+
+void deliverChanges(FakeStore &store, const HostId &host, TimePoint now)
+{
+    const auto watcher = store.watchers.find(host);
+    if (watcher == store.watchers.end()) {
+        return;
+    }
+    if (!isReachable(store, host)) {
+        store.watchers.erase(watcher);
+        deliver(store, host, now, StoreWatchLost{"connection closed"});
+        return;
+    }
+    for (const auto &change : store.history) {
+        if (change.revision > watcher->second) {
+            watcher->second = change.revision;
+            if (!store.faults.areWatchesSilent) {
+                deliver(store, host, now + store.faults.watchLatency, change);
             }
         }
-    } else if (const auto *transaction = std::get_if<StoreTransaction>(&call.request)) {
-        if (std::ranges::all_of(transaction->writes, [&store](const StoreWrite &write) { return holds(store, write); })) {
-            ++store.revision;
-            StoreWatchEvent event{store.revision, {}, {}};
-            std::ranges::for_each(transaction->writes, [&](const StoreWrite &write) { apply(store, write, event); });
-            store.history.push_back(event);
+    }
+}
+
+}
+
+void submitCall(FakeStore &store, const HostId &host, const StoreCall &call, TimePoint now)
+{
+    ++store.calls;
+    expireLeases(store, now);
+    StoreReply reply;
+    const bool isTransaction = std::holds_alternative<StoreTransaction>(call.request);
+    if (!isReachable(store, host)) {
+        reply.outcome = StoreOutcome::NotSent;
+        reply.error = "connection refused";
+    } else if (isTransaction && takeOne(store.faults.callsToLose)) {
+        reply.outcome = StoreOutcome::Unknown;
+        reply.error = "connection reset";
+    } else {
+        reply = carryOutCall(store, call, now);
+        reply.revision = store.revision;
+        if (takeOne(store.faults.answersToSwallow)) {
+            return;
+        }
+        if (isTransaction && takeOne(store.faults.answersToLose)) {
+            reply = StoreReply{};
+            reply.error = "connection reset";
+        }
+    }
+    reply.id = call.id;
+    deliver(store, host, now + store.faults.latency, std::move(reply));
+}
+
+void followSession(FakeStore &store, const HostId &host, bool isWatching, Revision watchRevision)
+{
+    if (!isWatching) {
+        store.watchers.erase(host);
+    } else {
+        store.watchers.try_emplace(host, watchRevision);
+    }
+}
+
+std::vector<Event> takeStoreEvents(FakeStore &store, const HostId &host, TimePoint now)
+{
+    expireLeases(store, now);
+    deliverChanges(store, host, now);
+    std::vector<Event> events;
+    std::deque<FakeDelivery> rest;
+    for (auto &delivery : store.deliveries) {
+        if (delivery.host == host && delivery.due <= now) {
+            events.push_back(std::move(delivery.event));
         } else {
-            reply.outcome = StoreOutcome::Conflict;
-            for (const StoreWrite &write : transaction->writes) {
-                if (const auto present = store.entries.find(write.key); present != store.entries.end()) {
-                    reply.entries.push_back(present->second);
-                }
-            }
+            rest.push_back(std::move(delivery));
         }
     }
-    reply.revision = store.revision;
-    return reply;
+    store.deliveries = std::move(rest);
+    return events;
 }
 
-const Job *storedJob(const FakeStore &store, const JobId &id)
+void putRow(FakeStore &store, const StoreKey &key, const StoreRecord &record, TimePoint now)
 {
-    const auto entry = store.entries.find(jobKey(id));
-    return entry == store.entries.end() ? nullptr : std::get_if<Job>(&entry->second.record);
+    expireLeases(store, now);
+    applyWrites(store, {StoreWrite{key, record, std::nullopt}}, 0);
+}
+
+void putConfiguration(FakeStore &store, long long version, const std::vector<ConfigurationItem> &items, TimePoint now)
+{
+    expireLeases(store, now);
+    std::vector<StoreWrite> writes{StoreWrite{configurationVersionKey(), ConfigurationVersion{version, OperatorId{"test"}, CommandId{"test"}}, std::nullopt}};
+    std::ranges::transform(items, std::back_inserter(writes), [](const ConfigurationItem &item) {
+        return StoreWrite{configurationItemKey(itemPath(item)), item, std::nullopt};
+    });
+    applyWrites(store, writes, 0);
+}
+
+void expireLeases(FakeStore &store, TimePoint now)
+{
+    for (auto lease = store.leases.begin(); lease != store.leases.end();) {
+        if (now < lease->second.expiry) {
+            ++lease;
+            continue;
+        }
+        std::vector<StoreWrite> deletions;
+        for (const auto &[key, bound] : store.boundTo) {
+            if (bound == lease->first) {
+                deletions.push_back({key, std::nullopt, std::nullopt});
+            }
+        }
+        lease = store.leases.erase(lease);
+        if (!deletions.empty()) {
+            applyWrites(store, deletions, 0);
+        }
+    }
 }
 
 }
--- a/tests/testplannedstop.cpp
+++ b/tests/testplannedstop.cpp
@@ -4,18 +4,18 @@
 {
 
 /// The only host of a zone, about to stop.
-struct PlannedStop : Cluster
+struct PlannedStop : ClusterTest
 {
     PlannedStop()
     {
         addTarget("t1", "r1", "a");
-        addHost("a1", "a");
-        run(Duration{500});
+        addEntryHost("a1", "a");
+        run(Duration{1'000});
     }
 
     void stop()
     {
-        hosts.at("a1").arriving.emplace_back(StopRequested{});
+        send("a1", StopRequested{});
     }
 };
 
