--- a/core/attemptsteps.cpp
+++ b/core/attemptsteps.cpp
@@ -147,7 +147,7 @@
 {
     const Job *job = board.jobs.find(attempt.id.job);
     const bool isOnPurpose = attempt.stopCause == StopCause::Preempted || attempt.stopCause == StopCause::Moved || attempt.stopCause == StopCause::ZoneOut;
-    return job != nullptr && job->specification.isCheckpointable && isOnPurpose;
+    return job != nullptr && job->specification.isCheckpointable && isOnPurpose && !attempt.skipsCheckpoint;
 }
 
 /// A reservation that cannot be dropped by a call expires by itself.
--- a/tests/testjobpath.cpp
+++ b/tests/testjobpath.cpp
@@ -4,14 +4,14 @@
 {
 
 /// One host that owns its zone, with two workers.
-struct JobPath : Cluster
+struct JobPath : ClusterTest
 {
     JobPath()
     {
         addTarget("t1", "r1", "a");
         addTarget("t2", "r1", "a");
-        addHost("a1", "a");
-        run(Duration{500});
+        addEntryHost("a1", "a");
+        run(Duration{1'000});
     }
 };
 
@@ -30,7 +30,7 @@
     EXPECT_EQ(result.job->result, "pressed");
     runUntil([&] { return isStored(scan.id, JobState::Finished); }, Duration{1'000});
     EXPECT_EQ(startsOf(scan.id), 1);
-    EXPECT_EQ(storedJob(store, scan.id)->held.size(), 1U);
+    EXPECT_EQ(storedJob(scan.id).held.size(), 1U);
 }
 
 // Guards against targets that forget a result before the record contains it, and against results that are never forgotten.
@@ -39,12 +39,12 @@
     const JobSpecification scan = specification("scan");
     submit(scan);
     runUntil([&] { return stateOf(scan.id) == JobState::Running; }, Duration{2'000});
-    store.isUp = false;
+    setStoreUp(false);
     runUntil([&] { return stateOf(scan.id) == JobState::Finished; }, Duration{5'000});
     run(Duration{5'000});
     const auto keptTasks = [this] { return targets.at({"t1"}).tasks.size() + targets.at({"t2"}).tasks.size(); };
     EXPECT_EQ(keptTasks(), 1U);
-    store.isUp = true;
+    setStoreUp(true);
     run(Duration{5'000});
     EXPECT_TRUE(isStored(scan.id, JobState::Finished));
     EXPECT_EQ(keptTasks(), 0U);
--- a/wire/jobjson.cpp
+++ b/wire/jobjson.cpp
@@ -122,6 +122,7 @@
                          {"attemptCount", job.attemptCount},
                          {"mayHaveStarted", job.mayHaveStarted},
                          {"cancelRequested", job.isCancelRequested},
+                         {"failedAttempts", job.failedAttempts},
                          {"attemptOwner", job.attemptOwner.value},
                          {"acceptedAtMs", milliseconds(job.acceptedAt)},
                          {"checkpointedWorkMs", job.checkpointedWork.count()},
@@ -153,6 +154,7 @@
     readField(reader, "attemptCount", job.attemptCount);
     readField(reader, "mayHaveStarted", job.mayHaveStarted);
     readField(reader, "cancelRequested", job.isCancelRequested);
+    readField(reader, "failedAttempts", job.failedAttempts);
     readField(reader, "attemptOwner", job.attemptOwner);
     readField(reader, "acceptedAtMs", job.acceptedAt);
     readField(reader, "startedAtMs", job.startedAt);
