--- a/tests/testadmission.cpp
+++ b/tests/testadmission.cpp
@@ -84,6 +84,7 @@
     run(Duration{1'000});
     holdStarts("a1", true);
     std::vector<CallId> calls;
+    calls.reserve(30);
     for (int index = 0; index < 30; ++index) {
         calls.push_back(submit(specification("j" + std::to_string(index))));
     }
