Check plan basis and leases once per timer, not per round

Cause: every round built the set of startable targets, and every 100 ms the lease of every running attempt's members was looked up.

Change: a round compares only the versions of its inputs; the set of targets is compared when the plan timer is due. Lapsed leases are looked for target by target.

--- a/core/attemptdriver.cpp
+++ b/core/attemptdriver.cpp
@@ -5,6 +5,7 @@
 #include "attemptsteps.h"
 #include "jobrecord.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace sequoiastand
@@ -85,12 +86,16 @@
 void applyTimer(AttemptWork &work)
 {
     for (const auto &[id, attempt] : work.board.attempts.rows()) {
-        expireMemberCalls(work, id);
-        applyLapsedLeases(work, id);
         if (attempt.step != AttemptStep::Running) {
+            expireMemberCalls(work, id);
             editAttempt(work, id);
         }
     }
+    for (const auto &[target, attempts] : work.board.attemptIndex.byTarget) {
+        if (isLapsed(work.board, target)) {
+            std::ranges::for_each(attempts, [&work](const AttemptId &id) { applyLapsedLeases(work, id); });
+        }
+    }
 }
 
 }
--- a/core/attemptreports.cpp
+++ b/core/attemptreports.cpp
@@ -125,16 +125,6 @@
     }
 }
 
-/// True if the target is out of this host's hands for so long that its tasks no longer count.
-bool isLapsed(const Blackboard &board, const TargetId &target)
-{
-    const TargetLease *lease = board.leases.find(target);
-    if (lease == nullptr) {
-        return true;
-    }
-    return lease->state != LeaseState::Held && board.now - lease->lapsedAt >= reacquirePeriod;
-}
-
 AttemptMember withLapsedLease(AttemptMember member, bool isIdempotent, TimePoint now)
 {
     if (!member.mayHaveRun || isIdempotent) {
@@ -152,6 +142,15 @@
 
 }
 
+bool isLapsed(const Blackboard &board, const TargetId &target)
+{
+    const TargetLease *lease = board.leases.find(target);
+    if (lease == nullptr) {
+        return true;
+    }
+    return lease->state != LeaseState::Held && board.now - lease->lapsedAt >= reacquirePeriod;
+}
+
 AttemptMember withReportedTask(AttemptMember member, const ReportedTask *task, bool isFresh, TimePoint now)
 {
     if (member.step == MemberStep::Ended) {
--- a/core/attemptreports.h
+++ b/core/attemptreports.h
@@ -11,6 +11,9 @@
 /// Applies the reports of targets that changed in this step and adopts or stops tasks that no attempt on the board has.
 void applyReports(AttemptWork &work);
 
+/// True if the target is out of this host's hands for so long that its tasks no longer count.
+bool isLapsed(const Blackboard &board, const TargetId &target);
+
 /// Ends members whose target this host lost hold of; work that is not idempotent stays in doubt as long as the target may keep it.
 void applyLapsedLeases(AttemptWork &work, const AttemptId &id);
 
--- a/core/planupdate.cpp
+++ b/core/planupdate.cpp
@@ -98,6 +98,14 @@
     return {board.jobs.version(), board.attempts.version(), board.configuration.version, board.epoch, isValid(board.permit, board.now), std::move(startable)};
 }
 
+/// Cheap check for every round; the set of targets is compared when the timer is due.
+bool hasWorkChanged(const Blackboard &board)
+{
+    const PlanBasis &basis = board.planProgress.basis;
+    return board.jobs.version() != basis.jobs || board.attempts.version() != basis.attempts || board.configuration.version != basis.configuration
+           || board.epoch != basis.epoch || isValid(board.permit, board.now) != basis.isPermitValid;
+}
+
 }
 
 void updatePlan(Blackboard &board)
@@ -107,6 +115,9 @@
         board.planProgress = PlanProgress{};
         return;
     }
+    if (!isDue(board.timers, "plan") && !hasWorkChanged(board)) {
+        return;
+    }
     const PlanBasis basis = basisOf(board, startableTargets(board));
     const std::optional<TimePoint> last = board.planProgress.plannedAt;
     const bool isReplanDue = board.planProgress.replanAt && *board.planProgress.replanAt <= board.now;
