--- a/standins/standinserver.cpp
+++ b/standins/standinserver.cpp
@@ -25,10 +25,13 @@
 /// Lets libmicrohttpd work and arms the timer for when it wants to work again.
 void runDaemon(StandInServer &server)
 {
+    server.hasResumed = false;
     MHD_run(server.daemon);
     MHD_UNSIGNED_LONG_LONG milliseconds = 0;
     server.runTimer->stop();
-    if (MHD_get_timeout(server.daemon, &milliseconds) == MHD_YES) {
+    if (server.hasResumed) {
+        server.runTimer->startIn(Duration{0});
+    } else if (MHD_get_timeout(server.daemon, &milliseconds) == MHD_YES) {
         server.runTimer->startIn(Duration{milliseconds});
     }
 }
@@ -62,6 +65,7 @@
         exchange.isSuspended = false;
         MHD_resume_connection(exchange.connection);
         // The resumed connection is served by the next MHD_run, which its epoll descriptor does not ask for.
+        exchange.server->hasResumed = true;
         exchange.server->runTimer->startIn(Duration{0});
     }
 }
@@ -230,6 +234,11 @@
     return absl::OkStatus();
 }
 
+int portOf(const StandInServer &server)
+{
+    return MHD_get_daemon_info(server.daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
 void stopServer(StandInServer &server)
 {
     if (!server.daemon) {
--- a/standins/standinserver.h
+++ b/standins/standinserver.h
@@ -63,6 +63,7 @@
     MHD_Daemon *daemon = nullptr;
     std::unique_ptr<SocketWatch> ready;
     std::unique_ptr<Timer> runTimer; ///< When libmicrohttpd wants to work without a socket being ready.
+    bool hasResumed = false;         ///< A connection was resumed since libmicrohttpd last worked.
     std::unique_ptr<Timer> delayTimer;
     std::unique_ptr<Timer> cleanupTimer;
     std::map<ExchangeId, std::unique_ptr<StandInExchange>> exchanges;
@@ -72,9 +73,12 @@
     ExchangeId lastExchange = 0;
 };
 
-/// The server must stay where it is until it is stopped.
+/// Listens on a port, or on a free one for port 0. The server must stay where it is until it is stopped.
 absl::Status startServer(StandInServer &server, int port);
 
+/// The port that a started server listens on.
+int portOf(const StandInServer &server);
+
 /// Closes all connections, answered or not.
 void stopServer(StandInServer &server);
 
