--- a/core/ownership.cpp
+++ b/core/ownership.cpp
@@ -100,8 +100,14 @@
     for (const StoreEntry &entry : storeEntriesSeen(board)) {
         observeStoredOwner(board, entry);
     }
-    for (const StoreKey &key : storeDeletionsSeen(board)) {
-        if (key == zoneOwnerKey(board.self.availabilityZone)) {
+    const std::optional<FullRead> read = fullReadSeen(board);
+    const StoreKey ownerKey = zoneOwnerKey(board.self.availabilityZone);
+    std::vector<StoreKey> deleted = storeDeletionsSeen(board);
+    if (read && !read->keys.contains(ownerKey) && board.zoneClaim.storedRevision <= read->revision) {
+        deleted.push_back(ownerKey);
+    }
+    for (const StoreKey &key : deleted) {
+        if (key == ownerKey) {
             // The epoch stays in highestEpochSeen; only the condition of the next write changes.
             board.zoneClaim.stored.reset();
             board.zoneClaim.storedRevision = 0;
--- a/core/planupdate.cpp
+++ b/core/planupdate.cpp
@@ -51,42 +51,13 @@
     });
 }
 
-/// Adds a probe for every quarantined target that is due for one: a single idempotent task that the plan has no better place for.
-Plan withProbes(const Blackboard &board, Plan plan)
-{
-    std::set<JobId> taken;
-    std::ranges::for_each(plan.placements, [&taken](const Placement &placement) { taken.insert(placement.job); });
-    for (const auto &[id, target] : board.targets.rows()) {
-        const TargetLease *lease = isProbeDue(board, target) && !target.isLeaving ? board.leases.find(id) : nullptr;
-        if (lease == nullptr || !isUsable(*lease, board.now) || isDrained(board.configuration, target.rack, id) || board.attemptIndex.byTarget.contains(id)) {
-            continue;
-        }
-        const auto probe = std::ranges::find_if(board.jobs.rows(), [&](const auto &row) {
-            const JobSpecification &specification = row.second.specification;
-            const bool fits = specification.acceleratorsPerTask <= target.acceleratorCount && specification.milliCpuPerTask <= target.milliCpu
-                              && specification.memoryMbPerTask <= target.memoryMb;
-            return row.second.state == JobState::Waiting && specification.isIdempotent && specification.taskCount == 1
-                   && specification.jobClass != JobClass::Urgent && fits && isScheduledHere(board, row.second) && !taken.contains(row.first);
-        });
-        if (probe == board.jobs.rows().end()) {
-            continue;
-        }
-        taken.insert(probe->first);
-        const int count = probe->second.specification.acceleratorsPerTask;
-        const AcceleratorMask mask = count >= 32 ? ~AcceleratorMask{0} : (AcceleratorMask{1} << count) - 1;
-        plan.placements.push_back({probe->first, {{id, mask}}, false, "placed on quarantined target " + id.value + " to probe it"});
-    }
-    return plan;
-}
-
-/// When the first planned job that still has to wait after its last attempt may start.
-std::optional<TimePoint> earliestDelayEnd(const Blackboard &board, const Plan &plan)
+/// When the first job that waits out the delay after its last attempt may start.
+std::optional<TimePoint> earliestDelayEnd(const Blackboard &board)
 {
     std::optional<TimePoint> earliest;
-    for (const Placement &placement : plan.placements) {
-        const Job *job = board.jobs.find(placement.job);
-        if (job != nullptr && job->notBefore && *job->notBefore > board.wallNow) {
-            const TimePoint end = board.now + (*job->notBefore - board.wallNow);
+    for (const auto &[id, job] : board.jobs.rows()) {
+        if (job.state == JobState::Waiting && job.notBefore && *job.notBefore > board.wallNow && isScheduledHere(board, job)) {
+            const TimePoint end = board.now + (*job.notBefore - board.wallNow);
             earliest = earliest ? std::min(*earliest, end) : end;
         }
     }
@@ -157,11 +128,11 @@
                            board.now,
                            board.wallNow};
     Plan plan = planPlacements(view);
-    const std::optional<TimePoint> replanAt = earliestDelayEnd(board, plan);
+    const std::optional<TimePoint> replanAt = earliestDelayEnd(board);
     if (replanAt) {
         subscribeNoLaterThan(board.timers, "plan", *replanAt);
     }
-    board.plan = withPermittedStarts(board, withProbes(board, std::move(plan)));
+    board.plan = withPermittedStarts(board, std::move(plan));
     board.planProgress = {basis, board.now, replanAt};
 }
 
--- a/tests/clusterfixture.h
+++ b/tests/clusterfixture.h
@@ -1,39 +1,39 @@
 #pragma once
 
-#include "core/step.h"
 #include "standins/targetmodel.h"
-#include "tests/rowstore.h"
+#include "tests/fakecluster.h"
 
 #include <gtest/gtest.h>
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace sequoiastand
 {
 
-/// One entry host with what is on its way to it.
-struct SimulatedHost
-{
-    Blackboard board;
-    std::vector<Event> arriving;
-    std::vector<CallerReply> replies;
-    std::size_t watchedChanges = 0;
-    bool isDown = false;   ///< Crashed: does nothing and gets nothing.
-    bool isPaused = false; ///< Does nothing, but what is sent to it waits.
-};
-
-/// Hosts, workers and a store on virtual time with one tick of latency each way.
-struct Cluster : testing::Test
+/// Entry hosts, workers and a store on virtual time in steps of 10 ms.
+struct ClusterTest : testing::Test
 {
     static constexpr Duration tick{10};
 
-    Cluster();
+    ClusterTest();
 
-    void addHost(const std::string &id, const std::string &zone);
+    void addEntryHost(const std::string &id, const std::string &zone);
     void addTarget(const std::string &id, const std::string &rack, const std::string &zone);
+    void configure(const ConfigurationItem &item);
+    void setStoreUp(bool isUp);
+    /// Stops starts on the host, or lifts that, as a connected operator can.
+    void holdStarts(const std::string &host, bool isHeld);
+    void setFaults(const std::string &target, const TargetFaults &faults);
+
+    /// The host crashes: what is on its way to it is lost.
+    void kill(const std::string &host);
+    void pause(const std::string &host);
+    void resume(const std::string &host);
+    void send(const std::string &host, Event event);
 
     /// Lets the time pass.
     void run(Duration duration);
@@ -44,11 +44,15 @@
     CallId cancel(const JobId &job, const std::string &host = "a1");
     CallId askStatus(const JobId &job, Duration wait, const std::string &host = "a1");
 
-    const Job *job(const JobId &id, const std::string &host = "a1") const;
-    JobState stateOf(const JobId &id, const std::string &host = "a1") const;
-    bool isStored(const JobId &id, JobState state) const;
-    std::vector<CallerReply> repliesTo(CallId call, const std::string &host = "a1") const;
     Blackboard &board(const std::string &host);
+    const Job *job(const JobId &id, const std::string &host = "a1");
+    JobState stateOf(const JobId &id, const std::string &host = "a1");
+    Job storedJob(const JobId &id) const;
+    bool isRecorded(const JobId &id) const;
+    bool isStored(const JobId &id, JobState state) const;
+    std::vector<CallerReply> repliesTo(CallId call) const;
+    /// Hosts that say that they own their zone, one after the other.
+    std::string owners();
 
     /// Tasks of the job that ever started, over all targets.
     int startsOf(const JobId &id) const;
@@ -58,27 +62,22 @@
     /// Payload that makes the workers run the task that long.
     static std::string payload(int runMs, const std::string &outcome = "finish");
 
-    std::map<std::string, SimulatedHost> hosts;
+    FakeCluster cluster;
     std::map<TargetId, TargetModel> targets;
     std::vector<ListedHost> listed;
-    RowStore store;
-    Configuration configuration;
-    TimePoint now{Duration{1'000'000}};
-    WallTime wallNow{Duration{1'700'000'000'000}};
-    bool permitsStarts = true;
     bool losesStartAnswers = false; ///< Starts have their effect, but the hosts hear nothing of it.
     bool losesStarts = false;       ///< Starts have no effect, and the hosts hear nothing of it.
-    std::map<JobId, int> starts;
     std::vector<TargetCall> sentCalls;
 
 private:
-    void refreshSurroundings(SimulatedHost &host);
-    void exchangeWithStore(SimulatedHost &host);
-    void carry(SimulatedHost &host);
     void carryTargetCall(const TargetCall &call);
     void deliver(const std::vector<TargetAnswer> &answers);
     void tickOnce();
 
+    std::map<JobId, int> m_starts;
+    std::set<std::string> m_dead;
+    std::vector<ConfigurationItem> m_items;
+    long long m_version = 0;
     unsigned long long m_nextCall = 1'000'000;
 };
 
--- a/tests/testownership.cpp
+++ b/tests/testownership.cpp
@@ -6,30 +6,24 @@
 {
 
 /// Two hosts of one zone with four workers.
-struct ZoneOwnership : Cluster
+struct ZoneOwnership : ClusterTest
 {
     ZoneOwnership()
     {
         for (const char *name : {"t1", "t2", "t3", "t4"}) {
             addTarget(name, "r1", "a");
         }
-        addHost("a1", "a");
-        addHost("a2", "a");
+        addEntryHost("a1", "a");
+        addEntryHost("a2", "a");
         run(Duration{4'000});
     }
 
-    std::string owner() const
+    std::string owner()
     {
-        std::string found;
-        for (const auto &[id, host] : hosts) {
-            if (!host.isDown && host.board.epoch > 0) {
-                found += id;
-            }
-        }
-        return found;
+        return owners();
     }
 
-    std::string other() const
+    std::string other()
     {
         return owner() == "a1" ? "a2" : "a1";
     }
@@ -37,13 +31,13 @@
     int heldBy(const std::string &host) const
     {
         return static_cast<int>(
-            std::ranges::count_if(targets, [&](const auto &row) { return row.second.holder.value == host && row.second.leaseExpiry > now; }));
+            std::ranges::count_if(targets, [&](const auto &row) { return row.second.holder.value == host && row.second.leaseExpiry > cluster.now; }));
     }
 
     bool hasRecordOf(const std::string &host) const
     {
-        const auto entry = store.entries.find(zoneOwnerKey({"a"}));
-        return entry != store.entries.end() && std::get<ZoneOwner>(entry->second.record).host.value == host;
+        const auto entry = cluster.store.rows.find(zoneOwnerKey({"a"}));
+        return entry != cluster.store.rows.end() && std::get<ZoneOwner>(entry->second.record).host.value == host;
     }
 };
 
@@ -55,7 +49,7 @@
     const std::string first = owner();
     run(Duration{60'000});
     EXPECT_EQ(owner(), first);
-    EXPECT_EQ(store.entries.at(zoneOwnerKey({"a"})).revision, 2) << "the owner's record is written once";
+    EXPECT_EQ(cluster.store.appliedWrites.at(zoneOwnerKey({"a"})), 1);
 }
 
 TEST_F(ZoneOwnership, deadOwnerIsReplacedAndItsRunningJobAdopted)
@@ -66,7 +60,7 @@
     submit(gang, owner());
     const std::string successor = other();
     runUntil([&] { return isStored(gang.id, JobState::Running); }, Duration{5'000});
-    hosts.at(owner()).isDown = true;
+    kill(owner());
     runUntil([&] { return owner() == successor && heldBy(successor) == 4; }, Duration{8'000});
     runUntil([&] { return isStored(gang.id, JobState::Finished); }, Duration{60'000});
     EXPECT_EQ(startsOf(gang.id), 10);
@@ -82,9 +76,9 @@
     job.payload = payload(40'000);
     submit(job, paused);
     runUntil([&] { return isStored(job.id, JobState::Running); }, Duration{5'000});
-    hosts.at(paused).isPaused = true;
+    pause(paused);
     runUntil([&] { return heldBy(successor) == 4; }, Duration{10'000});
-    hosts.at(paused).isPaused = false;
+    resume(paused);
     run(Duration{5'000});
     EXPECT_EQ(owner(), successor);
     EXPECT_EQ(heldBy(successor), 4);
@@ -97,15 +91,14 @@
 TEST_F(ZoneOwnership, pausedOnlyOwnerGoesOnWithItsJobs)
 {
     const std::string paused = owner();
-    hosts.erase(other());
-    board(paused).peers = {};
+    kill(other());
     JobSpecification job = specification("long");
     job.payload = payload(40'000);
     submit(job, paused);
     runUntil([&] { return isStored(job.id, JobState::Running); }, Duration{5'000});
-    hosts.at(paused).isPaused = true;
+    pause(paused);
     run(Duration{20'000});
-    hosts.at(paused).isPaused = false;
+    resume(paused);
     runUntil([&] { return isStored(job.id, JobState::Finished); }, Duration{60'000});
     EXPECT_EQ(startsOf(job.id), 1);
 }
@@ -119,7 +112,7 @@
     gang.payload = payload(10'000);
     submit(gang, leaving);
     runUntil([&] { return isStored(gang.id, JobState::Running); }, Duration{5'000});
-    hosts.at(leaving).arriving.emplace_back(StopRequested{});
+    send(leaving, StopRequested{});
     runUntil([&] { return heldBy(successor) == 4; }, Duration{2'000});
     runUntil([&] { return isStored(gang.id, JobState::Finished); }, Duration{30'000});
     EXPECT_EQ(startsOf(gang.id), 10);
@@ -127,21 +120,21 @@
 
 TEST_F(ZoneOwnership, ownerWithoutStoreWritesItsEpochOnceTheStoreReturns)
 {
-    store.isUp = false;
+    setStoreUp(false);
     const std::string successor = other();
-    hosts.at(owner()).isDown = true;
+    kill(owner());
     runUntil([&] { return owner() == successor && heldBy(successor) == 4; }, Duration{15'000});
     EXPECT_FALSE(hasRecordOf(successor));
-    store.isUp = true;
+    setStoreUp(true);
     runUntil([&] { return hasRecordOf(successor); }, Duration{2'000});
-    EXPECT_EQ(std::get<ZoneOwner>(store.entries.at(zoneOwnerKey({"a"})).record).epoch, board(successor).epoch);
+    EXPECT_EQ(std::get<ZoneOwner>(cluster.store.rows.at(zoneOwnerKey({"a"})).record).epoch, board(successor).epoch);
 }
 
 TEST_F(ZoneOwnership, ownerReleasesItsTargetsToAHigherEpochInTheStore)
 {
     const std::string first = owner();
     const Epoch higher = board(first).epoch + 5;
-    writeRow(store, {zoneOwnerKey({"a"}), ZoneOwner{{"a9"}, 1, higher}, std::nullopt, false});
+    putRow(cluster.store, zoneOwnerKey({"a"}), ZoneOwner{{"a9"}, 1, higher}, cluster.now);
     runUntil([&] { return owner().empty() && heldBy(first) == 0; }, Duration{1'000});
     run(Duration{3'000});
     EXPECT_EQ(owner(), "") << "the record names a host that may own the zone";
