--- a/tests/teststoresync.cpp
+++ b/tests/teststoresync.cpp
@@ -114,6 +114,16 @@
     EXPECT_FALSE(board().store.batch);
 }
 
+// A write without a condition could not be told from a second one by a conflict.
+TEST_F(StoreSyncInFailure, unconditionalWriteWithLostAnswerIsNotRepeated)
+{
+    cluster.store.faults.answersToLose = 1;
+    requestWrite(board().store, StoreWrite{key("r1"), record("one"), std::nullopt}, "test");
+    run(cluster, Duration{5'000});
+    EXPECT_EQ(stored("r1"), "one");
+    EXPECT_EQ(applied("r1"), 1);
+}
+
 // Guards against taking a lost call for an applied one.
 TEST_F(StoreSyncInFailure, writeLostOnTheWayIsSentAgain)
 {
@@ -219,6 +229,15 @@
     EXPECT_TRUE(boardOf(cluster, "a2").configuration.availabilityZones.contains(AvailabilityZoneId{"z"}));
 }
 
+// Guards against a stopped host that others take for silent until its lease ends.
+TEST_F(StoreSyncInFailure, stoppedHostGivesItsLeaseBack)
+{
+    post(cluster, "a1", StopRequested{});
+    run(cluster, Duration{5'000});
+    EXPECT_FALSE(cluster.store.rows.contains(hostKey(HostId{"a1"})));
+    EXPECT_EQ(board().store.lease, 0);
+}
+
 /// Two hosts of which one does not reach the store.
 struct StoreRelayService : StoreSyncInFailure
 {
