--- a/core/attempt.h
+++ b/core/attempt.h
@@ -69,6 +69,7 @@
     AttemptId id;
     AttemptStep step = AttemptStep::Reserving;
     StopCause stopCause = StopCause::None;
+    bool skipsCheckpoint = false;       ///< The stop does not wait for a new checkpoint.
     std::vector<AttemptMember> members; ///< In order of target id, the order of reservation.
     TimePoint stepDeadline;
     std::optional<TimePoint> runningSince;
--- a/core/jobrecord.cpp
+++ b/core/jobrecord.cpp
@@ -28,7 +28,9 @@
 
 StoreWrite writeOf(const Job &job)
 {
-    return {jobKey(job.specification.id), job, job.revision, false};
+    Job record = job;
+    record.notBefore.reset();
+    return {jobKey(job.specification.id), record, job.revision, false};
 }
 
 void dropRow(Blackboard &board, const JobId &id)
@@ -37,6 +39,21 @@
     board.jobs.erase(id);
 }
 
+/// Forgets ended jobs whose record was folded into the ledger while this host did not watch.
+void dropMissingRows(Blackboard &board, const FullRead &read)
+{
+    std::vector<JobId> missing;
+    for (const auto &[id, job] : board.jobs.rows()) {
+        const bool wasStored = job.revision > 0 && job.revision <= read.revision && !board.jobWork.unsaved.contains(id);
+        if (wasStored && isTerminal(job.state) && !read.keys.contains(jobKey(id))) {
+            missing.push_back(id);
+        }
+    }
+    for (const JobId &id : missing) {
+        dropRow(board, id);
+    }
+}
+
 /// Takes over the record that the store holds.
 void applyStoredJob(Blackboard &board, Job stored, Revision revision)
 {
@@ -183,6 +200,9 @@
             dropRow(board, *id);
         }
     }
+    if (const std::optional<FullRead> read = fullReadSeen(board)) {
+        dropMissingRows(board, *read);
+    }
     for (const WriteResult &result : std::vector<WriteResult>(board.store.results)) {
         const std::optional<JobId> id = jobIdFromKey(result.key);
         if (!id) {
--- a/core/storereach.cpp
+++ b/core/storereach.cpp
@@ -46,6 +46,19 @@
     return keys;
 }
 
+std::optional<FullRead> fullReadSeen(const Blackboard &board)
+{
+    for (const Event &event : board.inbox) {
+        const auto *reply = std::get_if<StoreReply>(&event);
+        if (reply != nullptr && board.store.fullRead == reply->id) {
+            FullRead read{reply->revision, {}};
+            std::ranges::for_each(reply->entries, [&read](const StoreEntry &entry) { read.keys.insert(entry.key); });
+            return read;
+        }
+    }
+    return std::nullopt;
+}
+
 bool withdrawWrite(StoreSession &session, const StoreKey &key)
 {
     if (isInFlight(session, key)) {
@@ -61,11 +74,7 @@
 
 bool isInFlight(const StoreSession &session, const StoreKey &key)
 {
-    if (!session.inFlight) {
-        return false;
-    }
-    const auto *transaction = std::get_if<StoreTransaction>(&session.inFlight->request);
-    return transaction != nullptr && std::ranges::any_of(transaction->writes, [&key](const StoreWrite &write) { return write.key == key; });
+    return session.batch && std::ranges::any_of(session.batch->writes, [&key](const PendingWrite &pending) { return pending.write.key == key; });
 }
 
 }
