--- a/net/storeclient.cpp
+++ b/net/storeclient.cpp
@@ -131,7 +131,7 @@
 {
     m_stream.reset();
     if (!m_lossReason.empty()) {
-        loseWatch(m_lossReason);
+        loseWatch();
     } else if (m_watchStep == WatchStep::Open) {
         closeWatch();
         m_watchTimer.stop();
@@ -139,7 +139,8 @@
         m_watchStep = WatchStep::Reopening;
         retryLater();
     } else {
-        loseWatch(answer.error.empty() ? absl::StrCat("ended with status ", answer.status) : answer.error);
+        noteLoss("ended", answer.error.empty() ? absl::StrCat("ended with status ", answer.status) : answer.error);
+        loseWatch();
     }
 }
 
@@ -164,7 +165,7 @@
     }
     m_buffer.erase(0, begin);
     if (m_buffer.size() > maxWatchLineBytes) {
-        m_lossReason = absl::StrCat("a message has more than ", maxWatchLineBytes, " bytes");
+        noteLoss("unreadable", absl::StrCat("a message has more than ", maxWatchLineBytes, " bytes"));
     }
     // libcurl does not allow a transfer to be closed from its own data callback.
     m_watchTimer.startIn(!m_lossReason.empty() ? Duration{0} : m_watchStep == WatchStep::Open ? m_settings.watchSilence : m_settings.watchOpenTimeout);
@@ -174,18 +175,18 @@
 {
     auto message = decodeWatchMessage(line, address());
     if (!message.ok()) {
-        m_lossReason = std::string(message.status().message());
+        noteLoss("unreadable", std::string(message.status().message()));
         return;
     }
     for (const auto &error : message->unreadable) {
         m_fault("watchStore", address(), error);
     }
     if (message->compactRevision != 0) {
-        m_lossReason = absl::StrCat("revision ", m_nextRevision, " is compacted up to ", message->compactRevision);
+        noteLoss("compacted", absl::StrCat("revision ", m_nextRevision, " is compacted up to ", message->compactRevision));
         return;
     }
     if (message->isCancelled) {
-        m_lossReason = "cancelled by the store";
+        noteLoss("cancelled", "cancelled by the store");
         return;
     }
     m_watchStep = WatchStep::Open;
@@ -202,23 +203,28 @@
 void StoreClient::onWatchTimer()
 {
     if (!m_lossReason.empty()) {
-        loseWatch(m_lossReason);
+        loseWatch();
     } else if (m_watchStep == WatchStep::Open) {
         m_http.distrust(address());
         openWatch(WatchStep::Reopening);
     } else {
-        loseWatch(absl::StrCat("silent for ", m_settings.watchOpenTimeout.count(), " ms after it was opened"));
+        noteLoss("silent", absl::StrCat("silent for ", m_settings.watchOpenTimeout.count(), " ms after it was opened"));
+        loseWatch();
     }
 }
 
-void StoreClient::loseWatch(const std::string &reason)
+void StoreClient::noteLoss(const std::string &reason, const std::string &message)
+{
+    m_lossReason = reason;
+    m_fault("watchStore", address(), message);
+}
+
+void StoreClient::loseWatch()
 {
     m_http.distrust(address());
     stopWatching();
-    m_lossReason = reason;
-    const auto message = absl::StrCat("watchStore: ", address(), ": ", reason);
     m_addressIndex = (m_addressIndex + 1) % m_settings.addresses.size();
-    m_post(StoreWatchLost{message});
+    m_post(StoreWatchLost{m_lossReason});
 }
 
 }
--- a/net/storeclient.h
+++ b/net/storeclient.h
@@ -59,7 +59,8 @@
     void onWatchEnd(const HttpAnswer &answer);
     void onWatchTimer();
     void retryLater();
-    void loseWatch(const std::string &reason);
+    void noteLoss(const std::string &reason, const std::string &message);
+    void loseWatch();
 
     HttpClient &m_http;
     StoreClientSettings m_settings;
@@ -72,7 +73,7 @@
     WatchStep m_watchStep = WatchStep::Opening;
     Revision m_nextRevision = 0;
     std::string m_buffer;
-    std::string m_lossReason; ///< Set within a data callback, where the stream cannot be closed.
+    std::string m_lossReason; ///< One of a few words, because it labels a counter. Set within data callbacks, where the stream cannot be closed.
     Timer m_watchTimer;       ///< Deadline of the next message of the watch.
     Timer m_retryTimer;
 };
--- a/tests/teststoreclient.cpp
+++ b/tests/teststoreclient.cpp
@@ -11,6 +11,7 @@
 namespace
 {
 
+using testing::ElementsAre;
 using testing::HasSubstr;
 
 const std::string streamHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -138,7 +139,8 @@
     use({}, Duration{40});
     m_client->watchFrom(100);
     ASSERT_TRUE(waitForEvent());
-    EXPECT_THAT(std::get<StoreWatchLost>(m_events[0]).reason, HasSubstr("silent for 40 ms"));
+    EXPECT_EQ(Event(StoreWatchLost{"silent"}), m_events[0]);
+    EXPECT_THAT(m_faults, ElementsAre(HasSubstr("silent for 40 ms")));
     EXPECT_FALSE(m_client->isWatching());
 }
 
@@ -147,7 +149,8 @@
     use({{streamHead + chunk(R"({"result":{"header":{"revision":"200"},"canceled":true,"compact_revision":"150"}})")}, {streamHead + created + progress(201)}});
     m_client->watchFrom(100);
     ASSERT_TRUE(waitForEvent());
-    EXPECT_THAT(std::get<StoreWatchLost>(m_events[0]).reason, HasSubstr("revision 100 is compacted up to 150"));
+    EXPECT_EQ(Event(StoreWatchLost{"compacted"}), m_events[0]);
+    EXPECT_THAT(m_faults, ElementsAre(HasSubstr("revision 100 is compacted up to 150")));
 
     m_events.clear();
     m_client->watchFrom(201);
@@ -160,7 +163,8 @@
     use({{streamHead + created + chunk("{nonsense")}});
     m_client->watchFrom(100);
     ASSERT_TRUE(waitForEvent());
-    EXPECT_THAT(std::get<StoreWatchLost>(m_events[0]).reason, HasSubstr("not a JSON object"));
+    EXPECT_EQ(Event(StoreWatchLost{"unreadable"}), m_events[0]);
+    EXPECT_THAT(m_faults, ElementsAre(HasSubstr("not a JSON object")));
 }
 
 }
