--- a/core/blackboard.h
+++ b/core/blackboard.h
@@ -8,6 +8,7 @@
 #include "event.h"
 #include "hostsettings.h"
 #include "job.h"
+#include "ledger.h"
 #include "message.h"
 #include "peer.h"
 #include "permit.h"
@@ -54,6 +55,7 @@
     Table<JobId, Job> jobs;
     Table<AttemptId, Attempt> attempts;
     Plan plan;
+    LedgerProgress ledger;                                     ///< Written by updateLedger.
     std::map<AvailabilityZoneId, ZoneCapacity> zoneCapacities; ///< Written by updateMembership.
     Table<CallId, OpenCall> calls;
     Table<CommandId, CommandProgress> commands;
--- a/core/configuration.h
+++ b/core/configuration.h
@@ -49,6 +49,7 @@
     bool isOut = false;
     Duration leaveNotice{0};         ///< Time that running work gets once the zone is taken out.
     Duration isolatedStartPeriod{0}; ///< How long a zone that reaches nobody may still start work.
+    bool isDeclaredDead = false;     ///< An operator vouches that nothing runs there any more; its work may be taken over.
 
     friend bool operator==(const AvailabilityZone &, const AvailabilityZone &) = default;
 };
--- a/core/controllers.h
+++ b/core/controllers.h
@@ -32,6 +32,9 @@
 /// Reads inbox, peers, store results; writes commands. Carries operators' changes to acceptance and confirmation.
 void updateCommands(Blackboard &board);
 
+/// Reads jobs, epoch, store results; writes ledger. Folds records of ended jobs of the zone into the ledger.
+void updateLedger(Blackboard &board);
+
 /// Reads inbox, peers, timers; writes store. Groups writes, resolves lost answers, keeps the host's lease and watch, and relays calls of and for peers.
 void syncStore(Blackboard &board);
 
--- a/core/job.cpp
+++ b/core/job.cpp
@@ -23,6 +23,7 @@
 };
 constexpr std::array<std::string_view, 3> classNames{"urgent", "ordinary", "patient"};
 constexpr std::array<std::string_view, 4> adjacencyNames{"any", "worker", "rack", "zone"};
+constexpr std::array<std::string_view, 8> holdEndNames{"unrecorded", "finished", "failed", "cancelled", "preempted", "moved", "memberLost", "zoneOut"};
 
 template<typename Enum, std::size_t size>
 std::optional<Enum> enumFromName(const std::array<std::string_view, size> &names, std::string_view text)
@@ -66,6 +67,11 @@
     return adjacencyNames.at(static_cast<std::size_t>(adjacency));
 }
 
+std::string_view name(HoldEnd end)
+{
+    return holdEndNames.at(static_cast<std::size_t>(end));
+}
+
 std::optional<JobState> jobStateFromName(std::string_view text)
 {
     return enumFromName<JobState>(stateNames, text);
@@ -81,6 +87,11 @@
     return enumFromName<Adjacency>(adjacencyNames, text);
 }
 
+std::optional<HoldEnd> holdEndFromName(std::string_view text)
+{
+    return enumFromName<HoldEnd>(holdEndNames, text);
+}
+
 std::string toString(const JobId &id)
 {
     return id.organisation.value + "/" + id.request.value;
--- a/core/job.h
+++ b/core/job.h
@@ -62,6 +62,19 @@
     Unknown,
 };
 
+/// How an attempt ended that held accelerators, as far as it explains what was lost.
+enum class HoldEnd
+{
+    Unrecorded,
+    Finished,
+    Failed,
+    Cancelled,
+    Preempted,
+    Moved,
+    MemberLost,
+    ZoneOut,
+};
+
 /// Accelerators held by one attempt over a time span, for accounting.
 struct HeldInterval
 {
@@ -71,6 +84,7 @@
     WallTime until;
     bool isBorrowed = false; ///< Stood outside the organisation's guarantee.
     Duration lostWork{0};    ///< Run time thrown away because no checkpoint covered it.
+    HoldEnd end = HoldEnd::Unrecorded;
 
     friend bool operator==(const HeldInterval &, const HeldInterval &) = default;
 };
@@ -109,9 +123,11 @@
 std::string_view name(JobState state);
 std::string_view name(JobClass jobClass);
 std::string_view name(Adjacency adjacency);
+std::string_view name(HoldEnd end);
 std::optional<JobState> jobStateFromName(std::string_view text);
 std::optional<JobClass> jobClassFromName(std::string_view text);
 std::optional<Adjacency> adjacencyFromName(std::string_view text);
+std::optional<HoldEnd> holdEndFromName(std::string_view text);
 
 /// "organisation/request", for logs and explanations.
 std::string toString(const JobId &id);
--- a/core/step.cpp
+++ b/core/step.cpp
@@ -61,6 +61,7 @@
     updatePlan(board);
     driveAttempts(board);
     updateCommands(board);
+    updateLedger(board);
     syncStore(board);
     answerCallers(board);
 }
--- /dev/null
+++ b/query/grammar.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "statement.h"
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace sequoiastand
+{
+
+/// Where a statement stops being part of the language, and what could stand there.
+struct SyntaxFault
+{
+    std::size_t offset = 0; ///< Byte within the statement.
+    std::string expected;
+    std::string found;
+
+    friend bool operator==(const SyntaxFault &, const SyntaxFault &) = default;
+};
+
+/// Parses one statement without its closing semicolon. Comments start with # and end with the line.
+std::variant<Statement, SyntaxFault> parseStatement(std::string_view text);
+
+}
--- a/wire/jobjson.cpp
+++ b/wire/jobjson.cpp
@@ -23,7 +23,8 @@
             {"fromMs", milliseconds(interval.from)},
             {"untilMs", milliseconds(interval.until)},
             {"borrowed", interval.isBorrowed},
-            {"lostWorkMs", interval.lostWork.count()}};
+            {"lostWorkMs", interval.lostWork.count()},
+            {"end", name(interval.end)}};
 }
 
 absl::StatusOr<HeldInterval> heldIntervalFromJson(const nlohmann::json &value, const std::string &path)
@@ -36,6 +37,7 @@
     readField(reader, "untilMs", interval.until);
     readField(reader, "borrowed", interval.isBorrowed);
     readField(reader, "lostWorkMs", interval.lostWork);
+    readNamed(reader, "end", interval.end, holdEndFromName);
     if (auto status = finishFields(reader); !status.ok()) {
         return status;
     }
--- a/wire/recordjson.cpp
+++ b/wire/recordjson.cpp
@@ -39,7 +39,8 @@
             {"region", item.region},
             {"isOut", item.isOut},
             {"leaveNoticeMs", item.leaveNotice.count()},
-            {"isolatedStartPeriodMs", item.isolatedStartPeriod.count()}};
+            {"isolatedStartPeriodMs", item.isolatedStartPeriod.count()},
+            {"isDeclaredDead", item.isDeclaredDead}};
 }
 
 Json itemToJson(const Team &item)
@@ -95,11 +96,26 @@
             {"incarnation", record.incarnation}};
 }
 
+/// Leaves out fields that have their default, because readers take absent fields for defaults; the ledger grows without end.
+Json withoutDefaults(Json job, const Json &defaults)
+{
+    const Json whole = job;
+    for (const auto &[key, value] : whole.items()) {
+        if (key == "specification") {
+            job[key] = withoutDefaults(value, defaults.at(key));
+        } else if (key != "state" && key != "requestId" && defaults.contains(key) && defaults.at(key) == value) {
+            job.erase(key);
+        }
+    }
+    return job;
+}
+
 Json recordToJson(const LedgerBatch &record)
 {
+    const Json defaults = toJson(Job{});
     Json jobs = Json::array();
     for (const auto &job : record.jobs) {
-        jobs.push_back(toJson(job));
+        jobs.push_back(withoutDefaults(toJson(job), defaults));
     }
     return {{"jobs", std::move(jobs)}};
 }
@@ -143,6 +159,7 @@
         item.isOut = json.at("isOut").get<bool>();
         item.leaveNotice = milliseconds(json, "leaveNoticeMs");
         item.isolatedStartPeriod = milliseconds(json, "isolatedStartPeriodMs");
+        item.isDeclaredDead = json.value("isDeclaredDead", false);
         return item;
     }
     if (path.starts_with("team/")) {
