--- a/query/boardtables.cpp
+++ b/query/boardtables.cpp
@@ -9,7 +9,9 @@
 #include <algorithm>
 #include <array>
 #include <bit>
+#include <iterator>
 #include <map>
+#include <ranges>
 
 namespace sequoiastand
 {
@@ -307,9 +309,7 @@
 Result historyRows(const Blackboard &board)
 {
     std::vector<ConfigurationChange> changes;
-    for (const auto &[version, change] : board.recentChanges) {
-        changes.push_back(change);
-    }
+    std::ranges::copy(board.recentChanges | std::views::values, std::back_inserter(changes));
     return {{historyTable(changes)}, {}, {}};
 }
 
--- a/query/rendering.cpp
+++ b/query/rendering.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <iterator>
 #include <type_traits>
 
 namespace sequoiastand
@@ -94,9 +95,7 @@
     std::vector<std::vector<std::string>> texts;
     std::vector<std::size_t> widths;
     std::vector<bool> isRight(table.columns.size(), !table.rows.empty());
-    for (const auto &column : table.columns) {
-        widths.push_back(width(column));
-    }
+    std::ranges::transform(table.columns, std::back_inserter(widths), [](const std::string &column) { return width(column); });
     for (const auto &row : table.rows) {
         auto &line = texts.emplace_back();
         for (std::size_t index = 0; index < row.size(); ++index) {
--- a/query/selection.cpp
+++ b/query/selection.cpp
@@ -10,6 +10,7 @@
 #include <compare>
 #include <iterator>
 #include <map>
+#include <ranges>
 #include <type_traits>
 #include <utility>
 
@@ -95,17 +96,17 @@
     const auto order = compareCells(cell, value);
     switch (condition.comparison) {
     case Comparison::Equal:
-        return order == 0;
+        return std::is_eq(order);
     case Comparison::NotEqual:
-        return order != 0;
+        return std::is_neq(order);
     case Comparison::Less:
-        return !isEmpty && order < 0;
+        return !isEmpty && std::is_lt(order);
     case Comparison::LessOrEqual:
-        return !isEmpty && order <= 0;
+        return !isEmpty && std::is_lteq(order);
     case Comparison::Greater:
-        return !isEmpty && order > 0;
+        return !isEmpty && std::is_gt(order);
     default:
-        return !isEmpty && order >= 0;
+        return !isEmpty && std::is_gteq(order);
     }
 }
 
@@ -131,7 +132,7 @@
 {
     bool operator()(const Row &left, const Row &right) const
     {
-        return std::ranges::lexicographical_compare(left, right, [](const ResultCell &a, const ResultCell &b) { return compareCells(a, b) < 0; });
+        return std::ranges::lexicographical_compare(left, right, [](const ResultCell &a, const ResultCell &b) { return std::is_lt(compareCells(a, b)); });
     }
 };
 
@@ -216,14 +217,14 @@
         table = groupRows(table, keys);
     }
     // Stable sorts from the last key to the first give the order by all keys.
-    for (auto key = query.orderBy.rbegin(); key != query.orderBy.rend(); ++key) {
-        const auto index = indexOf(table, key->column.text);
+    for (const auto &key : query.orderBy | std::views::reverse) {
+        const auto index = indexOf(table, key.column.text);
         if (!index) {
-            return faultOf(key->column, table);
+            return faultOf(key.column, table);
         }
         std::ranges::stable_sort(table.rows, [&](const Row &left, const Row &right) {
             const auto order = compareCells(left[*index], right[*index]);
-            return key->isDescending ? order > 0 : order < 0;
+            return key.isDescending ? std::is_gt(order) : std::is_lt(order);
         });
     }
     if (query.limit && table.rows.size() > static_cast<std::size_t>(*query.limit)) {
