--- a/query/grammar.cpp
+++ b/query/grammar.cpp
@@ -129,7 +129,7 @@
 template<auto member>
 constexpr auto append = [](const auto &context) { (partOf<QueryStatement>(context).*member).push_back(x3::_attr(context)); };
 
-auto begin(Statement statement)
+auto begin(const Statement &statement)
 {
     return [statement](const auto &context) { draftOf(context).statement = statement; };
 }
@@ -158,7 +158,7 @@
 const auto nameRule = x3::rule<struct NameTag, std::string>{"a name"} = x3::lexeme[x3::repeat(1, 128)[wordCharacter] >> !wordCharacter];
 const auto word = expect("a name of 1 to 128 letters, digits, dots, hyphens or underscores", nameRule);
 const auto quotedName = expect("a name in quotes", x3::rule<struct QuotedNameTag, std::string>{"a name in quotes"} = x3::lexeme['"' >> nameRule >> '"']);
-const auto text = expect("text in quotes", quoted);
+const auto quotedText = expect("text in quotes", quoted);
 const auto number = expect("a whole number", x3::lexeme[x3::uint_parser<unsigned, 10, 1, 9>{} >> !wordCharacter]);
 const auto version = expect("a version number", x3::lexeme[x3::ulong_long >> !wordCharacter]);
 
@@ -248,7 +248,7 @@
 const auto tokenHash = keyword("token") > keyword("hash");
 
 const auto organisationSettings =
-    *((keyword("waiting") > number[assign<&OrganisationChange::maxWaitingJobs>]) | (tokenHash > text[assign<&OrganisationChange::tokenHash>]) | option);
+    *((keyword("waiting") > number[assign<&OrganisationChange::maxWaitingJobs>]) | (tokenHash > quotedText[assign<&OrganisationChange::tokenHash>]) | option);
 const auto guaranteeSettings =
     *((keyword("for") > word[assign<&GuaranteeChange::organisation>]) | (keyword("in") > word[assign<&GuaranteeChange::availabilityZone>])
       | (keyword("accelerators") > number[assign<&GuaranteeChange::acceleratorsPerWorker>])
@@ -258,7 +258,8 @@
                             | (keyword("isolated") > keyword("starts") > duration[assign<&ZoneChange::isolatedStartPeriod>]) | option);
 const auto teamSettings =
     *((keyword("of") > word[assign<&TeamChange::organisation>]) | (keyword("quota") > number[assign<&TeamChange::acceleratorQuota>]) | option);
-const auto operatorSettings = *((keyword("role") > role[assign<&OperatorChange::role>]) | (tokenHash > text[assign<&OperatorChange::tokenHash>]) | option);
+const auto operatorSettings =
+    *((keyword("role") > role[assign<&OperatorChange::role>]) | (tokenHash > quotedText[assign<&OperatorChange::tokenHash>]) | option);
 
 auto configure(bool isNew)
 {
@@ -300,7 +301,7 @@
       | (keyword("memory") > number[assign<&JobSpecification::memoryMbPerTask>]) | keyword("idempotent")[put<&JobSpecification::isIdempotent, true>]
       | keyword("checkpointable")[put<&JobSpecification::isCheckpointable, true>]
       | (keyword("run") > keyword("time") > duration[assign<&JobSpecification::declaredRunTime>]) | (keyword("deadline") > deadline)
-      | (keyword("payload") > text[assign<&JobSpecification::payload>]) | option);
+      | (keyword("payload") > quotedText[assign<&JobSpecification::payload>]) | option);
 
 const auto setZone = [](const auto &context) { partOf<DeclareDeadStatement>(context).availabilityZone.value = x3::_attr(context); };
 
