--- a/core/blackboard.h
+++ b/core/blackboard.h
@@ -10,6 +10,7 @@
 #include "hostsettings.h"
 #include "job.h"
 #include "jobwork.h"
+#include "ledger.h"
 #include "message.h"
 #include "peer.h"
 #include "permit.h"
@@ -62,6 +63,7 @@
     AttemptIndex attemptIndex; ///< Written by driveAttempts.
     Plan plan;
     PlanProgress planProgress;                                 ///< Written by updatePlan.
+    LedgerProgress ledger;                                     ///< Written by updateLedger.
     std::map<AvailabilityZoneId, ZoneCapacity> zoneCapacities; ///< Written by updateMembership.
     Table<CallId, OpenCall> calls;
     CallIndex callIndex; ///< Written by answerCallers.
