Run statements over HTTP; limit refilling to zones that returned

Held intervals record why they ended. The test of the refill limit now sets the zone's return, and a new one checks that a zone in service fills at once.

--- a/app/serve.cpp
+++ b/app/serve.cpp
@@ -3,6 +3,7 @@
 #include "exitcode.h"
 #include "log.h"
 #include "settings.h"
+#include "statementservice.h"
 
 #include <csignal>
 #include <iostream>
@@ -36,6 +37,7 @@
     Log log(settings->log, host.id.value);
     EventLoop loop;
     HostLoop hostLoop(loop, settings->loop, [&log](const LogEntry &entry) { log.write(entry); });
+    const StatementService statements(hostLoop);
     const auto stop = [&log, &hostLoop] {
         log.write({"stop", "", "", "stop requested", false});
         hostLoop.requestStop();
--- a/core/callanswers.cpp
+++ b/core/callanswers.cpp
@@ -65,11 +65,11 @@
     close(board, id);
 }
 
-/// Whether an unknown job certainly does not exist.
+/// A job that another host accepted a moment ago may not have arrived through the watch yet, so the answer does not claim that it was not run.
 Refusal unknownJobRefusal(const Blackboard &board)
 {
-    if (board.store.isLoaded && canReachStore(board)) {
-        return {RefusalReason::NotFound, RunClaim::NotRun, Duration{0}, "no job with this request id is known"};
+    if (board.store.isLoaded && board.store.isWatching && canReachStore(board)) {
+        return {RefusalReason::NotFound, RunClaim::Unknown, retryAfter, "this host knows no job with this request id"};
     }
     return {RefusalReason::StoreUnavailable, RunClaim::Unknown, retryAfter, "this host cannot read the store, so it does not know every job"};
 }
--- a/core/defragmentation.cpp
+++ b/core/defragmentation.cpp
@@ -15,6 +15,14 @@
 /// The gain rests on estimates, so it has to exceed the cost by this factor.
 constexpr int requiredGain = 2;
 
+/// Work that has just started has nothing to lose, so without this bound a moved job that starts again in its old place was moved again for ever.
+constexpr Duration shortestRunBeforeNextMove = std::chrono::minutes{10};
+
+bool hasRunSinceLastMove(const RunningWork &work)
+{
+    return work.attempt->id.number == 1 || work.elapsed >= shortestRunBeforeNextMove;
+}
+
 bool hasMoveInProgress(const PlacementPass &pass)
 {
     const auto isMove = [](const RunningWork &work) { return work.attempt && work.isStopping && work.attempt->stopCause == StopCause::Moved; };
@@ -57,7 +65,8 @@
         return std::nullopt;
     }
     const auto movable = victimsByCost(pass, [](const RunningWork &work) {
-        return work.specification->isCheckpointable && work.specification->jobClass != JobClass::Urgent && work.attempt->step == AttemptStep::Running;
+        return work.specification->isCheckpointable && work.specification->jobClass != JobClass::Urgent && work.attempt->step == AttemptStep::Running
+               && hasRunSinceLastMove(work);
     });
     const auto choice = choosePreemption(pass, specification, allowedAccelerators(pass, specification, tiers.back()), movable);
     if (!choice || choice->victims.empty() || !canBePlacedElsewhere(pass, *choice)) {
--- a/core/joboutcome.cpp
+++ b/core/joboutcome.cpp
@@ -40,6 +40,29 @@
     return "ended";
 }
 
+/// A stop on purpose counts before the loss of tasks that it brought about.
+HoldEnd holdEndOf(AttemptEnd end, StopCause cause)
+{
+    if (end == AttemptEnd::Finished || end == AttemptEnd::Failed) {
+        return end == AttemptEnd::Finished ? HoldEnd::Finished : HoldEnd::Failed;
+    }
+    switch (cause) {
+    case StopCause::Cancelled:
+        return HoldEnd::Cancelled;
+    case StopCause::Preempted:
+        return HoldEnd::Preempted;
+    case StopCause::Moved:
+        return HoldEnd::Moved;
+    case StopCause::ZoneOut:
+        return HoldEnd::ZoneOut;
+    case StopCause::MemberLost:
+    case StopCause::None:
+    case StopCause::ReservationFailed:
+        break;
+    }
+    return HoldEnd::MemberLost;
+}
+
 /// Adds the interval in which the attempt held its accelerators, with the run time that no checkpoint covers.
 Job withHeldInterval(Job job, const Attempt &attempt, AttemptEnd end, Duration checkpoint, TimePoint now, WallTime wallNow)
 {
@@ -53,6 +76,7 @@
     held.from = wallNow - ran;
     held.until = wallNow;
     held.isBorrowed = attempt.isBorrowed;
+    held.end = holdEndOf(end, attempt.stopCause);
     if (end != AttemptEnd::Finished) {
         held.lostWork = std::max(Duration{0}, ran - std::max(Duration{0}, checkpoint - job.checkpointedWork));
     }
--- a/core/placement.cpp
+++ b/core/placement.cpp
@@ -167,7 +167,7 @@
         return overQuotaText(team->id, pass.teamHeld[team->id], wanted, team->acceleratorQuota);
     }
     // A job larger than the limit starts when nothing else did in the last second.
-    if (queued.priority != Priority::Urgent && wanted > pass.startBudget && pass.hasStartedNow) {
+    if (pass.view.isRefilling && queued.priority != Priority::Urgent && wanted > pass.startBudget && pass.hasStartedNow) {
         return startLimitText(pass.view.availabilityZone);
     }
     return {};
--- a/core/placementpass.cpp
+++ b/core/placementpass.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-/// A zone refills at most this share of its capacity a second, so that a returning zone is not overrun.
+/// A returning zone refills at most this share of its capacity a second, so that a returning zone is not overrun.
 constexpr int refillPercentPerSecond = 10;
 
 std::vector<Room> freeRooms(const CapacityMap &map)
@@ -51,7 +51,7 @@
         pass.usableAccelerators += target.isUsable ? std::popcount(target.all) : 0;
         pass.freeAccelerators += target.isUsable ? std::popcount(target.all & ~target.used) : 0;
     }
-    pass.startBudget = std::max(1, pass.usableAccelerators * refillPercentPerSecond / 100);
+    pass.startBudget = pass.view.isRefilling ? std::max(1, pass.usableAccelerators * refillPercentPerSecond / 100) : pass.usableAccelerators;
     for (const auto &work : pass.map.work) {
         if (!work.specification || work.accelerators == 0) {
             continue;
--- a/core/planupdate.cpp
+++ b/core/planupdate.cpp
@@ -106,6 +106,18 @@
            || board.epoch != basis.epoch || isValid(board.permit, board.now) != basis.isPermitValid;
 }
 
+/// Notes when the zone leaves and returns, so that its empty targets are not refilled all at once.
+PlanProgress withZoneReturn(const Blackboard &board)
+{
+    PlanProgress progress = board.planProgress;
+    const bool isOut = isZoneOut(board.configuration, board.self.availabilityZone);
+    if (progress.wasZoneOut && !isOut) {
+        progress.refillUntil = board.now + refillPeriod;
+    }
+    progress.wasZoneOut = isOut;
+    return progress;
+}
+
 }
 
 void updatePlan(Blackboard &board)
@@ -115,6 +127,7 @@
         board.planProgress = PlanProgress{};
         return;
     }
+    board.planProgress = withZoneReturn(board);
     if (!isDue(board.timers, "plan") && !hasWorkChanged(board)) {
         return;
     }
@@ -137,14 +150,17 @@
                            board.attempts,
                            board.zoneCapacities,
                            board.now,
-                           board.wallNow};
+                           board.wallNow,
+                           board.planProgress.refillUntil && board.now < *board.planProgress.refillUntil};
     Plan plan = planPlacements(view);
     const std::optional<TimePoint> replanAt = earliestDelayEnd(board);
     if (replanAt) {
         subscribeNoLaterThan(board.timers, "plan", *replanAt);
     }
     board.plan = withPermittedStarts(board, std::move(plan));
-    board.planProgress = {basis, board.now, replanAt};
+    board.planProgress.basis = basis;
+    board.planProgress.plannedAt = board.now;
+    board.planProgress.replanAt = replanAt;
 }
 
 }
--- a/net/hostloop.cpp
+++ b/net/hostloop.cpp
@@ -70,12 +70,28 @@
 
 void HostLoop::post(Event event)
 {
+    if (const auto *reply = std::get_if<StoreReply>(&event)) {
+        if (auto read = m_storeReads.extract(reply->id)) {
+            read.mapped()(*reply);
+            return;
+        }
+    }
     m_inbox.push_back(std::move(event));
     if (m_inbox.size() == 1) {
         m_stepTimer.startIn(Duration{0});
     }
 }
 
+void HostLoop::readStore(const StoreRange &range, std::function<void(const StoreReply &)> handler)
+{
+    StoreCall call;
+    call.id = takeCallId(m_board);
+    call.request = range;
+    call.timeout = m_settings.host.limits.storeCallTimeout;
+    m_storeReads.emplace(call.id, std::move(handler));
+    m_store.send(call);
+}
+
 void HostLoop::requestStop()
 {
     if (m_stopTimer.isActive()) {
--- a/net/hostloop.h
+++ b/net/hostloop.h
@@ -17,6 +17,7 @@
 #include <absl/status/status.h>
 
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,9 @@
     /// Puts an event into the inbox of the next step, which follows at once.
     void post(Event event);
 
+    /// Reads a range of the store for a front end, outside the core's own session.
+    void readStore(const StoreRange &range, std::function<void(const StoreReply &)> handler);
+
     /// Begins a planned stop. A second request changes nothing.
     void requestStop();
 
@@ -94,6 +98,7 @@
     StepFunction m_takeStep;
     Blackboard m_board;
     std::vector<Event> m_inbox;
+    std::map<CallId, std::function<void(const StoreReply &)>> m_storeReads; ///< Reads of front ends that are under way.
     Timer m_stepTimer;
     Timer m_stopTimer;
     EventSink m_post;
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -25,6 +25,7 @@
     curl_slist *headers = nullptr;
     std::string address;
     std::string requestBody;
+    std::size_t sentBodyBytes = 0;
     std::string body;
     bool hasSentBytes = false;
     DataCallback onData;
@@ -94,7 +95,11 @@
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, maxIdleSeconds);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
     if (call.method != "GET") {
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->requestBody.c_str());
+        // libcurl sends a request again when a reused connection closes without an answer, although the peer may have carried it out. It cannot do so with
+        // a body that it reads through a callback, because it cannot rewind it.
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_READFUNCTION, &HttpClient::onBodyNeeded);
+        curl_easy_setopt(easy, CURLOPT_READDATA, transfer.get());
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(transfer->requestBody.size()));
         transfer->headers = curl_slist_append(transfer->headers, "Content-Type: application/json");
     }
@@ -210,6 +215,14 @@
     return 0;
 }
 
+std::size_t HttpClient::onBodyNeeded(char *buffer, std::size_t size, std::size_t count, void *owner)
+{
+    auto &transfer = *static_cast<Transfer *>(owner);
+    const std::size_t bytes = transfer.requestBody.copy(buffer, size * count, transfer.sentBodyBytes);
+    transfer.sentBodyBytes += bytes;
+    return bytes;
+}
+
 std::size_t HttpClient::onBody(char *data, std::size_t size, std::size_t count, void *owner)
 {
     auto &transfer = *static_cast<Transfer *>(owner);
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -85,6 +85,7 @@
     void finish(Transfer &transfer, CURLcode code);
     static int onSocketChange(CURL *easy, curl_socket_t descriptor, int action, void *self, void *socket);
     static int onTimerChange(CURLM *multi, long delayMs, void *self);
+    static std::size_t onBodyNeeded(char *buffer, std::size_t size, std::size_t count, void *transfer);
     static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *transfer);
     static int onTrace(CURL *easy, curl_infotype type, char *data, std::size_t size, void *transfer);
 
--- a/tests/testplacement.cpp
+++ b/tests/testplacement.cpp
@@ -31,7 +31,7 @@
 
     ClusterView view() const
     {
-        return {zone, configuration, targets, startable, jobs, attempts, otherZones, now, WallTime{now.time_since_epoch()}};
+        return {zone, configuration, targets, startable, jobs, attempts, otherZones, now, WallTime{now.time_since_epoch()}, isRefilling};
     }
 
     Plan plan() const
@@ -110,6 +110,7 @@
     Table<AttemptId, Attempt> attempts;
     std::map<AvailabilityZoneId, ZoneCapacity> otherZones;
     TimePoint now{hours{100}};
+    bool isRefilling = false;
 };
 
 // Guards against starts on targets that must take no work, each for its own reason.
@@ -259,6 +260,21 @@
     EXPECT_EQ(made.preemptions.front().cause, StopCause::Moved);
 }
 
+// Guards against moving a job for ever that starts again in its old place after each move.
+TEST_F(Placements, movedWorkIsNotMovedAgainBeforeItHasRunForTenMinutes)
+{
+    for (const auto *target : {"w1", "w2", "w3", "w4"}) {
+        const auto small = request("kask", target, 1, 2);
+        runOn(small, target, 0x18, seconds{20});
+        auto again = *attempts.find({small.id, 1});
+        attempts.erase(again.id);
+        again.id.number = 2;
+        attempts.put(again.id, again);
+    }
+    wait(rigid(request("kask", "large", 1, 8)));
+    EXPECT_TRUE(plan().preemptions.empty());
+}
+
 TEST_F(Placements, quarantinedTargetGetsOneIdempotentProbe)
 {
     changeTarget("w2", [this](Target &target) {
@@ -298,10 +314,20 @@
 // Guards against a stampede when a zone returns: 10 % of 32 accelerators is 3 a second.
 TEST_F(Placements, returningZoneFillsGradually)
 {
+    isRefilling = true;
     for (int number = 0; number < 20; ++number) {
         wait(request("kask", "j" + std::to_string(number), 1, 1));
     }
     EXPECT_EQ(plan().placements.size(), 3U);
 }
 
+// Guards against one job a second on a small zone that never left.
+TEST_F(Placements, zoneInServiceFillsAtOnce)
+{
+    for (int number = 0; number < 20; ++number) {
+        wait(request("kask", "j" + std::to_string(number), 1, 1));
+    }
+    EXPECT_EQ(plan().placements.size(), 20U);
+}
+
 }
--- a/tools/policyworld.cpp
+++ b/tools/policyworld.cpp
@@ -165,6 +165,8 @@
 
 ClusterView viewOf(const PolicyWorld &world, const ZoneState &zone)
 {
+    const TimePoint back = TimePoint{} + world.policyCase.returnAt;
+    const bool isRefilling = world.policyCase.leavingZone == zone.id && world.now >= back && world.now < back + refillPeriod;
     return {zone.id,
             world.configuration,
             zone.targets,
@@ -173,7 +175,8 @@
             zone.attempts,
             zone.otherZones,
             world.now,
-            WallTime{world.now.time_since_epoch()}};
+            WallTime{world.now.time_since_epoch()},
+            isRefilling};
 }
 
 bool stepWorld(PolicyWorld &world)
