--- a/app/settings.cpp
+++ b/app/settings.cpp
@@ -77,7 +77,7 @@
     reader.read("silentZoneTakeoverMs", limits.silentZoneTakeover, shortest, hours{24});
     reader.read("stopLimitMs", limits.stopLimit, shortest, minutes{10});
     reader.read("hostListPeriodMs", limits.hostListPeriod, shortest, minutes{10});
-    reader.read("ledgerDelayMs", limits.ledgerDelay, shortest, hours{24});
+    reader.read("ledgerDelayMs", limits.ledgerDelay, shortest, hours{24 * 7});
 }
 
 void readHttp(SettingsReader &reader, HttpServerLimits &http)
--- a/core/configurationcheck.cpp
+++ b/core/configurationcheck.cpp
@@ -1,5 +1,7 @@
 #include "configurationcheck.h"
 
+#include "guarantees.h"
+
 #include <algorithm>
 #include <string>
 #include <type_traits>
@@ -104,6 +106,29 @@
     return std::visit([&](const auto &item) { return checkItem(after, item, targets); }, *edit.item);
 }
 
+/// A new or changed guarantee must fit its zone together with the others there. A zone without known targets is not checked: its targets may not be listed yet.
+std::optional<Refusal> checkShapes(const Configuration &after, const std::vector<ConfigurationEdit> &edits, const Table<TargetId, Target> &targets)
+{
+    for (const auto &edit : edits) {
+        const auto *guarantee = edit.item ? std::get_if<Guarantee>(&*edit.item) : nullptr;
+        if (guarantee == nullptr) {
+            continue;
+        }
+        const AvailabilityZoneId &zone = guarantee->availabilityZone;
+        const bool isKnown = std::ranges::any_of(targets.rows(), [&zone](const auto &row) { return row.second.availabilityZone == zone; });
+        if (!isKnown) {
+            continue;
+        }
+        Configuration ofZone = after;
+        std::erase_if(ofZone.guarantees, [&zone](const auto &row) { return row.second.availabilityZone != zone; });
+        ofZone.availabilityZones.at(zone).isOut = false;
+        if (const auto status = validateGuarantees(ofZone, targets); !status.ok()) {
+            return Refusal{RefusalReason::NeverFits, RunClaim::NotRun, Duration{0}, std::string(status.message())};
+        }
+    }
+    return std::nullopt;
+}
+
 }
 
 Configuration withEdits(Configuration configuration, const std::vector<ConfigurationEdit> &edits)
@@ -126,7 +151,7 @@
             return Refusal{RefusalReason::BadRequest, RunClaim::NotRun, Duration{0}, path + ": " + *finding};
         }
     }
-    return std::nullopt;
+    return checkShapes(after, edits, targets);
 }
 
 }
--- a/core/defragmentation.cpp
+++ b/core/defragmentation.cpp
@@ -15,6 +15,9 @@
 /// The gain rests on estimates, so it has to exceed the cost by this factor.
 constexpr int requiredGain = 2;
 
+/// Accelerator time without work while a job is checkpointed, stopped and restored.
+constexpr Duration moveOverhead = std::chrono::seconds{30};
+
 /// Work that has just started has nothing to lose, so without this bound a moved job that starts again in its old place was moved again for ever.
 constexpr Duration shortestRunBeforeNextMove = std::chrono::minutes{10};
 
@@ -74,7 +77,7 @@
     }
     Duration cost{0};
     for (const int victim : choice->victims) {
-        cost += acceleratorTimeLost(pass.map.work[victim]);
+        cost += acceleratorTimeLost(pass.map.work[victim]) + moveOverhead * pass.map.work[victim].accelerators;
     }
     return reservation->wait * acceleratorCount(specification) > cost * requiredGain ? choice : std::nullopt;
 }
--- a/core/hostsettings.h
+++ b/core/hostsettings.h
@@ -32,7 +32,7 @@
     Duration silentZoneTakeover{30'000};
     Duration stopLimit{30'000};
     Duration hostListPeriod{5'000};
-    Duration ledgerDelay{3'600'000};
+    Duration ledgerDelay{86'400'000}; ///< Also how long a finished job's request id is remembered.
 
     friend bool operator==(const Limits &, const Limits &) = default;
 };
--- a/tests/clusterfixture.cpp
+++ b/tests/clusterfixture.cpp
@@ -104,6 +104,9 @@
         answers = std::move(result.answers);
         if (start != nullptr && !wasActive && isActive()) {
             ++m_starts[start->attempt.job];
+            const auto place = std::ranges::find(listed, call.target.value, &ListedHost::id);
+            record(TaskStarted{start->attempt, start->member, call.target, place->availabilityZone});
+            m_running.insert({start->attempt, start->member});
         }
     }
     if (start != nullptr && (losesStarts || losesStartAnswers)) {
@@ -120,6 +123,53 @@
         deliver(result.answers);
     }
     sequoiastand::run(cluster, tick);
+    if (recordsHistory) {
+        recordTick();
+    }
+}
+
+void ClusterTest::record(HistoryChange change)
+{
+    if (recordsHistory) {
+        m_history.push_back({cluster.now, std::move(change)});
+    }
+}
+
+void ClusterTest::recordTick()
+{
+    std::set<TaskKey> running;
+    for (const auto &[id, model] : targets) {
+        for (const auto &[key, task] : model.tasks) {
+            if (task.reported.state == TaskState::Running && !task.endedAt) {
+                running.insert(key);
+            }
+        }
+    }
+    for (const auto &[attempt, member] : std::exchange(m_running, running)) {
+        if (!running.contains({attempt, member})) {
+            record(TaskEnded{attempt, member});
+        }
+    }
+    for (const auto &[id, board] : cluster.hosts) {
+        const long long version = board.configuration.version;
+        if (std::exchange(m_appliedVersions[id], version) != version) {
+            record(ConfigurationApplied{id, version});
+        }
+    }
+}
+
+std::vector<HistoryEvent> ClusterTest::recordedHistory() const
+{
+    auto history = m_history;
+    for (const auto &event : m_history) {
+        if (const auto *sent = std::get_if<JobSent>(&event.change)) {
+            for (const CallerReply &reply : repliesTo(sent->call)) {
+                const JobId job = reply.job ? reply.job->specification.id : sent->specification.id;
+                history.push_back({cluster.now, CallAnswered{sent->call, job, reply.refusal}});
+            }
+        }
+    }
+    return history;
 }
 
 void ClusterTest::run(Duration duration)
@@ -141,6 +191,7 @@
 {
     const CallId id{m_nextCall++};
     send(host, SubmitRequest{id, specification});
+    record(JobSent{id, specification});
     return id;
 }
 
--- a/tests/clusterfixture.h
+++ b/tests/clusterfixture.h
@@ -2,6 +2,7 @@
 
 #include "standins/targetmodel.h"
 #include "tests/fakecluster.h"
+#include "tools/historychecker.h"
 
 #include <gtest/gtest.h>
 
@@ -68,13 +69,22 @@
     bool losesStartAnswers = false; ///< Starts have their effect, but the hosts hear nothing of it.
     bool losesStarts = false;       ///< Starts have no effect, and the hosts hear nothing of it.
     std::vector<TargetCall> sentCalls;
+    bool recordsHistory = false; ///< Off by default, because it looks at every task in every tick.
+
+    /// What an outside observer saw until now, with the answers that have arrived.
+    std::vector<HistoryEvent> recordedHistory() const;
 
 private:
+    void record(HistoryChange change);
+    void recordTick();
     void carryTargetCall(const TargetCall &call);
     void deliver(const std::vector<TargetAnswer> &answers);
     void tickOnce();
 
     std::map<JobId, int> m_starts;
+    std::vector<HistoryEvent> m_history;
+    std::set<TaskKey> m_running;
+    std::map<HostId, long long> m_appliedVersions;
     std::set<std::string> m_dead;
     std::vector<ConfigurationItem> m_items;
     long long m_version = 0;
--- a/tests/loopback.cpp
+++ b/tests/loopback.cpp
@@ -123,7 +123,8 @@
         m_watch.stop();
         ::close(std::exchange(m_listener, -1));
     }
-    if (connection.script.closesAfter || (wasAnswered && connection.script.vanishesAtNext)) {
+    const bool closesNow = wasAnswered && (connection.script.closesAtNext || connection.script.vanishesAtNext);
+    if (connection.script.closesAfter || closesNow) {
         ::shutdown(connection.descriptor, SHUT_RDWR);
     }
     if (end != ReadEnd::WouldBlock || connection.script.closesAfter) {
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -44,6 +44,7 @@
     {
         std::string answer;          ///< Sent once the first bytes have been received.
         bool closesAfter = false;    ///< Closes the connection after the answer.
+        bool closesAtNext = false;   ///< At the next bytes after the answer, closes the connection and goes on listening.
         bool vanishesAtNext = false; ///< At the next bytes after the answer, closes the connection and stops listening.
     };
 
--- a/tests/testhttpclient.cpp
+++ b/tests/testhttpclient.cpp
@@ -29,6 +29,15 @@
         return answer.value_or(HttpAnswer{});
     }
 
+    static int requestsIn(const std::string &received)
+    {
+        int count = 0;
+        for (auto at = received.find("POST /v1/x"); at != std::string::npos; at = received.find("POST /v1/x", at + 1)) {
+            ++count;
+        }
+        return count;
+    }
+
     EventLoop m_loop;
     HttpClient m_client{m_loop};
 };
@@ -76,6 +85,17 @@
     EXPECT_EQ(2U, server.acceptedCount());
 }
 
+// Guards against libcurl's own resend on a reused connection, which made one transaction take effect twice.
+TEST_F(HttpClientCall, requestOnAConnectionThatClosesIsNotSentAgain)
+{
+    ScriptedListener server(m_loop, {{.answer = okAnswer, .closesAtNext = true}, {okAnswer}});
+    const auto address = server.address();
+    ASSERT_EQ(HttpOutcome::Answered, call(address).outcome);
+
+    EXPECT_EQ(HttpOutcome::Unknown, call(address).outcome);
+    EXPECT_EQ(2, requestsIn(server.received())) << "one for each call";
+}
+
 // libcurl sends a request again by itself when a reused connection was closed. If that second try finds nobody, the first one may still have been carried out.
 TEST_F(HttpClientCall, failedResendOfASentRequestIsUnknown)
 {
--- a/tests/testjobhistory.cpp
+++ b/tests/testjobhistory.cpp
@@ -10,6 +10,7 @@
 {
     JobHistory()
     {
+        recordsHistory = true;
         for (const char *name : {"t1", "t2", "t3"}) {
             addTarget(name, "r1", "a");
         }
@@ -109,6 +110,11 @@
         }
         EXPECT_EQ(runningTasksOf(job.id), 0) << toString(job.id);
     }
+    // A target that is silent keeps its tasks for ten minutes, so an observer may see part of a gang for that long.
+    const HistoryBounds bounds{.gangIncomplete = Duration{600'000}};
+    for (const HistoryViolation &violation : checkHistory(recordedHistory(), bounds)) {
+        ADD_FAILURE() << "invariant " << violation.invariant << ": " << violation.text;
+    }
     for (std::size_t index = 0; index < calls.size(); ++index) {
         EXPECT_EQ(repliesTo(calls[index]).size(), 1U) << "call " << index;
     }
--- a/tests/testledger.cpp
+++ b/tests/testledger.cpp
@@ -20,7 +20,9 @@
 
     Blackboard owner() const
     {
-        auto board = makeBlackboard({.id = {"e1"}, .availabilityZone = {"z1"}}, now, wallNow);
+        HostSettings settings{.id = {"e1"}, .availabilityZone = {"z1"}};
+        settings.limits.ledgerDelay = hour;
+        auto board = makeBlackboard(settings, now, wallNow);
         board.epoch = 1;
         board.store.isLoaded = true;
         return board;
--- /dev/null
+++ b/tools/historychecker.cpp
@@ -0,0 +1,187 @@
+#include "historychecker.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+using Violations = std::vector<HistoryViolation>;
+
+/// Calls the visitor with the time and the change of every event of one kind.
+template<typename Change, typename Visitor>
+void forEach(const std::vector<HistoryEvent> &history, const Visitor &visitor)
+{
+    for (const auto &event : history) {
+        if (const auto *change = std::get_if<Change>(&event.change)) {
+            visitor(event.at, *change);
+        }
+    }
+}
+
+std::map<JobId, JobSpecification> specificationsOf(const std::vector<HistoryEvent> &history)
+{
+    std::map<JobId, JobSpecification> found;
+    forEach<JobSent>(history, [&found](TimePoint, const JobSent &sent) { found.emplace(sent.specification.id, sent.specification); });
+    return found;
+}
+
+/// Invariant 6.
+void checkRunsOnce(const std::vector<HistoryEvent> &history, Violations &violations)
+{
+    const auto specifications = specificationsOf(history);
+    std::set<std::pair<JobId, int>> started;
+    forEach<TaskStarted>(history, [&](TimePoint, const TaskStarted &start) {
+        const auto job = specifications.find(start.attempt.job);
+        const bool isFirst = started.emplace(start.attempt.job, start.member).second;
+        if (job != specifications.end() && !job->second.isIdempotent && !isFirst) {
+            violations.push_back({6, toString(start.attempt.job) + " is not idempotent and member " + std::to_string(start.member) + " started again"});
+        }
+    });
+}
+
+struct GangSpan
+{
+    TimePoint firstStart;
+    std::set<int> started;
+    std::set<int> running;
+};
+
+/// Invariant 2: a gang that never became whole must not keep running.
+void checkGangs(const std::vector<HistoryEvent> &history, const HistoryBounds &bounds, Violations &violations)
+{
+    const auto specifications = specificationsOf(history);
+    std::map<AttemptId, GangSpan> incomplete;
+    const auto report = [&](TimePoint now) {
+        std::erase_if(incomplete, [&](const auto &entry) {
+            const bool isTooLong = now - entry.second.firstStart > bounds.gangIncomplete;
+            if (isTooLong) {
+                violations.push_back({2, "part of " + toString(entry.first.job) + " ran without the rest of its gang"});
+            }
+            return isTooLong;
+        });
+    };
+    for (const auto &event : history) {
+        report(event.at);
+        if (const auto *start = std::get_if<TaskStarted>(&event.change)) {
+            const auto job = specifications.find(start->attempt.job);
+            auto &span = incomplete.try_emplace(start->attempt, GangSpan{event.at, {}, {}}).first->second;
+            span.started.insert(start->member);
+            span.running.insert(start->member);
+            if (job == specifications.end() || static_cast<int>(span.started.size()) >= job->second.taskCount) {
+                incomplete.erase(start->attempt);
+            }
+        } else if (const auto *end = std::get_if<TaskEnded>(&event.change)) {
+            const auto span = incomplete.find(end->attempt);
+            if (span != incomplete.end() && span->second.running.erase(end->member) > 0 && span->second.running.empty()) {
+                incomplete.erase(span);
+            }
+        }
+    }
+}
+
+/// Invariants 3 and 7.
+void checkStarts(const std::vector<HistoryEvent> &history, const HistoryBounds &bounds, Violations &violations)
+{
+    std::map<AvailabilityZoneId, TimePoint> outSince;
+    std::map<TargetId, TimePoint> leavingSince;
+    const auto isLate = [](const auto &since, const auto &id, TimePoint at, Duration bound) {
+        const auto found = since.find(id);
+        return found != since.end() && at - found->second > bound;
+    };
+    for (const auto &event : history) {
+        if (const auto *zone = std::get_if<ZoneChanged>(&event.change)) {
+            if (zone->isOut) {
+                outSince.emplace(zone->availabilityZone, event.at);
+            } else {
+                outSince.erase(zone->availabilityZone);
+            }
+        } else if (const auto *leaving = std::get_if<TargetLeaving>(&event.change)) {
+            leavingSince.emplace(leaving->target, event.at);
+        } else if (const auto *start = std::get_if<TaskStarted>(&event.change)) {
+            if (isLate(outSince, start->availabilityZone, event.at, bounds.startAfterZoneOut)) {
+                violations.push_back({3, toString(start->attempt.job) + " started in " + start->availabilityZone.value + " after it was taken out"});
+            }
+            if (isLate(leavingSince, start->target, event.at, bounds.startAfterTargetLeaves)) {
+                violations.push_back({7, toString(start->attempt.job) + " started on the leaving target " + start->target.value});
+            }
+        }
+    }
+}
+
+/// Invariant 4: an answer belongs to one call, each call has one, and it tells of the job that was asked for.
+void checkAnswers(const std::vector<HistoryEvent> &history, Violations &violations)
+{
+    std::map<CallId, JobId> asked;
+    std::set<CallId> answered;
+    forEach<JobSent>(history, [&asked](TimePoint, const JobSent &sent) { asked.emplace(sent.call, sent.specification.id); });
+    forEach<CallAnswered>(history, [&](TimePoint, const CallAnswered &answer) {
+        const auto call = asked.find(answer.call);
+        if (call != asked.end() && call->second != answer.job) {
+            violations.push_back({4, "the call for " + toString(call->second) + " was answered with " + toString(answer.job)});
+        }
+        if (!answered.insert(answer.call).second) {
+            violations.push_back({4, "a call for " + toString(answer.job) + " was answered twice"});
+        }
+    });
+    for (const auto &[call, job] : asked) {
+        if (!answered.contains(call)) {
+            violations.push_back({4, "a call for " + toString(job) + " was not answered"});
+        }
+    }
+}
+
+/// Invariant 5: a job all of whose submissions were refused as not run never started.
+void checkRefusals(const std::vector<HistoryEvent> &history, Violations &violations)
+{
+    std::set<CallId> sent;
+    forEach<JobSent>(history, [&sent](TimePoint, const JobSent &submission) { sent.insert(submission.call); });
+    std::set<JobId> refused;
+    std::set<JobId> others;
+    forEach<CallAnswered>(history, [&](TimePoint, const CallAnswered &answer) {
+        if (sent.contains(answer.call)) {
+            (answer.refusal && answer.refusal->run == RunClaim::NotRun ? refused : others).insert(answer.job);
+        }
+    });
+    std::set<JobId> reported;
+    forEach<TaskStarted>(history, [&](TimePoint, const TaskStarted &start) {
+        const JobId &job = start.attempt.job;
+        if (refused.contains(job) && !others.contains(job) && reported.insert(job).second) {
+            violations.push_back({5, toString(job) + " ran although its submission was refused as not run"});
+        }
+    });
+}
+
+/// Invariant 9.
+void checkConfiguration(const std::vector<HistoryEvent> &history, Violations &violations)
+{
+    std::map<HostId, long long> versions;
+    forEach<ConfigurationApplied>(history, [&](TimePoint, const ConfigurationApplied &applied) {
+        auto &version = versions[applied.host];
+        if (applied.version < version) {
+            violations.push_back({9, applied.host.value + " went back from version " + std::to_string(version) + " to " + std::to_string(applied.version)});
+        }
+        version = std::max(version, applied.version);
+    });
+}
+
+}
+
+std::vector<HistoryViolation> checkHistory(const std::vector<HistoryEvent> &history, const HistoryBounds &bounds)
+{
+    Violations violations;
+    checkRunsOnce(history, violations);
+    checkGangs(history, bounds, violations);
+    checkStarts(history, bounds, violations);
+    checkAnswers(history, violations);
+    checkRefusals(history, violations);
+    checkConfiguration(history, violations);
+    return violations;
+}
+
+}
