--- a/tests/testjoboutcome.cpp
+++ b/tests/testjoboutcome.cpp
@@ -7,9 +7,9 @@
 {
 
 /// A gang of two that ran for a minute.
-struct JobOutcome : testing::Test
+struct JobOutcomeUpdate : testing::Test
 {
-    JobOutcome()
+    JobOutcomeUpdate()
     {
         job.specification.id = {{"kask"}, {"gang"}};
         job.specification.taskCount = 2;
@@ -42,7 +42,7 @@
     Attempt attempt;
 };
 
-TEST_F(JobOutcome, gangFinishesOnlyIfEveryTaskFinished)
+TEST_F(JobOutcomeUpdate, gangFinishesOnlyIfEveryTaskFinished)
 {
     endAs(TaskState::Finished, TaskState::Finished);
     EXPECT_EQ(after().state, JobState::Finished);
@@ -50,7 +50,7 @@
     EXPECT_EQ(after().state, JobState::Unknown);
 }
 
-TEST_F(JobOutcome, preemptedJobResumesFromItsCheckpointAndLosesOnlyTheRest)
+TEST_F(JobOutcomeUpdate, preemptedJobResumesFromItsCheckpointAndLosesOnlyTheRest)
 {
     job.specification.isCheckpointable = true;
     attempt.stopCause = StopCause::Preempted;
@@ -64,7 +64,7 @@
 }
 
 // Guards against a second run from the beginning when the checkpoint was not taken.
-TEST_F(JobOutcome, notIdempotentJobStoppedWithoutCheckpointIsUnknown)
+TEST_F(JobOutcomeUpdate, notIdempotentJobStoppedWithoutCheckpointIsUnknown)
 {
     job.specification.isCheckpointable = true;
     attempt.stopCause = StopCause::Preempted;
@@ -72,7 +72,7 @@
     EXPECT_EQ(after().state, JobState::Unknown);
 }
 
-TEST_F(JobOutcome, lostTaskOfNotIdempotentJobIsUnknownEvenWithCheckpoint)
+TEST_F(JobOutcomeUpdate, lostTaskOfNotIdempotentJobIsUnknownEvenWithCheckpoint)
 {
     job.specification.isCheckpointable = true;
     attempt.checkpointedWork = Duration{45'000};
@@ -81,7 +81,7 @@
     EXPECT_EQ(after().state, JobState::Unknown);
 }
 
-TEST_F(JobOutcome, adoptedGangWithMissingMemberIsNotFinished)
+TEST_F(JobOutcomeUpdate, adoptedGangWithMissingMemberIsNotFinished)
 {
     endAs(TaskState::Finished, TaskState::Finished);
     attempt.members.pop_back();
@@ -90,7 +90,7 @@
     EXPECT_EQ(after().state, JobState::Waiting);
 }
 
-TEST_F(JobOutcome, cancelledJobThatFinishedFirstIsFinished)
+TEST_F(JobOutcomeUpdate, cancelledJobThatFinishedFirstIsFinished)
 {
     job.isCancelRequested = true;
     endAs(TaskState::Finished, TaskState::Finished);
--- a/tests/testkeyvaluemodel.cpp
+++ b/tests/testkeyvaluemodel.cpp
@@ -5,7 +5,7 @@
 namespace sequoiastand
 {
 
-struct KeyValueService : testing::Test
+struct KeyValueModelChanges : testing::Test
 {
     static TimePoint at(int milliseconds)
     {
@@ -39,7 +39,7 @@
     KeyValueModel model;
 };
 
-TEST_F(KeyValueService, everyChangeRaisesTheRevision)
+TEST_F(KeyValueModelChanges, everyChangeRaisesTheRevision)
 {
     carryOut(KeyValuePut{"a", "1"});
     carryOut(KeyValuePut{"a", "2"});
@@ -51,7 +51,7 @@
 }
 
 // Guards against two hosts that both win the same compare-and-swap.
-TEST_F(KeyValueService, staleModRevisionFailsTheTransaction)
+TEST_F(KeyValueModelChanges, staleModRevisionFailsTheTransaction)
 {
     EXPECT_TRUE(apply(putIf("owner", 0, "a"))->hasSucceeded);
     const auto answer = apply(putIf("owner", 0, "b"));
@@ -61,14 +61,14 @@
     EXPECT_TRUE(apply(putIf("owner", 2, "b"))->hasSucceeded);
 }
 
-TEST_F(KeyValueService, writesOfATransactionShareOneRevision)
+TEST_F(KeyValueModelChanges, writesOfATransactionShareOneRevision)
 {
     carryOut(KeyValueTransaction{{}, {KeyValuePut{"a", "1"}, KeyValuePut{"b", "1"}, KeyValueDelete{{"c", ""}}}, {}});
     EXPECT_EQ(row("a").modRevision, 2);
     EXPECT_EQ(row("b").modRevision, 2);
 }
 
-TEST_F(KeyValueService, refusedTransactionChangesNothing)
+TEST_F(KeyValueModelChanges, refusedTransactionChangesNothing)
 {
     const auto before = model;
     EXPECT_FALSE(apply(KeyValueTransaction{{}, {KeyValuePut{"a", "1"}, KeyValuePut{"a", "2"}}, {}}).ok());
@@ -79,7 +79,7 @@
     EXPECT_EQ(model, before);
 }
 
-TEST_F(KeyValueService, prefixRangeEndsBeforeTheNextPrefix)
+TEST_F(KeyValueModelChanges, prefixRangeEndsBeforeTheNextPrefix)
 {
     for (const auto *key : {"jobs", "jobs/", "jobs/a", "jobs/\xFF", "jobs0"}) {
         carryOut(KeyValuePut{key, ""});
@@ -92,12 +92,12 @@
     EXPECT_TRUE(limited->isTruncated);
 }
 
-struct KeyValueServiceLease : KeyValueService
+struct KeyValueModelLease : KeyValueModelChanges
 {
 };
 
 // Guards against a host record that outlives its host.
-TEST_F(KeyValueServiceLease, expiryDeletesItsKeysAtOneRevision)
+TEST_F(KeyValueModelLease, expiryDeletesItsKeysAtOneRevision)
 {
     const auto id = apply(KeyValueLeaseGrant{0, Duration{1'000}})->lease;
     carryOut(KeyValuePut{"hosts/a", "", id});
@@ -115,12 +115,12 @@
     EXPECT_FALSE(apply(KeyValueLeaseRevoke{id}, 1'901).ok());
 }
 
-struct KeyValueServiceWatch : KeyValueService
+struct KeyValueModelWatch : KeyValueModelChanges
 {
 };
 
 // Guards against changes that are lost between a full read and the watch that follows it.
-TEST_F(KeyValueServiceWatch, fromARevisionSeesEveryLaterChangeOfItsSpan)
+TEST_F(KeyValueModelWatch, fromARevisionSeesEveryLaterChangeOfItsSpan)
 {
     carryOut(KeyValuePut{"jobs/a", "1"});
     carryOut(KeyValuePut{"config", "1"});
@@ -134,7 +134,7 @@
     EXPECT_TRUE(changesFrom(model, prefixSpan("jobs/"), 6)->empty());
 }
 
-TEST_F(KeyValueServiceWatch, fromACompactedRevisionIsRefused)
+TEST_F(KeyValueModelWatch, fromACompactedRevisionIsRefused)
 {
     carryOut(KeyValuePut{"a", "1"});
     carryOut(KeyValuePut{"a", "2"});
