--- a/app/log.cpp
+++ b/app/log.cpp
@@ -3,11 +3,13 @@
 #include "wire/jsonfields.h"
 
 #include <absl/strings/str_format.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/configurator.h>
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <memory>
@@ -37,22 +39,44 @@
                            time.subseconds().count());
 }
 
-/// log4cplus 2.0.8 starts a pool of four threads when it is loaded; setThreadPoolSize(0) leaves one of them. Deinitialising ends all; loggers and appenders that
-/// are made afterwards work without it.
-log4cplus::Logger loggerWithoutThreads()
+/// Passes events on to the buffer for standard output.
+class BufferAppender : public log4cplus::Appender
 {
-    log4cplus::deinitialize();
-    return log4cplus::Logger::getRoot();
-}
+public:
+    explicit BufferAppender(std::shared_ptr<LogBuffer> buffer)
+        : m_buffer(std::move(buffer))
+    {
+    }
+
+    BufferAppender(const BufferAppender &) = delete;
+    BufferAppender &operator=(const BufferAppender &) = delete;
+
+    ~BufferAppender() override
+    {
+        destructorImpl();
+    }
+
+    void close() override
+    {
+        closed = true;
+    }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        m_buffer->add(event.getMessage() + "\n");
+    }
+
+private:
+    std::shared_ptr<LogBuffer> m_buffer;
+};
 
-log4cplus::SharedAppenderPtr makeAppender(const LogSettings &settings)
+log4cplus::SharedAppenderPtr makeAppender(const LogSettings &settings, const std::shared_ptr<LogBuffer> &buffer)
 {
-    log4cplus::SharedAppenderPtr appender;
-    if (settings.file.empty()) {
-        appender = new log4cplus::ConsoleAppender(true, true);
-    } else {
-        appender = new log4cplus::RollingFileAppender(settings.file, maxLogFileBytes, keptLogFiles, true, false);
+    if (buffer) {
+        return log4cplus::SharedAppenderPtr(new BufferAppender(buffer));
     }
+    log4cplus::SharedAppenderPtr appender(new log4cplus::RollingFileAppender(settings.file, maxLogFileBytes, keptLogFiles, true, false));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
     return appender;
 }
@@ -60,21 +84,41 @@
 }
 
 Log::Log(const LogSettings &settings, std::string host)
-    : m_logger(loggerWithoutThreads())
+    : m_buffer(settings.file.empty() ? std::make_shared<LogBuffer>(STDOUT_FILENO) : nullptr)
+    , m_logger(log4cplus::Logger::getRoot())
     , m_host(std::move(host))
 {
-    m_logger.addAppender(makeAppender(settings));
+    log4cplus::setThreadPoolSize(0);
+    m_logger.addAppender(makeAppender(settings, m_buffer));
     m_logger.setLogLevel(settings.level == LogLevel::Error ? log4cplus::ERROR_LOG_LEVEL : log4cplus::INFO_LOG_LEVEL);
 }
 
 void Log::write(const LogEntry &entry)
 {
-    const auto line = filterRepeat(m_filter, entry, EventLoop::now());
+    const auto now = EventLoop::now();
+    const auto line = filterRepeat(m_filter, entry, now);
     if (!line) {
         return;
     }
-    const auto text = logText(*line, m_host, EventLoop::wallNow());
-    m_logger.log(entry.isError ? log4cplus::ERROR_LOG_LEVEL : log4cplus::INFO_LOG_LEVEL, text);
+    if (const auto suppressed = takeSuppressed(m_rate, now); suppressed > 0) {
+        writeLine({{"log", "", "", std::to_string(suppressed) + " lines were left out because more than " + std::to_string(m_rate.linesPerSecond) + " came in a second", true}, 0});
+    }
+    if (takeLine(m_rate, now)) {
+        writeLine(*line);
+    }
+}
+
+void Log::writeLine(const LogLine &line)
+{
+    const auto text = logText(line, m_host, EventLoop::wallNow());
+    m_logger.log(line.entry.isError ? log4cplus::ERROR_LOG_LEVEL : log4cplus::INFO_LOG_LEVEL, text);
+}
+
+void Log::flush()
+{
+    if (m_buffer) {
+        m_buffer->flush();
+    }
 }
 
 std::string logText(const LogLine &line, const std::string &host, WallTime at)
--- a/app/repeatfilter.cpp
+++ b/app/repeatfilter.cpp
@@ -26,6 +26,9 @@
 
 std::optional<LogLine> filterRepeat(RepeatFilter &filter, const LogEntry &entry, TimePoint now)
 {
+    if (!entry.job.empty()) {
+        return LogLine{entry, 0};
+    }
     if (filter.written.size() >= maxWrittenEntries) {
         std::erase_if(filter.written, [&](const auto &row) { return row.second.at + filter.period <= now; });
     }
--- a/app/repeatfilter.h
+++ b/app/repeatfilter.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "core/blackboard.h"
+#include "core/logentry.h"
+#include "core/time.h"
 
 #include <map>
 #include <optional>
@@ -35,7 +36,7 @@
     friend bool operator==(const RepeatFilter &, const RepeatFilter &) = default;
 };
 
-/// The line to write, or none if a like entry was written less than the period ago.
+/// The line to write, or none if a like entry was written less than the period ago. Entries that name a job are always written: each is a decision of its own.
 std::optional<LogLine> filterRepeat(RepeatFilter &filter, const LogEntry &entry, TimePoint now);
 
 }
--- a/app/serve.cpp
+++ b/app/serve.cpp
@@ -20,43 +20,72 @@
     return now.time_since_epoch().count();
 }
 
-}
-
-int serve(const std::string &settingsFile)
+/// Runs the loop until SIGTERM or SIGINT and the planned stop that follows. `Host` is the loop of one kind of placement domain.
+template<typename Host>
+int runHost(EventLoop &loop, Host &host, Log &log, const std::string &listening)
 {
-    auto settings = settingsFromFile(settingsFile);
-    if (!settings.ok()) {
-        std::cerr << settings.status().message() << '\n';
-        return static_cast<int>(ExitCode::InvalidSettings);
-    }
-    std::signal(SIGPIPE, SIG_IGN);
-    auto &host = settings->loop.host;
-    host.incarnation = incarnationOf(EventLoop::wallNow());
-    host.randomSeed = static_cast<unsigned long long>(host.incarnation) ^ std::hash<std::string>{}(host.id.value);
-
-    Log log(settings->log, host.id.value);
-    EventLoop loop;
-    HostLoop hostLoop(loop, settings->loop, [&log](const LogEntry &entry) { log.write(entry); });
-    const StatementService statements(hostLoop);
-    const auto stop = [&log, &hostLoop] {
+    const auto stop = [&log, &host] {
         log.write({"stop", "", "", "stop requested", false});
-        hostLoop.requestStop();
+        host.requestStop();
     };
     SignalWatch terminate(loop, SIGTERM, stop);
     SignalWatch interrupt(loop, SIGINT, stop);
-    hostLoop.setStoppedHandler([&log, &loop] {
+    host.setStoppedHandler([&log, &loop] {
         log.write({"stop", "", "", "stopped", false});
         loop.stop();
     });
-    if (const auto status = hostLoop.start(); !status.ok()) {
+    if (const auto status = host.start(); !status.ok()) {
         log.write({"start", "", "", std::string(status.message()), true});
+        log.flush();
         return static_cast<int>(ExitCode::Unreachable);
     }
-    log.write({"start", "", "", "serving callers on " + host.httpAddress + " and peers on " + host.peerAddress, false});
+    log.write({"start", "", "", listening, false});
     loop.run();
+    log.flush();
     return static_cast<int>(ExitCode::Success);
 }
 
+int serveZoneDomain(Settings settings, Log &log)
+{
+    auto &host = settings.loop.host;
+    host.incarnation = incarnationOf(EventLoop::wallNow());
+    host.randomSeed = static_cast<unsigned long long>(host.incarnation) ^ std::hash<std::string>{}(host.id.value);
+    EventLoop loop;
+    HostLoop hostLoop(loop, settings.loop, [&log](const LogEntry &entry) {
+        log.write(entry);
+        log.flush();
+    });
+    const StatementService statements(hostLoop);
+    return runHost(loop, hostLoop, log, "serving callers on " + host.httpAddress + " and peers on " + host.peerAddress);
+}
+
+int serveServiceDomain(DomainLoopSettings settings, Log &log)
+{
+    settings.domain.incarnation = incarnationOf(EventLoop::wallNow());
+    settings.domain.randomSeed = static_cast<unsigned long long>(settings.domain.incarnation) ^ std::hash<std::string>{}(settings.domain.id.value);
+    EventLoop loop;
+    DomainLoop domainLoop(loop, settings, [&log](const LogEntry &entry) {
+        log.write(entry);
+        log.flush();
+    });
+    return runHost(loop, domainLoop, log, "serving callers on " + settings.callerAddress + ", store " + settings.storeAddress);
+}
+
+}
+
+int serve(const std::string &settingsFile)
+{
+    auto settings = settingsFromFile(settingsFile);
+    if (!settings.ok()) {
+        std::cerr << settings.status().message() << '\n';
+        return static_cast<int>(ExitCode::InvalidSettings);
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto id = settings->domain ? settings->domain->domain.id : settings->loop.host.id;
+    Log log(settings->log, id.value);
+    return settings->domain ? serveServiceDomain(*settings->domain, log) : serveZoneDomain(*settings, log);
+}
+
 int checkConfig(const std::string &settingsFile)
 {
     const auto settings = settingsFromFile(settingsFile);
@@ -64,8 +93,9 @@
         std::cerr << settings.status().message() << '\n';
         return static_cast<int>(ExitCode::InvalidSettings);
     }
-    const auto &host = settings->loop.host;
-    std::cout << settingsFile << ": valid, host " << host.id.value << " of availability zone " << host.availabilityZone.value << '\n';
+    const auto &zone = settings->domain ? settings->domain->domain.availabilityZone : settings->loop.host.availabilityZone;
+    const auto &id = settings->domain ? settings->domain->domain.id : settings->loop.host.id;
+    std::cout << settingsFile << ": valid, host " << id.value << " of availability zone " << zone.value << '\n';
     return static_cast<int>(ExitCode::Success);
 }
 
--- a/app/settings.cpp
+++ b/app/settings.cpp
@@ -2,6 +2,7 @@
 
 #include "net/socketaddress.h"
 #include "settingsreader.h"
+#include "wire/jsonfields.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
@@ -97,10 +98,59 @@
     log.level = level == "error" ? LogLevel::Error : LogLevel::Info;
 }
 
-Settings readSettings(SettingsReader &reader)
+void readDomainLimits(SettingsReader &reader, DomainLimits &limits)
+{
+    const Duration shortest{10};
+    reader.read("holdMaxMs", limits.holdMax, Duration{1'000}, minutes{10});
+    reader.read("stopGraceMs", limits.stopGrace, Duration{0}, minutes{1});
+    reader.read("gangWaitMs", limits.gangWait, Duration{100}, minutes{10});
+    reader.read("revokeBoundMs", limits.revokeBound, Duration{1'000}, minutes{10});
+    reader.readSeconds("statusRetentionS", limits.statusRetention, Duration{1'000}, hours{24 * 7});
+    reader.read("remoteFactor", limits.remoteFactor, 1.0, 1'000.0);
+    reader.readSeconds("checkpointPeriodS", limits.checkpointPeriod, Duration{0}, hours{1});
+    reader.read("restoreTimeMs", limits.restoreTime, Duration{0}, hours{1});
+    reader.read("minStoreLeaseMs", limits.minStoreLease, shortest, minutes{10});
+    reader.read("proofPeriodMs", limits.proofPeriod, shortest, minutes{1});
+    reader.read("maxProofAgeMs", limits.maxProofAge, shortest, minutes{1});
+    reader.read("storeTimeoutMs", limits.storeTimeout, shortest, minutes{1});
+    reader.read("ownerLeaseMs", limits.ownerLease, Duration{1'000}, minutes{10});
+    reader.read("holdWaitMs", limits.holdWait, Duration{0}, Duration{2'000});
+    reader.read("orderTimeoutMs", limits.orderTimeout, shortest, minutes{1});
+    reader.read("contactAgeMs", limits.contactAge, shortest, minutes{10});
+    reader.read("planPeriodMs", limits.planPeriod, Duration{1}, minutes{1});
+}
+
+DomainLoopSettings readDomain(SettingsReader &reader)
+{
+    DomainLoopSettings settings;
+    reader.readObject(
+        "host",
+        [&](SettingsReader &nested) {
+            nested.read("id", settings.domain.id.value, nameRule, true);
+            nested.read("availabilityZone", settings.domain.availabilityZone.value, nameRule, true);
+            nested.read("httpAddress", settings.callerAddress, addressRule, true);
+            nested.read("readinessAddress", settings.readinessAddress, addressRule, true);
+            nested.read("metricsAddress", settings.metricsAddress, addressRule);
+            nested.read("processorShare", settings.domain.processorShare, 0.0, 1'024.0);
+        },
+        true);
+    reader.readObject(
+        "serviceDomain",
+        [&](SettingsReader &nested) {
+            std::vector<std::string> zones;
+            nested.read("storeAddress", settings.storeAddress, addressRule, true);
+            nested.readTexts("availabilityZones", zones, nameRule, true);
+            nested.readSeconds("gracePeriodS", settings.gracePeriod, Duration{1'000}, minutes{10});
+            nested.readObject("limits", [&](SettingsReader &limits) { readDomainLimits(limits, settings.domain.limits); });
+            std::ranges::transform(zones, std::back_inserter(settings.domain.availabilityZones), [](const std::string &zone) { return AvailabilityZoneId{zone}; });
+        },
+        true);
+    reader.readObject("http", [&](SettingsReader &nested) { readHttp(nested, settings.http); });
+    return settings;
+}
+
+void readZoneDomain(SettingsReader &reader, HostLoopSettings &loop)
 {
-    Settings settings;
-    auto &loop = settings.loop;
     reader.readObject(
         "host", [&](SettingsReader &nested) { readHost(nested, loop.host); }, true);
     reader.readObjects("seeds", [&](SettingsReader &nested) { readSeed(nested, loop.host.seeds); });
@@ -115,8 +165,19 @@
     reader.readObject("hostList", [&](SettingsReader &nested) { nested.read("address", loop.hostListAddress, addressRule, true); });
     reader.readObject("http", [&](SettingsReader &nested) { readHttp(nested, loop.http); });
     reader.readObject("limits", [&](SettingsReader &nested) { readLimits(nested, loop.host.limits); });
-    reader.readObject("log", [&](SettingsReader &nested) { readLog(nested, settings.log); });
     reader.read("bootstrapAdministratorTokenHash", loop.callers.bootstrapAdministratorTokenHash, hashRule);
+}
+
+/// A file with the section `serviceDomain` is for a host of a service domain.
+Settings readSettings(SettingsReader &reader, bool isServiceDomain)
+{
+    Settings settings;
+    if (isServiceDomain) {
+        settings.domain = readDomain(reader);
+    } else {
+        readZoneDomain(reader, settings.loop);
+    }
+    reader.readObject("log", [&](SettingsReader &nested) { readLog(nested, settings.log); });
     reader.finish();
     return settings;
 }
@@ -125,18 +186,17 @@
 
 absl::StatusOr<Settings> settingsFromText(const std::string &text, const std::string &file)
 {
-    nlohmann::json json;
-    try {
-        json = nlohmann::json::parse(text, nullptr, true, true);
-    } catch (const nlohmann::json::parse_error &error) {
-        return absl::InvalidArgumentError(absl::StrCat(file, ": not JSON with comments: ", error.what()));
+    const auto parsed = parseJson(text, file, JsonForm::WithComments);
+    if (!parsed.ok()) {
+        return parsed.status();
     }
+    const auto &json = *parsed;
     if (!json.is_object()) {
         return absl::InvalidArgumentError(absl::StrCat(file, ": the file must hold one object"));
     }
     std::vector<std::string> faults;
     SettingsReader reader(json, "", faults);
-    auto settings = readSettings(reader);
+    auto settings = readSettings(reader, json.contains("serviceDomain"));
     if (faults.empty()) {
         return settings;
     }
--- a/app/settings.h
+++ b/app/settings.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "net/hostloop.h"
+#include "platform/domainloop.h"
 
 #include <absl/status/statusor.h>
 
+#include <optional>
 #include <string>
 
 namespace sequoiastand
@@ -17,16 +19,17 @@
 
 struct LogSettings
 {
-    std::string file; ///< Empty: standard error.
+    std::string file; ///< Empty: standard output.
     LogLevel level = LogLevel::Info;
 
     friend bool operator==(const LogSettings &, const LogSettings &) = default;
 };
 
-/// Everything that a host is told at its start.
+/// Everything that a host is told at its start. The placement domain decides which of the loops runs.
 struct Settings
 {
-    HostLoopSettings loop;
+    HostLoopSettings loop;                    ///< Of a zone domain.
+    std::optional<DomainLoopSettings> domain; ///< Of a service domain on the platform.
     LogSettings log;
 
     friend bool operator==(const Settings &, const Settings &) = default;
--- a/app/settingsreader.cpp
+++ b/app/settingsreader.cpp
@@ -45,7 +45,7 @@
 {
     m_known.push_back(key);
     const auto found = m_value.find(key);
-    if (found != m_value.end()) {
+    if (found != m_value.end() && !found->is_null()) {
         return &*found;
     }
     if (isRequired) {
@@ -103,6 +103,28 @@
     readInteger(key, minimum.count(), maximum.count(), [&value](long long number) { value = Duration{number}; });
 }
 
+void SettingsReader::read(const std::string &key, double &value, double minimum, double maximum)
+{
+    const auto allowed = absl::StrCat("a number from ", minimum, " to ", maximum);
+    const auto *found = find(key, false, allowed);
+    if (found == nullptr) {
+        return;
+    }
+    if (!found->is_number() || found->get<double>() < minimum || found->get<double>() > maximum) {
+        noteFault(pathOf(key), *found, allowed);
+        return;
+    }
+    value = found->get<double>();
+}
+
+void SettingsReader::readSeconds(const std::string &key, Duration &value, Duration minimum, Duration maximum)
+{
+    using Seconds = std::chrono::duration<double>;
+    double seconds = std::chrono::duration_cast<Seconds>(value).count();
+    read(key, seconds, std::chrono::duration_cast<Seconds>(minimum).count(), std::chrono::duration_cast<Seconds>(maximum).count());
+    value = std::chrono::round<Duration>(Seconds{seconds});
+}
+
 void SettingsReader::readObject(const std::string &key, const std::function<void(SettingsReader &)> &read, bool isRequired)
 {
     const auto *found = find(key, isRequired, "an object");
--- a/app/settingsreader.h
+++ b/app/settingsreader.h
@@ -30,6 +30,10 @@
     void read(const std::string &key, std::size_t &value, std::size_t minimum, std::size_t maximum);
     void read(const std::string &key, unsigned &value, unsigned minimum, unsigned maximum);
     void read(const std::string &key, Duration &value, Duration minimum, Duration maximum);
+    void read(const std::string &key, double &value, double minimum, double maximum);
+
+    /// Reads a duration that the file gives in seconds, with fractions.
+    void readSeconds(const std::string &key, Duration &value, Duration minimum, Duration maximum);
 
     /// Reads the nested object if it is there; a missing one is a fault if it must be given.
     void readObject(const std::string &key, const std::function<void(SettingsReader &)> &read, bool isRequired = false);
@@ -41,6 +45,7 @@
     void finish();
 
 private:
+    /// The value, or null if the key is absent or null.
     const nlohmann::json *find(const std::string &key, bool isRequired, const std::string &allowed);
     void readInteger(const std::string &key, long long minimum, long long maximum, const std::function<void(long long)> &take);
     std::string pathOf(const std::string &key) const;
--- a/core/blackboard.h
+++ b/core/blackboard.h
@@ -11,6 +11,7 @@
 #include "job.h"
 #include "jobwork.h"
 #include "ledger.h"
+#include "logentry.h"
 #include "message.h"
 #include "peer.h"
 #include "permit.h"
@@ -29,18 +30,6 @@
 namespace sequoiastand
 {
 
-/// One finding that the log front end writes as a JSON line.
-struct LogEntry
-{
-    std::string step;
-    std::string peer;
-    std::string job;
-    std::string message;
-    bool isError = false;
-
-    friend bool operator==(const LogEntry &, const LogEntry &) = default;
-};
-
 /// All state of one host. Controllers read any section and write those that docs/design.md gives them; the values themselves are never changed in place.
 struct Blackboard
 {
--- a/core/event.h
+++ b/core/event.h
@@ -90,6 +90,7 @@
     Revision revision = 0;
     std::vector<StoreEntry> put;
     std::vector<StoreKey> deleted;
+    std::string prefix; ///< Of the watch that reports them, where a host keeps several.
 
     friend bool operator==(const StoreWatchEvent &, const StoreWatchEvent &) = default;
 };
@@ -98,6 +99,7 @@
 struct StoreWatchLost
 {
     std::string reason;
+    std::string prefix; ///< Of the lost watch, where a host keeps several.
 
     friend bool operator==(const StoreWatchLost &, const StoreWatchLost &) = default;
 };
--- a/core/identifier.h
+++ b/core/identifier.h
@@ -24,6 +24,8 @@
 using RequestId = Identifier<struct RequestTag>;
 using OperatorId = Identifier<struct OperatorTag>;
 using CommandId = Identifier<struct CommandTag>;
+using QueueId = Identifier<struct QueueTag>;
+using ServiceId = Identifier<struct ServiceTag>;
 
 /// A job is named by its organisation and the request id that the caller chose.
 struct JobId
--- a/core/refusal.cpp
+++ b/core/refusal.cpp
@@ -7,7 +7,7 @@
 
 std::string_view name(RefusalReason reason)
 {
-    static constexpr std::array<std::string_view, 16> names{
+    static constexpr std::array<std::string_view, 17> names{
         "badRequest",
         "bodyTooLarge",
         "unauthorised",
@@ -23,6 +23,7 @@
         "tooManyConnections",
         "versionConflict",
         "timeout",
+        "unknownQueue",
         "internal",
     };
     return names.at(static_cast<std::size_t>(reason));
--- a/core/refusal.h
+++ b/core/refusal.h
@@ -26,6 +26,7 @@
     TooManyConnections,
     VersionConflict,
     Timeout,
+    UnknownQueue, ///< No queue serves that host and path.
     Internal,
 };
 
--- a/core/storerecord.cpp
+++ b/core/storerecord.cpp
@@ -65,4 +65,54 @@
                             number)};
 }
 
+StoreKey workflowKey(const RequestId &id)
+{
+    return {"intake/workflow/" + id.value};
+}
+
+StoreKey workflowCancellationKey(const RequestId &id)
+{
+    return {"intake/cancellation/" + id.value};
+}
+
+StoreKey workflowProgressKey(const RequestId &id)
+{
+    return {"progress/" + id.value};
+}
+
+StoreKey domainOwnerKey()
+{
+    return {"domain/owner"};
+}
+
+StoreKey commitMarkKey()
+{
+    return {"domain/commit"};
+}
+
+StoreKey domainSummaryKey()
+{
+    return {"domain/summary"};
+}
+
+StoreKey queueConfigurationKey()
+{
+    return {"config/queues"};
+}
+
+StoreKey zoneEvacuationKey(const AvailabilityZoneId &zone)
+{
+    return {"config/evacuation/" + zone.value};
+}
+
+StoreKey targetRegistrationKey(const TargetId &target)
+{
+    return {"targets/" + target.value};
+}
+
+std::string lastPart(const StoreKey &key)
+{
+    return key.path.substr(key.path.rfind('/') + 1);
+}
+
 }
--- a/core/storerecord.h
+++ b/core/storerecord.h
@@ -3,9 +3,14 @@
 #include "configuration.h"
 #include "identifier.h"
 #include "job.h"
+#include "queueconfiguration.h"
 #include "target.h"
+#include "targetregistration.h"
 #include "time.h"
+#include "workflow.h"
+#include "workflowprogress.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -77,7 +82,73 @@
     friend bool operator==(const LedgerBatch &, const LedgerBatch &) = default;
 };
 
-using StoreRecord = std::variant<Job, ConfigurationItem, ConfigurationVersion, ConfigurationChange, ZoneOwner, HostRecord, LedgerBatch>;
+/// A caller's wish to end a workflow; its key names the workflow.
+struct WorkflowCancellation
+{
+    WallTime requestedAt;
+
+    friend bool operator==(const WorkflowCancellation &, const WorkflowCancellation &) = default;
+};
+
+/// The host that places the work of a service domain, bound to its store lease. The revision at which the key was created is its fencing token.
+struct DomainOwner
+{
+    HostId host;
+    long long incarnation = 0;
+
+    friend bool operator==(const DomainOwner &, const DomainOwner &) = default;
+};
+
+/// Replaced by every batch of the owner, so that a batch which arrives late fails its condition.
+struct CommitMark
+{
+    Revision token = 0;
+    long long batch = 0;
+
+    friend bool operator==(const CommitMark &, const CommitMark &) = default;
+};
+
+/// Capacity and labels that some target of a service has.
+struct TargetShape
+{
+    ServiceId service;
+    Resources capacity;
+    std::vector<std::string> labels;
+
+    friend bool operator==(const TargetShape &, const TargetShape &) = default;
+};
+
+/// What accepting hosts need to know of the domain's work.
+struct DomainSummary
+{
+    std::map<QueueId, int> waiting;  ///< Accepted workflows of which no task has started.
+    std::vector<TargetShape> shapes; ///< Each differing shape once.
+
+    friend bool operator==(const DomainSummary &, const DomainSummary &) = default;
+};
+
+/// Nothing more may start in the availability zone that the key names.
+struct ZoneEvacuation
+{
+    friend bool operator==(const ZoneEvacuation &, const ZoneEvacuation &) = default;
+};
+
+using StoreRecord = std::variant<Job,
+                                 ConfigurationItem,
+                                 ConfigurationVersion,
+                                 ConfigurationChange,
+                                 ZoneOwner,
+                                 HostRecord,
+                                 LedgerBatch,
+                                 Workflow,
+                                 WorkflowProgress,
+                                 WorkflowCancellation,
+                                 DomainOwner,
+                                 CommitMark,
+                                 DomainSummary,
+                                 QueueConfiguration,
+                                 ZoneEvacuation,
+                                 TargetRegistration>;
 
 struct StoreEntry
 {
@@ -99,10 +170,20 @@
     friend bool operator==(const StoreWrite &, const StoreWrite &) = default;
 };
 
+/// A key that must have the revision; zero means that it must not exist.
+struct StoreCondition
+{
+    StoreKey key;
+    Revision revision = 0;
+
+    friend bool operator==(const StoreCondition &, const StoreCondition &) = default;
+};
+
 /// Applies all writes if every condition holds; otherwise answers with the present entries of their keys.
 struct StoreTransaction
 {
     std::vector<StoreWrite> writes;
+    std::vector<StoreCondition> conditions; ///< On keys that the transaction need not write.
 
     friend bool operator==(const StoreTransaction &, const StoreTransaction &) = default;
 };
@@ -184,4 +265,18 @@
 StoreKey hostKey(const HostId &host);
 StoreKey ledgerKey(WallTime day, const AvailabilityZoneId &zone, int number);
 
+// Keys of a service domain.
+StoreKey workflowKey(const RequestId &id);
+StoreKey workflowCancellationKey(const RequestId &id);
+StoreKey workflowProgressKey(const RequestId &id);
+StoreKey domainOwnerKey();
+StoreKey commitMarkKey();
+StoreKey domainSummaryKey();
+StoreKey queueConfigurationKey();
+StoreKey zoneEvacuationKey(const AvailabilityZoneId &zone);
+StoreKey targetRegistrationKey(const TargetId &target);
+
+/// The last part of a key: the workflow, zone or target that it names.
+std::string lastPart(const StoreKey &key);
+
 }
--- /dev/null
+++ b/core/workflowprogress.cpp
@@ -0,0 +1,95 @@
+#include "workflowprogress.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 5> stateNames{"queued", "running", "completed", "failed", "cancelled"};
+
+}
+
+bool hasEnded(WorkflowState state)
+{
+    return state != WorkflowState::Queued && state != WorkflowState::Running;
+}
+
+std::string_view name(WorkflowState state)
+{
+    return stateNames.at(static_cast<std::size_t>(state));
+}
+
+std::optional<WorkflowState> workflowStateFromName(std::string_view text)
+{
+    const auto found = std::ranges::find(stateNames, text);
+    if (found == stateNames.end()) {
+        return std::nullopt;
+    }
+    return static_cast<WorkflowState>(found - stateNames.begin());
+}
+
+OccurrenceProgress newOccurrence(const WorkflowSpecification &specification)
+{
+    OccurrenceProgress occurrence;
+    occurrence.steps.reserve(specification.steps.size());
+    std::ranges::transform(specification.steps, std::back_inserter(occurrence.steps), [](const StepSpecification &step) {
+        return StepProgress(static_cast<std::size_t>(step.taskCount));
+    });
+    return occurrence;
+}
+
+bool isFinished(const StepProgress &step)
+{
+    return std::ranges::all_of(step, &TaskProgress::isFinished);
+}
+
+bool isFinished(const OccurrenceProgress &occurrence)
+{
+    return std::ranges::all_of(occurrence.steps, [](const StepProgress &step) { return isFinished(step); });
+}
+
+bool isOccurrenceFinished(const WorkflowProgress &progress, int occurrence)
+{
+    return occurrence < progress.finishedOccurrences || std::ranges::binary_search(progress.finishedOutOfOrder, occurrence);
+}
+
+WorkflowProgress withFinishedOccurrence(WorkflowProgress progress, int occurrence)
+{
+    progress.occurrences.erase(occurrence);
+    if (isOccurrenceFinished(progress, occurrence)) {
+        return progress;
+    }
+    auto &later = progress.finishedOutOfOrder;
+    later.insert(std::ranges::upper_bound(later, occurrence), occurrence);
+    while (!later.empty() && later.front() == progress.finishedOccurrences) {
+        later.erase(later.begin());
+        ++progress.finishedOccurrences;
+    }
+    return progress;
+}
+
+bool isStepReady(const WorkflowSpecification &specification, const OccurrenceProgress &occurrence, int step)
+{
+    const auto &after = specification.steps.at(static_cast<std::size_t>(step)).after;
+    return std::ranges::all_of(after, [&](int earlier) { return isFinished(occurrence.steps.at(static_cast<std::size_t>(earlier))); });
+}
+
+const TaskProgress *findTask(const WorkflowProgress &progress, const TaskId &task)
+{
+    const auto occurrence = progress.occurrences.find(task.step.occurrence);
+    if (occurrence == progress.occurrences.end()) {
+        return nullptr;
+    }
+    const auto &steps = occurrence->second.steps;
+    if (!std::cmp_less(task.step.step, steps.size()) || !std::cmp_less(task.index, steps[static_cast<std::size_t>(task.step.step)].size())) {
+        return nullptr;
+    }
+    return &steps[static_cast<std::size_t>(task.step.step)][static_cast<std::size_t>(task.index)];
+}
+
+}
--- a/net/callerapi.cpp
+++ b/net/callerapi.cpp
@@ -65,6 +65,7 @@
     case RefusalReason::Unauthorised:
         return 401;
     case RefusalReason::NotFound:
+    case RefusalReason::UnknownQueue:
         return 404;
     case RefusalReason::RequestIdReused:
     case RefusalReason::VersionConflict:
@@ -159,7 +160,7 @@
         refuseUnknownToken(id, "the bearer token belongs to no organisation");
         return;
     }
-    const auto json = parseJson(request.body, "body");
+    const auto json = parseJson(request.body, "body", JsonForm::Strict);
     auto specification = json.ok() ? jobSpecificationFromJson(*json, "body") : absl::StatusOr<JobSpecification>(json.status());
     if (!specification.ok()) {
         refuse(id, RefusalReason::BadRequest, std::string(specification.status().message()));
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -105,6 +105,9 @@
     }
     // Without this libcurl holds bodies over 1 MB back for up to a second to wait for "100 Continue".
     transfer->headers = curl_slist_append(transfer->headers, "Expect:");
+    for (const auto &header : call.headers) {
+        transfer->headers = curl_slist_append(transfer->headers, header.c_str());
+    }
     if (!call.bearerToken.empty()) {
         transfer->headers = curl_slist_append(transfer->headers, ("Authorization: Bearer " + call.bearerToken).c_str());
     }
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace sequoiastand
 {
@@ -21,6 +22,7 @@
     std::string body;
     std::string bearerToken;
     Duration timeout{0}; ///< Zero: no limit; for streams.
+    std::vector<std::string> headers; ///< Further ones, as "Name: value".
 
     friend bool operator==(const HttpCall &, const HttpCall &) = default;
 };
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -78,6 +78,11 @@
     m_handler = std::move(handler);
 }
 
+void HttpServer::keepHeaders(std::vector<std::string> names)
+{
+    m_keptHeaders = std::move(names);
+}
+
 void HttpServer::setAbandonHandler(AbandonHandler handler)
 {
     m_abandonHandler = std::move(handler);
@@ -183,6 +188,11 @@
             request.request.bearerToken = std::string(absl::StripAsciiWhitespace(token));
         }
     }
+    for (const auto &name : m_keptHeaders) {
+        if (const char *value = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name.c_str())) {
+            request.request.headers.emplace(name, value);
+        }
+    }
     MHD_get_connection_values(
         connection,
         MHD_GET_ARGUMENT_KIND,
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace sequoiastand
 {
@@ -20,6 +21,7 @@
     std::map<std::string, std::string> query;
     std::string bearerToken;
     std::string body;
+    std::map<std::string, std::string> headers; ///< Those that the server was told to keep, as they were named there.
 
     friend bool operator==(const HttpRequest &, const HttpRequest &) = default;
 };
@@ -72,6 +74,9 @@
 
     void setHandler(Handler handler);
 
+    /// Names of request headers that handlers want to see.
+    void keepHeaders(std::vector<std::string> names);
+
     /// Called when the client has closed its connection before it was answered.
     void setAbandonHandler(AbandonHandler handler);
     void setLimitResponse(LimitResponse response);
@@ -120,6 +125,7 @@
     Handler m_handler;
     AbandonHandler m_abandonHandler;
     LimitResponse m_limitResponse;
+    std::vector<std::string> m_keptHeaders;
     MHD_Daemon *m_daemon = nullptr;
     SocketWatch m_watch;
     Timer m_runTimer;
--- a/net/metrics.cpp
+++ b/net/metrics.cpp
@@ -156,13 +156,19 @@
 }
 
 std::string Metrics::text(const Blackboard &board, const std::map<std::string, double> &gauges) const
+{
+    std::string boardText;
+    addBoardGauges(boardText, board);
+    return boardText + text(board.counters, gauges);
+}
+
+std::string Metrics::text(const Counters &counters, const std::map<std::string, double> &gauges) const
 {
     std::string text;
-    addBoardGauges(text, board);
     for (const auto &[name, value] : gauges) {
         addGauge(text, metricName(name), value);
     }
-    addCounters(text, board.counters);
+    addCounters(text, counters);
     for (const auto &[name, measured] : m_histograms) {
         text += histogramText(metricName(name), measured);
     }
--- a/net/metrics.h
+++ b/net/metrics.h
@@ -21,6 +21,9 @@
     /// Prometheus text: counters, histograms, and gauges read from the board. `gauges` are added by front ends.
     std::string text(const Blackboard &board, const std::map<std::string, double> &gauges) const;
 
+    /// The same for a host without a zone board.
+    std::string text(const Counters &counters, const std::map<std::string, double> &gauges) const;
+
 private:
     using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
     using Histogram = decltype(boost::histogram::make_histogram(std::declval<Axis>()));
--- a/wire/jsonfields.cpp
+++ b/wire/jsonfields.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
 
 namespace sequoiastand
 {
@@ -35,6 +36,86 @@
     value = field->get<Integer>();
 }
 
+/// Text without comments, if it may have any; strings are kept as they are.
+std::string withoutComments(std::string_view text)
+{
+    std::string plain;
+    plain.reserve(text.size());
+    bool isInString = false;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        const auto rest = text.substr(at);
+        if (!isInString && (rest.starts_with("//") || rest.starts_with("/*"))) {
+            const std::string_view end = rest[1] == '/' ? "\n" : "*/";
+            const auto found = rest.find(end, 2);
+            if (found == std::string_view::npos) {
+                break;
+            }
+            at += found + end.size() - 1;
+            plain += '\n';
+            continue;
+        }
+        plain += text[at];
+        if (text[at] == '"') {
+            isInString = !isInString;
+        } else if (isInString && text[at] == '\\' && at + 1 < text.size()) {
+            plain += text[++at];
+        }
+    }
+    return plain;
+}
+
+/// True if no more than `maxJsonDepth` brackets are open at a time outside of strings.
+bool isShallow(std::string_view text)
+{
+    int depth = 0;
+    bool isInString = false;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        const char letter = text[at];
+        if (letter == '"') {
+            isInString = !isInString;
+        } else if (isInString && letter == '\\') {
+            ++at;
+        } else if (!isInString && (letter == '{' || letter == '[')) {
+            if (++depth > maxJsonDepth) {
+                return false;
+            }
+        } else if (!isInString && (letter == '}' || letter == ']')) {
+            --depth;
+        }
+    }
+    return true;
+}
+
+/// Watches a parse for objects that name a key twice; the parser itself keeps the last value silently.
+class DuplicateFinder
+{
+public:
+    bool look(nlohmann::json::parse_event_t event, const nlohmann::json &value)
+    {
+        using Event = nlohmann::json::parse_event_t;
+        if (event == Event::object_start) {
+            m_keys.emplace_back();
+        } else if (event == Event::object_end && !m_keys.empty()) {
+            m_keys.pop_back();
+        } else if (event == Event::key && !m_keys.empty()) {
+            const auto key = value.get<std::string>();
+            if (!m_keys.back().insert(key).second && m_duplicate.empty()) {
+                m_duplicate = key;
+            }
+        }
+        return true;
+    }
+
+    const std::string &duplicate() const
+    {
+        return m_duplicate;
+    }
+
+private:
+    std::vector<std::set<std::string>> m_keys;
+    std::string m_duplicate;
+};
+
 }
 
 FieldReader fieldsOf(const nlohmann::json &value, std::string path)
@@ -139,12 +220,26 @@
     value = WallTime{Duration{milliseconds}};
 }
 
-absl::StatusOr<nlohmann::json> parseJson(std::string_view text, std::string_view what)
+absl::StatusOr<nlohmann::json> parseJson(std::string_view text, std::string_view what, JsonForm form)
 {
+    const std::string bare = form == JsonForm::WithComments ? withoutComments(text) : std::string{};
+    if (!isShallow(form == JsonForm::WithComments ? std::string_view{bare} : text)) {
+        return absl::InvalidArgumentError(std::string{what} + ": more than " + std::to_string(maxJsonDepth) + " objects or arrays within one another");
+    }
     try {
-        return nlohmann::json::parse(text);
+        if (form == JsonForm::Plain) {
+            return nlohmann::json::parse(text);
+        }
+        DuplicateFinder finder;
+        const auto look = [&finder](int, nlohmann::json::parse_event_t event, nlohmann::json &value) { return finder.look(event, value); };
+        auto json = nlohmann::json::parse(text, look, true, form == JsonForm::WithComments);
+        if (!finder.duplicate().empty()) {
+            return absl::InvalidArgumentError(std::string{what} + ": the key \"" + finder.duplicate() + "\" is given twice in one object");
+        }
+        return json;
     } catch (const nlohmann::json::parse_error &error) {
-        return absl::InvalidArgumentError(std::string{what} + ": not valid JSON at byte " + std::to_string(error.byte));
+        const std::string fault = form == JsonForm::WithComments ? ": not JSON with comments at byte " : ": not valid JSON at byte ";
+        return absl::InvalidArgumentError(std::string{what} + fault + std::to_string(error.byte));
     }
 }
 
--- a/wire/jsonfields.h
+++ b/wire/jsonfields.h
@@ -121,8 +121,19 @@
     }
 }
 
-/// Parses text; a syntax fault names `what` and the place.
-absl::StatusOr<nlohmann::json> parseJson(std::string_view text, std::string_view what);
+/// What parseJson() accepts beyond plain JSON.
+enum class JsonForm
+{
+    Plain,
+    Strict,       ///< An object that names a key twice is a fault.
+    WithComments, ///< As Strict, and comments are passed over.
+};
+
+/// Objects and arrays within one another that parseJson() accepts. The parser and everything that walks a value are recursive or keep a stack.
+constexpr int maxJsonDepth = 64;
+
+/// Parses text; a fault names `what` and the place.
+absl::StatusOr<nlohmann::json> parseJson(std::string_view text, std::string_view what, JsonForm form = JsonForm::Plain);
 
 /// Compact text. Bytes that are not UTF-8 are replaced, because JSON cannot carry them.
 std::string toText(const nlohmann::json &value);
--- a/wire/recordjson.cpp
+++ b/wire/recordjson.cpp
@@ -2,6 +2,7 @@
 
 #include "core/errors.h"
 #include "wire/jobjson.h"
+#include "wire/workflowjson.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -58,16 +59,6 @@
     return {{"id", item.id.value}, {"role", name(item.role)}, {"tokenHash", item.tokenHash}};
 }
 
-Json recordToJson(const Job &record)
-{
-    return toJson(record);
-}
-
-Json recordToJson(const ConfigurationItem &record)
-{
-    return toJson(record);
-}
-
 Json recordToJson(const ConfigurationVersion &record)
 {
     return {{"version", record.version}, {"changedBy", record.changedBy.value}, {"command", record.command.value}};
@@ -120,6 +111,34 @@
     return {{"jobs", std::move(jobs)}};
 }
 
+template<typename Record>
+Json recordToJson(const Record &record)
+    requires requires { toJson(record); }
+{
+    return toJson(record);
+}
+
+/// Records that operators and targets write in the platform's own form; this product never writes them.
+Json foreignRecordToJson()
+{
+    return Json::object();
+}
+
+Json recordToJson(const QueueConfiguration &)
+{
+    return foreignRecordToJson();
+}
+
+Json recordToJson(const ZoneEvacuation &)
+{
+    return foreignRecordToJson();
+}
+
+Json recordToJson(const TargetRegistration &)
+{
+    return foreignRecordToJson();
+}
+
 Duration milliseconds(const Json &json, const char *key)
 {
     return Duration{json.value(key, 0LL)};
@@ -199,6 +218,30 @@
     return batch;
 }
 
+/// Records of a service domain.
+absl::StatusOr<StoreRecord> readDomainRecord(const Json &json, std::string_view path)
+{
+    if (path.starts_with("intake/workflow/")) {
+        return workflowFromJson(json);
+    }
+    if (path.starts_with("intake/cancellation/")) {
+        return workflowCancellationFromJson(json);
+    }
+    if (path.starts_with("progress/")) {
+        return workflowProgressFromJson(json);
+    }
+    if (path == "domain/owner") {
+        return domainOwnerFromJson(json);
+    }
+    if (path == "domain/commit") {
+        return commitMarkFromJson(json);
+    }
+    if (path == "domain/summary") {
+        return domainSummaryFromJson(json);
+    }
+    return unreadable(path, "unknown kind of record");
+}
+
 absl::StatusOr<StoreRecord> readRecord(const Json &json, const StoreKey &key)
 {
     const std::string_view path = key.path;
@@ -231,7 +274,7 @@
     if (path.starts_with("ledger/")) {
         return readLedger(json);
     }
-    return unreadable(path, "unknown kind of record");
+    return readDomainRecord(json, path);
 }
 
 }
--- /dev/null
+++ b/wire/workflowjson.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "core/storerecord.h"
+
+#include <absl/status/statusor.h>
+#include <nlohmann/json.hpp>
+
+namespace sequoiastand
+{
+
+// Records that hosts of a service domain keep in the store. Fields with their default value are left out.
+
+nlohmann::json toJson(const Workflow &record);
+nlohmann::json toJson(const WorkflowProgress &record);
+nlohmann::json toJson(const WorkflowCancellation &record);
+nlohmann::json toJson(const DomainOwner &record);
+nlohmann::json toJson(const CommitMark &record);
+nlohmann::json toJson(const DomainSummary &record);
+
+// Each throws nlohmann::json::exception if a field is missing or has another type; storeRecordFromJson() turns that into a status.
+
+Workflow workflowFromJson(const nlohmann::json &json);
+WorkflowProgress workflowProgressFromJson(const nlohmann::json &json);
+WorkflowCancellation workflowCancellationFromJson(const nlohmann::json &json);
+DomainOwner domainOwnerFromJson(const nlohmann::json &json);
+CommitMark commitMarkFromJson(const nlohmann::json &json);
+DomainSummary domainSummaryFromJson(const nlohmann::json &json);
+
+}
--- /dev/null
+++ b/workflow/advanceworkflows.cpp
@@ -0,0 +1,161 @@
+#include "controllers.h"
+#include "eligibility.h"
+#include "progresschange.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+// The records of an ended workflow are kept a little longer than its state may be asked for.
+constexpr Duration retentionMargin{30'000};
+
+void endWorkflow(WorkflowBoard &board, const RequestId &id, WorkflowState state, const std::string &reason)
+{
+    changeProgress(board, id, [&](WorkflowProgress &progress) {
+        progress.state = state;
+        progress.endedAt = board.wallNow;
+    });
+    logDecision(board, "endWorkflow", "", id.value, std::string(name(state)) + ": " + reason);
+    count(board.counters, "workflowsEnded", std::string(name(state)));
+    for (const auto &run : runsOf(board, id)) {
+        stopRun(board, run, "its workflow is " + std::string(name(state)));
+    }
+}
+
+/// Adds the occurrences that are due. Their start is no decision that must outlast this owner, so the store is not told.
+void beginOccurrences(WorkflowBoard &board, const RequestId &id)
+{
+    const auto *present = board.workflows.find(id);
+    const auto &workflow = *present->workflow;
+    const int occurrences = occurrenceCount(workflow.specification.schedule);
+    std::optional<WorkflowEntry> changed;
+    for (int occurrence = present->progress.finishedOccurrences; occurrence < occurrences; ++occurrence) {
+        const auto due = dueTime(workflow, occurrence) - board.self.limits.startEarly;
+        const bool isTimed = workflow.specification.schedule.count > 0;
+        if (isTimed && due > board.wallNow) {
+            subscribeNoLaterThan(board.timers, "occurrence", board.now + (due - board.wallNow));
+            break;
+        }
+        if (present->progress.occurrences.contains(occurrence) || isOccurrenceFinished(present->progress, occurrence)) {
+            continue;
+        }
+        if (!changed) {
+            changed = *present;
+        }
+        changed->progress.occurrences.emplace(occurrence, newOccurrence(workflow.specification));
+    }
+    if (changed) {
+        board.workflows.put(id, *std::move(changed));
+        board.isPlanWanted = true;
+    }
+}
+
+void finishOccurrences(WorkflowBoard &board, const RequestId &id)
+{
+    std::vector<int> finished;
+    for (const auto &[number, occurrence] : board.workflows.find(id)->progress.occurrences) {
+        if (isFinished(occurrence)) {
+            finished.push_back(number);
+        }
+    }
+    for (const int number : finished) {
+        changeProgress(board, id, [&](WorkflowProgress &progress) { progress = withFinishedOccurrence(std::move(progress), number); });
+    }
+    const auto *entry = board.workflows.find(id);
+    if (entry->progress.finishedOccurrences >= occurrenceCount(entry->workflow->specification.schedule)) {
+        endWorkflow(board, id, WorkflowState::Completed, "all tasks have finished");
+    }
+}
+
+bool hasFailedTooOften(const WorkflowEntry &entry, int maxAttempts)
+{
+    const auto &steps = entry.workflow->specification.steps;
+    return std::ranges::any_of(entry.progress.occurrences, [&](const auto &row) {
+        for (std::size_t step = 0; step < steps.size(); ++step) {
+            const bool hasFailed = std::ranges::any_of(row.second.steps[step], [&](const TaskProgress &task) { return task.failedRuns >= maxAttempts; });
+            if (hasFailed && !steps[step].isLasting) {
+                return true;
+            }
+        }
+        return false;
+    });
+}
+
+void advance(WorkflowBoard &board, const RequestId &id)
+{
+    const auto *entry = board.workflows.find(id);
+    if (entry == nullptr || hasEnded(entry->progress.state)) {
+        return;
+    }
+    if (entry->isCancelRequested) {
+        endWorkflow(board, id, WorkflowState::Cancelled, "its caller has cancelled it");
+        return;
+    }
+    if (hasFailedTooOften(*entry, queueOf(board, *entry->workflow).maxAttempts)) {
+        endWorkflow(board, id, WorkflowState::Failed, "a task has failed as often as its queue allows");
+        return;
+    }
+    finishOccurrences(board, id);
+    entry = board.workflows.find(id);
+    if (!hasEnded(entry->progress.state)) {
+        beginOccurrences(board, id);
+    }
+}
+
+/// Runs of ended workflows that a former owner left, or that were recorded while the workflow ended.
+void stopLeftRuns(WorkflowBoard &board)
+{
+    std::vector<TaskRun> left;
+    for (const auto &[task, run] : board.runs.rows()) {
+        const auto *entry = board.workflows.find(task.step.workflow);
+        if (!run.isStopWanted && run.step != RunStep::Ending && entry != nullptr && hasEnded(entry->progress.state)) {
+            left.push_back(run);
+        }
+    }
+    for (const auto &run : left) {
+        stopRun(board, run, "its workflow has ended");
+    }
+}
+
+void forgetOldWorkflows(WorkflowBoard &board)
+{
+    for (const auto &[id, entry] : board.workflows.rows()) {
+        const auto &progress = entry.progress;
+        const auto kept = board.self.limits.statusRetention + retentionMargin;
+        if (progress.endedAt && board.wallNow - *progress.endedAt > kept && entry.storedVersion == entry.version && runsOf(board, id).empty()) {
+            board.chain.forgotten.insert(id);
+        }
+    }
+}
+
+}
+
+void advanceWorkflows(WorkflowBoard &board)
+{
+    if (!hasAuthority(board) || !board.load.hasIntake) {
+        return;
+    }
+    std::vector<RequestId> ids;
+    const bool isOccurrenceDue = isDue(board.timers, "occurrence");
+    const auto &source = board.workflows;
+    if (isOccurrenceDue) {
+        std::ranges::transform(source.rows(), std::back_inserter(ids), [](const auto &row) { return row.first; });
+    } else {
+        ids.assign(source.changes().begin(), source.changes().end());
+    }
+    std::ranges::for_each(ids, [&](const RequestId &id) { advance(board, id); });
+    stopLeftRuns(board);
+    if (isDue(board.timers, "forget")) {
+        forgetOldWorkflows(board);
+    }
+    subscribeNoLaterThan(board.timers, "forget", board.now + retentionMargin);
+}
+
+}
--- /dev/null
+++ b/workflow/answercallers.cpp
@@ -0,0 +1,382 @@
+#include "controllers.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+// A caller that names no deadline waits this long.
+constexpr Duration defaultPatience{3'000};
+
+// The answer has to reach the caller before its deadline.
+constexpr Duration answerMargin{150};
+
+constexpr std::size_t maxPayloadBytes = 4'000;
+constexpr std::size_t requestIdDigits = 16;
+
+bool isRequestId(std::string_view text)
+{
+    return text.size() == requestIdDigits && std::ranges::all_of(text, [](char digit) { return (digit >= '0' && digit <= '9') || (digit >= 'a' && digit <= 'f') || (digit >= 'A' && digit <= 'F'); });
+}
+
+/// What a call is about, once its queue is known.
+struct RoutedCall
+{
+    const Queue *queue = nullptr;
+    OrganisationId organisation;
+    std::string rest; ///< Path after the queue's prefix: a workflow's id, or nothing for the queue itself.
+};
+
+void answer(WorkflowBoard &board, const OpenCallerCall &call, CallerAnswer result)
+{
+    result.id = call.request.id;
+    const std::string outcome = result.refusal ? std::string(name(result.refusal->reason)) : result.state ? std::string(name(*result.state)) : "done";
+    count(board.counters, result.refusal ? "callsRefused" : "callsAnswered", outcome);
+    addSample(board.counters, "answerMs", static_cast<double>((board.now - call.receivedAt).count()));
+    if (call.request.action != CallerAction::Query || result.refusal) {
+        const auto age = board.view.provenAt ? std::to_string((board.now - *board.view.provenAt).count()) : "unknown";
+        logDecision(board,
+                    "answerCall",
+                    call.request.host,
+                    call.request.path,
+                    outcome + " after " + std::to_string((board.now - call.receivedAt).count()) + " ms, configuration " + std::to_string(board.view.configuration.version) + " proven "
+                        + age + " ms ago" + (result.refusal ? ": " + result.refusal->message : ""));
+    }
+    board.outbox.emplace_back(std::move(result));
+    board.calls.erase(call.request.id);
+}
+
+void refuse(WorkflowBoard &board, const OpenCallerCall &call, RefusalReason reason, const std::string &message)
+{
+    // Whatever may have been written is no longer certain not to run.
+    if (call.mayBeStored && reason != RefusalReason::Timeout) {
+        answer(board, call, {{}, Refusal{RefusalReason::Timeout, RunClaim::Unknown, board.self.limits.retryAfter, "the store may have taken the request: " + message}, {}, {}});
+        return;
+    }
+    const bool isPassing = reason == RefusalReason::StoreUnavailable || reason == RefusalReason::ShuttingDown || reason == RefusalReason::QueueFull || reason == RefusalReason::Timeout;
+    const auto claim = reason == RefusalReason::Timeout ? RunClaim::Unknown : RunClaim::NotRun;
+    answer(board, call, {{}, Refusal{reason, claim, isPassing ? board.self.limits.retryAfter : Duration{0}, message}, {}, {}});
+}
+
+/// The call's queue and organisation, or the refusal that the configuration calls for.
+std::optional<RoutedCall> route(WorkflowBoard &board, const OpenCallerCall &call)
+{
+    const auto &configuration = board.view.configuration;
+    const auto *queue = findQueue(configuration, call.request.host, call.request.path);
+    if (queue == nullptr) {
+        refuse(board, call, RefusalReason::UnknownQueue, "no queue has this host and path");
+        return std::nullopt;
+    }
+    RoutedCall routed{queue, {}, call.request.path.substr(queue->prefix.size())};
+    const auto key = configuration.keys.find(call.request.key);
+    if (key != configuration.keys.end()) {
+        routed.organisation = key->second;
+    } else if (!queue->isAnonymous) {
+        refuse(board, call, RefusalReason::Unauthorised, "the key is not known");
+        return std::nullopt;
+    }
+    return routed;
+}
+
+std::vector<StoreCondition> configurationCondition(const WorkflowBoard &board)
+{
+    return {{queueConfigurationKey(), board.view.revision}};
+}
+
+void write(WorkflowBoard &board, OpenCallerCall call, StoreTransaction transaction)
+{
+    call.step = CallerStep::Writing;
+    call.call = sendToStore(board, std::move(transaction));
+    board.calls.put(call.request.id, std::move(call));
+}
+
+void submit(WorkflowBoard &board, const OpenCallerCall &call, const RoutedCall &routed)
+{
+    Workflow workflow;
+    workflow.id = {routed.rest};
+    workflow.queue = *routed.queue;
+    workflow.organisation = routed.organisation;
+    workflow.acceptedAt = board.wallNow;
+    workflow.specification = *call.request.specification;
+    StoreTransaction transaction;
+    transaction.conditions = configurationCondition(board);
+    transaction.writes.push_back({workflowKey(workflow.id), workflow, 0, false});
+    transaction.writes.push_back({workflowProgressKey(workflow.id), WorkflowProgress{}, 0, false});
+    write(board, call, std::move(transaction));
+}
+
+void cancel(WorkflowBoard &board, const OpenCallerCall &call, const RoutedCall &routed)
+{
+    StoreTransaction transaction;
+    transaction.conditions = configurationCondition(board);
+    transaction.writes.push_back({workflowCancellationKey({routed.rest}), WorkflowCancellation{board.wallNow}, 0, false});
+    write(board, call, std::move(transaction));
+}
+
+void readProgress(WorkflowBoard &board, OpenCallerCall call, const RoutedCall &routed)
+{
+    call.step = CallerStep::Reading;
+    call.call = sendToStore(board, StoreRange{workflowProgressKey({routed.rest}), false});
+    board.calls.put(call.request.id, std::move(call));
+}
+
+void answerWaiting(WorkflowBoard &board, OpenCallerCall call, const RoutedCall &routed)
+{
+    auto &copy = board.summary;
+    if (copy.readAt && board.now - *copy.readAt <= board.self.limits.summaryAge) {
+        const int waiting = copy.summary && copy.summary->waiting.contains(routed.queue->id) ? copy.summary->waiting.at(routed.queue->id) : 0;
+        answer(board, call, {{}, {}, {}, waiting});
+        return;
+    }
+    if (!copy.read) {
+        copy.read = sendToStore(board, StoreRange{domainSummaryKey(), false});
+    }
+    call.step = CallerStep::Reading;
+    call.call = copy.read;
+    board.calls.put(call.request.id, std::move(call));
+}
+
+/// True if some target could hold the task; unknown targets count as large enough.
+bool couldFit(const WorkflowBoard &board, const Queue &queue, const StepSpecification &step)
+{
+    const auto &summary = board.summary.summary;
+    if (!summary || summary->shapes.empty()) {
+        return true;
+    }
+    return std::ranges::any_of(summary->shapes, [&](const TargetShape &shape) {
+        const bool hasLabel = step.requiredLabel.empty() || std::ranges::find(shape.labels, step.requiredLabel) != shape.labels.end();
+        return shape.service == queue.service && hasLabel && fitsInto(step.perTask, shape.capacity);
+    });
+}
+
+std::optional<std::string> findSubmissionFault(const OpenCallerCall &call, const RoutedCall &routed)
+{
+    const auto &request = call.request;
+    if (!isRequestId(routed.rest)) {
+        return "the id is not 16 hexadecimal digits";
+    }
+    if (!request.specification) {
+        return request.bodyFault;
+    }
+    if (request.specification->payload.size() > maxPayloadBytes) {
+        return "the payload has more than " + std::to_string(maxPayloadBytes) + " bytes";
+    }
+    return findFault(*request.specification);
+}
+
+void handleSubmission(WorkflowBoard &board, const OpenCallerCall &call, const RoutedCall &routed)
+{
+    const auto limit = board.view.configuration.maxBodyBytes;
+    if (limit > 0 && call.request.bodyBytes > limit) {
+        refuse(board, call, RefusalReason::BodyTooLarge, "the body has more than " + std::to_string(limit) + " bytes");
+        return;
+    }
+    if (const auto fault = findSubmissionFault(call, routed)) {
+        refuse(board, call, RefusalReason::BadRequest, *fault);
+        return;
+    }
+    const auto &steps = call.request.specification->steps;
+    if (!std::ranges::all_of(steps, [&](const StepSpecification &step) { return couldFit(board, *routed.queue, step); })) {
+        refuse(board, call, RefusalReason::NeverFits, "a task is larger than every target, or asks for a label that none has");
+        return;
+    }
+    submit(board, call, routed);
+}
+
+/// Takes the call's next step under a fresh proof of the configuration.
+void handle(WorkflowBoard &board, const OpenCallerCall &call)
+{
+    const auto routed = route(board, call);
+    if (!routed) {
+        return;
+    }
+    if (call.request.action == CallerAction::Submit) {
+        handleSubmission(board, call, *routed);
+    } else if (routed->rest.empty() && call.request.action == CallerAction::Query) {
+        answerWaiting(board, call, *routed);
+    } else if (!isRequestId(routed->rest)) {
+        refuse(board, call, RefusalReason::NotFound, "no workflow has this id");
+    } else {
+        readProgress(board, call, *routed);
+    }
+}
+
+bool isSummaryRead(const WorkflowBoard &board, const OpenCallerCall &call)
+{
+    return call.call && call.call == board.summary.read;
+}
+
+void takeSummary(WorkflowBoard &board)
+{
+    auto &copy = board.summary;
+    const auto *reply = findReply(board, copy.read);
+    if (reply == nullptr) {
+        return;
+    }
+    if (reply->outcome == StoreOutcome::Applied) {
+        copy.readAt = board.now;
+        for (const auto &entry : reply->entries) {
+            if (const auto *summary = std::get_if<DomainSummary>(&entry.record)) {
+                copy.summary = *summary;
+            }
+        }
+    }
+    std::vector<OpenCallerCall> waiting;
+    for (const auto &[id, call] : board.calls.rows()) {
+        if (isSummaryRead(board, call)) {
+            waiting.push_back(call);
+        }
+    }
+    copy.read.reset();
+    const bool isRead = reply->outcome == StoreOutcome::Applied;
+    for (auto &call : waiting) {
+        call.call.reset();
+        if (isRead) {
+            handle(board, call);
+        } else {
+            refuse(board, call, RefusalReason::StoreUnavailable, "the store does not answer");
+        }
+    }
+}
+
+void takeRead(WorkflowBoard &board, const OpenCallerCall &call, const StoreReply &reply)
+{
+    if (reply.outcome != StoreOutcome::Applied) {
+        refuse(board, call, RefusalReason::StoreUnavailable, "the store does not answer");
+        return;
+    }
+    const auto *progress = reply.entries.empty() ? nullptr : std::get_if<WorkflowProgress>(&reply.entries.front().record);
+    if (progress == nullptr) {
+        refuse(board, call, RefusalReason::NotFound, "no workflow has this id");
+        return;
+    }
+    if (call.request.action == CallerAction::Query || hasEnded(progress->state)) {
+        answer(board, call, {{}, {}, progress->state, {}});
+        return;
+    }
+    if (const auto routed = route(board, call)) {
+        cancel(board, call, *routed);
+    }
+}
+
+/// A condition failed: the workflow or cancellation exists already, or the configuration has changed.
+void takeConflict(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
+{
+    const auto isOurs = [](const StoreEntry &entry) { return std::holds_alternative<Workflow>(entry.record) || std::holds_alternative<WorkflowCancellation>(entry.record); };
+    if (std::ranges::any_of(reply.entries, isOurs)) {
+        answer(board, call, {});
+        return;
+    }
+    // Nothing was written, and no earlier copy can be any more: it had the same conditions.
+    call.mayBeStored = false;
+    call.step = CallerStep::Proving;
+    call.call.reset();
+    board.view.nextProofAt = board.now;
+    board.view.provenAt.reset();
+    subscribeNoLaterThan(board.timers, "proof", board.now);
+    board.calls.put(call.request.id, std::move(call));
+}
+
+void takeWrite(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
+{
+    switch (reply.outcome) {
+    case StoreOutcome::Applied:
+        answer(board, call, {});
+        return;
+    case StoreOutcome::Conflict:
+        takeConflict(board, std::move(call), reply);
+        return;
+    case StoreOutcome::NotSent:
+        if (!call.mayBeStored) {
+            refuse(board, call, RefusalReason::StoreUnavailable, "the store does not take the request");
+            return;
+        }
+        call.retryAt = board.now + board.self.limits.storeRetry;
+        break;
+    case StoreOutcome::Unknown:
+        call.mayBeStored = true;
+        call.retryAt = board.now;
+        break;
+    }
+    // Sending the same conditions again settles whether an earlier copy took effect.
+    call.call.reset();
+    board.calls.put(call.request.id, std::move(call));
+}
+
+void resend(WorkflowBoard &board, const OpenCallerCall &call)
+{
+    const auto routed = route(board, call);
+    if (!routed) {
+        return;
+    }
+    if (call.request.action == CallerAction::Submit) {
+        submit(board, call, *routed);
+    } else {
+        cancel(board, call, *routed);
+    }
+}
+
+void continueCall(WorkflowBoard &board, const OpenCallerCall &call)
+{
+    if (const auto *reply = findReply(board, call.call)) {
+        if (call.step == CallerStep::Reading) {
+            takeRead(board, call, *reply);
+        } else if (call.step == CallerStep::Writing) {
+            takeWrite(board, call, *reply);
+        }
+        return;
+    }
+    if (board.now >= call.answerBy) {
+        refuse(board, call, RefusalReason::Timeout, "the store has not answered in time");
+    } else if (call.step == CallerStep::Proving && isProofFresh(board)) {
+        handle(board, call);
+    } else if (call.step == CallerStep::Proving && !board.view.isReachable) {
+        refuse(board, call, RefusalReason::StoreUnavailable, board.view.isLoaded ? "the store does not answer" : "the host has no configuration yet");
+    } else if (call.step == CallerStep::Writing && !call.call && board.now >= call.retryAt) {
+        resend(board, call);
+    } else if (call.step == CallerStep::Writing && !call.call) {
+        subscribeNoLaterThan(board.timers, "calls", call.retryAt);
+    }
+}
+
+void openCalls(WorkflowBoard &board)
+{
+    for (const auto &event : board.inbox) {
+        if (const auto *request = std::get_if<CallerRequest>(&event)) {
+            OpenCallerCall call;
+            call.request = *request;
+            call.receivedAt = board.now;
+            const auto patience = request->patience > Duration{0} ? request->patience : defaultPatience;
+            call.answerBy = board.now + std::max(patience - answerMargin, patience / 2);
+            board.calls.put(request->id, std::move(call));
+        } else if (const auto *abandoned = std::get_if<CallAbandoned>(&event)) {
+            board.calls.erase(abandoned->id);
+        }
+    }
+}
+
+}
+
+void answerCallers(WorkflowBoard &board)
+{
+    openCalls(board);
+    takeSummary(board);
+    std::vector<OpenCallerCall> open;
+    std::ranges::transform(board.calls.rows(), std::back_inserter(open), [](const auto &row) { return row.second; });
+    for (const auto &call : open) {
+        if (!isSummaryRead(board, call) && board.calls.contains(call.request.id)) {
+            continueCall(board, call);
+        }
+    }
+    for (const auto &[id, call] : board.calls.rows()) {
+        subscribeNoLaterThan(board.timers, "calls", call.answerBy);
+    }
+}
+
+}
--- /dev/null
+++ b/workflow/claimdomain.cpp
@@ -0,0 +1,260 @@
+#include "controllers.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+// A stronger host claims first: the share of a core that it lacks, spread over this time.
+constexpr Duration strengthSpread{150};
+constexpr Duration claimJitter{40};
+
+// Renewals within one life of the lease; with four, two may be lost.
+constexpr int renewalsPerLease = 4;
+
+/// The owner key names an earlier process of this very host, which no longer runs.
+bool isFormerSelf(const WorkflowBoard &board, const DomainOwner &holder)
+{
+    return holder.host == board.self.id && holder.incarnation < board.self.incarnation;
+}
+
+bool isSelf(const WorkflowBoard &board, const DomainOwner &holder)
+{
+    return holder.host == board.self.id && holder.incarnation == board.self.incarnation;
+}
+
+void clearOwnerSections(WorkflowBoard &board)
+{
+    board.load = {};
+    board.chain = {};
+    board.workflows = {};
+    board.runs = {};
+    board.runCalls.clear();
+    board.strayStops.clear();
+    board.targets = {};
+}
+
+void giveUp(WorkflowBoard &board, const std::string &reason)
+{
+    auto &ownership = board.ownership;
+    logDecision(board, "ownDomain", "", "", "gave up the domain, token " + std::to_string(ownership.token) + ": " + reason);
+    count(board.counters, "ownershipsEnded", "");
+    if (ownership.lease != 0) {
+        sendToStore(board, StoreLeaseRevoke{ownership.lease});
+    }
+    ownership = {OwnershipStep::Follower, ownership.isKnown, ownership.holder, ownership.holderRevision};
+    clearOwnerSections(board);
+}
+
+void noteHolder(WorkflowBoard &board, std::optional<DomainOwner> holder, Revision revision)
+{
+    auto &ownership = board.ownership;
+    if (holder && revision < ownership.holderRevision) {
+        return;
+    }
+    if (holder != ownership.holder) {
+        logDecision(board, "ownDomain", holder ? holder->host.value : "", "", holder ? "owner since revision " + std::to_string(revision) : "the domain has no owner");
+    }
+    ownership.holder = std::move(holder);
+    ownership.holderRevision = ownership.holder ? revision : 0;
+    if (!ownership.isKnown) {
+        ownership.isKnown = true;
+        subscribeNoLaterThan(board.timers, "proof", board.now); // The first proof needs this knowledge.
+    }
+    const bool isOurs = ownership.holder && ownership.step == OwnershipStep::Owner && revision == ownership.token;
+    if (ownership.step == OwnershipStep::Owner && !isOurs) {
+        giveUp(board, ownership.holder ? "another host owns it" : "the store has ended the lease");
+    }
+}
+
+void takeNews(WorkflowBoard &board)
+{
+    const auto updates = board.updates;
+    for (const auto &update : updates) {
+        if (update.prefix != domainOwnerKey().path) {
+            continue;
+        }
+        const auto entry = std::ranges::find(update.put, domainOwnerKey(), &StoreEntry::key);
+        if (entry != update.put.end()) {
+            if (const auto *holder = std::get_if<DomainOwner>(&entry->record)) {
+                noteHolder(board, *holder, entry->revision);
+            }
+        } else if (update.isWhole || std::ranges::find(update.deleted, domainOwnerKey()) != update.deleted.end()) {
+            noteHolder(board, std::nullopt, update.revision);
+        }
+    }
+}
+
+void becomeOwner(WorkflowBoard &board, Revision token)
+{
+    auto &ownership = board.ownership;
+    ownership.step = OwnershipStep::Owner;
+    ownership.call.reset();
+    ownership.token = token;
+    ownership.holder = DomainOwner{board.self.id, board.self.incarnation};
+    ownership.holderRevision = token;
+    ownership.isKnown = true;
+    ownership.ownedSince = board.now;
+    ownership.nextRenewalAt = board.now;
+    ownership.claimAt.reset();
+    clearOwnerSections(board);
+    logDecision(board, "ownDomain", "", "", "owns the domain under token " + std::to_string(token));
+    count(board.counters, "ownershipsBegun", "");
+}
+
+void endClaim(WorkflowBoard &board, const std::string &reason)
+{
+    auto &ownership = board.ownership;
+    logDecision(board, "ownDomain", "", "", "claim ended: " + reason);
+    if (ownership.lease != 0) {
+        sendToStore(board, StoreLeaseRevoke{ownership.lease});
+    }
+    ownership = {OwnershipStep::Follower, ownership.isKnown, ownership.holder, ownership.holderRevision};
+    ownership.claimAt = board.now + board.self.limits.storeRetry + takeJitter(board, board.self.limits.storeRetry);
+}
+
+void considerClaim(WorkflowBoard &board)
+{
+    auto &ownership = board.ownership;
+    const bool isVacant = !ownership.holder || isFormerSelf(board, *ownership.holder);
+    if (board.isStopping || !isProofFresh(board) || !ownership.isKnown || !isVacant) {
+        ownership.claimAt.reset();
+        return;
+    }
+    if (!ownership.claimAt) {
+        const double weakness = 1 - std::clamp(board.self.processorShare, 0.0, 1.0);
+        const auto handicap = Duration{static_cast<Duration::rep>(weakness * static_cast<double>(strengthSpread.count()))};
+        ownership.claimAt = board.now + (ownership.holder ? Duration{0} : handicap + takeJitter(board, claimJitter));
+    }
+    if (board.now < *ownership.claimAt) {
+        subscribeNoLaterThan(board.timers, "claim", *ownership.claimAt);
+        return;
+    }
+    ownership.step = OwnershipStep::Granting;
+    ownership.call = sendToStore(board, StoreLeaseGrant{std::max(board.self.limits.ownerLease, board.self.limits.minStoreLease)});
+    ownership.callSentAt = board.now;
+}
+
+void takeGrant(WorkflowBoard &board, const StoreReply &reply)
+{
+    auto &ownership = board.ownership;
+    if (reply.outcome != StoreOutcome::Applied) {
+        endClaim(board, "no lease: " + reply.error);
+        return;
+    }
+    ownership.lease = reply.lease;
+    ownership.leaseLife = reply.leaseTimeToLive;
+    ownership.authorityUntil = ownership.callSentAt + ownership.leaseLife - board.self.limits.ownerLeaseMargin;
+    ownership.step = OwnershipStep::Claiming;
+    StoreWrite write{domainOwnerKey(), DomainOwner{board.self.id, board.self.incarnation}, ownership.holderRevision, true};
+    ownership.call = sendToStore(board, StoreTransaction{{std::move(write)}}, ownership.lease);
+}
+
+void takeClaim(WorkflowBoard &board, const StoreReply &reply)
+{
+    switch (reply.outcome) {
+    case StoreOutcome::Applied:
+        becomeOwner(board, reply.revision);
+        return;
+    case StoreOutcome::Conflict: {
+        const auto entry = std::ranges::find(reply.entries, domainOwnerKey(), &StoreEntry::key);
+        const auto *holder = entry == reply.entries.end() ? nullptr : std::get_if<DomainOwner>(&entry->record);
+        endClaim(board, "another host was first");
+        noteHolder(board, holder == nullptr ? std::nullopt : std::optional(*holder), holder == nullptr ? reply.revision : entry->revision);
+        return;
+    }
+    case StoreOutcome::NotSent:
+        endClaim(board, "the store did not take it: " + reply.error);
+        return;
+    case StoreOutcome::Unknown:
+        board.ownership.step = OwnershipStep::Checking;
+        board.ownership.call = sendToStore(board, StoreRange{domainOwnerKey(), false});
+        return;
+    }
+}
+
+void takeCheck(WorkflowBoard &board, const StoreReply &reply)
+{
+    auto &ownership = board.ownership;
+    if (reply.outcome != StoreOutcome::Applied) {
+        if (board.now >= ownership.authorityUntil) {
+            endClaim(board, "the lease ran out before the claim was settled");
+            return;
+        }
+        ownership.call = sendToStore(board, StoreRange{domainOwnerKey(), false});
+        return;
+    }
+    const auto entry = std::ranges::find(reply.entries, domainOwnerKey(), &StoreEntry::key);
+    const auto *holder = entry == reply.entries.end() ? nullptr : std::get_if<DomainOwner>(&entry->record);
+    if (holder != nullptr && isSelf(board, *holder)) {
+        becomeOwner(board, entry->revision);
+        return;
+    }
+    endClaim(board, "it did not take effect");
+    noteHolder(board, holder == nullptr ? std::nullopt : std::optional(*holder), holder == nullptr ? reply.revision : entry->revision);
+}
+
+void renewLease(WorkflowBoard &board)
+{
+    auto &ownership = board.ownership;
+    const auto &limits = board.self.limits;
+    if (const auto *reply = findReply(board, ownership.renewal)) {
+        ownership.renewal.reset();
+        ownership.nextRenewalAt = board.now + limits.storeRetry;
+        if (reply->outcome == StoreOutcome::Applied && reply->leaseTimeToLive == Duration{0}) {
+            ownership.lease = 0;
+            giveUp(board, "the store has ended the lease");
+            return;
+        }
+        if (reply->outcome == StoreOutcome::Applied) {
+            ownership.leaseLife = reply->leaseTimeToLive;
+            ownership.authorityUntil = ownership.renewalSentAt + ownership.leaseLife - limits.ownerLeaseMargin;
+            ownership.nextRenewalAt = ownership.renewalSentAt + ownership.leaseLife / renewalsPerLease;
+        }
+    }
+    if (board.now >= ownership.authorityUntil) {
+        giveUp(board, "the lease could not be renewed in time");
+        return;
+    }
+    if (!ownership.renewal && board.now >= ownership.nextRenewalAt) {
+        ownership.renewal = sendToStore(board, StoreLeaseKeepAlive{ownership.lease});
+        ownership.renewalSentAt = board.now;
+    }
+    subscribeNoLaterThan(board.timers, "authority", ownership.authorityUntil);
+    if (!ownership.renewal) {
+        subscribeNoLaterThan(board.timers, "renewal", ownership.nextRenewalAt);
+    }
+}
+
+}
+
+void claimDomain(WorkflowBoard &board)
+{
+    takeNews(board);
+    auto &ownership = board.ownership;
+    if (const auto *reply = findReply(board, ownership.call)) {
+        ownership.call.reset();
+        if (ownership.step == OwnershipStep::Granting) {
+            takeGrant(board, *reply);
+        } else if (ownership.step == OwnershipStep::Claiming) {
+            takeClaim(board, *reply);
+        } else if (ownership.step == OwnershipStep::Checking) {
+            takeCheck(board, *reply);
+        }
+    }
+    if (ownership.step == OwnershipStep::Follower) {
+        considerClaim(board);
+    } else if (ownership.step == OwnershipStep::Owner && board.isStopping) {
+        // The next owner sees everything that matters in the store and in the targets' lists, so nothing has to be waited for.
+        giveUp(board, "the host stops");
+    } else if (ownership.step == OwnershipStep::Owner) {
+        renewLease(board);
+    }
+}
+
+}
--- /dev/null
+++ b/workflow/commitprogress.cpp
@@ -0,0 +1,183 @@
+#include "controllers.h"
+#include "eligibility.h"
+#include "progresschange.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+DomainSummary summaryOf(const WorkflowBoard &board)
+{
+    DomainSummary summary;
+    for (const auto &[id, entry] : board.workflows.rows()) {
+        if (entry.progress.state == WorkflowState::Queued && !entry.isCancelRequested) {
+            ++summary.waiting[entry.workflow->queue.id];
+        }
+    }
+    for (const auto &[id, target] : board.targets.rows()) {
+        TargetShape shape{target.registration.service, target.registration.capacity, target.registration.labels};
+        if (target.isRegistered && std::ranges::find(summary.shapes, shape) == summary.shapes.end()) {
+            summary.shapes.push_back(std::move(shape));
+        }
+    }
+    return summary;
+}
+
+void markStored(WorkflowBoard &board, const CommitBatch &batch)
+{
+    for (const auto &[id, version] : batch.versions) {
+        const auto *present = board.workflows.find(id);
+        if (present == nullptr) {
+            continue;
+        }
+        WorkflowEntry entry = *present;
+        entry.storedVersion = std::max(entry.storedVersion, version);
+        board.workflows.put(id, std::move(entry));
+    }
+    for (const auto &id : batch.forgotten) {
+        board.workflows.erase(id);
+        board.chain.forgotten.erase(id);
+    }
+}
+
+void finishBatch(WorkflowBoard &board, Revision revision)
+{
+    auto &chain = board.chain;
+    const CommitBatch batch = *std::exchange(chain.batch, std::nullopt);
+    chain.isInDoubt = false;
+    chain.markRevision = revision;
+    markStored(board, batch);
+    if (batch.isSummary) {
+        chain.nextSummaryAt = board.now + board.self.limits.summaryPeriod;
+    }
+    addSample(board.counters, "commitMs", static_cast<double>((board.now - batch.sentAt).count()));
+}
+
+/// A condition failed: either this batch took effect at an earlier sending, or another host owns the domain.
+void settleConflict(WorkflowBoard &board, const StoreReply &reply)
+{
+    const auto &batch = *board.chain.batch;
+    const auto mark = std::ranges::find(reply.entries, commitMarkKey(), &StoreEntry::key);
+    const auto *stored = mark == reply.entries.end() ? nullptr : std::get_if<CommitMark>(&mark->record);
+    if (stored != nullptr && *stored == CommitMark{board.ownership.token, board.chain.batches}) {
+        finishBatch(board, mark->revision);
+        return;
+    }
+    logDecision(board, "commitProgress", "", "", "batch " + std::to_string(board.chain.batches) + " of " + std::to_string(batch.versions.size()) + " records refused: the domain has another owner", true);
+    count(board.counters, "commitsRefused", "");
+    board.ownership.authorityUntil = board.now;
+}
+
+void takeBatchReply(WorkflowBoard &board)
+{
+    auto &chain = board.chain;
+    const auto *reply = chain.batch ? findReply(board, chain.batch->call) : nullptr;
+    if (reply == nullptr) {
+        return;
+    }
+    switch (reply->outcome) {
+    case StoreOutcome::Applied:
+        finishBatch(board, reply->revision);
+        return;
+    case StoreOutcome::Conflict:
+        settleConflict(board, *reply);
+        return;
+    case StoreOutcome::NotSent:
+    case StoreOutcome::Unknown:
+        count(board.counters, "commitsUnanswered", reply->outcome == StoreOutcome::Unknown ? "unknown" : "notSent");
+        chain.isInDoubt = true;
+        chain.retryAt = board.now + (reply->outcome == StoreOutcome::Unknown ? Duration{0} : board.self.limits.storeRetry);
+        return;
+    }
+}
+
+void addForgotten(CommitBatch &batch, const CommitChain &chain, int room)
+{
+    constexpr int keysPerWorkflow = 3;
+    for (const auto &id : chain.forgotten) {
+        if (static_cast<int>(batch.transaction.writes.size()) + keysPerWorkflow > room) {
+            break;
+        }
+        for (const auto &key : {workflowKey(id), workflowProgressKey(id), workflowCancellationKey(id)}) {
+            batch.transaction.writes.push_back({key, std::nullopt, std::nullopt, false});
+        }
+        batch.forgotten.insert(id);
+    }
+}
+
+std::optional<CommitBatch> makeBatch(WorkflowBoard &board)
+{
+    auto &chain = board.chain;
+    const int room = board.self.limits.maxRecordsPerBatch;
+    CommitBatch batch;
+    std::vector<RequestId> taken;
+    for (const auto &id : chain.dirty) {
+        if (static_cast<int>(batch.transaction.writes.size()) >= room) {
+            break;
+        }
+        taken.push_back(id);
+        if (const auto *entry = board.workflows.find(id)) {
+            batch.transaction.writes.push_back({workflowProgressKey(id), entry->progress, std::nullopt, false});
+            batch.versions.emplace(id, entry->version);
+        }
+    }
+    std::ranges::for_each(taken, [&](const RequestId &id) { chain.dirty.erase(id); });
+    addForgotten(batch, chain, room);
+    if (board.now >= chain.nextSummaryAt && static_cast<int>(batch.transaction.writes.size()) < room) {
+        auto summary = summaryOf(board);
+        if (summary != chain.storedSummary) {
+            batch.transaction.writes.push_back({domainSummaryKey(), summary, std::nullopt, false});
+            batch.isSummary = true;
+            chain.storedSummary = std::move(summary);
+        }
+    }
+    if (batch.transaction.writes.empty()) {
+        return std::nullopt;
+    }
+    ++chain.batches;
+    batch.transaction.writes.push_back({commitMarkKey(), CommitMark{board.ownership.token, chain.batches}, chain.markRevision, false});
+    batch.transaction.conditions.push_back({domainOwnerKey(), board.ownership.token});
+    return batch;
+}
+
+}
+
+void commitProgress(WorkflowBoard &board)
+{
+    if (board.ownership.step != OwnershipStep::Owner || !board.load.hasMark || !board.load.hasIntake) {
+        return;
+    }
+    takeBatchReply(board);
+    if (!hasAuthority(board)) {
+        return;
+    }
+    auto &chain = board.chain;
+    if (chain.batch && chain.isInDoubt) {
+        if (board.now < chain.retryAt) {
+            subscribeNoLaterThan(board.timers, "commit", chain.retryAt);
+            return;
+        }
+        chain.isInDoubt = false;
+        chain.batch->call = sendToStore(board, chain.batch->transaction);
+        return;
+    }
+    if (chain.batch) {
+        return;
+    }
+    if (auto batch = makeBatch(board)) {
+        batch->call = sendToStore(board, batch->transaction);
+        batch->sentAt = board.now;
+        chain.batch = std::move(batch);
+        return;
+    }
+    subscribeNoLaterThan(board.timers, "summary", std::max(chain.nextSummaryAt, board.now + board.self.limits.summaryPeriod));
+}
+
+}
--- /dev/null
+++ b/workflow/domainsettings.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "core/identifier.h"
+#include "core/time.h"
+
+#include <string>
+#include <vector>
+
+namespace sequoiastand
+{
+
+/// Bounds of a service domain. Those of the first group are given by the deployment, the others are the product's own.
+struct DomainLimits
+{
+    Duration holdMax{10'000};      ///< Longest time that a target lets runs go on without another hold.
+    Duration stopGrace{200};       ///< Longest time that a stop takes on a target.
+    Duration gangWait{3'000};      ///< How long a gang's member waits on its target for the others.
+    Duration revokeBound{5'000};   ///< From the acknowledgement of a configuration until no host may serve a key that it took away.
+    Duration statusRetention{120'000}; ///< How long the state of an ended workflow can be asked for.
+    Duration startEarly{0};        ///< How much before its due time an occurrence may start.
+    double remoteFactor = 3;       ///< How much longer tasks take away from their data or rack.
+    Duration minStoreLease{1'000}; ///< Shortest lease that the store grants.
+    Duration checkpointPeriod{500}; ///< Work between two checkpoints of a task.
+    Duration restoreTime{100};     ///< To resume from a checkpoint.
+
+    Duration proofPeriod{1'000};    ///< Between two proofs of the configuration; three fit into `maxProofAge`.
+    Duration maxProofAge{3'000};    ///< Below `revokeBound` by the time of a call and the spread of clocks.
+    Duration storeTimeout{400};     ///< A store call; the store answers in milliseconds, and in a quarter of a second when it is slow.
+    Duration storeRetry{100};       ///< After a failed store call.
+    Duration ownerLease{2'500};     ///< Of the owner key: how long a domain is without an owner after its host died.
+    Duration ownerLeaseMargin{300}; ///< Authority ends so long before the lease can end, for orders on their way.
+    Duration holdWait{1'500};       ///< How long a hold waits for an end; with the timeout below it leaves most of `holdMax` for a cut.
+    Duration orderTimeout{500};     ///< A start or stop, or a hold beyond its wait. Targets answer in milliseconds.
+    Duration orderRetry{150};       ///< After an order without an answer.
+    Duration startLife{2'500};      ///< A start is refused by the target after this time, so a late copy does nothing.
+    Duration contactAge{4'000};     ///< A target that has not answered for so long gets no new work.
+    Duration planPeriod{15};        ///< Shortest time between two placement passes.
+    Duration summaryPeriod{1'000};  ///< Between two writes of the summary.
+    Duration summaryAge{1'000};     ///< How old a copy of the summary an accepting host may use.
+    Duration retryAfter{1'000};     ///< Told to callers whose request was refused for a passing reason.
+    int maxRecordsPerBatch = 29;    ///< The store takes 32 entries a transaction; two conditions and the mark are always there.
+
+    friend bool operator==(const DomainLimits &, const DomainLimits &) = default;
+};
+
+/// Who this host is in a service domain.
+struct DomainSettings
+{
+    HostId id;
+    AvailabilityZoneId availabilityZone;
+    std::vector<AvailabilityZoneId> availabilityZones; ///< All of the deployment.
+    long long incarnation = 0;                         ///< Higher after every start of this host.
+    unsigned long long randomSeed = 1;
+    double processorShare = 1; ///< Of a core that this host may use; stronger hosts become owner first.
+    DomainLimits limits;
+
+    friend bool operator==(const DomainSettings &, const DomainSettings &) = default;
+};
+
+}
--- /dev/null
+++ b/workflow/driveruns.cpp
@@ -0,0 +1,147 @@
+#include "controllers.h"
+#include "eligibility.h"
+#include "progresschange.h"
+#include "runends.h"
+#include "targetlease.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+// A start without an answer is given up after this share of the time that a gang's members wait for each other.
+constexpr double gangPatience = 0.5;
+
+void sendOrder(WorkflowBoard &board, TaskRun &run, const DomainTarget &target, TargetOrderRequest request)
+{
+    TargetOrder order;
+    order.id = takeCallId(board);
+    order.target = run.place.target;
+    order.address = target.registration.address;
+    order.token = board.ownership.token;
+    order.timeout = board.self.limits.orderTimeout;
+    run.isStopCall = std::holds_alternative<StopRun>(request);
+    order.request = std::move(request);
+    run.call = order.id;
+    run.callSentAt = board.now;
+    board.runCalls.insert_or_assign(order.id, run.task);
+    board.outbox.emplace_back(std::move(order));
+}
+
+void sendStart(WorkflowBoard &board, TaskRun run)
+{
+    const auto *entry = board.workflows.find(run.task.step.workflow);
+    DomainTarget target = *board.targets.find(run.place.target);
+    StartRun start;
+    start.task = run.task;
+    start.run = run.number;
+    start.workflow = entry->workflow;
+    start.deadline = estimatedClock(target, board.now).value_or(TargetClock{0}) + board.self.limits.startLife;
+    start.checkpoint = run.resumedFrom;
+    if (run.step == RunStep::Recording) {
+        run.step = RunStep::Starting;
+        run.since = board.now;
+    }
+    ++run.starts;
+    run.startDeadline = start.deadline;
+    target.heldUntil = std::max(target.heldUntil, start.deadline);
+    sendOrder(board, run, target, std::move(start));
+    board.targets.put(run.place.target, std::move(target));
+    board.runs.put(run.task, std::move(run));
+}
+
+void sendStop(WorkflowBoard &board, TaskRun run)
+{
+    const auto *target = board.targets.find(run.place.target);
+    if (target == nullptr || target->registration.address.empty()) {
+        return;
+    }
+    sendOrder(board, run, *target, StopRun{run.task, run.number});
+    board.runs.put(run.task, std::move(run));
+}
+
+/// The run was recorded, but its target may not be given work any more.
+void dropRecorded(WorkflowBoard &board, const TaskRun &run)
+{
+    logDecision(board, "startRun", run.place.target.value, toString(run.task), "run " + std::to_string(run.number) + " dropped before its start: the target takes no new work");
+    removeRun(board, run);
+    failGangOf(board, run, "a member's target takes no new work");
+}
+
+void driveRecorded(WorkflowBoard &board, const TaskRun &run)
+{
+    const auto *target = board.targets.find(run.place.target);
+    if (target == nullptr || target->registration.life != run.place || !takesWork(board, *target)) {
+        dropRecorded(board, run);
+        return;
+    }
+    if (isProofFresh(board) && isStored(board, run.task.step.workflow, run.recordedIn)) {
+        sendStart(board, run);
+    }
+}
+
+void driveStarting(WorkflowBoard &board, const TaskRun &run)
+{
+    const auto *step = findStep(board, run.task.step);
+    const bool isGang = step != nullptr && step->isGang;
+    const auto gangWait = static_cast<double>(board.self.limits.gangWait.count()) * gangPatience;
+    const Duration patience = isGang ? Duration{static_cast<Duration::rep>(gangWait)} : board.self.limits.startLife;
+    if (board.now >= run.since + patience) {
+        stopRun(board, run, "its start was not answered in time");
+        failGangOf(board, run, "a member's start was not answered in time");
+        return;
+    }
+    if (board.now >= run.retryAt) {
+        count(board.counters, "startsRepeated", "");
+        sendStart(board, run);
+        return;
+    }
+    subscribeNoLaterThan(board.timers, "orders", run.retryAt);
+}
+
+void driveRun(WorkflowBoard &board, const TaskId &task)
+{
+    const auto *present = board.runs.find(task);
+    if (present == nullptr || present->call) {
+        return;
+    }
+    const TaskRun run = *present;
+    if (run.isStopWanted && !run.stoppedAt) {
+        if (board.now >= run.retryAt) {
+            sendStop(board, run);
+        } else {
+            subscribeNoLaterThan(board.timers, "orders", run.retryAt);
+        }
+        return;
+    }
+    if (run.step == RunStep::Recording) {
+        driveRecorded(board, run);
+    } else if (run.step == RunStep::Starting && !run.stoppedAt) {
+        driveStarting(board, run);
+    }
+}
+
+}
+
+void driveRuns(WorkflowBoard &board)
+{
+    if (!hasAuthority(board)) {
+        return;
+    }
+    std::vector<TaskId> waiting;
+    for (const auto &[task, run] : board.runs.rows()) {
+        const bool needsOrder = run.step == RunStep::Recording || run.step == RunStep::Starting || (run.isStopWanted && !run.stoppedAt);
+        if (!run.call && needsOrder) {
+            waiting.push_back(task);
+        }
+    }
+    std::ranges::for_each(waiting, [&](const TaskId &task) { driveRun(board, task); });
+}
+
+}
--- /dev/null
+++ b/workflow/followruns.cpp
@@ -0,0 +1,253 @@
+#include "controllers.h"
+#include "progresschange.h"
+#include "runends.h"
+#include "targetlease.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+// A target that does not answer is asked again after this time; the first repetition opens a new connection.
+constexpr Duration silentRetry{250};
+
+// A target that refused a start for a reason of its own gets no work for this time.
+constexpr Duration refusalPause{1'000};
+
+// Ends that wait for the store are asked for again after this time.
+constexpr Duration pendingEndPause{500};
+
+void noteFenced(WorkflowBoard &board, const TargetId &target)
+{
+    logDecision(board, "obeyFence", target.value, "", "the target has seen a higher token than " + std::to_string(board.ownership.token), true);
+    // The next renewal or proof tells whether another host owns the domain; until then nothing more is sent.
+    board.ownership.authorityUntil = board.now;
+}
+
+/// Compares the board's runs on the target with its list of what is at work.
+void compareRuns(WorkflowBoard &board, const TargetId &id, const TargetLists &lists, TimePoint askedAt)
+{
+    std::map<TaskId, const ListedRun *> listed;
+    for (const auto &row : lists.running) {
+        listed.emplace(row.task, &row);
+    }
+    std::vector<TaskRun> onTarget;
+    for (const auto &[task, run] : board.runs.rows()) {
+        if (run.place.target == id && run.step != RunStep::Recording) {
+            onTarget.push_back(run);
+        }
+    }
+    for (auto run : onTarget) {
+        const auto found = listed.find(run.task);
+        if (found != listed.end() && found->second->run == run.number) {
+            run.isListed = true;
+            run.percent = found->second->percent;
+            run.checkpoint = found->second->checkpoint.empty() ? run.checkpoint : found->second->checkpoint;
+            run.firstSeenRunning = run.firstSeenRunning.value_or(board.now);
+            if (run.step == RunStep::Starting || run.step == RunStep::Unconfirmed) {
+                run.step = RunStep::Running;
+                run.since = board.now;
+            }
+            board.runs.put(run.task, run);
+            continue;
+        }
+        // The list says nothing about orders that may have arrived after it was made.
+        const bool isSettled = run.step == RunStep::Unconfirmed || (run.step == RunStep::Running && askedAt >= run.since)
+                               || (run.stoppedAt && askedAt >= *run.stoppedAt);
+        if (isSettled && board.runs.contains(run.task)) {
+            loseUnlistedRun(board, run);
+        }
+    }
+    for (const auto &[task, row] : listed) {
+        const auto *run = board.runs.find(task);
+        if (run == nullptr || run->number != row->run || run->place.target != id) {
+            stopStray(board, id, *row);
+        }
+    }
+}
+
+void takeLists(WorkflowBoard &board, const TargetId &id, const TargetLists &lists, TimePoint askedAt)
+{
+    for (const auto &ended : lists.ended) {
+        const auto *target = board.targets.find(id);
+        if (ended.number <= target->newestEnd) {
+            continue;
+        }
+        takeEnd(board, id, ended);
+        DomainTarget changed = *board.targets.find(id);
+        changed.newestEnd = ended.number;
+        changed.pendingEnds.push_back({ended.number, ended.task.step.workflow, progressVersion(board, ended.task.step.workflow)});
+        board.targets.put(id, std::move(changed));
+    }
+    compareRuns(board, id, lists, askedAt);
+}
+
+void takeHold(WorkflowBoard &board, const TargetId &id, const TargetOrderReply &reply)
+{
+    DomainTarget target = *board.targets.find(id);
+    const TimePoint askedAt = target.holdSentAt;
+    target.hold.reset();
+    if (reply.outcome != OrderOutcome::Accepted || !reply.lists) {
+        if (reply.refusal == OrderRefusal::Fenced) {
+            noteFenced(board, id);
+        }
+        if (target.failures == 1) {
+            logDecision(board, "holdTarget", id.value, "", "no answer: " + reply.error, true);
+        }
+        ++target.failures;
+        target.nextHoldAt = board.now + silentRetry;
+        board.targets.put(id, std::move(target));
+        return;
+    }
+    if (reply.lists->bornMs != target.registration.life.bornMs) {
+        if (reply.lists->bornMs > target.registration.life.bornMs) {
+            TargetRegistration registration = target.registration;
+            registration.life.bornMs = reply.lists->bornMs;
+            logDecision(board, "renewTarget", id.value, "", "its lists show that the target has started again");
+            target = asNewLife(std::move(target), registration);
+        }
+        target.nextHoldAt = board.now;
+        board.targets.put(id, std::move(target));
+        dropFormerLives(board);
+        return;
+    }
+    if (target.failures > 1) {
+        logDecision(board, "holdTarget", id.value, "", "answers again after " + std::to_string(target.failures) + " failures");
+    }
+    if (!target.isFenced || target.failures > 0) {
+        board.isPlanWanted = true;
+    }
+    target.failures = 0;
+    target.isFenced = true;
+    target.answeredAt = board.now;
+    target.hasStrays = false;
+    if (reply.clock) {
+        target.clock = ClockSample{*reply.clock, board.now};
+    }
+    board.targets.put(id, target);
+    takeLists(board, id, *reply.lists, askedAt);
+    target = *board.targets.find(id);
+    target.nextHoldAt = target.pendingEnds.empty() ? board.now : board.now + pendingEndPause;
+    board.targets.put(id, std::move(target));
+}
+
+void pauseTarget(WorkflowBoard &board, const TargetId &id)
+{
+    if (const auto *present = board.targets.find(id)) {
+        DomainTarget target = *present;
+        target.avoidUntil = board.now + refusalPause;
+        board.targets.put(id, std::move(target));
+    }
+}
+
+void takeStartRefusal(WorkflowBoard &board, TaskRun run, const TargetOrderReply &reply)
+{
+    const auto reason = std::string(name(reply.refusal));
+    logDecision(board, "startRun", run.place.target.value, toString(run.task), "run " + std::to_string(run.number) + " refused: " + reason, true);
+    count(board.counters, "startsRefused", reason);
+    if (reply.refusal == OrderRefusal::Fenced) {
+        noteFenced(board, run.place.target);
+    }
+    if (reply.refusal == OrderRefusal::TooLate) {
+        run.retryAt = board.now;
+        board.runs.put(run.task, run);
+        return;
+    }
+    if (reply.refusal == OrderRefusal::Unhealthy || reply.refusal == OrderRefusal::NoRoom || reply.refusal == OrderRefusal::OtherLife) {
+        pauseTarget(board, run.place.target);
+    }
+    if (reply.refusal == OrderRefusal::OldRun) {
+        // It ended or was stopped there; the lists show how, or that it never ran.
+        run.step = RunStep::Ending;
+        run.stoppedAt = board.now;
+        run.since = board.now;
+        board.runs.put(run.task, run);
+    } else if (run.starts == 1) {
+        removeRun(board, run);
+    } else {
+        // An earlier copy of the order may still be on its way.
+        run.isStopWanted = true;
+        board.runs.put(run.task, run);
+    }
+    failGangOf(board, run, "a member was refused");
+}
+
+void takeRunReply(WorkflowBoard &board, TaskRun run, const TargetOrderReply &reply)
+{
+    const bool wasStop = run.isStopCall;
+    run.call.reset();
+    if (reply.outcome == OrderOutcome::Accepted) {
+        if (wasStop) {
+            run.stoppedAt = board.now;
+            run.step = RunStep::Ending;
+        } else if (run.step == RunStep::Starting) {
+            run.step = RunStep::Running;
+        }
+        run.since = board.now;
+        board.runs.put(run.task, run);
+        return;
+    }
+    if (reply.outcome == OrderOutcome::Refused && !wasStop) {
+        takeStartRefusal(board, std::move(run), reply);
+        return;
+    }
+    if (reply.outcome == OrderOutcome::Refused) {
+        // The target does not run it: it refuses to stop what is not there.
+        run.stoppedAt = board.now;
+        run.step = RunStep::Ending;
+        if (reply.refusal == OrderRefusal::Fenced) {
+            noteFenced(board, run.place.target);
+        }
+        board.runs.put(run.task, run);
+        return;
+    }
+    logDecision(board, wasStop ? "stopRun" : "startRun", run.place.target.value, toString(run.task), "no answer: " + reply.error, true);
+    count(board.counters, wasStop ? "stopsUnanswered" : "startsUnanswered", "");
+    run.retryAt = board.now + (run.starts > 1 ? board.self.limits.orderRetry : Duration{0});
+    board.runs.put(run.task, run);
+}
+
+void noteClock(WorkflowBoard &board, const TargetOrderReply &reply)
+{
+    const auto *present = board.targets.find(reply.target);
+    if (present == nullptr || !reply.clock || !present->isFenced) {
+        return;
+    }
+    DomainTarget target = *present;
+    target.clock = ClockSample{*reply.clock, board.now};
+    board.targets.put(reply.target, std::move(target));
+}
+
+}
+
+void followRuns(WorkflowBoard &board)
+{
+    if (board.ownership.step != OwnershipStep::Owner) {
+        return;
+    }
+    for (const auto &event : board.inbox) {
+        const auto *reply = std::get_if<TargetOrderReply>(&event);
+        if (reply == nullptr) {
+            continue;
+        }
+        const auto *target = board.targets.find(reply->target);
+        if (target != nullptr && target->hold == reply->id) {
+            takeHold(board, reply->target, *reply);
+            continue;
+        }
+        const auto asked = board.runCalls.extract(reply->id);
+        const auto *run = asked ? board.runs.find(asked.mapped()) : nullptr;
+        if (run != nullptr && run->call == reply->id) {
+            noteClock(board, *reply);
+            takeRunReply(board, *run, *reply);
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/workflow/followstore.cpp
@@ -0,0 +1,122 @@
+#include "controllers.h"
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+// Prefixes that every host follows, and those that only the owner needs.
+const std::array<std::string, 2> commonPrefixes{"config/", domainOwnerKey().path};
+const std::array<std::string, 2> ownerPrefixes{"targets/", "intake/"};
+
+// Targets write every second or two, so with this many of them a watch that hears none of them has gone deaf.
+constexpr std::size_t talkativeTargets = 8;
+constexpr Duration deafAfter{900};
+
+constexpr Duration rereadSpread{50};
+
+bool isWanted(const WorkflowBoard &board, const std::string &prefix)
+{
+    if (std::ranges::find(commonPrefixes, prefix) != commonPrefixes.end()) {
+        return true;
+    }
+    // A workflow that is taken in before its progress has been read would look new.
+    return board.ownership.step == OwnershipStep::Owner && (prefix != "intake/" || board.load.hasProgress);
+}
+
+void addWantedMirrors(WorkflowBoard &board)
+{
+    std::erase_if(board.mirrors, [&](const auto &row) { return !isWanted(board, row.first); });
+    const auto add = [&](const std::string &prefix) {
+        if (isWanted(board, prefix)) {
+            board.mirrors.try_emplace(prefix);
+        }
+    };
+    std::ranges::for_each(commonPrefixes, add);
+    std::ranges::for_each(ownerPrefixes, add);
+}
+
+StoreMirror takeRead(WorkflowBoard &board, const std::string &prefix, StoreMirror mirror)
+{
+    const auto *reply = mirror.step == MirrorStep::Reading ? findReply(board, mirror.read) : nullptr;
+    if (reply == nullptr) {
+        return mirror;
+    }
+    if (reply->outcome != StoreOutcome::Applied) {
+        logDecision(board, "readStore", prefix, "", "read failed, next try in " + std::to_string(board.self.limits.storeRetry.count()) + " ms: " + reply->error, true);
+        mirror.step = MirrorStep::Off;
+        mirror.retryAt = board.now + board.self.limits.storeRetry;
+        return mirror;
+    }
+    board.updates.push_back({prefix, true, reply->entries, {}, reply->revision});
+    mirror.step = MirrorStep::Watching;
+    mirror.revision = reply->revision;
+    ++mirror.generation;
+    mirror.heardAt = board.now;
+    return mirror;
+}
+
+StoreMirror takeWatch(WorkflowBoard &board, const std::string &prefix, StoreMirror mirror)
+{
+    for (const auto &event : board.inbox) {
+        if (const auto *change = std::get_if<StoreWatchEvent>(&event); change != nullptr && change->prefix == prefix && mirror.step == MirrorStep::Watching) {
+            board.updates.push_back({prefix, false, change->put, change->deleted, change->revision});
+            mirror.revision = std::max(mirror.revision, change->revision);
+            mirror.heardAt = board.now;
+        } else if (const auto *lost = std::get_if<StoreWatchLost>(&event); lost != nullptr && lost->prefix == prefix && mirror.step == MirrorStep::Watching) {
+            logDecision(board, "watchStore", prefix, "", "watch lost at revision " + std::to_string(mirror.revision) + ": " + lost->reason, true);
+            count(board.counters, "watchesLost", prefix);
+            mirror.step = MirrorStep::Off;
+            mirror.retryAt = board.now + takeJitter(board, rereadSpread);
+        }
+    }
+    return mirror;
+}
+
+/// A watch of registrations that hears nothing, although targets write all the time, has gone deaf, and so have the others.
+void replaceDeafWatches(WorkflowBoard &board)
+{
+    const auto targets = board.mirrors.find("targets/");
+    if (targets == board.mirrors.end() || targets->second.step != MirrorStep::Watching || board.targets.size() < talkativeTargets) {
+        return;
+    }
+    const auto deafAt = targets->second.heardAt + deafAfter;
+    if (board.now < deafAt) {
+        subscribeNoLaterThan(board.timers, "deafWatch", deafAt);
+        return;
+    }
+    logDecision(board, "watchStore", "targets/", "", "no target has written for " + std::to_string(deafAfter.count()) + " ms; reading again", true);
+    count(board.counters, "watchesLost", "deaf");
+    for (auto &[prefix, mirror] : board.mirrors) {
+        mirror.step = MirrorStep::Off;
+        mirror.retryAt = board.now;
+    }
+}
+
+}
+
+void followStore(WorkflowBoard &board)
+{
+    addWantedMirrors(board);
+    replaceDeafWatches(board);
+    for (auto &[prefix, mirror] : board.mirrors) {
+        mirror = takeWatch(board, prefix, takeRead(board, prefix, mirror));
+        // While the store does not answer, only the proof asks it; the reads follow once it does.
+        const bool mayRead = board.view.isReachable || !board.view.isLoaded;
+        if (mirror.step == MirrorStep::Off && mayRead && board.now >= mirror.retryAt) {
+            mirror.step = MirrorStep::Reading;
+            mirror.read = sendToStore(board, StoreRange{{prefix}, true});
+        } else if (mirror.step == MirrorStep::Off) {
+            subscribeNoLaterThan(board.timers, "readStore", std::max(mirror.retryAt, board.now + Duration{1}));
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/workflow/followtargets.cpp
@@ -0,0 +1,145 @@
+#include "controllers.h"
+#include "targetlease.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+void putRegistration(WorkflowBoard &board, const TargetRegistration &registration)
+{
+    const auto &id = registration.life.target;
+    const auto *present = board.targets.find(id);
+    if (present == nullptr) {
+        DomainTarget target;
+        target.registration = registration;
+        // A former owner may have held runs there until its authority ended, and this host's began no earlier.
+        target.lostAt = board.ownership.ownedSince + foreignLease(board.self.limits);
+        board.targets.put(id, std::move(target));
+        board.isPlanWanted = true;
+        return;
+    }
+    DomainTarget target = *present;
+    if (registration.life.bornMs < target.registration.life.bornMs) {
+        return; // Read before the target's lists showed its new life.
+    }
+    const bool isNewLife = registration.life.bornMs > target.registration.life.bornMs;
+    if (registration.isDraining && !target.registration.isDraining) {
+        logDecision(board, "drainTarget", id.value, "", "no new work; it leaves in " + std::to_string(registration.remaining.count()) + " ms at the earliest");
+    }
+    if (registration != target.registration || !target.isRegistered) {
+        board.isPlanWanted = true;
+    }
+    target = isNewLife ? asNewLife(std::move(target), registration) : std::move(target);
+    target.registration = registration;
+    target.isRegistered = true;
+    board.targets.put(id, std::move(target));
+    if (isNewLife) {
+        logDecision(board, "renewTarget", id.value, "", "the target has started again");
+        dropFormerLives(board);
+    }
+}
+
+void removeRegistration(WorkflowBoard &board, const TargetId &id)
+{
+    const auto *present = board.targets.find(id);
+    if (present == nullptr || !present->isRegistered) {
+        return;
+    }
+    DomainTarget target = *present;
+    target.isRegistered = false;
+    board.targets.put(id, std::move(target));
+    logDecision(board, "removeTarget", id.value, "", "its registration has ended");
+}
+
+bool hasRuns(const WorkflowBoard &board, const TargetId &id)
+{
+    return std::ranges::any_of(board.runs.rows(), [&](const auto &row) { return row.second.place.target == id; });
+}
+
+/// Targets that runs name but that are not registered; nothing can be asked there, so time decides.
+void addUnregisteredPlaces(WorkflowBoard &board)
+{
+    std::set<TargetLife> missing;
+    for (const auto &[task, run] : board.runs.rows()) {
+        if (!board.targets.contains(run.place.target)) {
+            missing.insert(run.place);
+        }
+    }
+    for (const auto &life : missing) {
+        DomainTarget target;
+        target.registration.life = life;
+        target.isRegistered = false;
+        target.lostAt = board.ownership.ownedSince + foreignLease(board.self.limits);
+        board.targets.put(life.target, std::move(target));
+    }
+}
+
+/// Unregistered targets without runs are forgotten.
+void forgetTargets(WorkflowBoard &board)
+{
+    std::vector<TargetId> gone;
+    for (const auto &[id, target] : board.targets.rows()) {
+        if (!target.isRegistered && !hasRuns(board, id)) {
+            gone.push_back(id);
+        }
+    }
+    std::ranges::for_each(gone, [&](const TargetId &id) { board.targets.erase(id); });
+}
+
+void takeUpdate(WorkflowBoard &board, const MirrorUpdate &update)
+{
+    for (const auto &entry : update.put) {
+        if (const auto *registration = std::get_if<TargetRegistration>(&entry.record)) {
+            putRegistration(board, *registration);
+        }
+    }
+    std::ranges::for_each(update.deleted, [&](const StoreKey &key) { removeRegistration(board, {lastPart(key)}); });
+    if (!update.isWhole) {
+        return;
+    }
+    std::set<TargetId> named;
+    std::ranges::transform(update.put, std::inserter(named, named.end()), [](const StoreEntry &entry) { return TargetId{lastPart(entry.key)}; });
+    std::vector<TargetId> absent;
+    for (const auto &[id, target] : board.targets.rows()) {
+        if (target.isRegistered && !named.contains(id)) {
+            absent.push_back(id);
+        }
+    }
+    std::ranges::for_each(absent, [&](const TargetId &id) { removeRegistration(board, id); });
+    board.load.hasTargets = true;
+}
+
+}
+
+void followTargets(WorkflowBoard &board)
+{
+    if (board.ownership.step != OwnershipStep::Owner) {
+        return;
+    }
+    bool hasNews = false;
+    for (const auto &update : board.updates) {
+        if (update.prefix == "targets/") {
+            takeUpdate(board, update);
+            hasNews = true;
+        }
+        if (update.isWhole && (update.prefix == "targets/" || update.prefix == "intake/")) {
+            // What a former owner recorded may stand on former lives of the targets.
+            dropFormerLives(board);
+        }
+    }
+    if (board.load.hasTargets && board.load.hasIntake) {
+        addUnregisteredPlaces(board);
+    }
+    if (hasNews) {
+        forgetTargets(board);
+    }
+}
+
+}
--- /dev/null
+++ b/workflow/loaddomain.cpp
@@ -0,0 +1,146 @@
+#include "controllers.h"
+#include "progresschange.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+void readProgress(WorkflowBoard &board)
+{
+    auto &load = board.load;
+    if (const auto *reply = findReply(board, load.progressRead)) {
+        load.progressRead.reset();
+        if (reply->outcome == StoreOutcome::Applied) {
+            load.hasProgress = true;
+            for (const auto &entry : reply->entries) {
+                if (const auto *progress = std::get_if<WorkflowProgress>(&entry.record)) {
+                    load.progress.insert_or_assign(RequestId{lastPart(entry.key)}, *progress);
+                }
+            }
+        } else {
+            load.retryAt = board.now + board.self.limits.storeRetry;
+        }
+    }
+    if (!load.hasProgress && !load.progressRead && board.now >= load.retryAt) {
+        load.progressRead = sendToStore(board, StoreRange{workflowProgressKey({}), true});
+    }
+}
+
+void readMark(WorkflowBoard &board)
+{
+    auto &load = board.load;
+    if (const auto *reply = findReply(board, load.markRead)) {
+        load.markRead.reset();
+        if (reply->outcome == StoreOutcome::Applied) {
+            load.hasMark = true;
+            board.chain.markRevision = reply->entries.empty() ? 0 : reply->entries.front().revision;
+        } else {
+            load.retryAt = board.now + board.self.limits.storeRetry;
+        }
+    }
+    if (!load.hasMark && !load.markRead && board.now >= load.retryAt) {
+        load.markRead = sendToStore(board, StoreRange{commitMarkKey(), false});
+    }
+}
+
+/// Runs that a former owner recorded; the targets' lists decide what became of them.
+void adoptRuns(WorkflowBoard &board, const WorkflowEntry &entry)
+{
+    const auto &workflow = *entry.workflow;
+    for (const auto &[occurrence, progress] : entry.progress.occurrences) {
+        for (std::size_t step = 0; step < progress.steps.size(); ++step) {
+            for (std::size_t index = 0; index < progress.steps[step].size(); ++index) {
+                const auto &task = progress.steps[step][index];
+                if (!task.place || task.isFinished) {
+                    continue;
+                }
+                TaskRun run;
+                run.task = {{workflow.id, occurrence, static_cast<int>(step)}, static_cast<int>(index)};
+                run.number = task.lastRun;
+                run.place = *task.place;
+                run.uses = workflow.specification.steps[step].perTask;
+                run.step = RunStep::Unconfirmed;
+                run.since = board.now;
+                run.starts = 1;
+                run.checkpoint = task.checkpoint;
+                run.resumedFrom = task.checkpoint;
+                board.runs.put(run.task, run);
+            }
+        }
+    }
+}
+
+void addWorkflow(WorkflowBoard &board, const Workflow &workflow)
+{
+    if (board.workflows.contains(workflow.id)) {
+        return;
+    }
+    WorkflowEntry entry;
+    entry.workflow = std::make_shared<const Workflow>(workflow);
+    if (auto read = board.load.progress.extract(workflow.id)) {
+        entry.progress = std::move(read.mapped());
+    }
+    board.workflows.put(workflow.id, entry);
+    adoptRuns(board, entry);
+    board.isPlanWanted = true;
+}
+
+void noteCancellation(WorkflowBoard &board, const RequestId &id)
+{
+    const auto *present = board.workflows.find(id);
+    if (present == nullptr || present->isCancelRequested) {
+        return;
+    }
+    WorkflowEntry entry = *present;
+    entry.isCancelRequested = true;
+    board.workflows.put(id, std::move(entry));
+}
+
+void takeIntake(WorkflowBoard &board, const MirrorUpdate &update)
+{
+    for (const auto &entry : update.put) {
+        if (const auto *workflow = std::get_if<Workflow>(&entry.record)) {
+            addWorkflow(board, *workflow);
+        }
+    }
+    // After the workflows, because both may arrive in one read.
+    for (const auto &entry : update.put) {
+        if (std::holds_alternative<WorkflowCancellation>(entry.record)) {
+            noteCancellation(board, {lastPart(entry.key)});
+        }
+    }
+    board.load.hasIntake = board.load.hasIntake || update.isWhole;
+}
+
+}
+
+void loadDomain(WorkflowBoard &board)
+{
+    if (board.ownership.step != OwnershipStep::Owner) {
+        return;
+    }
+    auto &load = board.load;
+    readProgress(board);
+    readMark(board);
+    const bool waitsForRetry = (!load.hasProgress && !load.progressRead) || (!load.hasMark && !load.markRead);
+    if (waitsForRetry) {
+        subscribeNoLaterThan(board.timers, "load", load.retryAt);
+    }
+    for (const auto &update : board.updates) {
+        if (update.prefix == "intake/") {
+            takeIntake(board, update);
+        }
+    }
+    if (load.hasIntake && !load.progress.empty()) {
+        // Progress without a workflow: the records were removed while they were read.
+        load.progress.clear();
+    }
+}
+
+}
--- /dev/null
+++ b/workflow/packing.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "placement.h"
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace sequoiastand
+{
+
+/// Tasks for each target, parallel to the targets of the input.
+using TaskCounts = std::vector<int>;
+
+/// How many tasks of the step the room holds, as its largest dimension allows.
+int tasksThatFit(const Resources &perTask, const Resources &room);
+
+/// True if the step may stand on the target at all.
+bool isAllowed(const WaitingStep &waiting, const PlacementTarget &target);
+
+/// The room of a target that a packing may use.
+using RoomOf = std::function<Resources(const PlacementTarget &)>;
+
+/// Places for `count` tasks among the targets that `mayUse` names, or nothing if they do not all fit. Fills the targets that leave the least room first.
+std::optional<TaskCounts>
+packTasks(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, int count, const RoomOf &roomOf, const std::function<bool(const PlacementTarget &)> &mayUse);
+
+/// As packTasks(), within the one rack that it leaves the least room in.
+std::optional<TaskCounts> packRack(const std::vector<PlacementTarget> &targets,
+                                   const WaitingStep &waiting,
+                                   int count,
+                                   const RoomOf &roomOf,
+                                   const std::function<bool(const PlacementTarget &)> &mayUse);
+
+}
--- /dev/null
+++ b/workflow/placement.cpp
@@ -0,0 +1,164 @@
+#include "placement.h"
+
+#include "packing.h"
+#include "reclaim.h"
+
+#include <algorithm>
+#include <functional>
+#include <numeric>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+// Work waits for its rack or its data no longer than this share of its run time: elsewhere it takes three times as long at the sites seen so far, so a short
+// wait costs less than the slower run.
+constexpr double localityPatience = 1.0;
+
+bool isNowFree(const PlacementTarget &)
+{
+    return true;
+}
+
+Resources freeRoom(const PlacementTarget &target)
+{
+    return target.free;
+}
+
+Resources soonRoom(const PlacementTarget &target)
+{
+    return target.soon;
+}
+
+/// Urgent steps first, then by the time that is left until they must start.
+void sortWaiting(std::vector<WaitingStep> &waiting)
+{
+    std::ranges::stable_sort(waiting, {}, [](const WaitingStep &step) { return std::tuple(step.priority, step.slack); });
+}
+
+bool mayLeaveLocality(const WaitingStep &waiting)
+{
+    const auto patience = std::chrono::duration_cast<Duration>(waiting.remaining * localityPatience);
+    return waiting.waited >= patience;
+}
+
+/// True if one rack could hold the whole gang when nothing else ran there.
+bool couldFitOneRack(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, int count)
+{
+    const auto whole = [](const PlacementTarget &target) { return target.capacity; };
+    return packRack(targets, waiting, count, whole, isNowFree).has_value();
+}
+
+std::function<bool(const PlacementTarget &)> goodPlaces(const WaitingStep &waiting)
+{
+    // A task that has failed has few tries left, so it keeps away from targets on which work fails.
+    return [&waiting](const PlacementTarget &target) { return !waiting.hasFailed || !target.isSuspect; };
+}
+
+std::optional<TaskCounts> placeGang(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, const RoomOf &roomOf)
+{
+    const int count = static_cast<int>(waiting.tasks.size());
+    const auto mayUse = goodPlaces(waiting);
+    const auto &step = waiting.specification;
+    if (step.needsOneRack) {
+        auto counts = packRack(targets, waiting, count, roomOf, mayUse);
+        const bool maySpread = !counts && (mayLeaveLocality(waiting) || !couldFitOneRack(targets, waiting, count));
+        return maySpread ? packTasks(targets, waiting, count, roomOf, mayUse) : counts;
+    }
+    if (!step.dataRack.value.empty()) {
+        const auto inRack = [&](const PlacementTarget &target) { return target.rack == step.dataRack && mayUse(target); };
+        auto counts = packTasks(targets, waiting, count, roomOf, inRack);
+        return counts || !mayLeaveLocality(waiting) ? counts : packTasks(targets, waiting, count, roomOf, mayUse);
+    }
+    return packTasks(targets, waiting, count, roomOf, mayUse);
+}
+
+/// Places for as many of the tasks as there is room for; each task starts by itself.
+TaskCounts placeSingles(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting)
+{
+    const auto mayUse = goodPlaces(waiting);
+    const auto &step = waiting.specification;
+    const bool mustBeNear = !step.dataRack.value.empty() && !mayLeaveLocality(waiting);
+    const auto isChosen = [&](const PlacementTarget &target) { return mayUse(target) && (!mustBeNear || target.rack == step.dataRack); };
+    // The largest number that fits, found by halving; a failed packing of a large number is cheap.
+    int low = 0;
+    int high = static_cast<int>(waiting.tasks.size());
+    TaskCounts best(targets.size(), 0);
+    while (low < high) {
+        const int middle = (low + high + 1) / 2;
+        if (auto counts = packTasks(targets, waiting, middle, freeRoom, isChosen)) {
+            best = *std::move(counts);
+            low = middle;
+        } else {
+            high = middle - 1;
+        }
+    }
+    return best;
+}
+
+void takeRoom(std::vector<PlacementTarget> &targets, const WaitingStep &waiting, const TaskCounts &counts)
+{
+    for (std::size_t index = 0; index < targets.size(); ++index) {
+        const auto used = waiting.specification.perTask * counts[index];
+        targets[index].free = targets[index].free - used;
+        targets[index].soon = targets[index].soon - used;
+    }
+}
+
+void addStarts(PlacementPlan &plan, const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, const TaskCounts &counts)
+{
+    auto task = waiting.tasks.begin();
+    for (std::size_t index = 0; index < targets.size(); ++index) {
+        for (int placed = 0; placed < counts[index]; ++placed) {
+            plan.starts.push_back({{waiting.step, *task}, targets[index].id});
+            ++task;
+        }
+    }
+}
+
+/// An urgent step that does not fit now: waits for what is being stopped, or has more stopped.
+void makeRoom(PlacementInput &input, PlacementPlan &plan, const WaitingStep &waiting)
+{
+    if (auto counts = placeGang(input.targets, waiting, soonRoom)) {
+        takeRoom(input.targets, waiting, *counts);
+        return;
+    }
+    if (auto reclaim = findReclaim(input, waiting)) {
+        plan.stops.insert(plan.stops.end(), reclaim->stops.begin(), reclaim->stops.end());
+        takeRoom(input.targets, waiting, reclaim->places);
+    }
+}
+
+void placeStep(PlacementInput &input, PlacementPlan &plan, const WaitingStep &waiting)
+{
+    if (!waiting.specification.isGang) {
+        const auto counts = placeSingles(input.targets, waiting);
+        takeRoom(input.targets, waiting, counts);
+        addStarts(plan, input.targets, waiting, counts);
+        return;
+    }
+    if (auto counts = placeGang(input.targets, waiting, freeRoom)) {
+        takeRoom(input.targets, waiting, *counts);
+        addStarts(plan, input.targets, waiting, *counts);
+    } else if (waiting.priority == 0) {
+        makeRoom(input, plan, waiting);
+    }
+}
+
+}
+
+PlacementPlan planPlacements(PlacementInput input)
+{
+    PlacementPlan plan;
+    sortWaiting(input.waiting);
+    const auto waiting = std::move(input.waiting);
+    std::ranges::for_each(waiting, [&](const WaitingStep &step) { placeStep(input, plan, step); });
+    return plan;
+}
+
+}
--- /dev/null
+++ b/workflow/placement.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "core/queueconfiguration.h"
+#include "core/workflowprogress.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sequoiastand
+{
+
+/// A target as a placement pass sees it.
+struct PlacementTarget
+{
+    TargetId id;
+    ServiceId service;
+    RackId rack;
+    std::vector<std::string> labels;
+    Resources capacity;
+    Resources free;          ///< Room that nothing holds now.
+    Resources soon;          ///< `free` and what is being stopped.
+    bool takesWork = false;  ///< May be given work now.
+    bool isSuspect = false;  ///< Failed runs there since it last finished one.
+    double speed = 1;        ///< Measured against the others; above one is faster.
+
+    friend bool operator==(const PlacementTarget &, const PlacementTarget &) = default;
+};
+
+/// Tasks of one step that may start: a whole gang, or every waiting task of a step that is none.
+struct WaitingStep
+{
+    StepId step;
+    StepSpecification specification;
+    ServiceId service;
+    OrganisationId organisation;
+    int priority = 0;
+    std::vector<int> tasks;
+    bool hasFailed = false;        ///< A run of it has failed; it must not fail on a bad target again.
+    Duration waited{0};            ///< Since it could first have started.
+    Duration remaining{0};         ///< Estimated run time that is left.
+    Duration slack{0};             ///< Until it must start to meet its objective; negative: it is late.
+    std::map<TargetId, int> taken; ///< Tasks of the step that stand on a target already.
+
+    friend bool operator==(const WaitingStep &, const WaitingStep &) = default;
+};
+
+/// Something at work that may be stopped to make room: a whole gang, or one task.
+struct RunningUnit
+{
+    StepId step;
+    int priority = 0;
+    OrganisationId organisation;
+    Resources perTask;
+    std::map<int, TargetId> tasks; ///< Place of each task.
+    double lostWork = 0;           ///< Core-seconds that a stop throws away.
+
+    friend bool operator==(const RunningUnit &, const RunningUnit &) = default;
+};
+
+struct PlacementInput
+{
+    std::vector<PlacementTarget> targets;
+    std::vector<WaitingStep> waiting;
+    std::vector<RunningUnit> running;
+    std::map<OrganisationId, int> guaranteed; ///< Accelerators.
+
+    friend bool operator==(const PlacementInput &, const PlacementInput &) = default;
+};
+
+struct PlannedStart
+{
+    TaskId task;
+    TargetId target;
+
+    friend bool operator==(const PlannedStart &, const PlannedStart &) = default;
+};
+
+struct PlannedStop
+{
+    TaskId task;
+    StepId inFavourOf;
+
+    friend bool operator==(const PlannedStop &, const PlannedStop &) = default;
+};
+
+struct PlacementPlan
+{
+    std::vector<PlannedStart> starts;
+    std::vector<PlannedStop> stops;
+
+    friend bool operator==(const PlacementPlan &, const PlacementPlan &) = default;
+};
+
+/// Decides which waiting steps start where now, and what is stopped for urgent ones. Gangs start whole or not at all.
+PlacementPlan planPlacements(PlacementInput input);
+
+}
--- /dev/null
+++ b/workflow/planwork.cpp
@@ -0,0 +1,232 @@
+#include "controllers.h"
+#include "eligibility.h"
+#include "placement.h"
+#include "progresschange.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+// A target on which this many runs failed since the last one that finished is taken for bad, for this time after the last failure.
+constexpr int suspectFailures = 2;
+constexpr Duration suspicion{8'000};
+
+// What a core of work is worth beside an accelerator when the cost of a stop is weighed.
+constexpr double coresPerAccelerator = 8;
+
+constexpr double milliPerCore = 1'000;
+
+std::vector<PlacementTarget> targetsOf(const WorkflowBoard &board)
+{
+    std::map<TargetId, std::pair<Resources, Resources>> used; // All, and what is being stopped.
+    for (const auto &[task, run] : board.runs.rows()) {
+        auto &[all, stopping] = used[run.place.target];
+        all = all + run.uses;
+        if (run.isStopWanted || run.step == RunStep::Ending) {
+            stopping = stopping + run.uses;
+        }
+    }
+    std::vector<PlacementTarget> targets;
+    targets.reserve(board.targets.size());
+    for (const auto &[id, row] : board.targets.rows()) {
+        PlacementTarget target;
+        target.id = id;
+        target.service = row.registration.service;
+        target.rack = row.registration.rack;
+        target.labels = row.registration.labels;
+        target.capacity = row.registration.capacity;
+        target.free = row.registration.capacity - used[id].first;
+        target.soon = target.free + used[id].second;
+        target.takesWork = takesWork(board, row);
+        target.isSuspect = row.recentFailures >= suspectFailures && row.lastFailureAt && board.now - *row.lastFailureAt < suspicion;
+        targets.push_back(std::move(target));
+    }
+    return targets;
+}
+
+/// Time until the workflow must have ended to meet its objective, less the work that is left.
+Duration slackOf(const WorkflowBoard &board, const WorkflowEntry &entry, const Queue &queue, int occurrence)
+{
+    const auto chain = longestChain(entry.workflow->specification);
+    const auto objective = Duration{static_cast<Duration::rep>(queue.stretch * static_cast<double>(chain.count()))} + queue.latencyTarget;
+    const auto due = std::max(dueTime(*entry.workflow, occurrence), entry.workflow->acceptedAt);
+    return due + objective - chain - board.wallNow;
+}
+
+std::optional<WaitingStep> waitingStep(const WorkflowBoard &board, const WorkflowEntry &entry, const StepId &id, const StepProgress &progress)
+{
+    const auto &specification = entry.workflow->specification.steps.at(static_cast<std::size_t>(id.step));
+    WaitingStep waiting;
+    waiting.step = id;
+    for (std::size_t index = 0; index < progress.size(); ++index) {
+        const TaskId task{id, static_cast<int>(index)};
+        waiting.hasFailed = waiting.hasFailed || progress[index].failedRuns > 0;
+        if (const auto *run = board.runs.find(task)) {
+            if (specification.isGang) {
+                return std::nullopt;
+            }
+            ++waiting.taken[run->place.target];
+        } else if (!progress[index].isFinished) {
+            waiting.tasks.push_back(static_cast<int>(index));
+        }
+    }
+    if (waiting.tasks.empty()) {
+        return std::nullopt;
+    }
+    const auto &queue = queueOf(board, *entry.workflow);
+    waiting.specification = specification;
+    waiting.service = queue.service;
+    waiting.organisation = entry.workflow->organisation;
+    waiting.priority = queue.priority;
+    waiting.waited = std::max(Duration{0}, board.wallNow - std::max(dueTime(*entry.workflow, id.occurrence), entry.workflow->acceptedAt));
+    waiting.remaining = specification.estimate;
+    waiting.slack = slackOf(board, entry, queue, id.occurrence);
+    return waiting;
+}
+
+std::vector<WaitingStep> waitingSteps(const WorkflowBoard &board)
+{
+    std::vector<WaitingStep> found;
+    for (const auto &[id, entry] : board.workflows.rows()) {
+        if (hasEnded(entry.progress.state) || entry.isCancelRequested) {
+            continue;
+        }
+        for (const auto &[occurrence, progress] : entry.progress.occurrences) {
+            for (int step = 0; std::cmp_less(step, progress.steps.size()); ++step) {
+                const auto &tasks = progress.steps[static_cast<std::size_t>(step)];
+                if (isFinished(tasks) || !isStepReady(entry.workflow->specification, progress, step)) {
+                    continue;
+                }
+                if (auto waiting = waitingStep(board, entry, {id, occurrence, step}, tasks)) {
+                    found.push_back(*std::move(waiting));
+                }
+            }
+        }
+    }
+    return found;
+}
+
+double cores(const Resources &resources)
+{
+    return resources.milliCpu / milliPerCore + coresPerAccelerator * resources.accelerators;
+}
+
+/// Core-seconds that a stop throws away: all of the run, or with checkpoints the work since the last one and the restart.
+double lostWork(const WorkflowBoard &board, const TaskRun &run, const StepSpecification &step)
+{
+    const Duration ran = run.firstSeenRunning ? board.now - *run.firstSeenRunning : Duration{0};
+    const Duration lost = step.isCheckpointable ? std::min(ran, board.self.limits.checkpointPeriod + board.self.limits.restoreTime) : ran;
+    return cores(run.uses) * std::chrono::duration<double>(lost).count();
+}
+
+std::vector<RunningUnit> runningUnits(const WorkflowBoard &board)
+{
+    std::vector<RunningUnit> units;
+    for (const auto &[task, run] : board.runs.rows()) {
+        const auto *entry = board.workflows.find(task.step.workflow);
+        const auto *step = findStep(board, task.step);
+        if (entry == nullptr || step == nullptr || run.isStopWanted || run.step == RunStep::Ending || run.step == RunStep::Unconfirmed || step->isLasting) {
+            continue;
+        }
+        const bool joins = step->isGang && !units.empty() && units.back().step == task.step;
+        if (!joins) {
+            units.push_back({task.step, queueOf(board, *entry->workflow).priority, entry->workflow->organisation, step->perTask, {}, 0});
+        }
+        units.back().tasks.emplace(task.index, run.place.target);
+        units.back().lostWork += lostWork(board, run, *step);
+    }
+    return units;
+}
+
+void startPlanned(WorkflowBoard &board, const std::vector<PlannedStart> &starts)
+{
+    std::map<StepId, std::vector<PlannedStart>> bySteps;
+    for (const auto &start : starts) {
+        bySteps[start.task.step].push_back(start);
+    }
+    for (const auto &[step, tasks] : bySteps) {
+        const auto *specification = findStep(board, step);
+        changeProgress(board, step.workflow, [&](WorkflowProgress &progress) {
+            progress.state = WorkflowState::Running;
+            auto &rows = progress.occurrences.at(step.occurrence).steps.at(static_cast<std::size_t>(step.step));
+            // The members of a gang share one run number, which must be new for each of them.
+            const int newest = std::ranges::max(rows, {}, &TaskProgress::lastRun).lastRun;
+            for (const auto &start : tasks) {
+                auto &task = rows.at(static_cast<std::size_t>(start.task.index));
+                task.lastRun = specification->isGang ? newest + 1 : task.lastRun + 1;
+                task.place = board.targets.find(start.target)->registration.life;
+            }
+        });
+        const auto *entry = board.workflows.find(step.workflow);
+        for (const auto &start : tasks) {
+            const auto *progress = findTask(entry->progress, start.task);
+            TaskRun run;
+            run.task = start.task;
+            run.number = progress->lastRun;
+            run.place = *progress->place;
+            run.uses = specification->perTask;
+            run.since = board.now;
+            run.recordedIn = entry->version;
+            run.resumedFrom = progress->checkpoint;
+            run.checkpoint = progress->checkpoint;
+            board.runs.put(run.task, std::move(run));
+        }
+        logDecision(board,
+                    "placeStep",
+                    tasks.front().target.value,
+                    toString(step),
+                    "run " + std::to_string(findTask(entry->progress, tasks.front().task)->lastRun) + " of " + std::to_string(tasks.size()) + " tasks placed, "
+                        + std::to_string((board.wallNow - entry->workflow->acceptedAt).count()) + " ms after acceptance");
+    }
+}
+
+void stopPlanned(WorkflowBoard &board, const std::vector<PlannedStop> &stops)
+{
+    for (const auto &stop : stops) {
+        if (const auto *run = board.runs.find(stop.task)) {
+            stopRun(board, *run, "preempted for " + toString(stop.inFavourOf));
+        }
+    }
+}
+
+}
+
+void planWork(WorkflowBoard &board)
+{
+    if (!hasAuthority(board) || !isProofFresh(board) || !board.load.hasIntake || !board.load.hasTargets || !board.load.hasMark) {
+        return;
+    }
+    const bool isRequested = board.isPlanWanted || !board.workflows.changes().empty() || isDue(board.timers, "plan");
+    if (!isRequested) {
+        return;
+    }
+    if (board.now < board.nextPlanAt) {
+        subscribeNoLaterThan(board.timers, "plan", board.nextPlanAt);
+        return;
+    }
+    board.isPlanWanted = false;
+    board.nextPlanAt = board.now + board.self.limits.planPeriod;
+    PlacementInput input;
+    input.waiting = waitingSteps(board);
+    if (!input.waiting.empty()) {
+        input.targets = targetsOf(board);
+        input.running = runningUnits(board);
+        for (const auto &[id, share] : board.view.configuration.organisations) {
+            input.guaranteed.emplace(id, share.guaranteedAccelerators);
+        }
+        const auto plan = planPlacements(std::move(input));
+        stopPlanned(board, plan.stops);
+        startPlanned(board, plan.starts);
+        // What waits for its rack or its data may go elsewhere after a while, and targets come back into contact.
+        subscribeNoLaterThan(board.timers, "plan", board.now + Duration{200});
+    }
+}
+
+}
--- /dev/null
+++ b/workflow/progresschange.cpp
@@ -0,0 +1,110 @@
+#include "progresschange.h"
+
+#include <limits>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+std::vector<TaskRun> runsBetween(const WorkflowBoard &board, const TaskId &first, const TaskId &last)
+{
+    const auto &rows = board.runs.rows();
+    std::vector<TaskRun> found;
+    for (auto row = rows.lower_bound(first); row != rows.end() && row->first <= last; ++row) {
+        found.push_back(row->second);
+    }
+    return found;
+}
+
+constexpr int anyNumber = std::numeric_limits<int>::max();
+
+}
+
+void changeProgress(WorkflowBoard &board, const RequestId &workflow, const std::function<void(WorkflowProgress &)> &change)
+{
+    const auto *present = board.workflows.find(workflow);
+    if (present == nullptr) {
+        return;
+    }
+    WorkflowEntry entry = *present;
+    change(entry.progress);
+    if (entry.progress == present->progress) {
+        return;
+    }
+    ++entry.version;
+    board.workflows.put(workflow, std::move(entry));
+    board.chain.dirty.insert(workflow);
+}
+
+void changeTask(WorkflowBoard &board, const TaskId &task, const std::function<void(TaskProgress &)> &change)
+{
+    changeProgress(board, task.step.workflow, [&](WorkflowProgress &progress) {
+        if (findTask(progress, task) != nullptr) {
+            auto &step = progress.occurrences.at(task.step.occurrence).steps.at(static_cast<std::size_t>(task.step.step));
+            change(step.at(static_cast<std::size_t>(task.index)));
+        }
+    });
+}
+
+unsigned long long progressVersion(const WorkflowBoard &board, const RequestId &workflow)
+{
+    const auto *entry = board.workflows.find(workflow);
+    return entry == nullptr ? 0 : entry->version;
+}
+
+bool isStored(const WorkflowBoard &board, const RequestId &workflow, unsigned long long version)
+{
+    const auto *entry = board.workflows.find(workflow);
+    return entry == nullptr || entry->storedVersion >= version;
+}
+
+const StepSpecification *findStep(const WorkflowBoard &board, const StepId &step)
+{
+    const auto *entry = board.workflows.find(step.workflow);
+    if (entry == nullptr || !std::cmp_less(step.step, entry->workflow->specification.steps.size())) {
+        return nullptr;
+    }
+    return &entry->workflow->specification.steps[static_cast<std::size_t>(step.step)];
+}
+
+std::vector<TaskRun> runsOf(const WorkflowBoard &board, const StepId &step)
+{
+    return runsBetween(board, {step, 0}, {step, anyNumber});
+}
+
+std::vector<TaskRun> runsOf(const WorkflowBoard &board, const RequestId &workflow)
+{
+    return runsBetween(board, {{workflow, 0, 0}, 0}, {{workflow, anyNumber, anyNumber}, anyNumber});
+}
+
+void removeRun(WorkflowBoard &board, const TaskRun &run)
+{
+    board.runs.erase(run.task);
+    board.isPlanWanted = true;
+    changeTask(board, run.task, [&](TaskProgress &task) {
+        if (task.lastRun == run.number) {
+            task.place.reset();
+        }
+    });
+}
+
+void stopRun(WorkflowBoard &board, TaskRun run, const std::string &reason)
+{
+    if (run.isStopWanted) {
+        return;
+    }
+    logDecision(board, "stopRun", run.place.target.value, toString(run.task), "run " + std::to_string(run.number) + ": " + reason);
+    count(board.counters, "runsStopped", reason);
+    if (run.step == RunStep::Recording) {
+        removeRun(board, run);
+        return;
+    }
+    run.isStopWanted = true;
+    run.since = board.now;
+    board.runs.put(run.task, run);
+}
+
+}
--- /dev/null
+++ b/workflow/proveconfiguration.cpp
@@ -0,0 +1,180 @@
+#include "controllers.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+// A host that has had no answer for two proof periods counts as cut off from the store; single answers get lost.
+constexpr int missedProofs = 2;
+
+void adoptConfiguration(WorkflowBoard &board, const QueueConfiguration &configuration, Revision revision)
+{
+    auto &view = board.view;
+    if (revision <= view.revision) {
+        return;
+    }
+    view.revision = revision;
+    if (configuration.version < view.configuration.version) {
+        logDecision(board,
+                    "applyConfiguration",
+                    "",
+                    "",
+                    "kept version " + std::to_string(view.configuration.version) + "; the store holds the lower version " + std::to_string(configuration.version),
+                    true);
+        return;
+    }
+    view.configuration = configuration;
+    board.isPlanWanted = true;
+    logDecision(board,
+                "applyConfiguration",
+                "",
+                "",
+                "version " + std::to_string(configuration.version) + " at revision " + std::to_string(revision) + " with "
+                    + std::to_string(configuration.queues.size()) + " queues and " + std::to_string(configuration.keys.size()) + " keys");
+}
+
+void setEvacuated(WorkflowBoard &board, const AvailabilityZoneId &zone, std::optional<Revision> revision)
+{
+    auto &evacuated = board.view.evacuated;
+    if (revision.has_value() == evacuated.contains(zone)) {
+        if (revision) {
+            evacuated[zone] = *revision;
+        }
+        return;
+    }
+    if (revision) {
+        evacuated.emplace(zone, *revision);
+    } else {
+        evacuated.erase(zone);
+    }
+    board.isPlanWanted = true;
+    logDecision(board, "evacuateZone", zone.value, "", revision ? "zone is out at revision " + std::to_string(*revision) : "zone is back");
+}
+
+void applyEntry(WorkflowBoard &board, const StoreEntry &entry)
+{
+    if (const auto *configuration = std::get_if<QueueConfiguration>(&entry.record)) {
+        adoptConfiguration(board, *configuration, entry.revision);
+    } else if (std::holds_alternative<ZoneEvacuation>(entry.record)) {
+        setEvacuated(board, {lastPart(entry.key)}, entry.revision);
+    }
+}
+
+void applyUpdate(WorkflowBoard &board, const MirrorUpdate &update)
+{
+    std::ranges::for_each(update.put, [&](const StoreEntry &entry) { applyEntry(board, entry); });
+    for (const auto &key : update.deleted) {
+        if (key == zoneEvacuationKey({lastPart(key)})) {
+            setEvacuated(board, {lastPart(key)}, std::nullopt);
+        }
+    }
+    if (update.isWhole) {
+        board.view.isRead = true;
+        const auto before = board.view.evacuated;
+        for (const auto &[zone, revision] : before) {
+            const auto key = zoneEvacuationKey(zone);
+            if (std::ranges::find(update.put, key, &StoreEntry::key) == update.put.end()) {
+                setEvacuated(board, zone, std::nullopt);
+            }
+        }
+    }
+    board.view.isLoaded = board.view.isRead && board.view.revision > 0;
+}
+
+/// What must be unchanged for this host's knowledge to be current.
+std::vector<StoreCondition> proofConditions(const WorkflowBoard &board)
+{
+    std::vector<StoreCondition> conditions{{queueConfigurationKey(), board.view.revision}, {domainOwnerKey(), board.ownership.holderRevision}};
+    std::ranges::transform(board.self.availabilityZones, std::back_inserter(conditions), [&](const AvailabilityZoneId &zone) {
+        const auto known = board.view.evacuated.find(zone);
+        return StoreCondition{zoneEvacuationKey(zone), known == board.view.evacuated.end() ? 0 : known->second};
+    });
+    return conditions;
+}
+
+/// Turns the present entries of the conditions' keys into news. The owner key goes to claimDomain by `updates`.
+void takeConflict(WorkflowBoard &board, const StoreReply &reply)
+{
+    MirrorUpdate news{"config/", false, {}, {}, 0};
+    MirrorUpdate owner{domainOwnerKey().path, true, {}, {}, 0};
+    for (const auto &condition : proofConditions(board)) {
+        const auto entry = std::ranges::find(reply.entries, condition.key, &StoreEntry::key);
+        auto &update = condition.key == domainOwnerKey() ? owner : news;
+        if (entry != reply.entries.end()) {
+            update.put.push_back(*entry);
+        } else if (&update == &news && condition.revision != 0) {
+            update.deleted.push_back(condition.key);
+        }
+    }
+    applyUpdate(board, news);
+    board.updates.push_back(std::move(owner));
+}
+
+void noteReachable(WorkflowBoard &board, bool isReachable)
+{
+    if (board.view.isReachable == isReachable) {
+        return;
+    }
+    board.view.isReachable = isReachable;
+    logDecision(board, "reachStore", "", "", isReachable ? "the store answers" : "the store has not answered for two proof periods", !isReachable);
+}
+
+void takeProof(WorkflowBoard &board)
+{
+    auto &view = board.view;
+    const auto *reply = findReply(board, view.proof);
+    if (reply == nullptr) {
+        return;
+    }
+    view.proof.reset();
+    if (reply->outcome != StoreOutcome::Applied && reply->outcome != StoreOutcome::Conflict) {
+        count(board.counters, "proofFailures", "");
+        view.nextProofAt = board.now + board.self.limits.storeRetry;
+        return;
+    }
+    if (reply->outcome == StoreOutcome::Conflict) {
+        takeConflict(board, *reply);
+    }
+    view.provenAt = view.proofSentAt;
+    view.nextProofAt = view.proofSentAt + board.self.limits.proofPeriod;
+    noteReachable(board, true);
+}
+
+}
+
+void proveConfiguration(WorkflowBoard &board)
+{
+    const auto updates = board.updates;
+    for (const auto &update : updates) {
+        if (update.prefix == "config/") {
+            applyUpdate(board, update);
+        }
+    }
+    takeProof(board);
+    auto &view = board.view;
+    const auto &limits = board.self.limits;
+    if (view.isReachable && (!view.provenAt || board.now - *view.provenAt > missedProofs * limits.proofPeriod)) {
+        noteReachable(board, false);
+    }
+    if (!view.isLoaded || !board.ownership.isKnown) {
+        return;
+    }
+    if (!view.proof && board.now >= view.nextProofAt) {
+        view.proof = sendToStore(board, StoreTransaction{{}, proofConditions(board)});
+        view.proofSentAt = board.now;
+    }
+    if (!view.proof) {
+        subscribeNoLaterThan(board.timers, "proof", view.nextProofAt);
+    }
+    if (view.provenAt) {
+        subscribeNoLaterThan(board.timers, "reachability", *view.provenAt + missedProofs * limits.proofPeriod + Duration{1});
+    }
+}
+
+}
--- /dev/null
+++ b/workflow/reclaim.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "packing.h"
+#include "placement.h"
+
+#include <optional>
+#include <vector>
+
+namespace sequoiastand
+{
+
+/// Where an urgent step will stand, and what is stopped for it.
+struct Reclaim
+{
+    TaskCounts places; ///< Parallel to the targets of the input.
+    std::vector<PlannedStop> stops;
+
+    friend bool operator==(const Reclaim &, const Reclaim &) = default;
+};
+
+/// The cheapest set of less urgent units whose stop makes room for the whole step, or nothing if even all of them would not.
+/// The room they leave is added to `soon` of their targets, and they are taken out of `running`.
+std::optional<Reclaim> findReclaim(PlacementInput &input, const WaitingStep &waiting);
+
+}
--- /dev/null
+++ b/workflow/runends.cpp
@@ -0,0 +1,205 @@
+#include "runends.h"
+
+#include "progresschange.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+// A stop of a stray run is sent again after this time if the target still lists the run.
+constexpr Duration strayRetry{300};
+
+std::string runText(int run)
+{
+    return "run " + std::to_string(run);
+}
+
+void noteQuality(WorkflowBoard &board, const TargetId &id, RunEnd end)
+{
+    const auto *present = board.targets.find(id);
+    if (present == nullptr || (end != RunEnd::Finished && end != RunEnd::Failed)) {
+        return;
+    }
+    DomainTarget target = *present;
+    if (end == RunEnd::Finished) {
+        target.recentFailures = 0;
+        ++target.finishedRuns;
+    } else {
+        ++target.recentFailures;
+        target.lastFailureAt = board.now;
+    }
+    board.targets.put(id, std::move(target));
+}
+
+/// The finish of one member stands for the whole gang; the others' targets list it a little later.
+void finishGang(WorkflowBoard &board, const TaskRun &run)
+{
+    changeProgress(board, run.task.step.workflow, [&](WorkflowProgress &progress) {
+        auto &step = progress.occurrences.at(run.task.step.occurrence).steps.at(static_cast<std::size_t>(run.task.step.step));
+        for (auto &task : step) {
+            task.isFinished = true;
+            task.place.reset();
+        }
+    });
+    for (auto member : runsOf(board, run.task.step)) {
+        if (member.task != run.task) {
+            member.step = RunStep::Ending;
+            member.stoppedAt = board.now;
+            board.runs.put(member.task, member);
+        }
+    }
+}
+
+void finishTask(WorkflowBoard &board, const TaskRun &run, bool isGang)
+{
+    const auto *entry = board.workflows.find(run.task.step.workflow);
+    const auto *task = entry == nullptr ? nullptr : findTask(entry->progress, run.task);
+    if (task == nullptr) {
+        return;
+    }
+    if (isGang) {
+        finishGang(board, run);
+        return;
+    }
+    changeTask(board, run.task, [](TaskProgress &progress) {
+        progress.isFinished = true;
+        progress.place.reset();
+    });
+}
+
+void keepCheckpoint(WorkflowBoard &board, const TaskRun &run, const std::string &checkpoint, bool isGang)
+{
+    if (checkpoint.empty()) {
+        return;
+    }
+    changeProgress(board, run.task.step.workflow, [&](WorkflowProgress &progress) {
+        if (findTask(progress, run.task) == nullptr) {
+            return;
+        }
+        auto &step = progress.occurrences.at(run.task.step.occurrence).steps.at(static_cast<std::size_t>(run.task.step.step));
+        if (!isGang) {
+            step.at(static_cast<std::size_t>(run.task.index)).checkpoint = checkpoint;
+            return;
+        }
+        // Any member's checkpoint is valid for the gang, and all members must resume from the same one.
+        std::ranges::for_each(step, [&](TaskProgress &task) { task.checkpoint = checkpoint; });
+    });
+}
+
+void countFailure(WorkflowBoard &board, const TaskRun &run, bool isGang)
+{
+    if (isGang && run.isGangBroken) {
+        return;
+    }
+    // A gang's failures are counted on its first task.
+    TaskId counted = run.task;
+    counted.index = isGang ? 0 : run.task.index;
+    changeTask(board, counted, [](TaskProgress &task) { ++task.failedRuns; });
+}
+
+/// An end of a run that the board does not follow: one that was taken for lost, or that a former owner has dealt with.
+void takeUnknownEnd(WorkflowBoard &board, const TargetId &target, const EndedRun &ended)
+{
+    const auto *entry = board.workflows.find(ended.task.step.workflow);
+    const auto *task = entry == nullptr ? nullptr : findTask(entry->progress, ended.task);
+    const bool isStillWanted = ended.end == RunEnd::Finished && task != nullptr && !task->isFinished && task->lastRun == ended.run && !board.runs.contains(ended.task);
+    logDecision(board,
+                "endRun",
+                target.value,
+                toString(ended.task),
+                runText(ended.run) + " ended as " + std::string(name(ended.end)) + (isStillWanted ? ", although it had been taken for lost" : ", which is known or no longer counts"));
+    if (isStillWanted) {
+        TaskRun run;
+        run.task = ended.task;
+        run.number = ended.run;
+        const auto *step = findStep(board, ended.task.step);
+        finishTask(board, run, step != nullptr && step->isGang);
+    }
+}
+
+}
+
+void failGangOf(WorkflowBoard &board, const TaskRun &run, const std::string &reason)
+{
+    const auto *step = findStep(board, run.task.step);
+    if (step == nullptr || !step->isGang) {
+        return;
+    }
+    for (auto member : runsOf(board, run.task.step)) {
+        if (member.task == run.task || member.number != run.number) {
+            continue;
+        }
+        member.isGangBroken = true;
+        board.runs.put(member.task, member);
+        stopRun(board, member, reason);
+    }
+}
+
+void takeEnd(WorkflowBoard &board, const TargetId &target, const EndedRun &ended)
+{
+    const auto *present = board.runs.find(ended.task);
+    if (present == nullptr || present->number != ended.run || present->place.target != target) {
+        takeUnknownEnd(board, target, ended);
+        return;
+    }
+    const TaskRun run = *present;
+    const auto *step = findStep(board, run.task.step);
+    const bool isGang = step != nullptr && step->isGang;
+    logDecision(board, "endRun", target.value, toString(run.task), runText(run.number) + " ended as " + std::string(name(ended.end)));
+    count(board.counters, "runsEnded", std::string(name(ended.end)));
+    noteQuality(board, target, ended.end);
+    if (ended.end == RunEnd::Finished) {
+        finishTask(board, run, isGang);
+    } else {
+        keepCheckpoint(board, run, ended.checkpoint, isGang);
+    }
+    if (ended.end == RunEnd::Failed) {
+        countFailure(board, run, isGang);
+    }
+    removeRun(board, run);
+    if (ended.end != RunEnd::Finished) {
+        failGangOf(board, run, "a member ended as " + std::string(name(ended.end)));
+    }
+}
+
+void loseUnlistedRun(WorkflowBoard &board, const TaskRun &run)
+{
+    logDecision(board, "loseRun", run.place.target.value, toString(run.task), runText(run.number) + " is not on the target");
+    count(board.counters, "runsEnded", "unlisted");
+    removeRun(board, run);
+    failGangOf(board, run, "a member is not on its target");
+}
+
+void stopStray(WorkflowBoard &board, const TargetId &id, const ListedRun &row)
+{
+    const auto *present = board.targets.find(id);
+    if (present == nullptr) {
+        return;
+    }
+    DomainTarget target = *present;
+    target.hasStrays = true;
+    board.targets.put(id, target);
+    const auto [stop, isNew] = board.strayStops.try_emplace(row.task, board.now);
+    if (!isNew && board.now < stop->second + strayRetry) {
+        return;
+    }
+    stop->second = board.now;
+    logDecision(board, "stopStray", id.value, toString(row.task), runText(row.run) + " is at work but is not the newest run of its task", true);
+    count(board.counters, "straysStopped", "");
+    TargetOrder order;
+    order.id = takeCallId(board);
+    order.target = id;
+    order.address = target.registration.address;
+    order.token = board.ownership.token;
+    order.timeout = board.self.limits.orderTimeout;
+    order.request = StopRun{row.task, row.run};
+    board.outbox.emplace_back(std::move(order));
+}
+
+}
--- /dev/null
+++ b/workflow/workflowboard.cpp
@@ -0,0 +1,61 @@
+#include "workflowboard.h"
+
+#include "core/random.h"
+
+#include <utility>
+
+namespace sequoiastand
+{
+
+CallId sendToStore(WorkflowBoard &board, StoreRequest request, long long lease)
+{
+    StoreCall call;
+    call.id = takeCallId(board);
+    call.request = std::move(request);
+    call.lease = lease;
+    call.timeout = board.self.limits.storeTimeout;
+    const CallId id = call.id;
+    board.outbox.emplace_back(std::move(call));
+    return id;
+}
+
+const StoreReply *findReply(const WorkflowBoard &board, const std::optional<CallId> &call)
+{
+    if (!call) {
+        return nullptr;
+    }
+    for (const auto &event : board.inbox) {
+        const auto *reply = std::get_if<StoreReply>(&event);
+        if (reply != nullptr && reply->id == *call) {
+            return reply;
+        }
+    }
+    return nullptr;
+}
+
+CallId takeCallId(WorkflowBoard &board)
+{
+    return CallId{board.nextCallId++};
+}
+
+Duration takeJitter(WorkflowBoard &board, Duration bound)
+{
+    return nextJitter(board.randomState, bound);
+}
+
+bool hasAuthority(const WorkflowBoard &board)
+{
+    return board.ownership.step == OwnershipStep::Owner && board.now < board.ownership.authorityUntil && !board.isStopping;
+}
+
+bool isProofFresh(const WorkflowBoard &board)
+{
+    return board.view.isLoaded && board.view.provenAt && board.now - *board.view.provenAt <= board.self.limits.maxProofAge;
+}
+
+void logDecision(WorkflowBoard &board, std::string step, std::string peer, std::string job, std::string message, bool isError)
+{
+    board.log.push_back({std::move(step), std::move(peer), std::move(job), std::move(message), isError});
+}
+
+}
--- /dev/null
+++ b/workflow/workflowboard.h
@@ -0,0 +1,329 @@
+#pragma once
+
+#include "callermessage.h"
+#include "core/counters.h"
+#include "core/event.h"
+#include "core/logentry.h"
+#include "core/storerecord.h"
+#include "core/table.h"
+#include "core/timerservice.h"
+#include "domainsettings.h"
+#include "targetorder.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace sequoiastand
+{
+
+using WorkflowEvent = std::variant<CallerRequest, CallAbandoned, StoreReply, StoreWatchEvent, StoreWatchLost, TargetOrderReply, StopRequested>;
+using WorkflowMessage = std::variant<StoreCall, TargetOrder, CallerAnswer>;
+
+enum class MirrorStep
+{
+    Off,
+    Reading,
+    Watching,
+};
+
+/// A prefix of the store that this host follows: one whole read, then a watch from there. The front end keeps a watch open while the step is `Watching` and
+/// opens a new one when `generation` has changed.
+struct StoreMirror
+{
+    MirrorStep step = MirrorStep::Off;
+    CallId read;
+    Revision revision = 0; ///< Up to which the watch has reported, or the read of which it begins.
+    int generation = 0;
+    TimePoint retryAt;
+    TimePoint heardAt; ///< When the read or the watch brought something last.
+
+    friend bool operator==(const StoreMirror &, const StoreMirror &) = default;
+};
+
+/// News of one prefix, on the board for the present step.
+struct MirrorUpdate
+{
+    std::string prefix;
+    bool isWhole = false; ///< Everything below the prefix; what is not named does not exist.
+    std::vector<StoreEntry> put;
+    std::vector<StoreKey> deleted;
+    Revision revision = 0;
+
+    friend bool operator==(const MirrorUpdate &, const MirrorUpdate &) = default;
+};
+
+/// The operators' configuration as this host knows it, and how fresh that knowledge is.
+struct ConfigurationView
+{
+    QueueConfiguration configuration;
+    Revision revision = 0; ///< Of the configuration's key; zero: never read.
+    std::map<AvailabilityZoneId, Revision> evacuated;
+    bool isRead = false;   ///< All of it has been read once.
+    bool isLoaded = false; ///< And the operators have written a configuration.
+    std::optional<TimePoint> provenAt; ///< When the last question was sent whose answer confirmed all of this.
+    std::optional<CallId> proof;
+    TimePoint proofSentAt;
+    TimePoint nextProofAt;
+    bool isReachable = false; ///< The last proof was answered.
+
+    friend bool operator==(const ConfigurationView &, const ConfigurationView &) = default;
+};
+
+enum class OwnershipStep
+{
+    Follower,
+    Granting, ///< Asks the store for a lease.
+    Claiming, ///< Tries to create the owner key.
+    Checking, ///< The answer to the claim was lost; reads the key.
+    Owner,
+};
+
+/// Who owns the domain, and this host's own claim.
+struct Ownership
+{
+    OwnershipStep step = OwnershipStep::Follower;
+    bool isKnown = false; ///< The owner key has been read.
+    std::optional<DomainOwner> holder;
+    Revision holderRevision = 0;
+    std::optional<TimePoint> claimAt; ///< When this host claims a vacant domain.
+    std::optional<CallId> call;
+    TimePoint callSentAt;
+    long long lease = 0;
+    Duration leaseLife{0};
+    TimePoint authorityUntil; ///< Orders and writes as owner end here.
+    std::optional<CallId> renewal;
+    TimePoint renewalSentAt;
+    TimePoint nextRenewalAt;
+    Revision token = 0; ///< Fencing token while this host is the owner.
+    TimePoint ownedSince;
+
+    friend bool operator==(const Ownership &, const Ownership &) = default;
+};
+
+/// Reads that a new owner makes before it decides anything.
+struct DomainLoad
+{
+    std::optional<CallId> progressRead;
+    std::optional<CallId> markRead;
+    TimePoint retryAt;
+    bool hasProgress = false;
+    bool hasMark = false;
+    bool hasIntake = false;
+    bool hasTargets = false;
+    std::map<RequestId, WorkflowProgress> progress; ///< Read before the workflows they belong to.
+
+    friend bool operator==(const DomainLoad &, const DomainLoad &) = default;
+};
+
+/// A workflow that has not been forgotten, as its owner sees it.
+struct WorkflowEntry
+{
+    std::shared_ptr<const Workflow> workflow;
+    WorkflowProgress progress;
+    bool isCancelRequested = false;
+    unsigned long long version = 0;       ///< Of `progress`; rises with every change.
+    unsigned long long storedVersion = 0; ///< Newest version that the store holds.
+
+    friend bool operator==(const WorkflowEntry &, const WorkflowEntry &) = default;
+};
+
+enum class RunStep
+{
+    Recording,   ///< Waits until the store holds the run.
+    Starting,    ///< The order may have reached the target.
+    Running,     ///< The target has confirmed it.
+    Unconfirmed, ///< Recorded by a former owner; the target's lists decide.
+    Ending,      ///< Its end is known or wanted; the target has yet to list it, or to confirm that it is gone.
+};
+
+/// The newest run of a task, from its plan until its target certainly does not run it.
+struct TaskRun
+{
+    TaskId task;
+    int number = 0;
+    TargetLife place;
+    Resources uses;
+    RunStep step = RunStep::Recording;
+    TimePoint since;                    ///< Of the step.
+    unsigned long long recordedIn = 0;  ///< Version of the progress that must be stored before the order goes out.
+    std::optional<CallId> call;         ///< Start or stop under way.
+    TimePoint callSentAt;
+    TimePoint retryAt;
+    int starts = 0;                     ///< Start orders sent.
+    TargetClock startDeadline{0};       ///< Latest deadline given to the target with a start.
+    bool isStopCall = false;            ///< `call` is a stop.
+    bool isStopWanted = false;
+    bool isGangBroken = false;          ///< Another member's end has already been counted for the gang.
+    std::optional<TimePoint> stoppedAt; ///< When the target answered the stop.
+    std::string resumedFrom;            ///< Checkpoint given with the start.
+    std::string checkpoint;
+    int percent = 0;
+    std::optional<TimePoint> firstSeenRunning;
+    bool isListed = false;              ///< The target's lists have named it.
+
+    friend bool operator==(const TaskRun &, const TaskRun &) = default;
+};
+
+/// An end that the target may forget once the store holds the progress that it led to.
+struct PendingEnd
+{
+    long long number = 0;
+    RequestId workflow;
+    unsigned long long version = 0;
+
+    friend bool operator==(const PendingEnd &, const PendingEnd &) = default;
+};
+
+/// What is known of a target's own clock: what it showed when an answer arrived.
+struct ClockSample
+{
+    TargetClock clock{0};
+    TimePoint receivedAt;
+
+    friend bool operator==(const ClockSample &, const ClockSample &) = default;
+};
+
+/// A target of the domain: its registration, this owner's contact with it, and how it has done.
+struct DomainTarget
+{
+    TargetRegistration registration;
+    bool isRegistered = true;
+    bool isFenced = false; ///< It has answered under this owner's token.
+    std::optional<ClockSample> clock;
+    TargetClock heldUntil{0};              ///< Latest deadline sent to it, on its clock.
+    std::optional<TimePoint> lostAt;       ///< From then on nothing of a former owner runs there, if it cannot be asked.
+    std::optional<CallId> hold;
+    TimePoint holdSentAt;
+    TimePoint nextHoldAt;
+    std::optional<TimePoint> answeredAt;
+    int failures = 0; ///< Calls without an answer in a row.
+    long long lastSeen = 0;
+    long long newestEnd = 0;
+    std::deque<PendingEnd> pendingEnds;
+    bool hasStrays = false;          ///< It runs something whose size is not known.
+    std::optional<TimePoint> avoidUntil; ///< It refused an order for a reason of its own.
+    int recentFailures = 0;          ///< Runs that failed there since the last one that finished.
+    std::optional<TimePoint> lastFailureAt;
+    int finishedRuns = 0;
+
+    friend bool operator==(const DomainTarget &, const DomainTarget &) = default;
+};
+
+/// One transaction of the owner's chain.
+struct CommitBatch
+{
+    CallId call;
+    StoreTransaction transaction;
+    TimePoint sentAt;
+    std::map<RequestId, unsigned long long> versions; ///< Of the progress that it stores.
+    std::set<RequestId> forgotten;
+    bool isSummary = false;
+
+    friend bool operator==(const CommitBatch &, const CommitBatch &) = default;
+};
+
+struct CommitChain
+{
+    std::set<RequestId> dirty;     ///< Workflows whose progress is newer than the store's.
+    std::set<RequestId> forgotten; ///< Ended workflows whose records are to be removed.
+    std::optional<CommitBatch> batch;
+    bool isInDoubt = false; ///< The batch's answer was lost; it is sent again unchanged.
+    TimePoint retryAt;
+    Revision markRevision = 0;
+    long long batches = 0;
+    std::optional<DomainSummary> storedSummary;
+    TimePoint nextSummaryAt;
+
+    friend bool operator==(const CommitChain &, const CommitChain &) = default;
+};
+
+enum class CallerStep
+{
+    Proving, ///< Waits for a fresh proof of the configuration.
+    Reading, ///< Reads the record that the answer needs.
+    Writing, ///< Creates the workflow or the cancellation.
+};
+
+/// A caller's request that has not been answered.
+struct OpenCallerCall
+{
+    CallerRequest request;
+    CallerStep step = CallerStep::Proving;
+    TimePoint receivedAt;
+    TimePoint answerBy;
+    std::optional<CallId> call;
+    TimePoint retryAt;
+    bool mayBeStored = false; ///< A write was sent whose outcome is not known.
+
+    friend bool operator==(const OpenCallerCall &, const OpenCallerCall &) = default;
+};
+
+/// An accepting host's copy of the owner's summary.
+struct SummaryCopy
+{
+    std::optional<DomainSummary> summary;
+    std::optional<TimePoint> readAt;
+    std::optional<CallId> read;
+
+    friend bool operator==(const SummaryCopy &, const SummaryCopy &) = default;
+};
+
+/// All state of one host in a service domain. The rows of tables are replaced as a whole; docs/design.md names the writer of each section.
+struct WorkflowBoard
+{
+    DomainSettings self;
+    TimePoint now; ///< On a clock that goes on while the host is suspended.
+    WallTime wallNow;
+    std::vector<WorkflowEvent> inbox; ///< Events of the present step.
+    std::vector<WorkflowMessage> outbox;
+    std::map<std::string, StoreMirror> mirrors; ///< By prefix. Written by followStore.
+    std::vector<MirrorUpdate> updates;          ///< Of the present step. Written by followStore and proveConfiguration.
+    ConfigurationView view;
+    Ownership ownership;
+    DomainLoad load;
+    Table<RequestId, WorkflowEntry> workflows;
+    Table<TaskId, TaskRun> runs;
+    std::map<CallId, TaskId> runCalls;    ///< Tasks whose start or stop is under way.
+    std::map<TaskId, TimePoint> strayStops; ///< When a run that is not the newest of its task was last told to stop.
+    Table<TargetId, DomainTarget> targets;
+    CommitChain chain;
+    Table<CallId, OpenCallerCall> calls;
+    SummaryCopy summary;
+    TimePoint nextPlanAt;
+    bool isPlanWanted = false; ///< Something has changed that a placement pass should look at.
+    TimerTable timers;
+    Counters counters;
+    std::vector<LogEntry> log;
+    bool isStopping = false;
+    unsigned long long nextCallId = 1;
+    unsigned long long randomState = 1;
+};
+
+/// Adds a call to the outbox and returns its id.
+CallId sendToStore(WorkflowBoard &board, StoreRequest request, long long lease = 0);
+
+/// The reply to the call among the events of the present step, or null.
+const StoreReply *findReply(const WorkflowBoard &board, const std::optional<CallId> &call);
+
+CallId takeCallId(WorkflowBoard &board);
+
+/// A uniformly distributed duration between zero and the bound.
+Duration takeJitter(WorkflowBoard &board, Duration bound);
+
+
+/// True while this host may decide and give orders as the owner.
+bool hasAuthority(const WorkflowBoard &board);
+
+/// True if the configuration was confirmed recently enough to act on it.
+bool isProofFresh(const WorkflowBoard &board);
+
+/// Adds a line to the log. `job` may be empty.
+void logDecision(WorkflowBoard &board, std::string step, std::string peer, std::string job, std::string message, bool isError = false);
+
+}
--- /dev/null
+++ b/workflow/workflowstep.cpp
@@ -0,0 +1,62 @@
+#include "workflowstep.h"
+
+#include "controllers.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sequoiastand
+{
+
+WorkflowBoard makeWorkflowBoard(const DomainSettings &settings, TimePoint now, WallTime wallNow)
+{
+    WorkflowBoard board;
+    board.self = settings;
+    board.now = now;
+    board.wallNow = wallNow;
+    board.randomState = settings.randomSeed;
+    subscribe(board.timers, "start", now);
+    return board;
+}
+
+void step(WorkflowBoard &board, std::vector<WorkflowEvent> events, TimePoint now, WallTime wallNow)
+{
+    board.now = now;
+    board.wallNow = wallNow;
+    board.inbox = std::move(events);
+    fireTimers(board.timers, now);
+    if (std::ranges::any_of(board.inbox, [](const WorkflowEvent &event) { return std::holds_alternative<StopRequested>(event); })) {
+        board.isStopping = true;
+    }
+    followStore(board);
+    proveConfiguration(board);
+    claimDomain(board);
+    loadDomain(board);
+    followTargets(board);
+    followRuns(board);
+    advanceWorkflows(board);
+    planWork(board);
+    commitProgress(board);
+    driveRuns(board);
+    holdTargets(board);
+    answerCallers(board);
+    board.inbox.clear();
+    board.updates.clear();
+    board.timers.due.clear();
+    board.workflows.clearChanges();
+    board.runs.clearChanges();
+    board.targets.clearChanges();
+    board.calls.clearChanges();
+}
+
+bool isReady(const WorkflowBoard &board)
+{
+    return !board.isStopping && board.view.isReachable && isProofFresh(board);
+}
+
+bool isIdle(const WorkflowBoard &board)
+{
+    return board.isStopping && board.calls.isEmpty() && board.ownership.step == OwnershipStep::Follower;
+}
+
+}
