Read keys of runs before their rows are moved, and claim only a vacant domain

Cause: Table::put took its key from the row that was moved into it, so runs vanished; a late claim used the newer owner's revision as its condition.

--- a/workflow/claimdomain.cpp
+++ b/workflow/claimdomain.cpp
@@ -23,6 +23,12 @@
     return holder.host == board.self.id && holder.incarnation < board.self.incarnation;
 }
 
+bool isVacant(const WorkflowBoard &board)
+{
+    const auto &holder = board.ownership.holder;
+    return !holder || isFormerSelf(board, *holder);
+}
+
 bool isSelf(const WorkflowBoard &board, const DomainOwner &holder)
 {
     return holder.host == board.self.id && holder.incarnation == board.self.incarnation;
@@ -121,8 +127,7 @@
 void considerClaim(WorkflowBoard &board)
 {
     auto &ownership = board.ownership;
-    const bool isVacant = !ownership.holder || isFormerSelf(board, *ownership.holder);
-    if (board.isStopping || !isProofFresh(board) || !ownership.isKnown || !isVacant) {
+    if (board.isStopping || !isProofFresh(board) || !ownership.isKnown || !isVacant(board)) {
         ownership.claimAt.reset();
         return;
     }
@@ -149,6 +154,10 @@
     }
     ownership.lease = reply.lease;
     ownership.leaseLife = reply.leaseTimeToLive;
+    if (!isVacant(board)) {
+        endClaim(board, "another host was first");
+        return;
+    }
     ownership.authorityUntil = ownership.callSentAt + ownership.leaseLife - board.self.limits.ownerLeaseMargin;
     ownership.step = OwnershipStep::Claiming;
     StoreWrite write{domainOwnerKey(), DomainOwner{board.self.id, board.self.incarnation}, ownership.holderRevision, true};
--- a/workflow/driveruns.cpp
+++ b/workflow/driveruns.cpp
@@ -53,7 +53,7 @@
     target.heldUntil = std::max(target.heldUntil, start.deadline);
     sendOrder(board, run, target, std::move(start));
     board.targets.put(run.place.target, std::move(target));
-    board.runs.put(run.task, std::move(run));
+    putRun(board, run);
 }
 
 void sendStop(WorkflowBoard &board, TaskRun run)
@@ -63,7 +63,7 @@
         return;
     }
     sendOrder(board, run, *target, StopRun{run.task, run.number});
-    board.runs.put(run.task, std::move(run));
+    putRun(board, run);
 }
 
 /// The run was recorded, but its target may not be given work any more.
--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -54,7 +54,7 @@
                 run.step = RunStep::Running;
                 run.since = board.now;
             }
-            board.runs.put(run.task, run);
+            putRun(board, run);
             continue;
         }
         // The list says nothing about orders that may have arrived after it was made.
@@ -156,7 +156,7 @@
     }
     if (reply.refusal == OrderRefusal::TooLate) {
         run.retryAt = board.now;
-        board.runs.put(run.task, run);
+        putRun(board, run);
         return;
     }
     if (reply.refusal == OrderRefusal::Unhealthy || reply.refusal == OrderRefusal::NoRoom || reply.refusal == OrderRefusal::OtherLife) {
@@ -167,13 +167,13 @@
         run.step = RunStep::Ending;
         run.stoppedAt = board.now;
         run.since = board.now;
-        board.runs.put(run.task, run);
+        putRun(board, run);
     } else if (run.starts == 1) {
         removeRun(board, run);
     } else {
         // An earlier copy of the order may still be on its way.
         run.isStopWanted = true;
-        board.runs.put(run.task, run);
+        putRun(board, run);
     }
     failGangOf(board, run, "a member was refused");
 }
@@ -190,7 +190,7 @@
             run.step = RunStep::Running;
         }
         run.since = board.now;
-        board.runs.put(run.task, run);
+        putRun(board, run);
         return;
     }
     if (reply.outcome == OrderOutcome::Refused && !wasStop) {
@@ -204,13 +204,13 @@
         if (reply.refusal == OrderRefusal::Fenced) {
             noteFenced(board, run.place.target);
         }
-        board.runs.put(run.task, run);
+        putRun(board, run);
         return;
     }
     logDecision(board, wasStop ? "stopRun" : "startRun", run.place.target.value, toString(run.task), "no answer: " + reply.error, true);
     count(board.counters, wasStop ? "stopsUnanswered" : "startsUnanswered", "");
     run.retryAt = board.now + (run.starts > 1 ? board.self.limits.orderRetry : Duration{0});
-    board.runs.put(run.task, run);
+    putRun(board, run);
 }
 
 void noteClock(WorkflowBoard &board, const TargetOrderReply &reply)
--- a/workflow/loaddomain.cpp
+++ b/workflow/loaddomain.cpp
@@ -70,7 +70,7 @@
                 run.starts = 1;
                 run.checkpoint = task.checkpoint;
                 run.resumedFrom = task.checkpoint;
-                board.runs.put(run.task, run);
+                putRun(board, run);
             }
         }
     }
--- a/workflow/planwork.cpp
+++ b/workflow/planwork.cpp
@@ -176,7 +176,7 @@
             run.recordedIn = entry->version;
             run.resumedFrom = progress->checkpoint;
             run.checkpoint = progress->checkpoint;
-            board.runs.put(run.task, std::move(run));
+            putRun(board, run);
         }
         logDecision(board,
                     "placeStep",
--- a/workflow/progresschange.cpp
+++ b/workflow/progresschange.cpp
@@ -80,6 +80,11 @@
     return runsBetween(board, {{workflow, 0, 0}, 0}, {{workflow, anyNumber, anyNumber}, anyNumber});
 }
 
+void putRun(WorkflowBoard &board, const TaskRun &run)
+{
+    board.runs.put(run.task, run);
+}
+
 void removeRun(WorkflowBoard &board, const TaskRun &run)
 {
     board.runs.erase(run.task);
@@ -104,7 +109,7 @@
     }
     run.isStopWanted = true;
     run.since = board.now;
-    board.runs.put(run.task, run);
+    putRun(board, run);
 }
 
 }
--- a/workflow/progresschange.h
+++ b/workflow/progresschange.h
@@ -26,6 +26,9 @@
 /// Runs of the workflow's tasks that are still on the board.
 std::vector<TaskRun> runsOf(const WorkflowBoard &board, const RequestId &workflow);
 
+/// Replaces the row of the run's task.
+void putRun(WorkflowBoard &board, const TaskRun &run);
+
 /// Removes a run that its target certainly does not run any more, and frees the task.
 void removeRun(WorkflowBoard &board, const TaskRun &run);
 
--- a/workflow/runends.cpp
+++ b/workflow/runends.cpp
@@ -51,7 +51,7 @@
         if (member.task != run.task) {
             member.step = RunStep::Ending;
             member.stoppedAt = board.now;
-            board.runs.put(member.task, member);
+            putRun(board, member);
         }
     }
 }
@@ -136,7 +136,7 @@
             continue;
         }
         member.isGangBroken = true;
-        board.runs.put(member.task, member);
+        putRun(board, member);
         stopRun(board, member, reason);
     }
 }
