Let the lease of a silent target end, and count a gang's failure whichever member is heard first

Cause: each look at a target that does not answer moved the time at which its runs have surely lapsed, so a task of a target that had left never ran again; a member's 'broken' that arrived before another's 'failed' hid the failure, so a gang started after its last try.

--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -102,6 +102,11 @@
         }
         ++target.failures;
         target.nextHoldAt = board.now + silentRetry;
+        if (reply.refusal == OrderRefusal::OtherLife) {
+            // Its address belongs to another life, so this one has ended, and all that it ran.
+            target.heldUntil = TargetClock{0};
+            target.lostAt = board.now;
+        }
         board.targets.put(id, std::move(target));
         return;
     }
--- a/workflow/holdtargets.cpp
+++ b/workflow/holdtargets.cpp
@@ -13,6 +13,9 @@
 {
 
 
+// What stands on a leaving target is lost when it goes; with a short hold that is certain soon afterwards.
+constexpr Duration drainingHold{4'000};
+
 /// Moves `lastSeen` up to the newest end whose consequences the store holds.
 DomainTarget withStoredEnds(const WorkflowBoard &board, DomainTarget target)
 {
@@ -44,9 +47,10 @@
     const auto &limits = board.self.limits;
     HoldRuns hold;
     hold.lastSeen = target.lastSeen;
-    // The first look under a token extends nothing: what runs there has not been compared with the records yet.
-    if (target.isFenced && target.clock) {
-        hold.deadline = *estimatedClock(target, board.now) + limits.holdMax;
+    // The first look under a token extends nothing: what runs there has not been compared with the records yet. Nor does a look at a silent target: if it is
+    // carried out without an answer, the time at which the runs have surely lapsed would move on for ever.
+    if (target.isFenced && target.clock && target.failures == 0) {
+        hold.deadline = *estimatedClock(target, board.now) + (target.registration.isDraining ? std::min(drainingHold, limits.holdMax) : limits.holdMax);
         hold.wait = target.pendingEnds.empty() ? limits.holdWait : Duration{0};
         target.heldUntil = std::max(target.heldUntil, *hold.deadline);
     }
--- a/workflow/runends.cpp
+++ b/workflow/runends.cpp
@@ -125,7 +125,7 @@
 
 }
 
-void failGangOf(WorkflowBoard &board, const TaskRun &run, const std::string &reason)
+void failGangOf(WorkflowBoard &board, const TaskRun &run, const std::string &reason, bool isCounted)
 {
     const auto *step = findStep(board, run.task.step);
     if (step == nullptr || !step->isGang) {
@@ -135,7 +135,7 @@
         if (member.task == run.task || member.number != run.number) {
             continue;
         }
-        member.isGangBroken = true;
+        member.isGangBroken = member.isGangBroken || isCounted;
         putRun(board, member);
         stopRun(board, member, reason);
     }
@@ -164,7 +164,7 @@
     }
     removeRun(board, run);
     if (ended.end != RunEnd::Finished) {
-        failGangOf(board, run, "a member ended as " + std::string(name(ended.end)));
+        failGangOf(board, run, "a member ended as " + std::string(name(ended.end)), ended.end == RunEnd::Failed);
     }
 }
 
--- a/workflow/runends.h
+++ b/workflow/runends.h
@@ -16,7 +16,8 @@
 /// Orders a stop of something at work that is not the newest run of its task.
 void stopStray(WorkflowBoard &board, const TargetId &target, const ListedRun &row);
 
-/// Stops the other members of the run's gang, because the gang cannot go on without it.
-void failGangOf(WorkflowBoard &board, const TaskRun &run, const std::string &reason);
+/// Stops the other members of the run's gang, because the gang cannot go on without it. `isCounted` says that the run's end has been counted as the gang's
+/// failure; failures of the others are then not counted again.
+void failGangOf(WorkflowBoard &board, const TaskRun &run, const std::string &reason, bool isCounted = false);
 
 }
