--- a/app/log.cpp
+++ b/app/log.cpp
@@ -88,6 +88,7 @@
     , m_logger(log4cplus::Logger::getRoot())
     , m_host(std::move(host))
 {
+    // log4cplus 2.0.8 starts a pool of four threads when it is loaded. This ends all but one, which stays parked; joining the rest would wait for it for ever.
     log4cplus::setThreadPoolSize(0);
     m_logger.addAppender(makeAppender(settings, m_buffer));
     m_logger.setLogLevel(settings.level == LogLevel::Error ? log4cplus::ERROR_LOG_LEVEL : log4cplus::INFO_LOG_LEVEL);
--- a/app/sequoiastandmain.cpp
+++ b/app/sequoiastandmain.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/str_join.h>
 #include <docopt/docopt.h>
 
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -138,7 +139,8 @@
 int runCommand(const Arguments &arguments)
 {
     if (arguments.at("serve").asBool()) {
-        return serve(arguments.at("--settings").asString());
+        // Leaves without static destructors: that of log4cplus joins a thread of its pool, which never ends where threads do not run on at the exit.
+        std::quick_exit(serve(arguments.at("--settings").asString()));
     }
     if (arguments.at("check-config").asBool()) {
         return checkConfig(arguments.at("FILE").asString());
--- a/app/serve.cpp
+++ b/app/serve.cpp
@@ -3,6 +3,7 @@
 #include "exitcode.h"
 #include "log.h"
 #include "settings.h"
+#include "settingswatch.h"
 #include "statementservice.h"
 
 #include <csignal>
@@ -56,11 +57,13 @@
         log.flush();
     });
     const StatementService statements(hostLoop);
+    SignalWatch hangUp(loop, SIGHUP, [&log] { log.write({"reload", "", "", "settings of a zone domain are read at the start only", false}); });
     return runHost(loop, hostLoop, log, "serving callers on " + host.httpAddress + " and peers on " + host.peerAddress);
 }
 
-int serveServiceDomain(DomainLoopSettings settings, Log &log)
+int serveServiceDomain(const Settings &present, const std::string &settingsFile, Log &log)
 {
+    DomainLoopSettings settings = *present.domain;
     settings.domain.incarnation = incarnationOf(EventLoop::wallNow());
     settings.domain.randomSeed = static_cast<unsigned long long>(settings.domain.incarnation) ^ std::hash<std::string>{}(settings.domain.id.value);
     EventLoop loop;
@@ -68,6 +71,15 @@
         log.write(entry);
         log.flush();
     });
+    const auto apply = [&](const Settings &changed) {
+        if (changed.domain) {
+            domainLoop.applySettings(*changed.domain);
+        } else {
+            log.write({"reload", "", "", "kept the settings: the file is now for a zone domain, which needs a restart", true});
+        }
+    };
+    const auto noteFault = [&](const std::string &fault) { log.write({"reload", "", "", "kept the settings: " + fault, true}); };
+    const SettingsWatch watch(loop, settingsFile, present, apply, noteFault);
     return runHost(loop, domainLoop, log, "serving callers on " + settings.callerAddress + ", store " + settings.storeAddress);
 }
 
@@ -83,7 +95,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     const auto id = settings->domain ? settings->domain->domain.id : settings->loop.host.id;
     Log log(settings->log, id.value);
-    return settings->domain ? serveServiceDomain(*settings->domain, log) : serveZoneDomain(*settings, log);
+    return settings->domain ? serveServiceDomain(*settings, settingsFile, log) : serveZoneDomain(*settings, log);
 }
 
 int checkConfig(const std::string &settingsFile)
--- a/net/eventloop.cpp
+++ b/net/eventloop.cpp
@@ -1,6 +1,7 @@
 #include "eventloop.h"
 
 #include <algorithm>
+#include <ctime>
 #include <utility>
 
 namespace sequoiastand
@@ -18,7 +19,10 @@
 
 TimePoint EventLoop::now()
 {
-    return TimePoint{std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch())};
+    // Goes on while the machine is suspended, so a lease or a proof that has run out meanwhile is seen to be old.
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint{std::chrono::duration_cast<Duration>(std::chrono::seconds{time.tv_sec} + std::chrono::nanoseconds{time.tv_nsec})};
 }
 
 WallTime EventLoop::wallNow()
--- a/net/eventloop.h
+++ b/net/eventloop.h
@@ -19,7 +19,7 @@
     EventLoop(const EventLoop &) = delete;
     EventLoop &operator=(const EventLoop &) = delete;
 
-    /// Monotonic time, for deadlines.
+    /// Monotonic time that counts suspension, for deadlines.
     static TimePoint now();
 
     /// UTC time, for records.
--- /dev/null
+++ b/standins/fleetmodel.cpp
@@ -0,0 +1,405 @@
+#include "fleetmodel.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+const StepSpecification *stepOf(const FleetModel &fleet, const StepId &step)
+{
+    const auto workflow = fleet.workflows.find(step.workflow);
+    if (workflow == fleet.workflows.end() || !std::cmp_less(step.step, workflow->second.specification.steps.size())) {
+        return nullptr;
+    }
+    return &workflow->second.specification.steps[static_cast<std::size_t>(step.step)];
+}
+
+void object(FleetModel &fleet, const std::string &rule, const TaskId &task, const std::string &what)
+{
+    fleet.objections.push_back(absl::StrCat(rule, ": ", toString(task), ": ", what));
+}
+
+TargetClock clockOf(const ModelTarget &target, TimePoint now)
+{
+    return now - target.bornAt;
+}
+
+std::string checkpointText(Duration done)
+{
+    return absl::StrCat(done.count());
+}
+
+Duration checkpointOf(const std::string &text)
+{
+    long long done = 0;
+    return absl::SimpleAtoi(text, &done) ? Duration{done} : Duration{0};
+}
+
+Duration savedWork(const FleetModel &fleet, const StepSpecification &step, const ModelRun &run)
+{
+    if (!step.isCheckpointable) {
+        return Duration{0};
+    }
+    return run.done / fleet.checkpointPeriod * fleet.checkpointPeriod;
+}
+
+void endRun(FleetModel &fleet, ModelTarget &target, const TaskId &task, RunEnd end)
+{
+    const auto run = target.running.extract(task);
+    const auto *step = stepOf(fleet, task.step);
+    const auto saved = step == nullptr ? Duration{0} : savedWork(fleet, *step, run.mapped());
+    target.ended.push_back({++target.ends, task, run.mapped().run, end, saved > Duration{0} ? checkpointText(saved) : std::string{}});
+    auto &highest = target.highestEnded[task];
+    highest = std::max(highest, run.mapped().run);
+    if (end == RunEnd::Finished) {
+        fleet.finished.try_emplace(task, run.mapped().countedAt);
+    }
+    if (end == RunEnd::Failed) {
+        TaskId counted = task;
+        counted.index = step != nullptr && step->isGang ? 0 : task.index;
+        ++fleet.failures[counted];
+    }
+}
+
+/// Members of the gang's run that are at work.
+std::vector<std::pair<TargetId, TaskId>> membersOf(const FleetModel &fleet, const StepId &step, int run)
+{
+    std::vector<std::pair<TargetId, TaskId>> members;
+    for (const auto &[id, target] : fleet.targets) {
+        for (const auto &[task, present] : target.running) {
+            if (task.step == step && present.run == run) {
+                members.emplace_back(id, task);
+            }
+        }
+    }
+    return members;
+}
+
+void breakGang(FleetModel &fleet, const StepId &step, int run)
+{
+    for (const auto &[id, task] : membersOf(fleet, step, run)) {
+        endRun(fleet, fleet.targets.at(id), task, RunEnd::Broken);
+    }
+}
+
+void endAndBreak(FleetModel &fleet, ModelTarget &target, const TaskId &task, RunEnd end)
+{
+    const int run = target.running.at(task).run;
+    const auto *step = stepOf(fleet, task.step);
+    const bool wasTogether = target.running.at(task).isTogether;
+    endRun(fleet, target, task, end);
+    if (step != nullptr && step->isGang && wasTogether) {
+        breakGang(fleet, task.step, run);
+    }
+}
+
+void checkStart(FleetModel &fleet, const ModelTarget &target, const TaskId &task, const StepSpecification &step)
+{
+    const bool runsElsewhere = std::ranges::any_of(fleet.targets, [&](const auto &row) { return row.second.running.contains(task); });
+    if (runsElsewhere && !step.isSpeculative) {
+        object(fleet, "TWICE", task, "started while another run of it is at work");
+    }
+    if (fleet.finished.contains(task)) {
+        object(fleet, "TWICE", task, "started after it had finished");
+    }
+    for (const int earlier : step.after) {
+        const auto *before = stepOf(fleet, {task.step.workflow, task.step.occurrence, earlier});
+        for (int index = 0; index < before->taskCount; ++index) {
+            if (!fleet.finished.contains({{task.step.workflow, task.step.occurrence, earlier}, index})) {
+                object(fleet, "ORDER", task, absl::StrCat("started before step ", earlier, " had finished"));
+                break;
+            }
+        }
+    }
+    const auto &label = step.requiredLabel;
+    if (!label.empty() && std::ranges::find(target.registration.labels, label) == target.registration.labels.end()) {
+        object(fleet, "ROUTE", task, "started on a target without its label");
+    }
+    TaskId counted = task;
+    counted.index = step.isGang ? 0 : task.index;
+    const auto failures = fleet.failures.find(counted);
+    if (failures != fleet.failures.end() && failures->second >= fleet.workflows.at(task.step.workflow).queue.maxAttempts) {
+        object(fleet, "BUDGET", task, "started after its last try had failed");
+    }
+}
+
+void checkRoom(FleetModel &fleet, const ModelTarget &target, const TaskId &task)
+{
+    if (!fitsInto(usedOn(fleet, target), target.registration.capacity)) {
+        object(fleet, "LIMIT", task, absl::StrCat("brings ", target.registration.life.target.value, " over its capacity"));
+    }
+}
+
+TargetOrderReply refused(TargetOrderReply reply, OrderRefusal refusal)
+{
+    reply.outcome = OrderOutcome::Refused;
+    reply.refusal = refusal;
+    return reply;
+}
+
+TargetOrderReply start(FleetModel &fleet, ModelTarget &target, const StartRun &order, Revision token, TargetOrderReply reply, TimePoint now)
+{
+    const auto present = target.running.find(order.task);
+    if (present != target.running.end() && present->second.run == order.run) {
+        return reply;
+    }
+    if (order.deadline < clockOf(target, now)) {
+        return refused(std::move(reply), OrderRefusal::TooLate);
+    }
+    target.heldUntil = std::max(target.heldUntil, target.bornAt + std::min(order.deadline, clockOf(target, now) + fleet.holdMax));
+    const auto highest = target.highestEnded.find(order.task);
+    if (present != target.running.end() || (highest != target.highestEnded.end() && order.run <= highest->second)) {
+        return refused(std::move(reply), OrderRefusal::OldRun);
+    }
+    const auto *step = stepOf(fleet, order.task.step);
+    if (step == nullptr) {
+        object(fleet, "UNASKED", order.task, "nobody submitted it");
+        return refused(std::move(reply), OrderRefusal::Invalid);
+    }
+    checkStart(fleet, target, order.task, *step);
+    ModelRun run;
+    run.run = order.run;
+    run.startedAt = now;
+    run.countedAt = now;
+    run.done = checkpointOf(order.checkpoint);
+    run.isTogether = !step->isGang;
+    run.token = token;
+    target.running.emplace(order.task, run);
+    ++fleet.starts[order.task.step.workflow];
+    checkRoom(fleet, target, order.task);
+    return reply;
+}
+
+TargetOrderReply stop(const FleetModel &fleet, ModelTarget &target, const StopRun &order, TargetOrderReply reply, TimePoint now)
+{
+    auto &highest = target.highestEnded[order.task];
+    highest = std::max(highest, order.run);
+    const auto present = target.running.find(order.task);
+    if (present != target.running.end() && present->second.run == order.run) {
+        present->second.stopsAt = present->second.stopsAt.value_or(now + fleet.stopGrace / 2);
+    }
+    return reply;
+}
+
+TargetOrderReply hold(const FleetModel &fleet, ModelTarget &target, const HoldRuns &order, TargetOrderReply reply, TimePoint now)
+{
+    if (order.deadline) {
+        target.heldUntil = std::max(target.heldUntil, target.bornAt + std::min(*order.deadline, clockOf(target, now) + fleet.holdMax));
+    }
+    std::erase_if(target.ended, [&](const EndedRun &ended) { return ended.number <= order.lastSeen; });
+    TargetLists lists;
+    lists.bornMs = target.registration.life.bornMs;
+    for (const auto &[task, run] : target.running) {
+        const auto *step = stepOf(fleet, task.step);
+        const auto saved = step == nullptr ? Duration{0} : savedWork(fleet, *step, run);
+        lists.running.push_back({task, run.run, saved > Duration{0} ? checkpointText(saved) : std::string{}, 0});
+    }
+    lists.ended.assign(target.ended.begin(), target.ended.end());
+    reply.lists = std::move(lists);
+    return reply;
+}
+
+Duration workOf(const FleetModel &fleet, const TaskId &task)
+{
+    const auto behaviour = fleet.behaviours.find(task.step.workflow);
+    return behaviour == fleet.behaviours.end() ? TaskBehaviour{}.work : behaviour->second.work;
+}
+
+bool alwaysFails(const FleetModel &fleet, const TaskId &task)
+{
+    const auto behaviour = fleet.behaviours.find(task.step.workflow);
+    return behaviour != fleet.behaviours.end() && behaviour->second.failingTasks.contains(task.index);
+}
+
+void gatherGangs(FleetModel &fleet, TimePoint now)
+{
+    std::map<std::pair<StepId, int>, int> present;
+    for (const auto &[id, target] : fleet.targets) {
+        for (const auto &[task, run] : target.running) {
+            ++present[{task.step, run.run}];
+        }
+    }
+    for (auto &[id, target] : fleet.targets) {
+        for (auto &[task, run] : target.running) {
+            const auto *step = stepOf(fleet, task.step);
+            if (!run.isTogether && step != nullptr && present[{task.step, run.run}] == step->taskCount) {
+                run.isTogether = true;
+                run.countedAt = now;
+            }
+        }
+    }
+}
+
+void countWork(FleetModel &fleet, ModelTarget &target, TimePoint now)
+{
+    for (auto &[task, run] : target.running) {
+        const bool works = run.isTogether && !target.faults.standsStill && !run.stopsAt;
+        if (works) {
+            const auto passed = std::chrono::duration<double, std::milli>(now - run.countedAt) / target.faults.slowness;
+            run.done = std::min(workOf(fleet, task), run.done + std::chrono::duration_cast<Duration>(passed));
+        }
+        run.countedAt = now;
+    }
+}
+
+std::optional<RunEnd> endDue(const FleetModel &fleet, const ModelTarget &target, const TaskId &task, const ModelRun &run, TimePoint now)
+{
+    if (run.stopsAt && now >= *run.stopsAt) {
+        return RunEnd::Stopped;
+    }
+    if (now >= target.heldUntil) {
+        return RunEnd::Lapsed;
+    }
+    if (!run.isTogether && now - run.startedAt >= fleet.gangWait) {
+        return RunEnd::Alone;
+    }
+    const auto *step = stepOf(fleet, task.step);
+    if (!run.isTogether || run.done < workOf(fleet, task) || (step != nullptr && step->isLasting)) {
+        return std::nullopt;
+    }
+    return alwaysFails(fleet, task) || target.faults.failsEverything ? RunEnd::Failed : RunEnd::Finished;
+}
+
+bool fails(const FleetModel &fleet, const TargetId &target, const TaskId &task)
+{
+    return alwaysFails(fleet, task) || fleet.targets.at(target).faults.failsEverything;
+}
+
+/// A gang finishes when every member has done its work and none of them fails.
+bool mayFinish(const FleetModel &fleet, const TaskId &task, int run)
+{
+    const auto *step = stepOf(fleet, task.step);
+    if (step == nullptr || !step->isGang) {
+        return true;
+    }
+    return std::ranges::all_of(membersOf(fleet, task.step, run), [&](const auto &member) {
+        const bool isDone = fleet.targets.at(member.first).running.at(member.second).done >= workOf(fleet, member.second);
+        return isDone && !fails(fleet, member.first, member.second);
+    });
+}
+
+void finishGang(FleetModel &fleet, const TaskId &task, int run)
+{
+    for (const auto &[id, member] : membersOf(fleet, task.step, run)) {
+        endRun(fleet, fleet.targets.at(id), member, RunEnd::Finished);
+    }
+}
+
+void endDueRuns(FleetModel &fleet, const TargetId &id, TimePoint now)
+{
+    std::vector<TaskId> tasks;
+    std::ranges::transform(fleet.targets.at(id).running, std::back_inserter(tasks), [](const auto &row) { return row.first; });
+    for (const auto &task : tasks) {
+        auto &target = fleet.targets.at(id);
+        const auto present = target.running.find(task);
+        if (present == target.running.end()) {
+            continue; // Ended together with a gang meanwhile.
+        }
+        const int run = present->second.run;
+        const auto due = endDue(fleet, target, task, present->second, now);
+        const auto *step = stepOf(fleet, task.step);
+        if (!due || (*due == RunEnd::Finished && !mayFinish(fleet, task, run))) {
+            continue;
+        }
+        if (*due == RunEnd::Finished && step != nullptr && step->isGang) {
+            finishGang(fleet, task, run);
+        } else {
+            endAndBreak(fleet, target, task, *due);
+        }
+    }
+}
+
+}
+
+void addTarget(FleetModel &fleet, const TargetRegistration &registration, TimePoint now)
+{
+    ModelTarget target;
+    target.registration = registration;
+    target.bornAt = now;
+    fleet.targets.insert_or_assign(registration.life.target, std::move(target));
+}
+
+void restartTarget(FleetModel &fleet, const TargetId &id, TimePoint now)
+{
+    TargetRegistration registration = fleet.targets.at(id).registration;
+    removeTarget(fleet, id);
+    ++registration.life.bornMs;
+    addTarget(fleet, registration, now);
+}
+
+void removeTarget(FleetModel &fleet, const TargetId &id)
+{
+    auto gone = fleet.targets.extract(id);
+    for (const auto &[task, run] : gone.mapped().running) {
+        const auto *step = stepOf(fleet, task.step);
+        if (step != nullptr && step->isGang && run.isTogether) {
+            breakGang(fleet, task.step, run.run);
+        }
+    }
+}
+
+TargetOrderReply carryOut(FleetModel &fleet, const TargetOrder &order, TimePoint now)
+{
+    advance(fleet, now);
+    TargetOrderReply reply;
+    reply.id = order.id;
+    reply.target = order.target;
+    const auto found = fleet.targets.find(order.target);
+    if (found == fleet.targets.end()) {
+        reply.outcome = OrderOutcome::NotSent;
+        reply.error = "connection refused";
+        return reply;
+    }
+    auto &target = found->second;
+    reply.clock = clockOf(target, now);
+    if (order.token < target.fence) {
+        return refused(std::move(reply), OrderRefusal::Fenced);
+    }
+    target.fence = order.token;
+    reply.outcome = OrderOutcome::Accepted;
+    if (const auto *startOrder = std::get_if<StartRun>(&order.request)) {
+        return start(fleet, target, *startOrder, order.token, std::move(reply), now);
+    }
+    if (const auto *stopOrder = std::get_if<StopRun>(&order.request)) {
+        return stop(fleet, target, *stopOrder, std::move(reply), now);
+    }
+    return hold(fleet, target, std::get<HoldRuns>(order.request), std::move(reply), now);
+}
+
+void advance(FleetModel &fleet, TimePoint now)
+{
+    gatherGangs(fleet, now);
+    for (auto &[id, target] : fleet.targets) {
+        countWork(fleet, target, now);
+    }
+    std::vector<TargetId> ids;
+    std::ranges::transform(fleet.targets, std::back_inserter(ids), [](const auto &row) { return row.first; });
+    std::ranges::for_each(ids, [&](const TargetId &id) { endDueRuns(fleet, id, now); });
+}
+
+Resources usedOn(const FleetModel &fleet, const ModelTarget &target)
+{
+    Resources used;
+    for (const auto &[task, run] : target.running) {
+        if (const auto *step = stepOf(fleet, task.step)) {
+            used = used + step->perTask;
+        }
+    }
+    return used;
+}
+
+bool isAtWork(const FleetModel &fleet, const RequestId &workflow)
+{
+    return std::ranges::any_of(fleet.targets, [&](const auto &row) {
+        return std::ranges::any_of(row.second.running, [&](const auto &run) { return run.first.step.workflow == workflow; });
+    });
+}
+
+}
--- /dev/null
+++ b/standins/fleetmodel.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "core/targetregistration.h"
+#include "core/time.h"
+#include "core/workflow.h"
+#include "workflow/targetorder.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sequoiastand
+{
+
+/// How the tasks of a workflow behave.
+struct TaskBehaviour
+{
+    Duration work{1'000};       ///< Of each task on a sound target.
+    std::set<int> failingTasks; ///< Indexes of tasks that always fail at the end of their work.
+
+    friend bool operator==(const TaskBehaviour &, const TaskBehaviour &) = default;
+};
+
+/// A run at work on a target of the model.
+struct ModelRun
+{
+    int run = 0;
+    TimePoint startedAt;
+    Duration done{0};               ///< Of its work, until `countedAt`.
+    TimePoint countedAt;
+    bool isTogether = true;         ///< All members of its gang are there; runs that are no gang's are always.
+    std::optional<TimePoint> stopsAt;
+    Revision token = 0;
+
+    friend bool operator==(const ModelRun &, const ModelRun &) = default;
+};
+
+/// How a target misbehaves.
+struct ModelTargetFaults
+{
+    double slowness = 1;        ///< Work takes this many times as long.
+    bool failsEverything = false;
+    bool standsStill = false;   ///< Its runs make no progress.
+
+    friend bool operator==(const ModelTargetFaults &, const ModelTargetFaults &) = default;
+};
+
+struct ModelTarget
+{
+    TargetRegistration registration;
+    TimePoint bornAt;
+    Revision fence = 0;
+    TimePoint heldUntil;
+    std::map<TaskId, ModelRun> running;
+    std::deque<EndedRun> ended;
+    long long ends = 0;
+    std::map<TaskId, int> highestEnded; ///< Runs up to this number are refused.
+    ModelTargetFaults faults;
+
+    friend bool operator==(const ModelTarget &, const ModelTarget &) = default;
+};
+
+/// Targets that follow the platform's rules for runs, on a time that the caller gives. Notes what an outside observer would object to.
+struct FleetModel
+{
+    Duration holdMax{10'000};
+    Duration stopGrace{200};
+    Duration gangWait{3'000};
+    Duration checkpointPeriod{500};
+    std::map<TargetId, ModelTarget> targets;
+    std::map<RequestId, Workflow> workflows;
+    std::map<RequestId, TaskBehaviour> behaviours;
+    std::map<TaskId, TimePoint> finished;
+    std::map<TaskId, int> failures; ///< Failed runs of a task; of a gang under its first task.
+    std::map<RequestId, int> starts;
+    std::vector<std::string> objections;
+};
+
+void addTarget(FleetModel &fleet, const TargetRegistration &registration, TimePoint now);
+
+/// Ends everything on the target as a crash does and begins a new life.
+void restartTarget(FleetModel &fleet, const TargetId &target, TimePoint now);
+
+/// Everything on the target ends; the target answers nothing any more.
+void removeTarget(FleetModel &fleet, const TargetId &target);
+
+/// Carries out an order. A hold answers at once; whoever drives the model lets it wait.
+TargetOrderReply carryOut(FleetModel &fleet, const TargetOrder &order, TimePoint now);
+
+/// Lets work go on, and runs end, until now.
+void advance(FleetModel &fleet, TimePoint now);
+
+/// What is at work on the target takes.
+Resources usedOn(const FleetModel &fleet, const ModelTarget &target);
+
+/// True if the workflow has something at work anywhere.
+bool isAtWork(const FleetModel &fleet, const RequestId &workflow);
+
+}
--- /dev/null
+++ b/tests/domainfixture.cpp
@@ -0,0 +1,448 @@
+#include "domainfixture.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+constexpr int targetsPerRack = 4;
+constexpr Duration heartbeatPeriod{1'500};
+constexpr const char *queueHost = "press.example";
+
+Queue makeQueue(const std::string &name, int priority, int maxAttempts, double stretch, Duration latencyTarget)
+{
+    Queue queue;
+    queue.id = {name};
+    queue.host = queueHost;
+    queue.prefix = "/" + name + "/";
+    queue.service = {"press"};
+    queue.priority = priority;
+    queue.maxAttempts = maxAttempts;
+    queue.stretch = stretch;
+    queue.latencyTarget = latencyTarget;
+    return queue;
+}
+
+}
+
+DomainTest::DomainTest()
+{
+    settings.availabilityZones = {{"a"}, {"b"}};
+    settings.limits.holdMax = Duration{10'000};
+    configuration.version = 0;
+    configuration.services.emplace(ServiceId{"press"}, Service{{"press"}, false, false, "/health"});
+    configuration.organisations.emplace(OrganisationId{"tailors"}, OrganisationShare{{"tailors"}, 16});
+    configuration.organisations.emplace(OrganisationId{"hotels"}, OrganisationShare{{"hotels"}, 16});
+    configuration.keys = {{"key-tailors", {"tailors"}}, {"key-hotels", {"hotels"}}};
+    setQueue(makeQueue("urgent", 0, 2, 1.5, Duration{250}));
+    setQueue(makeQueue("ordinary", 1, 3, 3, Duration{1'000}));
+    setQueue(makeQueue("patient", 2, 2, 3, Duration{3'000}));
+    m_nextHeartbeat = now;
+}
+
+void DomainTest::TearDown()
+{
+    for (const auto &objection : fleet.objections) {
+        ADD_FAILURE() << objection;
+    }
+}
+
+void DomainTest::addHost(const std::string &id, const std::string &zone)
+{
+    m_hosts[id].zone = zone;
+    start(id);
+}
+
+void DomainTest::addTargets(int count)
+{
+    for (int number = 1; number <= count; ++number) {
+        const int rack = (number - 1) / targetsPerRack + 1;
+        TargetRegistration registration;
+        registration.life = {{absl::StrCat("t", number)}, 1'000};
+        registration.service = {"press"};
+        registration.address = absl::StrCat("10.0.0.", number, ":80");
+        registration.availabilityZone = {rack % 2 == 1 ? "a" : "b"};
+        registration.rack = {absl::StrCat("r", rack)};
+        registration.labels = {"kind", registration.rack.value};
+        registration.capacity = {32'000, 131'072, 8};
+        addTarget(fleet, registration, now);
+        registerAgain(registration.life.target.value);
+    }
+}
+
+void DomainTest::setQueue(const Queue &queue)
+{
+    configuration.queues.insert_or_assign(queue.id, queue);
+    writeConfiguration();
+}
+
+void DomainTest::setGuarantee(const std::string &organisation, int accelerators)
+{
+    configuration.organisations.at({organisation}).guaranteedAccelerators = accelerators;
+    writeConfiguration();
+}
+
+void DomainTest::setKey(const std::string &key, const std::string &organisation)
+{
+    configuration.keys.insert_or_assign(key, OrganisationId{organisation});
+    writeConfiguration();
+}
+
+void DomainTest::removeKey(const std::string &key)
+{
+    configuration.keys.erase(key);
+    writeConfiguration();
+}
+
+void DomainTest::writeConfiguration()
+{
+    ++configuration.version;
+    putRow(store, queueConfigurationKey(), configuration, now);
+}
+
+void DomainTest::evacuate(const std::string &zone)
+{
+    putRow(store, zoneEvacuationKey({zone}), ZoneEvacuation{}, now);
+}
+
+void DomainTest::returnZone(const std::string &zone)
+{
+    removeRow(store, zoneEvacuationKey({zone}), now);
+}
+
+void DomainTest::drain(const std::string &target)
+{
+    auto &registration = fleet.targets.at({target}).registration;
+    registration.isDraining = true;
+    putRow(store, targetRegistrationKey({target}), registration, now);
+}
+
+void DomainTest::unregister(const std::string &target)
+{
+    m_unregistered.insert({target});
+    removeRow(store, targetRegistrationKey({target}), now);
+}
+
+void DomainTest::registerAgain(const std::string &target)
+{
+    m_unregistered.erase({target});
+    putRow(store, targetRegistrationKey({target}), fleet.targets.at({target}).registration, now);
+}
+
+void DomainTest::crash(const std::string &target)
+{
+    restartTarget(fleet, {target}, now);
+    registerAgain(target);
+}
+
+void DomainTest::kill(const std::string &host)
+{
+    auto &process = m_hosts.at(host);
+    process.isUp = false;
+    process.inbox.clear();
+    closeWatches(store, {host});
+    std::erase_if(store.deliveries, [&](const FakeDelivery &delivery) { return delivery.host == HostId{host}; });
+    std::erase_if(m_holds, [&](const WaitingHold &hold) { return hold.host == host; });
+}
+
+void DomainTest::start(const std::string &host)
+{
+    auto &process = m_hosts.at(host);
+    process.isUp = true;
+    process.isPaused = false;
+    DomainSettings own = settings;
+    own.id = {host};
+    own.availabilityZone = {process.zone};
+    own.incarnation = ++process.starts;
+    own.randomSeed = std::hash<std::string>{}(host) + static_cast<unsigned long long>(process.starts);
+    process.board = makeWorkflowBoard(own, now, wallNow);
+    // Ids of calls must differ between the lives of a process, or an old answer would be taken for a new one.
+    process.board.nextCallId = static_cast<unsigned long long>(process.starts) * 10'000'000;
+}
+
+void DomainTest::pause(const std::string &host)
+{
+    m_hosts.at(host).isPaused = true;
+}
+
+void DomainTest::resume(const std::string &host)
+{
+    m_hosts.at(host).isPaused = false;
+}
+
+void DomainTest::requestStop(const std::string &host)
+{
+    m_hosts.at(host).inbox.emplace_back(StopRequested{});
+}
+
+void DomainTest::cutOff(const std::string &target)
+{
+    m_cutOff.insert({target});
+}
+
+void DomainTest::reconnect(const std::string &target)
+{
+    m_cutOff.erase({target});
+}
+
+void DomainTest::run(Duration duration)
+{
+    const TimePoint end = now + duration;
+    while (now < end) {
+        tickOnce();
+    }
+}
+
+void DomainTest::runUntil(const std::function<bool()> &condition, Duration limit)
+{
+    const TimePoint end = now + limit;
+    while (!condition()) {
+        if (now >= end) {
+            FAIL() << "the condition does not hold after " << limit.count() << " ms";
+        }
+        tickOnce();
+    }
+}
+
+CallId DomainTest::post(const std::string &host, CallerRequest request)
+{
+    request.id = {m_nextCall++};
+    request.host = queueHost;
+    request.patience = Duration{3'000};
+    if (request.key.empty()) {
+        request.key = "key-tailors";
+    }
+    m_hosts.at(host).inbox.emplace_back(request);
+    return request.id;
+}
+
+CallId DomainTest::submit(const RequestId &id, const WorkflowSpecification &specification, const TaskBehaviour &behaviour, const std::string &host, const std::string &prefix)
+{
+    Workflow workflow;
+    workflow.id = id;
+    workflow.queue = *findQueue(configuration, queueHost, prefix);
+    workflow.specification = specification;
+    fleet.workflows.insert_or_assign(id, workflow);
+    fleet.behaviours.insert_or_assign(id, behaviour);
+    CallerRequest request;
+    request.action = CallerAction::Submit;
+    request.path = prefix + id.value;
+    request.specification = specification;
+    return post(host, request);
+}
+
+CallId DomainTest::query(const RequestId &id, const std::string &host, const std::string &prefix)
+{
+    CallerRequest request;
+    request.action = CallerAction::Query;
+    request.path = prefix + id.value;
+    return post(host, request);
+}
+
+CallId DomainTest::cancel(const RequestId &id, const std::string &host, const std::string &prefix)
+{
+    CallerRequest request;
+    request.action = CallerAction::Cancel;
+    request.path = prefix + id.value;
+    return post(host, request);
+}
+
+CallId DomainTest::countWaiting(const std::string &prefix, const std::string &host)
+{
+    CallerRequest request;
+    request.action = CallerAction::Query;
+    request.path = prefix;
+    return post(host, request);
+}
+
+bool DomainTest::isAnswered(CallId call) const
+{
+    return m_answers.contains(call);
+}
+
+CallerAnswer DomainTest::answerTo(CallId call, Duration limit)
+{
+    runUntil([&] { return isAnswered(call); }, limit);
+    const auto found = m_answers.find(call);
+    return found == m_answers.end() ? CallerAnswer{} : found->second;
+}
+
+WorkflowBoard &DomainTest::board(const std::string &host)
+{
+    return m_hosts.at(host).board;
+}
+
+std::string DomainTest::owner()
+{
+    const auto found = std::ranges::find_if(m_hosts, [](const auto &row) { return row.second.isUp && !row.second.isPaused && hasAuthority(row.second.board); });
+    return found == m_hosts.end() ? std::string{} : found->first;
+}
+
+std::optional<WorkflowState> DomainTest::storedState(const RequestId &id) const
+{
+    const auto row = store.rows.find(workflowProgressKey(id));
+    if (row == store.rows.end()) {
+        return std::nullopt;
+    }
+    return std::get<WorkflowProgress>(row->second.record).state;
+}
+
+WorkflowSpecification DomainTest::gang(int tasks, Resources perTask, Duration estimate)
+{
+    auto specification = batch(tasks, perTask, estimate);
+    specification.steps.front().isGang = true;
+    return specification;
+}
+
+WorkflowSpecification DomainTest::batch(int tasks, Resources perTask, Duration estimate)
+{
+    StepSpecification step;
+    step.taskCount = tasks;
+    step.perTask = perTask;
+    step.estimate = estimate;
+    return {"payload", {step}, {}};
+}
+
+RequestId DomainTest::id(int number)
+{
+    return {absl::StrFormat("%016x", number)};
+}
+
+void DomainTest::writeHeartbeats()
+{
+    if (now < m_nextHeartbeat) {
+        return;
+    }
+    m_nextHeartbeat = now + heartbeatPeriod;
+    for (const auto &[id, target] : fleet.targets) {
+        if (!m_unregistered.contains(id)) {
+            putRow(store, targetRegistrationKey(id), target.registration, now);
+        }
+    }
+}
+
+void DomainTest::tickOnce()
+{
+    now += tick;
+    wallNow += tick;
+    advance(fleet, now);
+    writeHeartbeats();
+    carryLateOrders();
+    answerHolds();
+    for (auto &[id, host] : m_hosts) {
+        if (host.isUp && !host.isPaused) {
+            stepHost(id, host);
+        }
+    }
+}
+
+void DomainTest::stepHost(const std::string &id, Host &host)
+{
+    for (auto &event : takeStoreEvents(store, {id}, now)) {
+        std::visit(
+            [&](auto &alternative) {
+                if constexpr (std::is_constructible_v<WorkflowEvent, decltype(std::move(alternative))>) {
+                    host.inbox.emplace_back(std::move(alternative));
+                }
+            },
+            event);
+    }
+    const auto due = nextDue(host.board.timers);
+    if (host.inbox.empty() && (!due || *due > now)) {
+        return;
+    }
+    step(host.board, std::exchange(host.inbox, {}), now, wallNow);
+    followMirrors(store, {id}, host.board.mirrors);
+    for (const auto &message : std::exchange(host.board.outbox, {})) {
+        if (const auto *call = std::get_if<StoreCall>(&message)) {
+            submitCall(store, {id}, *call, now);
+        } else if (const auto *order = std::get_if<TargetOrder>(&message)) {
+            carry(id, *order);
+        } else {
+            const auto &answer = std::get<CallerAnswer>(message);
+            m_answers.insert_or_assign(answer.id, answer);
+        }
+    }
+    host.board.log.clear();
+    host.board.counters.samples.clear();
+}
+
+void DomainTest::reply(const std::string &host, const TargetOrderReply &answer)
+{
+    m_hosts.at(host).inbox.emplace_back(answer);
+}
+
+void DomainTest::carry(const std::string &host, const TargetOrder &order)
+{
+    sentOrders.push_back(order);
+    TargetOrderReply unknown;
+    unknown.id = order.id;
+    unknown.target = order.target;
+    unknown.error = "timeout";
+    if (m_cutOff.contains(order.target)) {
+        reply(host, unknown);
+        return;
+    }
+    const bool isStart = std::holds_alternative<StartRun>(order.request);
+    if (isStart && startDelay > Duration{0}) {
+        m_lateOrders.push_back({now + startDelay, order});
+        reply(host, unknown);
+        return;
+    }
+    const auto answer = carryOut(fleet, order, now);
+    if (isStart && losesStartAnswers) {
+        reply(host, unknown);
+        return;
+    }
+    const auto *hold = std::get_if<HoldRuns>(&order.request);
+    if (hold != nullptr && hold->wait > Duration{0} && answer.outcome == OrderOutcome::Accepted && answer.lists->ended.empty()) {
+        m_holds.push_back({host, order, now + hold->wait, fleet.targets.at(order.target).ends});
+        return;
+    }
+    reply(host, answer);
+}
+
+void DomainTest::carryLateOrders()
+{
+    const auto late = std::exchange(m_lateOrders, {});
+    for (const auto &order : late) {
+        if (order.due <= now) {
+            carryOut(fleet, order.order, now);
+        } else {
+            m_lateOrders.push_back(order);
+        }
+    }
+}
+
+void DomainTest::answerHolds()
+{
+    const auto waiting = std::exchange(m_holds, {});
+    for (const auto &hold : waiting) {
+        const auto target = fleet.targets.find(hold.order.target);
+        const bool isCut = m_cutOff.contains(hold.order.target) || target == fleet.targets.end();
+        const bool hasEnded = target != fleet.targets.end() && target->second.ends != hold.knownEnds;
+        if (now < hold.answerAt && !hasEnded) {
+            m_holds.push_back(hold);
+        } else if (isCut) {
+            TargetOrderReply unknown;
+            unknown.id = hold.order.id;
+            unknown.target = hold.order.target;
+            unknown.error = "timeout";
+            reply(hold.host, unknown);
+        } else {
+            TargetOrder look = hold.order;
+            auto &request = std::get<HoldRuns>(look.request);
+            request.deadline.reset();
+            reply(hold.host, carryOut(fleet, look, now));
+        }
+    }
+}
+
+}
--- a/tests/fakecluster.cpp
+++ b/tests/fakecluster.cpp
@@ -91,7 +91,7 @@
     HostSettings settings = settingsOf(id, before.availabilityZone.value, before.incarnation + 1);
     settings.seeds = before.seeds;
     cluster.pending.erase(settings.id);
-    cluster.store.watchers.erase(settings.id);
+    closeWatches(cluster.store, settings.id);
     std::erase_if(cluster.store.deliveries, [&settings](const FakeDelivery &delivery) { return delivery.host == settings.id; });
     cluster.hosts.insert_or_assign(settings.id, makeBlackboard(settings, cluster.now, cluster.wallNow));
 }
--- a/tests/fakestore.cpp
+++ b/tests/fakestore.cpp
@@ -1,6 +1,7 @@
 #include "fakestore.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace sequoiastand
@@ -56,10 +57,21 @@
     store.history.push_back(std::move(change));
 }
 
-bool holds(const FakeStore &store, const StoreWrite &write)
+bool holds(const FakeStore &store, const StoreCondition &condition)
 {
-    const auto row = store.rows.find(write.key);
-    return !write.expected || *write.expected == (row == store.rows.end() ? 0 : row->second.revision);
+    const auto row = store.rows.find(condition.key);
+    return condition.revision == (row == store.rows.end() ? 0 : row->second.revision);
+}
+
+std::vector<StoreCondition> conditionsOf(const StoreTransaction &transaction)
+{
+    auto conditions = transaction.conditions;
+    for (const auto &write : transaction.writes) {
+        if (write.expected) {
+            conditions.push_back({write.key, *write.expected});
+        }
+    }
+    return conditions;
 }
 
 StoreReply carryOut(FakeStore &store, const StoreTransaction &transaction, const StoreCall &call)
@@ -71,14 +83,17 @@
         reply.error = "lease not found";
         return reply;
     }
-    if (std::ranges::all_of(transaction.writes, [&store](const StoreWrite &write) { return holds(store, write); })) {
-        applyWrites(store, transaction.writes, call.lease);
+    const auto conditions = conditionsOf(transaction);
+    if (std::ranges::all_of(conditions, [&store](const StoreCondition &condition) { return holds(store, condition); })) {
+        if (!transaction.writes.empty()) {
+            applyWrites(store, transaction.writes, call.lease);
+        }
         reply.outcome = StoreOutcome::Applied;
         return reply;
     }
     reply.outcome = StoreOutcome::Conflict;
-    for (const auto &write : transaction.writes) {
-        if (const auto row = store.rows.find(write.key); row != store.rows.end()) {
+    for (const auto &condition : conditions) {
+        if (const auto row = store.rows.find(condition.key); row != store.rows.end()) {
             reply.entries.push_back(row->second);
         }
     }
@@ -150,23 +165,52 @@
     store.deliveries.push_back({host, due, std::move(event)});
 }
 
-void deliverChanges(FakeStore &store, const HostId &host, TimePoint now)
+/// The part of the change that the watch of the prefix sees.
+StoreWatchEvent below(const StoreWatchEvent &change, const std::string &prefix)
 {
-    const auto watcher = store.watchers.find(host);
-    if (watcher == store.watchers.end()) {
-        return;
-    }
-    if (!isReachable(store, host)) {
-        store.watchers.erase(watcher);
-        deliver(store, host, now, StoreWatchLost{"connection closed"});
-        return;
+    StoreWatchEvent part = change;
+    part.prefix = prefix;
+    std::erase_if(part.put, [&](const StoreEntry &entry) { return !entry.key.path.starts_with(prefix); });
+    std::erase_if(part.deleted, [&](const StoreKey &key) { return !key.path.starts_with(prefix); });
+    return part;
+}
+
+/// Delivers what the watch has not seen. False if the watch is lost.
+bool deliverChanges(FakeStore &store, const HostId &host, const std::string &prefix, FakeWatch &watch, TimePoint now)
+{
+    if (!isReachable(store, host) || watch.reported < store.historyBegin) {
+        deliver(store, host, now, StoreWatchLost{"connection closed", prefix});
+        return false;
     }
     for (const auto &change : store.history) {
-        if (change.revision > watcher->second) {
-            watcher->second = change.revision;
-            if (!store.faults.areWatchesSilent) {
-                deliver(store, host, now + store.faults.watchLatency, change);
-            }
+        if (change.revision <= watch.reported) {
+            continue;
+        }
+        watch.reported = change.revision;
+        const auto part = below(change, prefix);
+        if (!store.faults.areWatchesSilent && (prefix.empty() || !part.put.empty() || !part.deleted.empty())) {
+            deliver(store, host, now + store.faults.watchLatency, part);
+        }
+    }
+    return true;
+}
+
+void deliverChanges(FakeStore &store, const HostId &host, TimePoint now)
+{
+    for (auto row = store.watchers.begin(); row != store.watchers.end();) {
+        const bool isLost = row->first.first == host && !deliverChanges(store, host, row->first.second, row->second, now);
+        row = isLost ? store.watchers.erase(row) : std::next(row);
+    }
+}
+
+void carryOutLateCalls(FakeStore &store, TimePoint now)
+{
+    const auto late = std::exchange(store.lateCalls, {});
+    for (const auto &call : late) {
+        if (call.due > now) {
+            store.lateCalls.push_back(call);
+        } else {
+            carryOutCall(store, call.call, now);
         }
     }
 }
@@ -176,6 +220,7 @@
 void submitCall(FakeStore &store, const HostId &host, const StoreCall &call, TimePoint now)
 {
     ++store.calls;
+    carryOutLateCalls(store, now);
     expireLeases(store, now);
     StoreReply reply;
     const bool isTransaction = std::holds_alternative<StoreTransaction>(call.request);
@@ -185,6 +230,10 @@
     } else if (isTransaction && takeOne(store.faults.callsToLose)) {
         reply.outcome = StoreOutcome::Unknown;
         reply.error = "connection reset";
+    } else if (isTransaction && takeOne(store.faults.transactionsToDelay)) {
+        store.lateCalls.push_back({now + store.faults.delay, call});
+        reply.outcome = StoreOutcome::Unknown;
+        reply.error = "timeout";
     } else {
         reply = carryOutCall(store, call, now);
         reply.revision = store.revision;
@@ -203,14 +252,38 @@
 void followSession(FakeStore &store, const HostId &host, bool isWatching, Revision watchRevision)
 {
     if (!isWatching) {
-        store.watchers.erase(host);
+        store.watchers.erase({host, std::string{}});
     } else {
-        store.watchers.try_emplace(host, watchRevision);
+        store.watchers.try_emplace({host, std::string{}}, FakeWatch{watchRevision, 0});
     }
 }
 
+void followMirrors(FakeStore &store, const HostId &host, const std::map<std::string, StoreMirror> &mirrors)
+{
+    std::erase_if(store.watchers, [&](const auto &row) {
+        const auto mirror = mirrors.find(row.first.second);
+        return row.first.first == host && (mirror == mirrors.end() || mirror->second.step != MirrorStep::Watching || mirror->second.generation != row.second.generation);
+    });
+    for (const auto &[prefix, mirror] : mirrors) {
+        if (mirror.step == MirrorStep::Watching) {
+            store.watchers.try_emplace({host, prefix}, FakeWatch{mirror.revision, mirror.generation});
+        }
+    }
+}
+
+void closeWatches(FakeStore &store, const HostId &host)
+{
+    std::erase_if(store.watchers, [&](const auto &row) { return row.first.first == host; });
+}
+
+void forgetHistory(FakeStore &store)
+{
+    store.historyBegin = store.revision;
+}
+
 std::vector<Event> takeStoreEvents(FakeStore &store, const HostId &host, TimePoint now)
 {
+    carryOutLateCalls(store, now);
     expireLeases(store, now);
     deliverChanges(store, host, now);
     std::vector<Event> events;
@@ -232,6 +305,12 @@
     applyWrites(store, {StoreWrite{key, record, std::nullopt}}, 0);
 }
 
+void removeRow(FakeStore &store, const StoreKey &key, TimePoint now)
+{
+    expireLeases(store, now);
+    applyWrites(store, {StoreWrite{key, std::nullopt, std::nullopt}}, 0);
+}
+
 void putConfiguration(FakeStore &store, long long version, const std::vector<ConfigurationItem> &items, TimePoint now)
 {
     expireLeases(store, now);
--- /dev/null
+++ b/tests/testdomainownership.cpp
@@ -0,0 +1,185 @@
+#include "tests/domainfixture.h"
+
+#include <algorithm>
+
+namespace sequoiastand
+{
+
+/// Three hosts and eight targets: who owns the domain, and what becomes of work when that changes.
+struct DomainOwnership : DomainTest
+{
+    DomainOwnership()
+    {
+        addTargets(8);
+        for (const char *host : {"h1", "h2", "h3"}) {
+            addHost(host);
+        }
+        run(Duration{1'000});
+    }
+
+    std::string other(const std::string &host)
+    {
+        return host == "h1" ? "h2" : "h1";
+    }
+
+    int ownerCount()
+    {
+        int count = 0;
+        for (const char *host : {"h1", "h2", "h3"}) {
+            count += hasAuthority(board(host)) ? 1 : 0;
+        }
+        return count;
+    }
+
+    Revision token(const std::string &host)
+    {
+        return board(host).ownership.token;
+    }
+};
+
+TEST_F(DomainOwnership, exactlyOneHostOwnsACalmDomain)
+{
+    for (int second = 0; second < 10; ++second) {
+        run(Duration{1'000});
+        EXPECT_EQ(ownerCount(), 1);
+    }
+}
+
+TEST_F(DomainOwnership, killedOwnerIsReplacedUnderAHigherToken)
+{
+    const auto first = owner();
+    const auto before = token(first);
+    kill(first);
+    runUntil([&] { return !owner().empty(); }, settings.limits.ownerLease + Duration{1'000});
+    EXPECT_NE(owner(), first);
+    EXPECT_GT(token(owner()), before);
+}
+
+TEST_F(DomainOwnership, restartedOwnerTakesItsOwnKeyOverWithoutWaitingForTheLease)
+{
+    const auto first = owner();
+    kill(first);
+    run(Duration{200});
+    start(first);
+    runUntil([&] { return owner() == first; }, Duration{500});
+}
+
+TEST_F(DomainOwnership, stoppingOwnerHandsOverAtOnce)
+{
+    const auto first = owner();
+    requestStop(first);
+    runUntil([&] { return !owner().empty() && owner() != first; }, Duration{500});
+}
+
+TEST_F(DomainOwnership, lateClaimDoesNotReplaceTheNewOwner)
+{
+    // Guards against a claim whose condition is the revision of an owner that was seen after its lease had been asked for.
+    store.faults.latency = Duration{40};
+    kill(owner());
+    run(Duration{6'000});
+    const auto second = owner();
+    ASSERT_FALSE(second.empty());
+    const auto before = token(second);
+    run(Duration{5'000});
+    EXPECT_EQ(owner(), second);
+    EXPECT_EQ(token(second), before);
+}
+
+TEST_F(DomainOwnership, pausedOwnerSendsNothingOnceItsAuthorityHasEnded)
+{
+    const auto first = owner();
+    const auto firstToken = token(first);
+    pause(first);
+    runUntil([&] { return !owner().empty(); }, Duration{5'000});
+    submit(id(1), gang(4, {4'000, 8'000, 4}), {}, other(first));
+    run(Duration{500});
+    sentOrders.clear();
+    resume(first);
+    run(Duration{2'000});
+    const auto isOld = [&](const TargetOrder &order) { return order.token == firstToken; };
+    EXPECT_TRUE(std::ranges::none_of(sentOrders, isOld));
+    EXPECT_EQ(ownerCount(), 1);
+}
+
+TEST_F(DomainOwnership, workGoesOnUnderTheNextOwner)
+{
+    answerTo(submit(id(1), gang(4, {4'000, 8'000, 4}), {Duration{6'000}, {}}));
+    runUntil([&] { return isAtWork(fleet, id(1)); }, Duration{1'000});
+    kill(owner());
+    const auto survivor = owner().empty() ? std::string("h2") : owner();
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{12'000});
+    EXPECT_EQ(fleet.starts[id(1)], 4) << "the next owner started work again that was still running";
+}
+
+TEST_F(DomainOwnership, endThatWasNotStoredIsTakenInByTheNextOwner)
+{
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{2'000}, {}}));
+    runUntil([&] { return isAtWork(fleet, id(1)); }, Duration{1'000});
+    kill(owner());
+    run(Duration{2'200});
+    EXPECT_FALSE(isAtWork(fleet, id(1)));
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{5'000});
+    EXPECT_EQ(fleet.starts[id(1)], 1);
+}
+
+TEST_F(DomainOwnership, gangFailureThatIsHeardAfterAnotherMembersEndIsCounted)
+{
+    // The owner dies while a member fails, and the next owner may hear of the broken members first.
+    for (const auto failing : {0, 3}) {
+        const auto workflow = id(10 + failing);
+        answerTo(submit(workflow, gang(4, {4'000, 8'000, 4}), {Duration{1'500}, {failing}}, "h1", "/ordinary/"));
+        runUntil([&] { return isAtWork(fleet, workflow); }, Duration{8'000});
+        const auto gone = owner();
+        kill(gone);
+        run(Duration{1'700});
+        start(gone);
+        runUntil([&] { return storedState(workflow) == WorkflowState::Failed; }, Duration{20'000});
+        EXPECT_EQ((fleet.failures[{{workflow, 0, 0}, 0}]), 3);
+    }
+}
+
+TEST_F(DomainOwnership, runOnAnUnreachableTargetIsNotStartedElsewhereBeforeItHasSurelyLapsed)
+{
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{60'000}, {}}));
+    runUntil([&] { return isAtWork(fleet, id(1)); }, Duration{1'000});
+    run(Duration{3'000});
+    const auto place = std::ranges::find_if(fleet.targets, [](const auto &row) { return !row.second.running.empty(); })->first.value;
+    cutOff(place);
+    kill(owner());
+    runUntil([&] { return fleet.starts[id(1)] == 2; }, Duration{20'000});
+    // The model objects if the first run was still at work.
+    EXPECT_FALSE(fleet.targets.at({place}).running.contains({{id(1), 0, 0}, 0}));
+}
+
+TEST_F(DomainOwnership, allHostsKilledTogetherTakeTheWorkUpAgain)
+{
+    answerTo(submit(id(1), gang(4, {4'000, 8'000, 4}), {Duration{4'000}, {}}));
+    answerTo(submit(id(2), batch(6, {1'000, 1'000, 1}), {Duration{4'000}, {}}));
+    run(Duration{500});
+    for (const char *host : {"h1", "h2", "h3"}) {
+        kill(host);
+    }
+    run(Duration{1'000});
+    for (const char *host : {"h1", "h2", "h3"}) {
+        start(host);
+    }
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed && storedState(id(2)) == WorkflowState::Completed; }, Duration{10'000});
+    EXPECT_EQ(fleet.starts[id(1)], 4);
+    EXPECT_EQ(fleet.starts[id(2)], 6);
+}
+
+TEST_F(DomainOwnership, strongerHostClaimsAVacantDomainFirst)
+{
+    for (const char *host : {"h1", "h2", "h3"}) {
+        kill(host);
+    }
+    run(Duration{4'000});
+    for (const auto &[host, share] : std::map<std::string, double>{{"h1", 0.1}, {"h2", 0.5}, {"h3", 0.2}}) {
+        settings.processorShare = share;
+        start(host);
+    }
+    run(Duration{1'000});
+    EXPECT_EQ(owner(), "h2");
+}
+
+}
--- /dev/null
+++ b/tests/testtargetlifecycle.cpp
@@ -0,0 +1,179 @@
+#include "tests/domainfixture.h"
+
+#include <algorithm>
+
+namespace sequoiastand
+{
+
+/// Two hosts and eight targets that leave, vanish, restart or answer late.
+struct TargetLifecycle : DomainTest
+{
+    TargetLifecycle()
+    {
+        addTargets(8);
+        addHost("h1");
+        addHost("h2");
+        run(Duration{1'000});
+    }
+
+    std::string placeOf(const RequestId &workflow)
+    {
+        const auto found = std::ranges::find_if(fleet.targets, [&](const auto &row) {
+            return std::ranges::any_of(row.second.running, [&](const auto &run) { return run.first.step.workflow == workflow; });
+        });
+        return found == fleet.targets.end() ? std::string{} : found->first.value;
+    }
+
+    std::string startLongTask(int number, Duration work = Duration{60'000})
+    {
+        answerTo(submit(id(number), batch(1, {1'000, 1'000, 1}), {work, {}}));
+        runUntil([&] { return isAtWork(fleet, id(number)); }, Duration{1'000});
+        return placeOf(id(number));
+    }
+};
+
+TEST_F(TargetLifecycle, taskOfATargetThatLeftStartsAgainElsewhere)
+{
+    // Guards against holds to a silent target that put off for ever the time at which its runs have surely lapsed.
+    const auto place = startLongTask(1);
+    drain(place);
+    run(Duration{2'000});
+    unregister(place);
+    removeTarget(fleet, {place});
+    runUntil([&] { return isAtWork(fleet, id(1)); }, Duration{15'000});
+    EXPECT_NE(placeOf(id(1)), place);
+}
+
+TEST_F(TargetLifecycle, drainingTargetGetsNoNewWork)
+{
+    for (int number = 1; number <= 7; ++number) {
+        drain("t" + std::to_string(number));
+    }
+    run(Duration{300});
+    answerTo(submit(id(1), batch(8, {1'000, 1'000, 1})));
+    run(Duration{3'000});
+    for (const auto &order : sentOrders) {
+        if (std::holds_alternative<StartRun>(order.request)) {
+            EXPECT_EQ(order.target.value, "t8");
+        }
+    }
+}
+
+TEST_F(TargetLifecycle, evacuatedZoneGetsNoNewWorkUntilItIsBack)
+{
+    evacuate("a");
+    run(Duration{300});
+    answerTo(submit(id(1), batch(40, {1'000, 1'000, 1}), {Duration{10'000}, {}}));
+    run(Duration{1'000});
+    const auto runsIn = [&](const std::string &zone) {
+        int runs = 0;
+        for (const auto &[target, model] : fleet.targets) {
+            runs += model.registration.availabilityZone.value == zone ? static_cast<int>(model.running.size()) : 0;
+        }
+        return runs;
+    };
+    EXPECT_EQ(runsIn("a"), 0);
+    EXPECT_EQ(runsIn("b"), 32);
+    returnZone("a");
+    run(Duration{1'000});
+    EXPECT_EQ(runsIn("a"), 8);
+}
+
+TEST_F(TargetLifecycle, restartedTargetRunsItsTaskAgain)
+{
+    const auto place = startLongTask(1, Duration{3'000});
+    crash(place);
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{8'000});
+    EXPECT_EQ(fleet.starts[id(1)], 2);
+}
+
+TEST_F(TargetLifecycle, shortCutLosesNoWork)
+{
+    const auto place = startLongTask(1, Duration{10'000});
+    cutOff(place);
+    run(Duration{6'500});
+    reconnect(place);
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{8'000});
+    EXPECT_EQ(fleet.starts[id(1)], 1);
+}
+
+TEST_F(TargetLifecycle, registrationThatLapsedIsNoReasonToRunATaskTwice)
+{
+    const auto place = startLongTask(1, Duration{6'000});
+    unregister(place);
+    run(Duration{2'000});
+    registerAgain(place);
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{8'000});
+    EXPECT_EQ(fleet.starts[id(1)], 1);
+}
+
+TEST_F(TargetLifecycle, startWithoutAnswerIsSettledBeforeTheTaskRunsElsewhere)
+{
+    losesStartAnswers = true;
+    answerTo(submit(id(1), gang(3, {4'000, 8'000, 4}), {Duration{1'000}, {}}));
+    run(Duration{400});
+    losesStartAnswers = false;
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{8'000});
+}
+
+TEST_F(TargetLifecycle, startThatIsCarriedOutSecondsLaterRunsNothingTwice)
+{
+    startDelay = Duration{3'000};
+    answerTo(submit(id(1), batch(4, {1'000, 1'000, 1}), {Duration{5'000}, {}}));
+    run(Duration{500});
+    startDelay = Duration{0};
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{20'000});
+}
+
+TEST_F(TargetLifecycle, workRunsThroughAnOutageOfTheStore)
+{
+    startLongTask(1, Duration{8'000});
+    store.faults.isDown = true;
+    run(Duration{6'000});
+    store.faults.isDown = false;
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{10'000});
+    EXPECT_EQ(fleet.starts[id(1)], 1);
+}
+
+TEST_F(TargetLifecycle, endsAreKeptUntilTheStoreHoldsThem)
+{
+    const auto place = startLongTask(1, Duration{1'000});
+    store.faults.isDown = true;
+    run(Duration{2'000});
+    EXPECT_EQ(fleet.targets.at({place}).ended.size(), 1U) << "the target was told to forget an end that is not stored";
+    store.faults.isDown = false;
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{8'000});
+    runUntil([&] { return fleet.targets.at({place}).ended.empty(); }, Duration{3'000});
+}
+
+TEST_F(TargetLifecycle, reclaimStopsPatientWorkForAnUrgentGang)
+{
+    answerTo(submit(id(1), batch(64, {1'000, 1'000, 1}), {Duration{60'000}, {}}, "h1", "/patient/"));
+    run(Duration{500});
+    answerTo(submit(id(2), gang(2, {8'000, 8'000, 8})));
+    runUntil([&] { return isAtWork(fleet, id(2)); }, Duration{1'000});
+    EXPECT_TRUE(isAtWork(fleet, id(1)));
+}
+
+TEST_F(TargetLifecycle, deafWatchDelaysADrainNoLongerThanItsBound)
+{
+    run(Duration{2'000});
+    store.faults.areWatchesSilent = true;
+    for (int number = 1; number <= 7; ++number) {
+        drain("t" + std::to_string(number));
+    }
+    run(Duration{1'000});
+    forgetHistory(store);
+    store.faults.areWatchesSilent = false;
+    run(Duration{800});
+    sentOrders.clear();
+    answerTo(submit(id(1), batch(8, {1'000, 1'000, 1})));
+    run(Duration{1'000});
+    for (const auto &order : sentOrders) {
+        if (std::holds_alternative<StartRun>(order.request)) {
+            EXPECT_EQ(order.target.value, "t8");
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/tests/testworkflowpath.cpp
@@ -0,0 +1,122 @@
+#include "tests/domainfixture.h"
+
+namespace sequoiastand
+{
+
+/// Two hosts and eight targets: submissions until their end.
+struct WorkflowPath : DomainTest
+{
+    WorkflowPath()
+    {
+        addTargets(8);
+        addHost("h1");
+        addHost("h2");
+        run(Duration{1'000});
+    }
+};
+
+TEST_F(WorkflowPath, gangThatFitsRunsOnceAndCompletes)
+{
+    EXPECT_FALSE(answerTo(submit(id(1), gang(4, {4'000, 8'000, 4}))).refusal);
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{3'000});
+    EXPECT_EQ(fleet.starts[id(1)], 4);
+    EXPECT_EQ(answerTo(query(id(1), "h2")).state, WorkflowState::Completed);
+}
+
+TEST_F(WorkflowPath, secondStepStartsOnlyAfterTheFirstHasFinished)
+{
+    auto specification = batch(3, {1'000, 1'000, 1});
+    specification.steps.push_back(specification.steps.front());
+    specification.steps.back().after = {0};
+    answerTo(submit(id(1), specification));
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{5'000});
+    EXPECT_EQ(fleet.starts[id(1)], 6);
+}
+
+TEST_F(WorkflowPath, sameIdAtAnotherHostIsTheSameWorkflow)
+{
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1})));
+    EXPECT_FALSE(answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {}, "h2")).refusal);
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{5'000});
+    EXPECT_FALSE(answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {}, "h2")).refusal);
+    run(Duration{2'000});
+    EXPECT_EQ(fleet.starts[id(1)], 1);
+}
+
+TEST_F(WorkflowPath, occurrencesStartAtTheirTimesAndNoneTwice)
+{
+    auto specification = batch(1, {1'000, 1'000, 1}, Duration{100});
+    specification.schedule = {3, wallNow + Duration{2'000}, Duration{1'000}};
+    answerTo(submit(id(1), specification, {Duration{100}, {}}));
+    run(Duration{1'500});
+    EXPECT_EQ(fleet.starts[id(1)], 0) << "started before its time";
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{5'000});
+    EXPECT_EQ(fleet.starts[id(1)], 3);
+}
+
+TEST_F(WorkflowPath, cancelledWorkflowIsStoppedEverywhere)
+{
+    answerTo(submit(id(1), gang(4, {4'000, 8'000, 4}), {Duration{60'000}, {}}));
+    runUntil([&] { return isAtWork(fleet, id(1)); }, Duration{1'000});
+    EXPECT_FALSE(answerTo(cancel(id(1), "h2")).refusal);
+    runUntil([&] { return !isAtWork(fleet, id(1)); }, Duration{1'000});
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Cancelled; }, Duration{1'000});
+    run(Duration{2'000});
+    EXPECT_EQ(fleet.starts[id(1)], 4) << "started again after the cancellation";
+}
+
+TEST_F(WorkflowPath, unknownWorkflowIsReportedAsGone)
+{
+    const auto answer = answerTo(query(id(7)));
+    ASSERT_TRUE(answer.refusal);
+    EXPECT_EQ(answer.refusal->reason, RefusalReason::NotFound);
+}
+
+TEST_F(WorkflowPath, taskLargerThanEveryTargetIsRefusedAtOnce)
+{
+    answerTo(countWaiting("/urgent/")); // Reads the summary that says what targets there are.
+    const auto before = now;
+    const auto answer = answerTo(submit(id(1), batch(1, {1'000, 1'000, 9})));
+    ASSERT_TRUE(answer.refusal);
+    EXPECT_EQ(answer.refusal->reason, RefusalReason::NeverFits);
+    EXPECT_EQ(answer.refusal->run, RunClaim::NotRun);
+    EXPECT_LT(now - before, Duration{50});
+}
+
+TEST_F(WorkflowPath, faultySubmissionsAreRefusedWithTheirFault)
+{
+    auto circle = batch(1, {1'000, 1'000, 1});
+    circle.steps.front().after = {0};
+    EXPECT_EQ(answerTo(submit(id(1), circle)).refusal->reason, RefusalReason::BadRequest);
+    EXPECT_EQ(answerTo(submit({"not-an-id"}, batch(1, {}))).refusal->reason, RefusalReason::BadRequest);
+    auto large = batch(1, {});
+    large.payload = std::string(4'001, 'x');
+    EXPECT_EQ(answerTo(submit(id(2), large)).refusal->reason, RefusalReason::BadRequest);
+}
+
+TEST_F(WorkflowPath, waitingWorkflowsAreCountedPerQueue)
+{
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{60'000}, {}}, "h1", "/patient/"));
+    auto later = batch(1, {1'000, 1'000, 1});
+    later.schedule = {1, wallNow + Duration{60'000}, Duration{0}};
+    answerTo(submit(id(2), later, {}, "h1", "/patient/"));
+    run(Duration{2'500});
+    EXPECT_EQ(answerTo(countWaiting("/patient/", "h2")).waiting, 1);
+    EXPECT_EQ(answerTo(countWaiting("/urgent/", "h2")).waiting, 0);
+}
+
+TEST_F(WorkflowPath, failingTaskIsTriedAsOftenAsItsQueueAllows)
+{
+    answerTo(submit(id(1), batch(3, {1'000, 1'000, 1}), {Duration{200}, {1}}, "h1", "/ordinary/"));
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Failed; }, Duration{5'000});
+    EXPECT_EQ((fleet.failures[{{id(1), 0, 0}, 1}]), 3);
+}
+
+TEST_F(WorkflowPath, failingGangIsCountedOncePerRun)
+{
+    answerTo(submit(id(1), gang(3, {1'000, 1'000, 1}), {Duration{200}, {1}}, "h1", "/ordinary/"));
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Failed; }, Duration{8'000});
+    EXPECT_EQ((fleet.failures[{{id(1), 0, 0}, 0}]), 3);
+}
+
+}
--- a/workflow/claimdomain.cpp
+++ b/workflow/claimdomain.cpp
@@ -11,8 +11,8 @@
 {
 
 // A stronger host claims first: the share of a core that it lacks, spread over this time.
-constexpr Duration strengthSpread{150};
-constexpr Duration claimJitter{40};
+constexpr Duration strengthSpread{80};
+constexpr Duration claimJitter{20};
 
 // Renewals within one life of the lease; with four, two may be lost.
 constexpr int renewalsPerLease = 4;
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -22,7 +22,16 @@
 namespace sequoiastand
 {
 
-using WorkflowEvent = std::variant<CallerRequest, CallAbandoned, StoreReply, StoreWatchEvent, StoreWatchLost, TargetOrderReply, StopRequested>;
+/// The settings file has changed. The host's id and incarnation stay.
+struct SettingsChanged
+{
+    DomainSettings settings;
+
+    friend bool operator==(const SettingsChanged &, const SettingsChanged &) = default;
+};
+
+using WorkflowEvent =
+    std::variant<CallerRequest, CallAbandoned, StoreReply, StoreWatchEvent, StoreWatchLost, TargetOrderReply, StopRequested, SettingsChanged>;
 using WorkflowMessage = std::variant<StoreCall, TargetOrder, CallerAnswer>;
 
 enum class MirrorStep
--- a/workflow/workflowstep.cpp
+++ b/workflow/workflowstep.cpp
@@ -8,6 +8,24 @@
 namespace sequoiastand
 {
 
+namespace
+{
+
+void takeProcessEvents(WorkflowBoard &board)
+{
+    for (const auto &event : board.inbox) {
+        if (std::holds_alternative<StopRequested>(event)) {
+            board.isStopping = true;
+        } else if (const auto *changed = std::get_if<SettingsChanged>(&event)) {
+            board.self.limits = changed->settings.limits;
+            board.self.availabilityZones = changed->settings.availabilityZones;
+            board.self.processorShare = changed->settings.processorShare;
+        }
+    }
+}
+
+}
+
 WorkflowBoard makeWorkflowBoard(const DomainSettings &settings, TimePoint now, WallTime wallNow)
 {
     WorkflowBoard board;
@@ -25,9 +43,7 @@
     board.wallNow = wallNow;
     board.inbox = std::move(events);
     fireTimers(board.timers, now);
-    if (std::ranges::any_of(board.inbox, [](const WorkflowEvent &event) { return std::holds_alternative<StopRequested>(event); })) {
-        board.isStopping = true;
-    }
+    takeProcessEvents(board);
     followStore(board);
     proveConfiguration(board);
     claimDomain(board);
