Find what stands on a target's new life, and let single lost proofs pass

Ruled out: that a late start survives its target's process, which the model now has as a switch of its own test.

--- a/standins/fleetmodel.h
+++ b/standins/fleetmodel.h
@@ -54,9 +54,11 @@
     TimePoint bornAt;
     Revision fence = 0;
     TimePoint heldUntil;
+    TimePoint lapsedAt; ///< When nothing held it last.
     std::map<TaskId, ModelRun> running;
     std::deque<EndedRun> ended;
     long long ends = 0;
+    std::map<long long, TimePoint> endedAt; ///< Times of the ends that are not forgotten.
     std::map<TaskId, int> highestEnded; ///< Runs up to this number are refused.
     ModelTargetFaults faults;
 
@@ -73,10 +75,14 @@
     std::map<TargetId, ModelTarget> targets;
     std::map<RequestId, Workflow> workflows;
     std::map<RequestId, TaskBehaviour> behaviours;
-    std::map<TaskId, TimePoint> finished;
-    std::map<TaskId, int> failures; ///< Failed runs of a task; of a gang under its first task.
+    std::map<TaskId, TimePoint> finished;  ///< When a run of the task finished first.
+    std::map<TaskId, TimePoint> noted;     ///< When a finish of the task was acknowledged, if the target had been held until then.
+    std::map<TaskId, TimePoint> lastStart;
+    std::map<TaskId, int> failures; ///< Acknowledged failed runs of a task; of a gang under its first task.
+    std::set<std::pair<TaskId, int>> failedRuns; ///< What `failures` counts, by run.
     std::map<RequestId, int> starts;
     std::vector<std::string> objections;
+    TimePoint now; ///< Of the last order.
 };
 
 void addTarget(FleetModel &fleet, const TargetRegistration &registration, TimePoint now);
--- a/tests/domainfixture.h
+++ b/tests/domainfixture.h
@@ -38,6 +38,7 @@
     /// The process ends without a word; start() runs it again as a new incarnation.
     void kill(const std::string &host);
     void start(const std::string &host);
+    void startIfDown(const std::string &host);
     void pause(const std::string &host);
     void resume(const std::string &host);
     void requestStop(const std::string &host);
@@ -85,7 +86,9 @@
     WallTime wallNow{Duration{1'700'000'000'000}};
     bool losesStartAnswers = false; ///< Starts take effect, but the hosts hear nothing of it.
     Duration startDelay{0};         ///< Starts are carried out so much later, and not answered.
+    bool lateStartsSurvive = false; ///< Also if the target has crashed meanwhile, as if something in between had held them up.
     std::vector<TargetOrder> sentOrders;
+    std::vector<std::string> history; ///< Log lines of the hosts and what the test did, in order; printed for the tasks that the model objects to.
 
 protected:
     void TearDown() override;
@@ -105,6 +108,7 @@
     {
         TimePoint due;
         TargetOrder order;
+        long long bornMs = 0; ///< Life of the target when the order was sent.
     };
 
     struct WaitingHold
@@ -115,6 +119,7 @@
         long long knownEnds = 0;
     };
 
+    void note(const std::string &what);
     void tickOnce();
     void stepHost(const std::string &id, Host &host);
     void carry(const std::string &host, const TargetOrder &order);
--- /dev/null
+++ b/tests/testcallerproof.cpp
@@ -0,0 +1,144 @@
+#include "tests/domainfixture.h"
+
+namespace sequoiastand
+{
+
+/// Two hosts whose callers' keys and whose reach to the store change.
+struct CallerProof : DomainTest
+{
+    CallerProof()
+    {
+        addTargets(4);
+        addHost("h1");
+        addHost("h2");
+        run(Duration{1'000});
+    }
+
+    std::optional<RefusalReason> refusalOf(CallId call)
+    {
+        const auto answer = answerTo(call);
+        return answer.refusal ? std::optional(answer.refusal->reason) : std::nullopt;
+    }
+};
+
+TEST_F(CallerProof, unknownKeyIsRefusedAndAnonymousQueueNeedsNone)
+{
+    removeKey("key-tailors");
+    run(Duration{500});
+    EXPECT_EQ(refusalOf(submit(id(1), batch(1, {1'000, 1'000, 1}))), RefusalReason::Unauthorised);
+    auto open = configuration.queues.at({"urgent"});
+    open.isAnonymous = true;
+    setQueue(open);
+    run(Duration{500});
+    EXPECT_EQ(refusalOf(submit(id(2), batch(1, {1'000, 1'000, 1}))), std::nullopt);
+}
+
+TEST_F(CallerProof, removedKeyCountsNowhereAfterTheRevocationBound)
+{
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1})));
+    store.faults.cutOff.insert({"h2"});
+    run(Duration{50});
+    removeKey("key-tailors");
+    run(settings.limits.revokeBound);
+    EXPECT_TRUE(refusalOf(query(id(1), "h1")));
+    EXPECT_TRUE(refusalOf(query(id(1), "h2")));
+}
+
+TEST_F(CallerProof, removedKeyCannotSubmitEvenRightAfterItsRemoval)
+{
+    // The watch has not brought the change yet; the condition of the submission finds it.
+    store.faults.watchLatency = Duration{2'000};
+    removeKey("key-tailors");
+    EXPECT_EQ(refusalOf(submit(id(1), batch(1, {1'000, 1'000, 1}))), RefusalReason::Unauthorised);
+    EXPECT_FALSE(storedState(id(1)));
+}
+
+TEST_F(CallerProof, suspendedHostProvesItsConfigurationBeforeItAnswers)
+{
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1})));
+    pause("h2");
+    removeKey("key-tailors");
+    run(Duration{6'000});
+    store.faults.watchLatency = Duration{2'000};
+    const auto call = query(id(1), "h2");
+    resume("h2");
+    EXPECT_EQ(refusalOf(call), RefusalReason::Unauthorised);
+}
+
+TEST_F(CallerProof, hostWithoutTheStoreRefusesAtOnceAndIsNotReady)
+{
+    store.faults.cutOff.insert({"h2"});
+    run(Duration{2'500});
+    EXPECT_FALSE(isReady(board("h2")));
+    EXPECT_TRUE(isReady(board("h1")));
+    const auto before = now;
+    const auto answer = answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {}, "h2"));
+    ASSERT_TRUE(answer.refusal);
+    EXPECT_EQ(answer.refusal->reason, RefusalReason::StoreUnavailable);
+    EXPECT_EQ(answer.refusal->run, RunClaim::NotRun);
+    EXPECT_GT(answer.refusal->retryAfter, Duration{0});
+    EXPECT_LT(now - before, Duration{50});
+    store.faults.cutOff.clear();
+    run(Duration{500});
+    EXPECT_TRUE(isReady(board("h2")));
+}
+
+TEST_F(CallerProof, submissionWhoseAnswerWasLostIsAcceptedOnce)
+{
+    store.faults.answersToLose = 1;
+    EXPECT_EQ(refusalOf(submit(id(1), batch(1, {1'000, 1'000, 1}))), std::nullopt);
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{5'000});
+    EXPECT_EQ(fleet.starts[id(1)], 1);
+}
+
+TEST_F(CallerProof, submissionThatMayStillBeStoredIsNotSaidToBeRefused)
+{
+    // The store carries the first sending out two seconds later and is down when it is repeated.
+    store.faults.transactionsToDelay = 1;
+    const auto call = submit(id(1), batch(1, {1'000, 1'000, 1}), {}, "h2");
+    run(tick);
+    store.faults.isDown = true;
+    const auto answer = answerTo(call);
+    ASSERT_TRUE(answer.refusal);
+    EXPECT_EQ(answer.refusal->run, RunClaim::Unknown);
+    EXPECT_EQ(answer.refusal->reason, RefusalReason::Timeout);
+}
+
+TEST_F(CallerProof, configurationThatComesByTheWatchIsEnoughToServe)
+{
+    // A host may start before the operators have written anything.
+    kill("h2");
+    removeRow(store, queueConfigurationKey(), now);
+    start("h2");
+    run(Duration{500});
+    EXPECT_FALSE(isReady(board("h2")));
+    setKey("key-late", "hotels");
+    run(Duration{1'500});
+    EXPECT_TRUE(isReady(board("h2")));
+}
+
+TEST_F(CallerProof, newQueueServesWithinASecondAndRemovedQueueIsUnknown)
+{
+    auto queue = configuration.queues.at({"urgent"});
+    queue.id = {"extra"};
+    queue.prefix = "/extra/";
+    setQueue(queue);
+    run(Duration{1'000});
+    EXPECT_EQ(refusalOf(countWaiting("/extra/", "h2")), std::nullopt);
+    configuration.queues.erase({"extra"});
+    setKey("key-tailors", "tailors");
+    run(Duration{1'000});
+    EXPECT_EQ(refusalOf(countWaiting("/extra/", "h2")), RefusalReason::UnknownQueue);
+}
+
+TEST_F(CallerProof, lowerVersionOfTheConfigurationIsNotApplied)
+{
+    const auto present = board("h1").view.configuration.version;
+    configuration.version = present - 2;
+    configuration.keys.clear();
+    setKey("key-other", "hotels");
+    run(Duration{1'500});
+    EXPECT_EQ(board("h1").view.configuration.version, present);
+}
+
+}
--- a/tests/testtargetlifecycle.cpp
+++ b/tests/testtargetlifecycle.cpp
@@ -125,6 +125,32 @@
     runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{20'000});
 }
 
+TEST_F(TargetLifecycle, lateStartDoesNotRunOnTheNextLifeOfItsTarget)
+{
+    lateStartsSurvive = true;
+    startDelay = Duration{3'000};
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{2'000}, {}}));
+    run(Duration{100});
+    startDelay = Duration{0};
+    runUntil([&] { return isAtWork(fleet, id(1)); }, Duration{3'000});
+    crash(placeOf(id(1)));
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{20'000});
+    run(Duration{5'000});
+}
+
+TEST_F(TargetLifecycle, startThatReachedANewLifeBeforeItWasKnownIsFoundThere)
+{
+    // The registration of the new life comes late, and the start between is carried out by that life.
+    const auto place = startLongTask(1, Duration{20'000});
+    store.faults.watchLatency = Duration{600};
+    for (int number = 1; number <= 8; ++number) {
+        crash("t" + std::to_string(number));
+    }
+    answerTo(submit(id(2), batch(16, {1'000, 1'000, 1}), {Duration{3'000}, {}}));
+    runUntil([&] { return storedState(id(2)) == WorkflowState::Completed; }, Duration{15'000});
+    EXPECT_EQ(fleet.starts[id(2)], 16);
+}
+
 TEST_F(TargetLifecycle, workRunsThroughAnOutageOfTheStore)
 {
     startLongTask(1, Duration{8'000});
--- a/tests/testworkflowpath.cpp
+++ b/tests/testworkflowpath.cpp
@@ -109,6 +109,7 @@
 {
     answerTo(submit(id(1), batch(3, {1'000, 1'000, 1}), {Duration{200}, {1}}, "h1", "/ordinary/"));
     runUntil([&] { return storedState(id(1)) == WorkflowState::Failed; }, Duration{5'000});
+    run(Duration{2'000}); // Until the target knows that the failure is stored.
     EXPECT_EQ((fleet.failures[{{id(1), 0, 0}, 1}]), 3);
 }
 
@@ -116,6 +117,7 @@
 {
     answerTo(submit(id(1), gang(3, {1'000, 1'000, 1}), {Duration{200}, {1}}, "h1", "/ordinary/"));
     runUntil([&] { return storedState(id(1)) == WorkflowState::Failed; }, Duration{8'000});
+    run(Duration{2'000}); // Until the target knows that the failure is stored.
     EXPECT_EQ((fleet.failures[{{id(1), 0, 0}, 0}]), 3);
 }
 
--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -278,7 +278,7 @@
     call.step = CallerStep::Proving;
     call.call.reset();
     board.view.nextProofAt = board.now;
-    board.view.provenAt.reset();
+    board.view.doubtedAt = board.now;
     subscribeNoLaterThan(board.timers, "proof", board.now);
     board.calls.put(call.request.id, std::move(call));
 }
--- a/workflow/claimdomain.cpp
+++ b/workflow/claimdomain.cpp
@@ -42,6 +42,7 @@
     board.runs = {};
     board.runCalls.clear();
     board.strayStops.clear();
+    board.lateStarts.clear();
     board.targets = {};
 }
 
--- a/workflow/driveruns.cpp
+++ b/workflow/driveruns.cpp
@@ -29,7 +29,6 @@
     run.isStopCall = std::holds_alternative<StopRun>(request);
     order.request = std::move(request);
     run.call = order.id;
-    run.callSentAt = board.now;
     board.runCalls.insert_or_assign(order.id, run.task);
     board.outbox.emplace_back(std::move(order));
 }
@@ -49,6 +48,7 @@
         run.since = board.now;
     }
     ++run.starts;
+    run.startSentAt = board.now;
     run.startDeadline = start.deadline;
     target.heldUntil = std::max(target.heldUntil, start.deadline);
     sendOrder(board, run, target, std::move(start));
--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -58,7 +58,8 @@
             continue;
         }
         // The list says nothing about orders that may have arrived after it was made.
-        const bool isSettled = run.step == RunStep::Unconfirmed || (run.step == RunStep::Running && askedAt >= run.since)
+        const bool wasThere = run.step == RunStep::Unconfirmed || run.step == RunStep::Running;
+        const bool isSettled = (wasThere && askedAt >= run.since)
                                || (run.stoppedAt && askedAt >= *run.stoppedAt);
         if (isSettled && board.runs.contains(run.task)) {
             loseUnlistedRun(board, run);
@@ -115,11 +116,11 @@
             TargetRegistration registration = target.registration;
             registration.life.bornMs = reply.lists->bornMs;
             logDecision(board, "renewTarget", id.value, "", "its lists show that the target has started again");
-            target = asNewLife(std::move(target), registration);
+            beginNewLife(board, std::move(target), registration);
+            return;
         }
         target.nextHoldAt = board.now;
         board.targets.put(id, std::move(target));
-        dropFormerLives(board);
         return;
     }
     if (target.failures > 1) {
@@ -214,6 +215,10 @@
     }
     logDecision(board, wasStop ? "stopRun" : "startRun", run.place.target.value, toString(run.task), "no answer: " + reply.error, true);
     count(board.counters, wasStop ? "stopsUnanswered" : "startsUnanswered", "");
+    if (!wasStop && reply.outcome == OrderOutcome::Unknown) {
+        run.mayArriveLate = true;
+        noteLateStart(board, run);
+    }
     run.retryAt = board.now + (run.starts > 1 ? board.self.limits.orderRetry : Duration{0});
     putRun(board, run);
 }
--- a/workflow/followtargets.cpp
+++ b/workflow/followtargets.cpp
@@ -36,14 +36,14 @@
     if (registration != target.registration || !target.isRegistered) {
         board.isPlanWanted = true;
     }
-    target = isNewLife ? asNewLife(std::move(target), registration) : std::move(target);
-    target.registration = registration;
     target.isRegistered = true;
-    board.targets.put(id, std::move(target));
     if (isNewLife) {
         logDecision(board, "renewTarget", id.value, "", "the target has started again");
-        dropFormerLives(board);
+        beginNewLife(board, std::move(target), registration);
+        return;
     }
+    target.registration = registration;
+    board.targets.put(id, std::move(target));
 }
 
 void removeRegistration(WorkflowBoard &board, const TargetId &id)
@@ -131,7 +131,7 @@
         }
         if (update.isWhole && (update.prefix == "targets/" || update.prefix == "intake/")) {
             // What a former owner recorded may stand on former lives of the targets.
-            dropFormerLives(board);
+            moveFormerLives(board);
         }
     }
     if (board.load.hasTargets && board.load.hasIntake) {
--- a/workflow/proveconfiguration.cpp
+++ b/workflow/proveconfiguration.cpp
@@ -10,8 +10,8 @@
 namespace
 {
 
-// A host that has had no answer for two proof periods counts as cut off from the store; single answers get lost.
-constexpr int missedProofs = 2;
+// After this many proofs without an answer in a row a host counts as cut off from the store; single answers get lost.
+constexpr int missedProofs = 3;
 
 void adoptConfiguration(WorkflowBoard &board, const QueueConfiguration &configuration, Revision revision)
 {
@@ -122,7 +122,7 @@
         return;
     }
     board.view.isReachable = isReachable;
-    logDecision(board, "reachStore", "", "", isReachable ? "the store answers" : "the store has not answered for two proof periods", !isReachable);
+    logDecision(board, "reachStore", "", "", isReachable ? "the store answers" : "the store has not answered " + std::to_string(board.view.failedProofs) + " proofs in a row", !isReachable);
 }
 
 void takeProof(WorkflowBoard &board)
@@ -136,13 +136,18 @@
     if (reply->outcome != StoreOutcome::Applied && reply->outcome != StoreOutcome::Conflict) {
         count(board.counters, "proofFailures", "");
         view.nextProofAt = board.now + board.self.limits.storeRetry;
+        if (++view.failedProofs >= missedProofs) {
+            noteReachable(board, false);
+        }
         return;
     }
+    view.failedProofs = 0;
     if (reply->outcome == StoreOutcome::Conflict) {
         takeConflict(board, *reply);
     }
     view.provenAt = view.proofSentAt;
-    view.nextProofAt = view.proofSentAt + board.self.limits.proofPeriod;
+    const bool isDoubted = view.doubtedAt && view.provenAt < view.doubtedAt;
+    view.nextProofAt = isDoubted ? board.now : view.proofSentAt + board.self.limits.proofPeriod;
     noteReachable(board, true);
 }
 
@@ -158,10 +163,6 @@
     }
     takeProof(board);
     auto &view = board.view;
-    const auto &limits = board.self.limits;
-    if (view.isReachable && (!view.provenAt || board.now - *view.provenAt > missedProofs * limits.proofPeriod)) {
-        noteReachable(board, false);
-    }
     if (!view.isLoaded || !board.ownership.isKnown) {
         return;
     }
@@ -172,9 +173,6 @@
     if (!view.proof) {
         subscribeNoLaterThan(board.timers, "proof", view.nextProofAt);
     }
-    if (view.provenAt) {
-        subscribeNoLaterThan(board.timers, "reachability", *view.provenAt + missedProofs * limits.proofPeriod + Duration{1});
-    }
 }
 
 }
--- a/workflow/runends.cpp
+++ b/workflow/runends.cpp
@@ -176,6 +176,18 @@
     failGangOf(board, run, "a member is not on its target");
 }
 
+void sendStrayStop(WorkflowBoard &board, const DomainTarget &target, const TaskId &task, int run)
+{
+    TargetOrder order;
+    order.id = takeCallId(board);
+    order.target = target.registration.life.target;
+    order.address = target.registration.address;
+    order.token = board.ownership.token;
+    order.timeout = board.self.limits.orderTimeout;
+    order.request = StopRun{task, run};
+    board.outbox.emplace_back(std::move(order));
+}
+
 void stopStray(WorkflowBoard &board, const TargetId &id, const ListedRun &row)
 {
     const auto *present = board.targets.find(id);
@@ -192,14 +204,7 @@
     stop->second = board.now;
     logDecision(board, "stopStray", id.value, toString(row.task), runText(row.run) + " is at work but is not the newest run of its task", true);
     count(board.counters, "straysStopped", "");
-    TargetOrder order;
-    order.id = takeCallId(board);
-    order.target = id;
-    order.address = target.registration.address;
-    order.token = board.ownership.token;
-    order.timeout = board.self.limits.orderTimeout;
-    order.request = StopRun{row.task, row.run};
-    board.outbox.emplace_back(std::move(order));
+    sendStrayStop(board, target, row.task, row.run);
 }
 
 }
--- a/workflow/targetlease.cpp
+++ b/workflow/targetlease.cpp
@@ -1,7 +1,9 @@
 #include "targetlease.h"
 
 #include "progresschange.h"
+#include "runends.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -14,6 +16,12 @@
 // The platform allows a target's clock to run 2 % slow.
 constexpr double slowestClockRate = 0.98;
 
+// The platform may carry an order out seconds after it was given up; twelve at most have been seen.
+constexpr Duration latestArrival{15'000};
+
+// The stops that a new life gets first are answered within this time, unless it is in trouble.
+constexpr Duration newLifePause{250};
+
 // Covers timers that fire late on the target.
 constexpr Duration lapseMargin{250};
 
@@ -46,32 +54,97 @@
     return stretched(limits.holdMax) + lapseMargin;
 }
 
-DomainTarget asNewLife(DomainTarget target, const TargetRegistration &registration)
+void noteLateStart(WorkflowBoard &board, const TaskRun &run)
+{
+    std::erase_if(board.lateStarts, [&](const LateStart &late) { return late.until <= board.now || (late.task == run.task && late.run == run.number); });
+    board.lateStarts.push_back({run.task, run.number, run.place.target, board.now + latestArrival});
+}
+
+namespace
+{
+
+/// A start that is still on its way finds the new life and is carried out there, because that life has seen no token and no run.
+bool mayArriveLater(const TaskRun &run)
+{
+    return run.mayArriveLate || (run.call && !run.isStopCall);
+}
+
+/// What was started after the former life's last answer may have been started by the new one.
+bool mayStandOnNewLife(const TaskRun &run, const DomainTarget &former)
+{
+    return run.step == RunStep::Unconfirmed || !former.answeredAt || run.startSentAt >= *former.answeredAt;
+}
+
+void loseWithFormerLife(WorkflowBoard &board, const TaskRun &run)
+{
+    const auto message = "run " + std::to_string(run.number) + " is gone with the target's former life";
+    logDecision(board, "loseRun", run.place.target.value, toString(run.task), message);
+    count(board.counters, "runsEnded", "targetGone");
+    removeRun(board, run);
+}
+
+void moveToNextLife(WorkflowBoard &board, TaskRun run, const TargetLife &life)
+{
+    const bool needsStop = mayArriveLater(run);
+    run.place = life;
+    run.stoppedAt.reset();
+    run.isStopWanted = run.isStopWanted || needsStop;
+    run.step = needsStop ? RunStep::Ending : RunStep::Unconfirmed;
+    run.since = board.now;
+    putRun(board, run);
+    changeTask(board, run.task, [&](TaskProgress &task) {
+        if (task.lastRun == run.number && task.place) {
+            task.place = life;
+        }
+    });
+    logDecision(board, "renewTarget", life.target.value, toString(run.task), "run " + std::to_string(run.number) + " may stand on the target's new life");
+}
+
+}
+
+void beginNewLife(WorkflowBoard &board, DomainTarget former, const TargetRegistration &registration)
 {
     DomainTarget fresh;
     fresh.registration = registration;
-    fresh.isRegistered = target.isRegistered;
+    fresh.isRegistered = former.isRegistered;
     // An answer under way belongs to the former life; its lists name that life and are dropped.
-    fresh.hold = target.hold;
-    fresh.holdSentAt = target.holdSentAt;
-    return fresh;
+    fresh.hold = former.hold;
+    fresh.holdSentAt = former.holdSentAt;
+    fresh.lostAt = board.now + foreignLease(board.self.limits);
+    const auto &life = registration.life;
+    for (const auto &late : board.lateStarts) {
+        if (late.target == life.target && board.now < late.until) {
+            fresh.avoidUntil = board.now + newLifePause;
+            sendStrayStop(board, fresh, late.task, late.run);
+        }
+    }
+    board.targets.put(life.target, std::move(fresh));
+    std::vector<TaskRun> runs;
+    for (const auto &[task, run] : board.runs.rows()) {
+        if (run.place.target == life.target && run.place.bornMs < life.bornMs) {
+            runs.push_back(run);
+        }
+    }
+    for (const auto &run : runs) {
+        if (run.step != RunStep::Recording && (mayArriveLater(run) || mayStandOnNewLife(run, former))) {
+            moveToNextLife(board, run, life);
+        } else {
+            loseWithFormerLife(board, run);
+        }
+    }
 }
 
-void dropFormerLives(WorkflowBoard &board)
+void moveFormerLives(WorkflowBoard &board)
 {
-    std::vector<TaskRun> gone;
+    std::vector<TaskRun> former;
     for (const auto &[task, run] : board.runs.rows()) {
         const auto *target = board.targets.find(run.place.target);
         if (target != nullptr && run.place.bornMs < target->registration.life.bornMs) {
-            gone.push_back(run);
+            former.push_back(run);
         }
     }
-    for (const auto &run : gone) {
-        const auto message = "run " + std::to_string(run.number) + " is gone with the target's former life";
-        logDecision(board, "loseRun", run.place.target.value, toString(run.task), message);
-        count(board.counters, "runsEnded", "targetGone");
-        removeRun(board, run);
-    }
+    // A former owner may have started them on the new life; its lists will tell.
+    std::ranges::for_each(former, [&](const TaskRun &run) { moveToNextLife(board, run, board.targets.find(run.place.target)->registration.life); });
 }
 
 }
--- a/workflow/targetlease.h
+++ b/workflow/targetlease.h
@@ -14,10 +14,14 @@
 /// The longest time for which a hold of a former owner can keep runs going after that owner's authority ended.
 Duration foreignLease(const DomainLimits &limits);
 
-/// The target as a new life of it begins: what the former one ran and knew is gone.
-DomainTarget asNewLife(DomainTarget target, const TargetRegistration &registration);
+/// Replaces the target's row as a new life of it begins: what the former one ran and knew is gone. Starts that may still arrive there are stopped beforehand,
+/// because a run that has been stopped is refused. Runs that cannot stand on the new life are lost.
+void beginNewLife(WorkflowBoard &board, DomainTarget former, const TargetRegistration &registration);
 
-/// Ends every run of the board that stands on a former life of its target.
-void dropFormerLives(WorkflowBoard &board);
+/// Notes a start without an answer: a copy of it may arrive seconds later.
+void noteLateStart(WorkflowBoard &board, const TaskRun &run);
+
+/// Moves runs that a former owner recorded on a former life of their target to its present one, whose lists decide.
+void moveFormerLives(WorkflowBoard &board);
 
 }
--- a/workflow/workflowboard.cpp
+++ b/workflow/workflowboard.cpp
@@ -50,7 +50,9 @@
 
 bool isProofFresh(const WorkflowBoard &board)
 {
-    return board.view.isLoaded && board.view.provenAt && board.now - *board.view.provenAt <= board.self.limits.maxProofAge;
+    const auto &view = board.view;
+    const bool isDoubted = view.doubtedAt && view.provenAt < view.doubtedAt;
+    return view.isLoaded && view.provenAt && !isDoubted && board.now - *view.provenAt <= board.self.limits.maxProofAge;
 }
 
 void logDecision(WorkflowBoard &board, std::string step, std::string peer, std::string job, std::string message, bool isError)
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -79,7 +79,9 @@
     std::optional<CallId> proof;
     TimePoint proofSentAt;
     TimePoint nextProofAt;
-    bool isReachable = false; ///< The last proof was answered.
+    std::optional<TimePoint> doubtedAt; ///< The store has shown that something changed; earlier proofs no longer count.
+    int failedProofs = 0;               ///< In a row.
+    bool isReachable = false;           ///< The store answers proofs; single answers may be missing.
 
     friend bool operator==(const ConfigurationView &, const ConfigurationView &) = default;
 };
@@ -162,9 +164,10 @@
     TimePoint since;                    ///< Of the step.
     unsigned long long recordedIn = 0;  ///< Version of the progress that must be stored before the order goes out.
     std::optional<CallId> call;         ///< Start or stop under way.
-    TimePoint callSentAt;
+    TimePoint startSentAt;              ///< Of the newest start order.
     TimePoint retryAt;
     int starts = 0;                     ///< Start orders sent.
+    bool mayArriveLate = false;         ///< A start was not answered, so the target may carry it out even in its next life.
     TargetClock startDeadline{0};       ///< Latest deadline given to the target with a start.
     bool isStopCall = false;            ///< `call` is a stop.
     bool isStopWanted = false;
@@ -189,6 +192,17 @@
     friend bool operator==(const PendingEnd &, const PendingEnd &) = default;
 };
 
+/// A start that was not answered and may still be carried out.
+struct LateStart
+{
+    TaskId task;
+    int run = 0;
+    TargetId target;
+    TimePoint until; ///< It does not arrive later.
+
+    friend bool operator==(const LateStart &, const LateStart &) = default;
+};
+
 /// What is known of a target's own clock: what it showed when an answer arrived.
 struct ClockSample
 {
@@ -300,6 +314,7 @@
     Table<TaskId, TaskRun> runs;
     std::map<CallId, TaskId> runCalls;    ///< Tasks whose start or stop is under way.
     std::map<TaskId, TimePoint> strayStops; ///< When a run that is not the newest of its task was last told to stop.
+    std::vector<LateStart> lateStarts;
     Table<TargetId, DomainTarget> targets;
     CommitChain chain;
     Table<CallId, OpenCallerCall> calls;
