--- a/workflow/domainsettings.h
+++ b/workflow/domainsettings.h
@@ -27,9 +27,9 @@
     Duration maxProofAge{3'000};    ///< Below `revokeBound` by the time of a call and the spread of clocks.
     Duration storeTimeout{400};     ///< A store call; the store answers in milliseconds, and in a quarter of a second when it is slow.
     Duration storeRetry{100};       ///< After a failed store call.
-    Duration ownerLease{2'500};     ///< Of the owner key: how long a domain is without an owner after its host died.
+    Duration ownerLease{1'500};     ///< Of the owner key: how long a domain is without an owner after its host died.
     Duration ownerLeaseMargin{300}; ///< Authority ends so long before the lease can end, for orders on their way.
-    Duration holdWait{1'500};       ///< How long a hold waits for an end; with the timeout below it leaves most of `holdMax` for a cut.
+    Duration holdWait{1'200};       ///< The longest that a hold waits for an end; half of it is the shortest. Leaves most of `holdMax` for a cut.
     Duration orderTimeout{500};     ///< A start or stop, or a hold beyond its wait. Targets answer in milliseconds.
     Duration orderRetry{150};       ///< After an order without an answer.
     Duration startLife{2'500};      ///< A start is refused by the target after this time, so a late copy does nothing.
--- a/workflow/driveruns.cpp
+++ b/workflow/driveruns.cpp
@@ -66,21 +66,32 @@
     putRun(board, run);
 }
 
-/// The run was recorded, but its target may not be given work any more.
+bool mayStart(const WorkflowBoard &board, const TaskRun &run)
+{
+    const auto *target = board.targets.find(run.place.target);
+    return target != nullptr && target->registration.life == run.place && takesWork(board, *target);
+}
+
+/// The run was recorded, but its target takes no new work any more. A gang is dropped whole, before any member has been started.
 void dropRecorded(WorkflowBoard &board, const TaskRun &run)
 {
-    logDecision(board, "startRun", run.place.target.value, toString(run.task), "run " + std::to_string(run.number) + " dropped before its start: the target takes no new work");
-    removeRun(board, run);
-    failGangOf(board, run, "a member's target takes no new work");
+    const auto *step = findStep(board, run.task.step);
+    const bool isGang = step != nullptr && step->isGang;
+    logDecision(board,
+                "startRun",
+                run.place.target.value,
+                toString(run.task),
+                "run " + std::to_string(run.number) + (isGang ? " of the whole gang" : "") + " dropped before its start: the target takes no new work");
+    const auto runs = isGang ? runsOf(board, run.task.step) : std::vector<TaskRun>{run};
+    for (const auto &recorded : runs) {
+        if (recorded.step == RunStep::Recording) {
+            removeRun(board, recorded);
+        }
+    }
 }
 
 void driveRecorded(WorkflowBoard &board, const TaskRun &run)
 {
-    const auto *target = board.targets.find(run.place.target);
-    if (target == nullptr || target->registration.life != run.place || !takesWork(board, *target)) {
-        dropRecorded(board, run);
-        return;
-    }
     if (isProofFresh(board) && isStored(board, run.task.step.workflow, run.recordedIn)) {
         sendStart(board, run);
     }
@@ -94,7 +105,7 @@
     const Duration patience = isGang ? Duration{static_cast<Duration::rep>(gangWait)} : board.self.limits.startLife;
     if (board.now >= run.since + patience) {
         stopRun(board, run, "its start was not answered in time");
-        failGangOf(board, run, "a member's start was not answered in time");
+        failGangOf(board, run, GangFault::NeverTogether, "a member's start was not answered in time");
         return;
     }
     if (board.now >= run.retryAt) {
@@ -141,6 +152,12 @@
             waiting.push_back(task);
         }
     }
+    for (const auto &task : waiting) {
+        const auto *run = board.runs.find(task);
+        if (run != nullptr && run->step == RunStep::Recording && !mayStart(board, *run)) {
+            dropRecorded(board, TaskRun{*run});
+        }
+    }
     std::ranges::for_each(waiting, [&](const TaskId &task) { driveRun(board, task); });
 }
 
--- a/workflow/eligibility.cpp
+++ b/workflow/eligibility.cpp
@@ -1,17 +1,60 @@
 #include "eligibility.h"
 
+#include <algorithm>
+#include <map>
+
 namespace sequoiastand
 {
 
+namespace
+{
+
+// With this many targets, each answering once a second or so, some target of a zone answers every tenth of a second. Silence of all of them for the time below
+// means that the zone cannot be reached, long before each of them has missed an answer.
+constexpr int talkativeTargets = 8;
+constexpr Duration zoneSilence{450};
+
+}
+
+std::set<AvailabilityZoneId> silentZones(const WorkflowBoard &board)
+{
+    struct Contact
+    {
+        int targets = 0;
+        TimePoint newest;
+    };
+    std::map<AvailabilityZoneId, Contact> contacts;
+    for (const auto &[id, target] : board.targets.rows()) {
+        if (target.isRegistered && target.answeredAt) {
+            auto &contact = contacts[target.registration.availabilityZone];
+            ++contact.targets;
+            contact.newest = std::max(contact.newest, *target.answeredAt);
+        }
+    }
+    std::set<AvailabilityZoneId> silent;
+    for (const auto &[zone, contact] : contacts) {
+        if (contact.targets >= talkativeTargets && board.now - contact.newest > zoneSilence) {
+            silent.insert(zone);
+        }
+    }
+    return silent;
+}
+
 bool takesWork(const WorkflowBoard &board, const DomainTarget &target)
 {
     const auto &registration = target.registration;
     const bool isInService = target.isRegistered && !registration.isDraining && !board.view.evacuated.contains(registration.availabilityZone);
-    const bool isInContact = target.isFenced && target.failures == 0 && target.answeredAt && board.now - *target.answeredAt <= board.self.limits.contactAge;
+    const bool isInContact = target.isFenced && target.failures == 0 && !target.suspectedAt && target.answeredAt && board.now - *target.answeredAt <= board.self.limits.contactAge;
     const bool isAvoided = target.avoidUntil && board.now < *target.avoidUntil;
     return isInService && isInContact && !isAvoided && !target.hasStrays;
 }
 
+Duration objectiveOf(const Workflow &workflow, const Queue &queue)
+{
+    const auto chain = longestChain(workflow.specification);
+    return Duration{static_cast<Duration::rep>(queue.stretch * static_cast<double>(chain.count()))} + queue.latencyTarget;
+}
+
 const Queue &queueOf(const WorkflowBoard &board, const Workflow &workflow)
 {
     const auto &queues = board.view.configuration.queues;
--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -130,6 +130,7 @@
         board.isPlanWanted = true;
     }
     target.failures = 0;
+    target.suspectedAt.reset();
     target.isFenced = true;
     target.answeredAt = board.now;
     target.hasStrays = false;
@@ -181,7 +182,7 @@
         run.isStopWanted = true;
         putRun(board, run);
     }
-    failGangOf(board, run, "a member was refused");
+    failGangOf(board, run, GangFault::NeverTogether, "a member was refused");
 }
 
 void takeRunReply(WorkflowBoard &board, TaskRun run, const TargetOrderReply &reply)
@@ -223,14 +224,20 @@
     putRun(board, run);
 }
 
-void noteClock(WorkflowBoard &board, const TargetOrderReply &reply)
+void noteContact(WorkflowBoard &board, const TargetOrderReply &reply)
 {
     const auto *present = board.targets.find(reply.target);
-    if (present == nullptr || !reply.clock || !present->isFenced) {
+    if (present == nullptr || !present->isFenced) {
         return;
     }
     DomainTarget target = *present;
-    target.clock = ClockSample{*reply.clock, board.now};
+    if (reply.clock) {
+        target.clock = ClockSample{*reply.clock, board.now};
+        target.answeredAt = board.now;
+        target.suspectedAt.reset();
+    } else if (reply.outcome == OrderOutcome::Unknown) {
+        target.suspectedAt = board.now;
+    }
     board.targets.put(reply.target, std::move(target));
 }
 
@@ -254,7 +261,7 @@
         const auto asked = board.runCalls.extract(reply->id);
         const auto *run = asked ? board.runs.find(asked.mapped()) : nullptr;
         if (run != nullptr && run->call == reply->id) {
-            noteClock(board, *reply);
+            noteContact(board, *reply);
             takeRunReply(board, *run, *reply);
         }
     }
--- a/workflow/holdtargets.cpp
+++ b/workflow/holdtargets.cpp
@@ -51,7 +51,8 @@
     // carried out without an answer, the time at which the runs have surely lapsed would move on for ever.
     if (target.isFenced && target.clock && target.failures == 0) {
         hold.deadline = *estimatedClock(target, board.now) + (target.registration.isDraining ? std::min(drainingHold, limits.holdMax) : limits.holdMax);
-        hold.wait = target.pendingEnds.empty() ? limits.holdWait : Duration{0};
+        // Waits differ, so that some target of each zone answers at any time.
+        hold.wait = target.pendingEnds.empty() ? limits.holdWait / 2 + takeJitter(board, limits.holdWait / 2) : Duration{0};
         target.heldUntil = std::max(target.heldUntil, *hold.deadline);
     }
     TargetOrder order;
--- a/workflow/planwork.cpp
+++ b/workflow/planwork.cpp
@@ -33,6 +33,7 @@
             stopping = stopping + run.uses;
         }
     }
+    const auto silent = silentZones(board);
     std::vector<PlacementTarget> targets;
     targets.reserve(board.targets.size());
     for (const auto &[id, row] : board.targets.rows()) {
@@ -44,7 +45,7 @@
         target.capacity = row.registration.capacity;
         target.free = row.registration.capacity - used[id].first;
         target.soon = target.free + used[id].second;
-        target.takesWork = takesWork(board, row);
+        target.takesWork = takesWork(board, row) && !silent.contains(row.registration.availabilityZone);
         target.isSuspect = row.recentFailures >= suspectFailures && row.lastFailureAt && board.now - *row.lastFailureAt < suspicion;
         targets.push_back(std::move(target));
     }
@@ -54,10 +55,9 @@
 /// Time until the workflow must have ended to meet its objective, less the work that is left.
 Duration slackOf(const WorkflowBoard &board, const WorkflowEntry &entry, const Queue &queue, int occurrence)
 {
-    const auto chain = longestChain(entry.workflow->specification);
-    const auto objective = Duration{static_cast<Duration::rep>(queue.stretch * static_cast<double>(chain.count()))} + queue.latencyTarget;
-    const auto due = std::max(dueTime(*entry.workflow, occurrence), entry.workflow->acceptedAt);
-    return due + objective - chain - board.wallNow;
+    const auto &workflow = *entry.workflow;
+    const auto due = std::max(dueTime(workflow, occurrence), workflow.acceptedAt);
+    return due + objectiveOf(workflow, queue) - longestChain(workflow.specification) - board.wallNow;
 }
 
 std::optional<WaitingStep> waitingStep(const WorkflowBoard &board, const WorkflowEntry &entry, const StepId &id, const StepProgress &progress)
--- a/workflow/progresschange.cpp
+++ b/workflow/progresschange.cpp
@@ -96,9 +96,9 @@
     });
 }
 
-void stopRun(WorkflowBoard &board, TaskRun run, const std::string &reason)
+void stopRun(WorkflowBoard &board, TaskRun run, const std::string &reason, Duration delay)
 {
-    if (run.isStopWanted) {
+    if (run.isStopWanted || run.stoppedAt) {
         return;
     }
     logDecision(board, "stopRun", run.place.target.value, toString(run.task), "run " + std::to_string(run.number) + ": " + reason);
@@ -109,6 +109,7 @@
     }
     run.isStopWanted = true;
     run.since = board.now;
+    run.retryAt = board.now + delay;
     putRun(board, run);
 }
 
--- a/workflow/progresschange.h
+++ b/workflow/progresschange.h
@@ -32,7 +32,7 @@
 /// Removes a run that its target certainly does not run any more, and frees the task.
 void removeRun(WorkflowBoard &board, const TaskRun &run);
 
-/// Asks for the run to be stopped; one whose order has not gone out is removed at once.
-void stopRun(WorkflowBoard &board, TaskRun run, const std::string &reason);
+/// Asks for the run to be stopped, after the delay; one whose order has not gone out is removed at once.
+void stopRun(WorkflowBoard &board, TaskRun run, const std::string &reason, Duration delay = Duration{0});
 
 }
--- a/workflow/runends.cpp
+++ b/workflow/runends.cpp
@@ -15,6 +15,9 @@
 // A stop of a stray run is sent again after this time if the target still lists the run.
 constexpr Duration strayRetry{300};
 
+// Targets end the members of a gang that has lost one within some 10 ms; a stop that comes first takes up to the whole stop grace.
+constexpr Duration brokenGangPause{80};
+
 std::string runText(int run)
 {
     return "run " + std::to_string(run);
@@ -125,7 +128,7 @@
 
 }
 
-void failGangOf(WorkflowBoard &board, const TaskRun &run, const std::string &reason, bool isCounted)
+void failGangOf(WorkflowBoard &board, const TaskRun &run, GangFault fault, const std::string &reason)
 {
     const auto *step = findStep(board, run.task.step);
     if (step == nullptr || !step->isGang) {
@@ -135,9 +138,9 @@
         if (member.task == run.task || member.number != run.number) {
             continue;
         }
-        member.isGangBroken = member.isGangBroken || isCounted;
+        member.isGangBroken = member.isGangBroken || fault == GangFault::MemberFailed;
         putRun(board, member);
-        stopRun(board, member, reason);
+        stopRun(board, member, reason, fault == GangFault::NeverTogether ? Duration{0} : brokenGangPause);
     }
 }
 
@@ -164,7 +167,7 @@
     }
     removeRun(board, run);
     if (ended.end != RunEnd::Finished) {
-        failGangOf(board, run, "a member ended as " + std::string(name(ended.end)), ended.end == RunEnd::Failed);
+        failGangOf(board, run, ended.end == RunEnd::Failed ? GangFault::MemberFailed : GangFault::MemberEnded, "a member ended as " + std::string(name(ended.end)));
     }
 }
 
@@ -173,7 +176,7 @@
     logDecision(board, "loseRun", run.place.target.value, toString(run.task), runText(run.number) + " is not on the target");
     count(board.counters, "runsEnded", "unlisted");
     removeRun(board, run);
-    failGangOf(board, run, "a member is not on its target");
+    failGangOf(board, run, GangFault::MemberEnded, "a member is not on its target");
 }
 
 void sendStrayStop(WorkflowBoard &board, const DomainTarget &target, const TaskId &task, int run)
--- a/workflow/runends.h
+++ b/workflow/runends.h
@@ -19,8 +19,15 @@
 /// Orders a stop whose answer does not matter: of a run that the board does not follow.
 void sendStrayStop(WorkflowBoard &board, const DomainTarget &target, const TaskId &task, int run);
 
-/// Stops the other members of the run's gang, because the gang cannot go on without it. `isCounted` says that the run's end has been counted as the gang's
-/// failure; failures of the others are then not counted again.
-void failGangOf(WorkflowBoard &board, const TaskRun &run, const std::string &reason, bool isCounted = false);
+/// Why a gang cannot go on.
+enum class GangFault
+{
+    NeverTogether, ///< A member was not started.
+    MemberEnded,   ///< The targets end the other members by themselves, faster than a stop would.
+    MemberFailed,  ///< As before, and the failure has been counted for the gang.
+};
+
+/// Ends the other members of the run's gang.
+void failGangOf(WorkflowBoard &board, const TaskRun &run, GangFault fault, const std::string &reason);
 
 }
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -225,7 +225,8 @@
     TimePoint holdSentAt;
     TimePoint nextHoldAt;
     std::optional<TimePoint> answeredAt;
-    int failures = 0; ///< Calls without an answer in a row.
+    int failures = 0;                      ///< Holds without an answer in a row.
+    std::optional<TimePoint> suspectedAt; ///< When an order was not answered, unless the target has answered since.
     long long lastSeen = 0;
     long long newestEnd = 0;
     std::deque<PendingEnd> pendingEnds;
