--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -94,7 +94,11 @@
     curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, maxIdleSeconds);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
-    if (call.method != "GET") {
+    if (call.method != "GET" && call.isRepeatable) {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(transfer->requestBody.size()));
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->requestBody.c_str());
+        transfer->headers = curl_slist_append(transfer->headers, "Content-Type: application/json");
+    } else if (call.method != "GET") {
         // libcurl sends a request again when a reused connection closes without an answer, although the peer may have carried it out. It cannot do so with
         // a body that it reads through a callback, because it cannot rewind it.
         curl_easy_setopt(easy, CURLOPT_POST, 1L);
--- a/tests/testhttpclient.cpp
+++ b/tests/testhttpclient.cpp
@@ -21,10 +21,12 @@
 class HttpClientCall : public testing::Test
 {
 protected:
-    HttpAnswer call(const std::string &address, Duration timeout = testPatience)
+    HttpAnswer call(const std::string &address, Duration timeout = testPatience, bool isRepeatable = false)
     {
         std::optional<HttpAnswer> answer;
-        m_client.send({.address = address, .path = "/v1/x", .body = "{}", .timeout = timeout}, [&answer](const HttpAnswer &received) { answer = received; });
+        HttpCall request{.address = address, .path = "/v1/x", .body = "{}", .timeout = timeout};
+        request.isRepeatable = isRepeatable;
+        m_client.send(request, [&answer](const HttpAnswer &received) { answer = received; });
         EXPECT_TRUE(m_loop.runUntil([&answer] { return answer.has_value(); }, testPatience));
         return answer.value_or(HttpAnswer{});
     }
@@ -96,6 +98,16 @@
     EXPECT_EQ(2, requestsIn(server.received())) << "one for each call";
 }
 
+// Guards against calls that are lost although a second sending would be harmless: every reset of connections failed all calls on them.
+TEST_F(HttpClientCall, repeatableRequestOnAConnectionThatClosesIsSentAgain)
+{
+    ScriptedListener server(m_loop, {{.answer = okAnswer, .closesAtNext = true}, {okAnswer}});
+    const auto address = server.address();
+    ASSERT_EQ(HttpOutcome::Answered, call(address).outcome);
+
+    EXPECT_EQ(HttpOutcome::Answered, call(address, testPatience, true).outcome);
+}
+
 // libcurl sends a request again by itself when a reused connection was closed. If that second try finds nobody, the first one may still have been carried out.
 TEST_F(HttpClientCall, failedResendOfASentRequestIsUnknown)
 {
--- a/workflow/domainsettings.h
+++ b/workflow/domainsettings.h
@@ -38,6 +38,7 @@
     Duration summaryPeriod{1'000};  ///< Between two writes of the summary.
     Duration summaryAge{1'000};     ///< How old a copy of the summary an accepting host may use.
     Duration retryAfter{1'000};     ///< Told to callers whose request was refused for a passing reason.
+    double urgentReserve = 0.25;    ///< Share of a rack's accelerators kept for the most urgent work: a typical urgent gang of both sites, three tasks of five.
     int maxRecordsPerBatch = 29;    ///< The store takes 32 entries a transaction; two conditions and the mark are always there.
 
     friend bool operator==(const DomainLimits &, const DomainLimits &) = default;
--- a/workflow/packing.cpp
+++ b/workflow/packing.cpp
@@ -50,15 +50,28 @@
     return order;
 }
 
-std::optional<TaskCounts> fill(const std::vector<std::size_t> &order, const TaskCounts &room, int count)
+/// Tasks that the rack's budget still allows.
+int budgetedTasks(const std::map<RackId, int> &budgets, const RackId &rack, int acceleratorsPerTask)
+{
+    const auto budget = budgets.find(rack);
+    return budget == budgets.end() ? std::numeric_limits<int>::max() : dimensionCount(acceleratorsPerTask, budget->second);
+}
+
+std::optional<TaskCounts>
+fill(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, const std::vector<std::size_t> &order, const TaskCounts &room, int count, std::map<RackId, int> budgets)
 {
     TaskCounts counts(room.size(), 0);
+    const int perTask = waiting.specification.perTask.accelerators;
     for (const std::size_t index : order) {
-        counts[index] = std::min(room[index], count);
+        const auto &rack = targets[index].rack;
+        counts[index] = std::min({room[index], count, budgetedTasks(budgets, rack, perTask)});
         count -= counts[index];
         if (count == 0) {
             return counts;
         }
+        if (const auto budget = budgets.find(rack); budget != budgets.end()) {
+            budget->second -= counts[index] * perTask;
+        }
     }
     return std::nullopt;
 }
@@ -79,30 +92,25 @@
     return target.takesWork && target.service == waiting.service && hasLabel;
 }
 
-std::optional<TaskCounts>
-packTasks(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, int count, const RoomOf &roomOf, const std::function<bool(const PlacementTarget &)> &mayUse)
+std::optional<TaskCounts> packTasks(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, int count, const PackingLimits &limits)
 {
     TaskCounts room(targets.size(), 0);
     for (std::size_t index = 0; index < targets.size(); ++index) {
-        if (isAllowed(waiting, targets[index]) && mayUse(targets[index])) {
-            room[index] = std::min(count, roomForTasks(waiting, targets[index], roomOf(targets[index])));
+        if (isAllowed(waiting, targets[index]) && limits.mayUse(targets[index])) {
+            room[index] = std::min(count, roomForTasks(waiting, targets[index], limits.roomOf(targets[index])));
         }
     }
     if (std::accumulate(room.begin(), room.end(), 0LL) < count) {
         return std::nullopt;
     }
-    return fill(fillOrder(targets, waiting, room, roomOf), room, count);
+    return fill(targets, waiting, fillOrder(targets, waiting, room, limits.roomOf), room, count, limits.rackBudgets);
 }
 
-std::optional<TaskCounts> packRack(const std::vector<PlacementTarget> &targets,
-                                   const WaitingStep &waiting,
-                                   int count,
-                                   const RoomOf &roomOf,
-                                   const std::function<bool(const PlacementTarget &)> &mayUse)
+std::optional<TaskCounts> packRack(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, int count, const PackingLimits &limits)
 {
     std::map<RackId, int> freeAccelerators;
     for (const auto &target : targets) {
-        freeAccelerators[target.rack] += std::max(0, roomOf(target).accelerators);
+        freeAccelerators[target.rack] += std::max(0, limits.roomOf(target).accelerators);
     }
     std::optional<TaskCounts> best;
     int bestFree = std::numeric_limits<int>::max();
@@ -112,8 +120,9 @@
         if (rank >= bestFree) {
             continue;
         }
-        const auto inRack = [&, rack = rack](const PlacementTarget &target) { return target.rack == rack && mayUse(target); };
-        if (auto counts = packTasks(targets, waiting, count, roomOf, inRack)) {
+        PackingLimits inRack = limits;
+        inRack.mayUse = [&, rack = rack](const PlacementTarget &target) { return target.rack == rack && limits.mayUse(target); };
+        if (auto counts = packTasks(targets, waiting, count, inRack)) {
             best = std::move(counts);
             bestFree = rank;
         }
--- a/workflow/packing.h
+++ b/workflow/packing.h
@@ -3,6 +3,7 @@
 #include "placement.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -21,15 +22,18 @@
 /// The room of a target that a packing may use.
 using RoomOf = std::function<Resources(const PlacementTarget &)>;
 
-/// Places for `count` tasks among the targets that `mayUse` names, or nothing if they do not all fit. Fills the targets that leave the least room first.
-std::optional<TaskCounts>
-packTasks(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, int count, const RoomOf &roomOf, const std::function<bool(const PlacementTarget &)> &mayUse);
+/// What a packing may use.
+struct PackingLimits
+{
+    RoomOf roomOf;
+    std::function<bool(const PlacementTarget &)> mayUse;
+    std::map<RackId, int> rackBudgets; ///< Accelerators that the step may take in a rack; a rack that is not named has no limit.
+};
+
+/// Places for `count` tasks, or nothing if they do not all fit. Fills the targets that leave the least room first.
+std::optional<TaskCounts> packTasks(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, int count, const PackingLimits &limits);
 
 /// As packTasks(), within the one rack that it leaves the least room in.
-std::optional<TaskCounts> packRack(const std::vector<PlacementTarget> &targets,
-                                   const WaitingStep &waiting,
-                                   int count,
-                                   const RoomOf &roomOf,
-                                   const std::function<bool(const PlacementTarget &)> &mayUse);
+std::optional<TaskCounts> packRack(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, int count, const PackingLimits &limits);
 
 }
--- a/workflow/placement.cpp
+++ b/workflow/placement.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <numeric>
 #include <set>
 #include <tuple>
@@ -20,7 +21,7 @@
 // wait costs less than the slower run.
 constexpr double localityPatience = 1.0;
 
-bool isNowFree(const PlacementTarget &)
+bool isAnyTarget(const PlacementTarget &)
 {
     return true;
 }
@@ -47,51 +48,75 @@
     return waiting.waited >= patience;
 }
 
-/// True if one rack could hold the whole gang when nothing else ran there.
-bool couldFitOneRack(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, int count)
+/// What work that is in time may take of each rack without touching the reserve of urgent work, which would otherwise wait until something has been stopped.
+std::map<RackId, int> rackBudgets(const PlacementInput &input, const WaitingStep &waiting)
 {
-    const auto whole = [](const PlacementTarget &target) { return target.capacity; };
-    return packRack(targets, waiting, count, whole, isNowFree).has_value();
+    std::map<RackId, int> budgets;
+    if (waiting.priority == 0 || waiting.slack <= Duration{0}) {
+        return budgets;
+    }
+    std::map<RackId, int> capacities;
+    for (const auto &target : input.targets) {
+        capacities[target.rack] += target.capacity.accelerators;
+        budgets[target.rack] -= target.patientUse;
+    }
+    for (const auto &[rack, capacity] : capacities) {
+        budgets[rack] += static_cast<int>(capacity * (1 - input.urgentReserve));
+    }
+    return budgets;
 }
 
-std::function<bool(const PlacementTarget &)> goodPlaces(const WaitingStep &waiting)
+PackingLimits limitsFor(const PlacementInput &input, const WaitingStep &waiting, const RoomOf &roomOf)
 {
     // A task that has failed has few tries left, so it keeps away from targets on which work fails.
-    return [&waiting](const PlacementTarget &target) { return !waiting.hasFailed || !target.isSuspect; };
+    const auto isGood = [&waiting](const PlacementTarget &target) { return !waiting.hasFailed || !target.isSuspect; };
+    return {roomOf, isGood, rackBudgets(input, waiting)};
+}
+
+PackingLimits within(const RackId &rack, PackingLimits limits)
+{
+    limits.mayUse = [rack, mayUse = limits.mayUse](const PlacementTarget &target) { return target.rack == rack && mayUse(target); };
+    return limits;
+}
+
+/// True if one rack could hold the whole gang when nothing else ran there.
+bool couldFitOneRack(const PlacementInput &input, const WaitingStep &waiting, int count)
+{
+    const auto whole = [](const PlacementTarget &target) { return target.capacity; };
+    return packRack(input.targets, waiting, count, {whole, isAnyTarget, {}}).has_value();
 }
 
-std::optional<TaskCounts> placeGang(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, const RoomOf &roomOf)
+std::optional<TaskCounts> placeGang(const PlacementInput &input, const WaitingStep &waiting, const RoomOf &roomOf)
 {
     const int count = static_cast<int>(waiting.tasks.size());
-    const auto mayUse = goodPlaces(waiting);
+    const auto limits = limitsFor(input, waiting, roomOf);
     const auto &step = waiting.specification;
     if (step.needsOneRack) {
-        auto counts = packRack(targets, waiting, count, roomOf, mayUse);
-        const bool maySpread = !counts && (mayLeaveLocality(waiting) || !couldFitOneRack(targets, waiting, count));
-        return maySpread ? packTasks(targets, waiting, count, roomOf, mayUse) : counts;
+        auto counts = packRack(input.targets, waiting, count, limits);
+        const bool maySpread = !counts && (mayLeaveLocality(waiting) || !couldFitOneRack(input, waiting, count));
+        return maySpread ? packTasks(input.targets, waiting, count, limits) : counts;
     }
     if (!step.dataRack.value.empty()) {
-        const auto inRack = [&](const PlacementTarget &target) { return target.rack == step.dataRack && mayUse(target); };
-        auto counts = packTasks(targets, waiting, count, roomOf, inRack);
-        return counts || !mayLeaveLocality(waiting) ? counts : packTasks(targets, waiting, count, roomOf, mayUse);
+        auto counts = packTasks(input.targets, waiting, count, within(step.dataRack, limits));
+        return counts || !mayLeaveLocality(waiting) ? counts : packTasks(input.targets, waiting, count, limits);
     }
-    return packTasks(targets, waiting, count, roomOf, mayUse);
+    return packTasks(input.targets, waiting, count, limits);
 }
 
 /// Places for as many of the tasks as there is room for; each task starts by itself.
-TaskCounts placeSingles(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting)
+TaskCounts placeSingles(const PlacementInput &input, const WaitingStep &waiting)
 {
-    const auto mayUse = goodPlaces(waiting);
     const auto &step = waiting.specification;
     const bool mustBeNear = !step.dataRack.value.empty() && !mayLeaveLocality(waiting);
-    const auto isChosen = [&](const PlacementTarget &target) { return mayUse(target) && (!mustBeNear || target.rack == step.dataRack); };
+    const auto limits = limitsFor(input, waiting, freeRoom);
+    const auto chosen = mustBeNear ? within(step.dataRack, limits) : limits;
     // The largest number that fits, found by halving; a failed packing of a large number is cheap.
     int low = 0;
     int high = static_cast<int>(waiting.tasks.size());
-    TaskCounts best(targets.size(), 0);
+    TaskCounts best(input.targets.size(), 0);
     while (low < high) {
         const int middle = (low + high + 1) / 2;
-        if (auto counts = packTasks(targets, waiting, middle, freeRoom, isChosen)) {
+        if (auto counts = packTasks(input.targets, waiting, middle, chosen)) {
             best = *std::move(counts);
             low = middle;
         } else {
@@ -107,6 +132,7 @@
         const auto used = waiting.specification.perTask * counts[index];
         targets[index].free = targets[index].free - used;
         targets[index].soon = targets[index].soon - used;
+        targets[index].patientUse += waiting.priority == 0 ? 0 : used.accelerators;
     }
 }
 
@@ -124,7 +150,7 @@
 /// An urgent step that does not fit now: waits for what is being stopped, or has more stopped.
 void makeRoom(PlacementInput &input, PlacementPlan &plan, const WaitingStep &waiting)
 {
-    if (auto counts = placeGang(input.targets, waiting, soonRoom)) {
+    if (auto counts = placeGang(input, waiting, soonRoom)) {
         takeRoom(input.targets, waiting, *counts);
         return;
     }
@@ -137,12 +163,12 @@
 void placeStep(PlacementInput &input, PlacementPlan &plan, const WaitingStep &waiting)
 {
     if (!waiting.specification.isGang) {
-        const auto counts = placeSingles(input.targets, waiting);
+        const auto counts = placeSingles(input, waiting);
         takeRoom(input.targets, waiting, counts);
         addStarts(plan, input.targets, waiting, counts);
         return;
     }
-    if (auto counts = placeGang(input.targets, waiting, freeRoom)) {
+    if (auto counts = placeGang(input, waiting, freeRoom)) {
         takeRoom(input.targets, waiting, *counts);
         addStarts(plan, input.targets, waiting, *counts);
     } else if (waiting.priority == 0) {
--- a/workflow/placement.h
+++ b/workflow/placement.h
@@ -23,7 +23,7 @@
     Resources soon;          ///< `free` and what is being stopped.
     bool takesWork = false;  ///< May be given work now.
     bool isSuspect = false;  ///< Failed runs there since it last finished one.
-    double speed = 1;        ///< Measured against the others; above one is faster.
+    int patientUse = 0;      ///< Accelerators that work of other than the most urgent priority holds.
 
     friend bool operator==(const PlacementTarget &, const PlacementTarget &) = default;
 };
@@ -64,7 +64,7 @@
     std::vector<PlacementTarget> targets;
     std::vector<WaitingStep> waiting;
     std::vector<RunningUnit> running;
-    std::map<OrganisationId, int> guaranteed; ///< Accelerators.
+    double urgentReserve = 0; ///< Share of each rack's accelerators that only the most urgent work may use, as long as other work is in time.
 
     friend bool operator==(const PlacementInput &, const PlacementInput &) = default;
 };
--- a/workflow/planwork.cpp
+++ b/workflow/planwork.cpp
@@ -25,12 +25,22 @@
 
 std::vector<PlacementTarget> targetsOf(const WorkflowBoard &board)
 {
-    std::map<TargetId, std::pair<Resources, Resources>> used; // All, and what is being stopped.
+    struct Use
+    {
+        Resources all;
+        Resources stopping;
+        int patientAccelerators = 0;
+    };
+    std::map<TargetId, Use> uses;
     for (const auto &[task, run] : board.runs.rows()) {
-        auto &[all, stopping] = used[run.place.target];
-        all = all + run.uses;
+        auto &use = uses[run.place.target];
+        use.all = use.all + run.uses;
         if (run.isStopWanted || run.step == RunStep::Ending) {
-            stopping = stopping + run.uses;
+            use.stopping = use.stopping + run.uses;
+        }
+        const auto *entry = board.workflows.find(task.step.workflow);
+        if (entry != nullptr && queueOf(board, *entry->workflow).priority > 0) {
+            use.patientAccelerators += run.uses.accelerators;
         }
     }
     const auto silent = silentZones(board);
@@ -43,8 +53,10 @@
         target.rack = row.registration.rack;
         target.labels = row.registration.labels;
         target.capacity = row.registration.capacity;
-        target.free = row.registration.capacity - used[id].first;
-        target.soon = target.free + used[id].second;
+        const auto &use = uses[id];
+        target.free = row.registration.capacity - use.all;
+        target.soon = target.free + use.stopping;
+        target.patientUse = use.patientAccelerators;
         target.takesWork = takesWork(board, row) && !silent.contains(row.registration.availabilityZone);
         target.isSuspect = row.recentFailures >= suspectFailures && row.lastFailureAt && board.now - *row.lastFailureAt < suspicion;
         targets.push_back(std::move(target));
@@ -218,9 +230,7 @@
     if (!input.waiting.empty()) {
         input.targets = targetsOf(board);
         input.running = runningUnits(board);
-        for (const auto &[id, share] : board.view.configuration.organisations) {
-            input.guaranteed.emplace(id, share.guaranteedAccelerators);
-        }
+        input.urgentReserve = board.self.limits.urgentReserve;
         const auto plan = planPlacements(std::move(input));
         stopPlanned(board, plan.stops);
         startPlanned(board, plan.starts);
