--- a/workflow/placement.cpp
+++ b/workflow/placement.cpp
@@ -36,10 +36,11 @@
     return target.soon;
 }
 
-/// Urgent steps first, then by the time that is left until they must start.
+/// Urgent steps first; within a priority those that can still end in time, by the time that is left until they must start. Work that is late already has lost most
+/// of its value to its caller, and would make others late too.
 void sortWaiting(std::vector<WaitingStep> &waiting)
 {
-    std::ranges::stable_sort(waiting, {}, [](const WaitingStep &step) { return std::tuple(step.priority, step.slack); });
+    std::ranges::stable_sort(waiting, {}, [](const WaitingStep &step) { return std::tuple(step.priority, step.slack < Duration{0}, step.slack); });
 }
 
 bool mayLeaveLocality(const WaitingStep &waiting)
@@ -48,21 +49,35 @@
     return waiting.waited >= patience;
 }
 
-/// What work that is in time may take of each rack without touching the reserve of urgent work, which would otherwise wait until something has been stopped.
+/// What work other than the most urgent may take of each rack in all.
+std::map<RackId, int> rackShares(const PlacementInput &input)
+{
+    std::map<RackId, int> shares;
+    for (const auto &target : input.targets) {
+        shares[target.rack] += target.capacity.accelerators;
+    }
+    for (auto &[rack, share] : shares) {
+        share = static_cast<int>(share * (1 - input.urgentReserve));
+    }
+    return shares;
+}
+
+/// What the step may take of each rack without touching the reserve of urgent work, which would otherwise wait until something has been stopped. A step that is too
+/// large for that has no limit.
 std::map<RackId, int> rackBudgets(const PlacementInput &input, const WaitingStep &waiting)
 {
-    std::map<RackId, int> budgets;
-    if (waiting.priority == 0 || waiting.slack <= Duration{0}) {
-        return budgets;
+    if (waiting.priority == 0) {
+        return {};
+    }
+    auto budgets = rackShares(input);
+    const auto whole = [](const PlacementTarget &target) { return target.capacity; };
+    const int atOnce = waiting.specification.isGang ? static_cast<int>(waiting.tasks.size()) : 1;
+    if (!packTasks(input.targets, waiting, atOnce, {whole, isAnyTarget, budgets})) {
+        return {};
     }
-    std::map<RackId, int> capacities;
     for (const auto &target : input.targets) {
-        capacities[target.rack] += target.capacity.accelerators;
         budgets[target.rack] -= target.patientUse;
     }
-    for (const auto &[rack, capacity] : capacities) {
-        budgets[rack] += static_cast<int>(capacity * (1 - input.urgentReserve));
-    }
     return budgets;
 }
 
