--- a/workflow/planwork.cpp
+++ b/workflow/planwork.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -157,6 +158,25 @@
     return units;
 }
 
+void logPlacement(WorkflowBoard &board, const WorkflowEntry &entry, const StepSpecification &specification, const std::vector<PlannedStart> &tasks)
+{
+    std::set<TargetId> targets;
+    std::set<RackId> racks;
+    for (const auto &start : tasks) {
+        targets.insert(start.target);
+        racks.insert(board.targets.find(start.target)->registration.rack);
+    }
+    const bool isSpread = specification.isGang && specification.needsOneRack && racks.size() > 1;
+    const auto &step = tasks.front().task.step;
+    logDecision(board,
+                "placeStep",
+                tasks.front().target.value,
+                toString(step),
+                "run " + std::to_string(findTask(entry.progress, tasks.front().task)->lastRun) + " of " + std::to_string(tasks.size()) + " tasks on " + std::to_string(targets.size())
+                    + " targets in " + std::to_string(racks.size()) + " racks" + (isSpread ? " although one rack is wanted, " : ", ")
+                    + std::to_string((board.wallNow - entry.workflow->acceptedAt).count()) + " ms after acceptance");
+}
+
 void startPlanned(WorkflowBoard &board, const std::vector<PlannedStart> &starts)
 {
     std::map<StepId, std::vector<PlannedStart>> bySteps;
@@ -190,12 +210,7 @@
             run.checkpoint = progress->checkpoint;
             putRun(board, run);
         }
-        logDecision(board,
-                    "placeStep",
-                    tasks.front().target.value,
-                    toString(step),
-                    "run " + std::to_string(findTask(entry->progress, tasks.front().task)->lastRun) + " of " + std::to_string(tasks.size()) + " tasks placed, "
-                        + std::to_string((board.wallNow - entry->workflow->acceptedAt).count()) + " ms after acceptance");
+        logPlacement(board, *entry, *specification, tasks);
     }
 }
 
