--- a/app/serve.cpp
+++ b/app/serve.cpp
@@ -80,7 +80,7 @@
     };
     const auto noteFault = [&](const std::string &fault) { log.write({"reload", "", "", "kept the settings: " + fault, true}); };
     const SettingsWatch watch(loop, settingsFile, present, apply, noteFault);
-    return runHost(loop, domainLoop, log, "serving callers on " + settings.callerAddress + ", store " + settings.storeAddress);
+    return runHost(loop, domainLoop, log, "serving callers on " + settings.domain.callerAddress + ", store " + settings.storeAddress);
 }
 
 }
--- a/app/settings.cpp
+++ b/app/settings.cpp
@@ -129,8 +129,8 @@
         [&](SettingsReader &nested) {
             nested.read("id", settings.domain.id.value, nameRule, true);
             nested.read("availabilityZone", settings.domain.availabilityZone.value, nameRule, true);
-            nested.read("httpAddress", settings.callerAddress, addressRule, true);
-            nested.read("readinessAddress", settings.readinessAddress, addressRule, true);
+            nested.read("httpAddress", settings.domain.callerAddress, addressRule, true);
+            nested.read("readinessAddress", settings.domain.readinessAddress, addressRule, true);
             nested.read("metricsAddress", settings.metricsAddress, addressRule);
             nested.read("processorShare", settings.domain.processorShare, 0.0, 1'024.0);
         },
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -28,6 +28,9 @@
 
 constexpr Duration sweepPeriod{1'000};
 
+// The header counts whole seconds; a shorter time than this is sent as "at once" instead of as a second.
+constexpr Duration shortestRetryAfter{100};
+
 }
 
 struct HttpServer::Connection
@@ -264,7 +267,7 @@
         MHD_add_response_header(response, "Connection", "close");
     }
     if (answer.retryAfter > Duration{0}) {
-        const auto seconds = std::chrono::ceil<std::chrono::seconds>(answer.retryAfter).count();
+        const auto seconds = answer.retryAfter < shortestRetryAfter ? 0 : std::chrono::ceil<std::chrono::seconds>(answer.retryAfter).count();
         MHD_add_response_header(response, "Retry-After", std::to_string(seconds).c_str());
     }
     const auto result = MHD_queue_response(connection, static_cast<unsigned>(answer.status), response);
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -32,7 +32,7 @@
     std::string contentType = "application/json";
     std::string body;
     bool closesConnection = false;
-    Duration retryAfter{0}; ///< Sent as Retry-After in whole seconds unless zero.
+    Duration retryAfter{0}; ///< Sent as Retry-After in whole seconds, rounded up, unless zero; below 100 ms as 0.
 
     friend bool operator==(const HttpResponse &, const HttpResponse &) = default;
 };
--- a/tests/domainfixture.cpp
+++ b/tests/domainfixture.cpp
@@ -170,6 +170,7 @@
     auto &process = m_hosts.at(host);
     process.isUp = false;
     process.inbox.clear();
+    process.storeCalls.clear();
     closeWatches(store, {host});
     std::erase_if(store.deliveries, [&](const FakeDelivery &delivery) { return delivery.host == HostId{host}; });
     std::erase_if(m_holds, [&](const WaitingHold &hold) { return hold.host == host; });
@@ -389,6 +390,7 @@
             },
             event);
     }
+    endStoreCalls(host);
     const auto due = nextDue(host.board.timers);
     if (host.inbox.empty() && (!due || *due > now)) {
         return;
@@ -397,9 +399,14 @@
     followMirrors(store, {id}, host.board.mirrors);
     for (const auto &message : std::exchange(host.board.outbox, {})) {
         if (const auto *call = std::get_if<StoreCall>(&message)) {
+            host.storeCalls.emplace(call->id, now + call->timeout);
             submitCall(store, {id}, *call, now);
         } else if (const auto *order = std::get_if<TargetOrder>(&message)) {
             carry(id, *order);
+        } else if (const auto *check = std::get_if<ReadinessCheck>(&message)) {
+            const auto asked = m_hosts.find(check->host.value);
+            const bool isUp = asked != m_hosts.end() && asked->second.isUp && !asked->second.isPaused;
+            host.inbox.emplace_back(ReadinessReply{check->id, isUp && isReady(asked->second.board)});
         } else {
             const auto &answer = std::get<CallerAnswer>(message);
             m_answers.insert_or_assign(answer.id, answer);
@@ -411,6 +418,25 @@
     host.board.counters.samples.clear();
 }
 
+/// Drops answers to calls that have timed out and reports those that time out now, as the client of the store does.
+void DomainTest::endStoreCalls(Host &host)
+{
+    std::erase_if(host.inbox, [&](const WorkflowEvent &event) {
+        const auto *answer = std::get_if<StoreReply>(&event);
+        return answer != nullptr && host.storeCalls.erase(answer->id) == 0;
+    });
+    std::erase_if(host.storeCalls, [&](const auto &row) {
+        if (row.second > now) {
+            return false;
+        }
+        StoreReply timeout;
+        timeout.id = row.first;
+        timeout.error = "timeout";
+        host.inbox.emplace_back(timeout);
+        return true;
+    });
+}
+
 void DomainTest::reply(const std::string &host, const TargetOrderReply &answer)
 {
     m_hosts.at(host).inbox.emplace_back(answer);
--- a/tests/domainfixture.h
+++ b/tests/domainfixture.h
@@ -99,6 +99,7 @@
         std::string zone;
         WorkflowBoard board;
         std::vector<WorkflowEvent> inbox;
+        std::map<CallId, TimePoint> storeCalls; ///< When each call under way times out.
         bool isUp = true;
         bool isPaused = false;
         int starts = 0;
@@ -123,6 +124,7 @@
     void tickOnce();
     void stepHost(const std::string &id, Host &host);
     void carry(const std::string &host, const TargetOrder &order);
+    void endStoreCalls(Host &host);
     void carryLateOrders();
     void answerHolds();
     void reply(const std::string &host, const TargetOrderReply &reply);
--- a/tests/testcallerproof.cpp
+++ b/tests/testcallerproof.cpp
@@ -83,6 +83,28 @@
     EXPECT_TRUE(isReady(board("h2")));
 }
 
+TEST_F(CallerProof, callerComesBackAtOnceOnlyIfAnotherHostIsReady)
+{
+    store.faults.cutOff.insert({"h2"});
+    run(Duration{2'500});
+    EXPECT_LT(answerTo(query(id(1), "h2")).refusal->retryAfter, Duration{100});
+    store.faults.isDown = true;
+    run(Duration{2'500});
+    EXPECT_GE(answerTo(query(id(1), "h2")).refusal->retryAfter, Duration{1'000});
+}
+
+TEST_F(CallerProof, submissionWithoutAnswersIsGivenUpEarly)
+{
+    // Guards against holding a caller until its deadline although another host could serve it.
+    store.faults.answersToSwallow = 1'000;
+    const auto before = now;
+    const auto call = submit(id(1), batch(1, {1'000, 1'000, 1}), {}, "h2");
+    const auto answer = answerTo(call);
+    ASSERT_TRUE(answer.refusal);
+    EXPECT_EQ(answer.refusal->run, RunClaim::Unknown);
+    EXPECT_LT(now - before, Duration{1'200});
+}
+
 TEST_F(CallerProof, submissionWhoseAnswerWasLostIsAcceptedOnce)
 {
     store.faults.answersToLose = 1;
--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -17,6 +17,16 @@
 // The answer has to reach the caller before its deadline.
 constexpr Duration answerMargin{150};
 
+// The end of a task is in the store some 10 ms after it happened. Callers who hear of it elsewhere ask at once, and would ask again much later, so a state that has
+// not ended is read once more after this time.
+constexpr Duration settlingTime{25};
+
+// After so many sendings without an answer the host is likely to be cut off, and the caller is better served by another host, which finds out what became of them.
+constexpr int maxLostAnswers = 2;
+
+// Zero would say that a retry cannot succeed.
+constexpr Duration retryAtOnce{1};
+
 constexpr std::size_t maxPayloadBytes = 4'000;
 constexpr std::size_t requestIdDigits = 16;
 
@@ -52,16 +62,31 @@
     board.calls.erase(call.request.id);
 }
 
+/// A caller that another host can serve comes back at once; one that no host can serve now comes back later.
+void refuseUnavailable(WorkflowBoard &board, OpenCallerCall call, Refusal refusal)
+{
+    askOtherHosts(board);
+    if (!isAdviceFresh(board)) {
+        call.refusal = std::move(refusal);
+        call.step = CallerStep::Refusing;
+        call.call.reset();
+        board.calls.put(call.request.id, std::move(call));
+        return;
+    }
+    refusal.retryAfter = isAnotherHostReady(board) ? retryAtOnce : board.self.limits.retryAfter;
+    answer(board, call, {{}, std::move(refusal), {}, {}});
+}
+
 void refuse(WorkflowBoard &board, const OpenCallerCall &call, RefusalReason reason, const std::string &message)
 {
     // Whatever may have been written is no longer certain not to run.
-    if (call.mayBeStored && reason != RefusalReason::Timeout) {
-        answer(board, call, {{}, Refusal{RefusalReason::Timeout, RunClaim::Unknown, board.self.limits.retryAfter, "the store may have taken the request: " + message}, {}, {}});
-        return;
+    if (call.mayBeStored || reason == RefusalReason::Timeout) {
+        refuseUnavailable(board, call, {RefusalReason::Timeout, RunClaim::Unknown, Duration{0}, "the store may have taken the request: " + message});
+    } else if (reason == RefusalReason::StoreUnavailable) {
+        refuseUnavailable(board, call, {reason, RunClaim::NotRun, Duration{0}, message});
+    } else {
+        answer(board, call, {{}, Refusal{reason, RunClaim::NotRun, Duration{0}, message}, {}, {}});
     }
-    const bool isPassing = reason == RefusalReason::StoreUnavailable || reason == RefusalReason::ShuttingDown || reason == RefusalReason::QueueFull || reason == RefusalReason::Timeout;
-    const auto claim = reason == RefusalReason::Timeout ? RunClaim::Unknown : RunClaim::NotRun;
-    answer(board, call, {{}, Refusal{reason, claim, isPassing ? board.self.limits.retryAfter : Duration{0}, message}, {}, {}});
 }
 
 /// The call's queue and organisation, or the refusal that the configuration calls for.
@@ -256,6 +281,14 @@
         refuse(board, call, RefusalReason::NotFound, "no workflow has this id");
         return;
     }
+    if (call.request.action == CallerAction::Query && !hasEnded(progress->state) && !call.isSettled) {
+        OpenCallerCall again = call;
+        again.isSettled = true;
+        again.call.reset();
+        again.retryAt = board.now + settlingTime;
+        board.calls.put(call.request.id, std::move(again));
+        return;
+    }
     if (call.request.action == CallerAction::Query || hasEnded(progress->state)) {
         answer(board, call, {{}, {}, progress->state, {}});
         return;
@@ -302,6 +335,10 @@
     case StoreOutcome::Unknown:
         call.mayBeStored = true;
         call.retryAt = board.now;
+        if (++call.lostAnswers >= maxLostAnswers) {
+            refuse(board, call, RefusalReason::Timeout, "the store has not answered twice");
+            return;
+        }
         break;
     }
     // Sending the same conditions again settles whether an earlier copy took effect.
@@ -315,7 +352,9 @@
     if (!routed) {
         return;
     }
-    if (call.request.action == CallerAction::Submit) {
+    if (call.step == CallerStep::Reading) {
+        readProgress(board, call, *routed);
+    } else if (call.request.action == CallerAction::Submit) {
         submit(board, call, *routed);
     } else {
         cancel(board, call, *routed);
@@ -324,6 +363,12 @@
 
 void continueCall(WorkflowBoard &board, const OpenCallerCall &call)
 {
+    if (call.step == CallerStep::Refusing) {
+        if (isAdviceFresh(board)) {
+            refuseUnavailable(board, call, *call.refusal);
+        }
+        return;
+    }
     if (const auto *reply = findReply(board, call.call)) {
         if (call.step == CallerStep::Reading) {
             takeRead(board, call, *reply);
@@ -338,9 +383,9 @@
         handle(board, call);
     } else if (call.step == CallerStep::Proving && !board.view.isReachable) {
         refuse(board, call, RefusalReason::StoreUnavailable, board.view.isLoaded ? "the store does not answer" : "the host has no configuration yet");
-    } else if (call.step == CallerStep::Writing && !call.call && board.now >= call.retryAt) {
+    } else if (call.step != CallerStep::Proving && !call.call && board.now >= call.retryAt) {
         resend(board, call);
-    } else if (call.step == CallerStep::Writing && !call.call) {
+    } else if (call.step != CallerStep::Proving && !call.call) {
         subscribeNoLaterThan(board.timers, "calls", call.retryAt);
     }
 }
--- a/workflow/controllers.h
+++ b/workflow/controllers.h
@@ -17,6 +17,10 @@
 /// Reads the events, `updates` and `view`; writes `ownership`, and clears the owner's sections when it gives up.
 void claimDomain(WorkflowBoard &board);
 
+/// Keeps this host's record in the store, follows those of the other hosts, and takes in whether they are ready.
+/// Reads the events, `updates` and `view`; writes `directory`.
+void followHosts(WorkflowBoard &board);
+
 /// Reads what a new owner needs and takes in new workflows and cancellations.
 /// Reads the events, `updates` and `ownership`; writes `load`, and rows of `workflows` and `runs`.
 void loadDomain(WorkflowBoard &board);
--- a/workflow/domainsettings.h
+++ b/workflow/domainsettings.h
@@ -37,7 +37,9 @@
     Duration planPeriod{15};        ///< Shortest time between two placement passes.
     Duration summaryPeriod{1'000};  ///< Between two writes of the summary.
     Duration summaryAge{1'000};     ///< How old a copy of the summary an accepting host may use.
-    Duration retryAfter{1'000};     ///< Told to callers whose request was refused for a passing reason.
+    Duration retryAfter{1'000};     ///< Told to callers whose request was refused for a passing reason that concerns all hosts.
+    Duration readinessAge{1'000};   ///< How old another host's word that it is ready may be.
+    Duration readinessTimeout{120}; ///< Hosts answer within some milliseconds; a refused caller waits no longer.
     double urgentReserve = 0.25;    ///< Share of a rack's accelerators kept for the most urgent work: a typical urgent gang of both sites, three tasks of five.
     int maxRecordsPerBatch = 29;    ///< The store takes 32 entries a transaction; two conditions and the mark are always there.
 
@@ -50,6 +52,8 @@
     HostId id;
     AvailabilityZoneId availabilityZone;
     std::vector<AvailabilityZoneId> availabilityZones; ///< All of the deployment.
+    std::string callerAddress;                         ///< IP number and port for callers.
+    std::string readinessAddress;                      ///< Where the host says whether it is ready.
     long long incarnation = 0;                         ///< Higher after every start of this host.
     unsigned long long randomSeed = 1;
     double processorShare = 1; ///< Of a core that this host may use; stronger hosts become owner first.
--- a/workflow/followstore.cpp
+++ b/workflow/followstore.cpp
@@ -13,7 +13,7 @@
 {
 
 // Prefixes that every host follows, and those that only the owner needs.
-const std::array<std::string, 2> commonPrefixes{"config/", domainOwnerKey().path};
+const std::array<std::string, 3> commonPrefixes{"config/", domainOwnerKey().path, hostKey({}).path};
 const std::array<std::string, 2> ownerPrefixes{"targets/", "intake/"};
 
 // Targets write every second or two, so with this many of them a watch that hears none of them has gone deaf.
--- /dev/null
+++ b/workflow/hostdirectory.cpp
@@ -0,0 +1,169 @@
+#include "controllers.h"
+
+#include <algorithm>
+#include <iterator>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+// Other hosts are only asked for advice, so a record may outlive its host for a while; the lease is renewed three times within its life.
+constexpr Duration recordLease{15'000};
+constexpr int renewalsPerLease = 3;
+
+// A refused caller waits for the answers of so many hosts at most; one that is ready is enough.
+constexpr std::size_t askedHosts = 3;
+
+void retryLater(WorkflowBoard &board)
+{
+    auto &directory = board.directory;
+    directory.step = RecordStep::Absent;
+    directory.nextCallAt = board.now + recordLease / renewalsPerLease;
+}
+
+void takeGrant(WorkflowBoard &board, const StoreReply &reply)
+{
+    auto &directory = board.directory;
+    if (reply.outcome != StoreOutcome::Applied) {
+        retryLater(board);
+        return;
+    }
+    directory.lease = reply.lease;
+    directory.step = RecordStep::Writing;
+    const HostRecord record{board.self.id, board.self.availabilityZone, board.self.readinessAddress, board.self.callerAddress, board.self.incarnation};
+    directory.call = sendToStore(board, StoreTransaction{{StoreWrite{hostKey(board.self.id), record, std::nullopt, true}}}, directory.lease);
+}
+
+void takeRenewal(WorkflowBoard &board, const StoreReply &reply)
+{
+    auto &directory = board.directory;
+    const bool isGone = reply.outcome == StoreOutcome::Applied && reply.leaseTimeToLive == Duration{0};
+    if (isGone) {
+        directory.step = RecordStep::Absent;
+        directory.nextCallAt = board.now;
+    } else {
+        directory.nextCallAt = board.now + recordLease / renewalsPerLease;
+    }
+}
+
+/// Keeps this host's record in the store.
+void keepRecord(WorkflowBoard &board)
+{
+    auto &directory = board.directory;
+    if (const auto *reply = findReply(board, directory.call)) {
+        directory.call.reset();
+        switch (directory.step) {
+        case RecordStep::Granting:
+            takeGrant(board, *reply);
+            break;
+        case RecordStep::Writing:
+            directory.step = reply->outcome == StoreOutcome::Applied ? RecordStep::Present : RecordStep::Absent;
+            directory.nextCallAt = board.now + recordLease / renewalsPerLease;
+            break;
+        case RecordStep::Present:
+            takeRenewal(board, *reply);
+            break;
+        case RecordStep::Absent:
+            break;
+        }
+    }
+    if (directory.call || !board.view.isReachable || board.isStopping) {
+        return;
+    }
+    if (board.now < directory.nextCallAt) {
+        subscribeNoLaterThan(board.timers, "hostRecord", directory.nextCallAt);
+        return;
+    }
+    if (directory.step == RecordStep::Absent) {
+        directory.step = RecordStep::Granting;
+        directory.call = sendToStore(board, StoreLeaseGrant{recordLease});
+    } else if (directory.step == RecordStep::Present) {
+        directory.call = sendToStore(board, StoreLeaseKeepAlive{directory.lease});
+    }
+}
+
+void followRecords(WorkflowBoard &board)
+{
+    auto &hosts = board.directory.hosts;
+    for (const auto &update : board.updates) {
+        if (update.prefix != hostKey({}).path) {
+            continue;
+        }
+        if (update.isWhole) {
+            hosts.clear();
+        }
+        for (const auto &entry : update.put) {
+            if (const auto *record = std::get_if<HostRecord>(&entry.record); record != nullptr && record->host != board.self.id) {
+                hosts.insert_or_assign(record->host, *record);
+            }
+        }
+        std::ranges::for_each(update.deleted, [&](const StoreKey &key) { hosts.erase({lastPart(key)}); });
+    }
+}
+
+void takeChecks(WorkflowBoard &board)
+{
+    auto &directory = board.directory;
+    for (const auto &event : board.inbox) {
+        const auto *reply = std::get_if<ReadinessReply>(&event);
+        if (reply == nullptr || directory.checks.erase(reply->id) == 0) {
+            continue;
+        }
+        if (reply->isReady) {
+            directory.readyAt = board.now;
+        }
+    }
+}
+
+}
+
+bool isAdviceFresh(const WorkflowBoard &board)
+{
+    const auto &directory = board.directory;
+    const bool isRecent = directory.checkedAt && board.now - *directory.checkedAt <= board.self.limits.readinessAge;
+    return isRecent && (directory.checks.empty() || (directory.readyAt && *directory.readyAt >= *directory.checkedAt));
+}
+
+bool isAnotherHostReady(const WorkflowBoard &board)
+{
+    const auto &directory = board.directory;
+    return directory.readyAt && board.now - *directory.readyAt <= board.self.limits.readinessAge;
+}
+
+void askOtherHosts(WorkflowBoard &board)
+{
+    auto &directory = board.directory;
+    if (directory.checkedAt && board.now - *directory.checkedAt <= board.self.limits.readinessAge) {
+        return;
+    }
+    directory.checkedAt = board.now;
+    directory.checks.clear();
+    std::vector<HostRecord> others;
+    std::ranges::transform(directory.hosts, std::back_inserter(others), [](const auto &row) { return row.second; });
+    // Hosts of other zones come first: what cuts this host off often holds for its zone.
+    std::ranges::stable_sort(others, {}, [&](const HostRecord &record) { return record.availabilityZone == board.self.availabilityZone; });
+    if (others.size() > askedHosts) {
+        const auto first = static_cast<std::size_t>(takeJitter(board, Duration{static_cast<Duration::rep>(others.size() - askedHosts)}).count());
+        std::ranges::rotate(others, others.begin() + static_cast<std::ptrdiff_t>(first));
+        others.resize(askedHosts);
+    }
+    for (const auto &record : others) {
+        ReadinessCheck check{takeCallId(board), record.host, record.peerAddress, board.self.limits.readinessTimeout};
+        directory.checks.insert(check.id);
+        board.outbox.emplace_back(std::move(check));
+    }
+}
+
+void followHosts(WorkflowBoard &board)
+{
+    followRecords(board);
+    takeChecks(board);
+    keepRecord(board);
+}
+
+}
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -30,9 +30,29 @@
     friend bool operator==(const SettingsChanged &, const SettingsChanged &) = default;
 };
 
+/// Asks another host whether it is ready to serve callers.
+struct ReadinessCheck
+{
+    CallId id;
+    HostId host;
+    std::string address;
+    Duration timeout{0};
+
+    friend bool operator==(const ReadinessCheck &, const ReadinessCheck &) = default;
+};
+
+/// The answer; a host that does not answer is not ready.
+struct ReadinessReply
+{
+    CallId id;
+    bool isReady = false;
+
+    friend bool operator==(const ReadinessReply &, const ReadinessReply &) = default;
+};
+
 using WorkflowEvent =
-    std::variant<CallerRequest, CallAbandoned, StoreReply, StoreWatchEvent, StoreWatchLost, TargetOrderReply, StopRequested, SettingsChanged>;
-using WorkflowMessage = std::variant<StoreCall, TargetOrder, CallerAnswer>;
+    std::variant<CallerRequest, CallAbandoned, StoreReply, StoreWatchEvent, StoreWatchLost, TargetOrderReply, ReadinessReply, StopRequested, SettingsChanged>;
+using WorkflowMessage = std::variant<StoreCall, TargetOrder, ReadinessCheck, CallerAnswer>;
 
 enum class MirrorStep
 {
@@ -271,7 +291,8 @@
 {
     Proving, ///< Waits for a fresh proof of the configuration.
     Reading, ///< Reads the record that the answer needs.
-    Writing, ///< Creates the workflow or the cancellation.
+    Writing,  ///< Creates the workflow or the cancellation.
+    Refusing, ///< Waits for other hosts' word on whether they could serve the caller.
 };
 
 /// A caller's request that has not been answered.
@@ -283,7 +304,10 @@
     TimePoint answerBy;
     std::optional<CallId> call;
     TimePoint retryAt;
+    std::optional<Refusal> refusal; ///< Held back until other hosts have said whether they are ready.
     bool mayBeStored = false; ///< A write was sent whose outcome is not known.
+    int lostAnswers = 0;      ///< Sendings of the write without an answer.
+    bool isSettled = false;   ///< The state has been read a second time.
 
     friend bool operator==(const OpenCallerCall &, const OpenCallerCall &) = default;
 };
@@ -298,6 +322,29 @@
     friend bool operator==(const SummaryCopy &, const SummaryCopy &) = default;
 };
 
+enum class RecordStep
+{
+    Absent,
+    Granting,
+    Writing,
+    Present,
+};
+
+/// The other hosts, as far as callers of this one may have to be sent there.
+struct HostDirectory
+{
+    std::map<HostId, HostRecord> hosts; ///< Without this one.
+    RecordStep step = RecordStep::Absent;
+    std::optional<CallId> call;
+    long long lease = 0;
+    TimePoint nextCallAt;
+    std::set<CallId> checks;           ///< Hosts of the last round that have not said whether they are ready.
+    std::optional<TimePoint> checkedAt; ///< When the last round began.
+    std::optional<TimePoint> readyAt;   ///< When a host said last that it is ready.
+
+    friend bool operator==(const HostDirectory &, const HostDirectory &) = default;
+};
+
 /// All state of one host in a service domain. The rows of tables are replaced as a whole; docs/design.md names the writer of each section.
 struct WorkflowBoard
 {
@@ -320,6 +367,7 @@
     CommitChain chain;
     Table<CallId, OpenCallerCall> calls;
     SummaryCopy summary;
+    HostDirectory directory;
     TimePoint nextPlanAt;
     bool isPlanWanted = false; ///< Something has changed that a placement pass should look at.
     TimerTable timers;
@@ -348,6 +396,14 @@
 /// True if the configuration was confirmed recently enough to act on it.
 bool isProofFresh(const WorkflowBoard &board);
 
+/// Asks some other hosts whether they are ready, unless that was done just now.
+void askOtherHosts(WorkflowBoard &board);
+
+/// True if the other hosts have been asked just now, and one is ready or all have answered.
+bool isAdviceFresh(const WorkflowBoard &board);
+
+bool isAnotherHostReady(const WorkflowBoard &board);
+
 /// Adds a line to the log. `job` may be empty.
 void logDecision(WorkflowBoard &board, std::string step, std::string peer, std::string job, std::string message, bool isError = false);
 
--- a/workflow/workflowstep.cpp
+++ b/workflow/workflowstep.cpp
@@ -47,6 +47,7 @@
     followStore(board);
     proveConfiguration(board);
     claimDomain(board);
+    followHosts(board);
     loadDomain(board);
     followTargets(board);
     followRuns(board);
