--- /dev/null
+++ b/tests/testrunreports.cpp
@@ -0,0 +1,113 @@
+#include "workflow/controllers.h"
+#include "workflow/workflowstep.h"
+
+#include <gtest/gtest.h>
+
+namespace sequoiastand
+{
+
+/// An owner's board with one target and one run on it, and answers of the target.
+struct RunReports : testing::Test
+{
+    RunReports()
+    {
+        board = makeWorkflowBoard({}, now, WallTime{});
+        board.ownership.step = OwnershipStep::Owner;
+        board.ownership.authorityUntil = now + Duration{60'000};
+        Workflow workflow;
+        workflow.id = task.step.workflow;
+        workflow.specification.steps.resize(1);
+        WorkflowEntry entry;
+        entry.workflow = std::make_shared<const Workflow>(workflow);
+        entry.progress.occurrences.emplace(0, newOccurrence(workflow.specification));
+        entry.progress.occurrences.at(0).steps.at(0).at(0) = {false, 1, 0, "", life};
+        board.workflows.put(workflow.id, entry);
+        DomainTarget target;
+        target.registration.life = life;
+        target.isFenced = true;
+        target.answeredAt = now;
+        target.hold = CallId{7};
+        target.holdSentAt = now;
+        board.targets.put(life.target, target);
+        TaskRun run;
+        run.task = task;
+        run.number = 1;
+        run.place = life;
+        run.step = RunStep::Running;
+        run.since = now;
+        board.runs.put(task, run);
+    }
+
+    void answerHold(const TargetLists &lists)
+    {
+        TargetOrderReply reply;
+        reply.id = CallId{7};
+        reply.target = life.target;
+        reply.outcome = OrderOutcome::Accepted;
+        reply.lists = lists;
+        reply.lists->bornMs = life.bornMs;
+        board.inbox = {reply};
+        followRuns(board);
+    }
+
+    const TimePoint now{Duration{1'000'000}};
+    const TargetLife life{{"t1"}, 1'000};
+    const TaskId task{{{"0000000000000001"}, 0, 0}, 0};
+    WorkflowBoard board;
+};
+
+TEST_F(RunReports, listAskedForInTheMillisecondOfTheStartsAnswerDoesNotLoseTheRun)
+{
+    // Guards against a task that ran twice: the list was made before the start and heard after its answer.
+    answerHold({});
+    EXPECT_TRUE(board.runs.contains(task));
+}
+
+TEST_F(RunReports, listAskedForAfterTheStartsAnswerLosesARunThatItLacks)
+{
+    board.now = now + Duration{10};
+    DomainTarget target = *board.targets.find(life.target);
+    target.holdSentAt = now + Duration{1};
+    board.targets.put(life.target, target);
+    answerHold({});
+    EXPECT_FALSE(board.runs.contains(task));
+}
+
+TEST_F(RunReports, listedRunKeepsItsCheckpoint)
+{
+    answerHold({0, {{task, 1, "c5", 40}}, {}});
+    EXPECT_EQ(board.runs.find(task)->checkpoint, "c5");
+    EXPECT_EQ(board.runs.find(task)->percent, 40);
+}
+
+TEST_F(RunReports, olderRunAtWorkIsToldToStop)
+{
+    answerHold({0, {{{task.step, 5}, 3, "", 0}}, {}});
+    ASSERT_EQ(board.outbox.size(), 1U);
+    const auto &order = std::get<TargetOrder>(board.outbox.front());
+    EXPECT_EQ(std::get<StopRun>(order.request), (StopRun{{task.step, 5}, 3}));
+}
+
+TEST_F(RunReports, finishedEndIsKeptUntilItIsStored)
+{
+    answerHold({0, {}, {{1, task, 1, RunEnd::Finished, ""}}});
+    const auto *target = board.targets.find(life.target);
+    ASSERT_EQ(target->pendingEnds.size(), 1U);
+    EXPECT_EQ(target->lastSeen, 0);
+    EXPECT_TRUE(findTask(board.workflows.find(task.step.workflow)->progress, task)->isFinished);
+}
+
+TEST_F(RunReports, listsOfAnotherLifeAreNotTakenForThisOne)
+{
+    TargetOrderReply reply;
+    reply.id = CallId{7};
+    reply.target = life.target;
+    reply.outcome = OrderOutcome::Accepted;
+    reply.lists = TargetLists{life.bornMs - 1, {}, {{1, task, 1, RunEnd::Finished, ""}}};
+    board.inbox = {reply};
+    followRuns(board);
+    EXPECT_TRUE(board.runs.contains(task));
+    EXPECT_FALSE(findTask(board.workflows.find(task.step.workflow)->progress, task)->isFinished);
+}
+
+}
--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -57,10 +57,9 @@
             putRun(board, run);
             continue;
         }
-        // The list says nothing about orders that may have arrived after it was made.
+        // The list says nothing about orders that may have arrived after it was made. Times are whole milliseconds, so equal ones may be in either order.
         const bool wasThere = run.step == RunStep::Unconfirmed || run.step == RunStep::Running;
-        const bool isSettled = (wasThere && askedAt >= run.since)
-                               || (run.stoppedAt && askedAt >= *run.stoppedAt);
+        const bool isSettled = (wasThere && askedAt > run.since) || (run.stoppedAt && askedAt > *run.stoppedAt);
         if (isSettled && board.runs.contains(run.task)) {
             loseUnlistedRun(board, run);
         }
