--- a/tests/testworkflowpath.cpp
+++ b/tests/testworkflowpath.cpp
@@ -65,6 +65,19 @@
     EXPECT_EQ(fleet.starts[id(1)], 4) << "started again after the cancellation";
 }
 
+TEST_F(WorkflowPath, stateOfARunningWorkflowIsAnsweredSoon)
+{
+    // Guards against a second read for which nothing woke the host.
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{60'000}, {}}));
+    run(Duration{500});
+    for (int number = 0; number < 20; ++number) {
+        const auto before = now;
+        EXPECT_EQ(answerTo(query(id(1), "h2")).state, WorkflowState::Running);
+        EXPECT_LE(now - before, Duration{50});
+        run(Duration{37});
+    }
+}
+
 TEST_F(WorkflowPath, unknownWorkflowIsReportedAsGone)
 {
     const auto answer = answerTo(query(id(7)));
--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -385,8 +385,6 @@
         refuse(board, call, RefusalReason::StoreUnavailable, board.view.isLoaded ? "the store does not answer" : "the host has no configuration yet");
     } else if (call.step != CallerStep::Proving && !call.call && board.now >= call.retryAt) {
         resend(board, call);
-    } else if (call.step != CallerStep::Proving && !call.call) {
-        subscribeNoLaterThan(board.timers, "calls", call.retryAt);
     }
 }
 
@@ -420,7 +418,8 @@
         }
     }
     for (const auto &[id, call] : board.calls.rows()) {
-        subscribeNoLaterThan(board.timers, "calls", call.answerBy);
+        const bool waitsForRetry = !call.call && (call.step == CallerStep::Reading || call.step == CallerStep::Writing);
+        subscribeNoLaterThan(board.timers, "calls", waitsForRetry ? std::min(call.retryAt, call.answerBy) : call.answerBy);
     }
 }
 
