--- a/app/settings.cpp
+++ b/app/settings.cpp
@@ -102,6 +102,7 @@
 {
     const Duration shortest{10};
     reader.read("holdMaxMs", limits.holdMax, Duration{1'000}, minutes{10});
+    reader.read("reclaimBoundMs", limits.reclaimBound, Duration{100}, minutes{10});
     reader.read("stopGraceMs", limits.stopGrace, Duration{0}, minutes{1});
     reader.read("gangWaitMs", limits.gangWait, Duration{100}, minutes{10});
     reader.read("revokeBoundMs", limits.revokeBound, Duration{1'000}, minutes{10});
@@ -116,6 +117,7 @@
     reader.read("ownerLeaseMs", limits.ownerLease, Duration{1'000}, minutes{10});
     reader.read("holdWaitMs", limits.holdWait, Duration{0}, Duration{2'000});
     reader.read("orderTimeoutMs", limits.orderTimeout, shortest, minutes{1});
+    reader.read("startTimeoutMs", limits.startTimeout, shortest, minutes{1});
     reader.read("contactAgeMs", limits.contactAge, shortest, minutes{10});
     reader.read("urgentReserve", limits.urgentReserve, 0.0, 1.0);
     reader.read("planPeriodMs", limits.planPeriod, Duration{1}, minutes{1});
--- a/workflow/claimdomain.cpp
+++ b/workflow/claimdomain.cpp
@@ -43,6 +43,7 @@
     board.runCalls.clear();
     board.strayStops.clear();
     board.lateStarts.clear();
+    board.heldRoom.clear();
     board.targets = {};
 }
 
--- a/workflow/domainsettings.h
+++ b/workflow/domainsettings.h
@@ -13,6 +13,7 @@
 struct DomainLimits
 {
     Duration holdMax{10'000};      ///< Longest time that a target lets runs go on without another hold.
+    Duration reclaimBound{2'700};  ///< In which guaranteed work of the most urgent priority has to begin after its acceptance.
     Duration stopGrace{200};       ///< Longest time that a stop takes on a target.
     Duration gangWait{3'000};      ///< How long a gang's member waits on its target for the others.
     Duration revokeBound{5'000};   ///< From the acknowledgement of a configuration until no host may serve a key that it took away.
@@ -30,7 +31,8 @@
     Duration ownerLease{1'500};     ///< Of the owner key: how long a domain is without an owner after its host died.
     Duration ownerLeaseMargin{300}; ///< Authority ends so long before the lease can end, for orders on their way.
     Duration holdWait{1'200};       ///< The longest that a hold waits for an end; half of it is the shortest. Leaves most of `holdMax` for a cut.
-    Duration orderTimeout{500};     ///< A start or stop, or a hold beyond its wait. Targets answer in milliseconds.
+    Duration orderTimeout{500};     ///< A hold beyond its wait. Targets answer in milliseconds.
+    Duration startTimeout{200};     ///< A start or stop. It is sent again unchanged, and a gang waits for each of its members.
     Duration orderRetry{150};       ///< After an order without an answer.
     Duration startLife{2'500};      ///< A start is refused by the target after this time, so a late copy does nothing.
     Duration contactAge{4'000};     ///< A target that has not answered for so long gets no new work.
--- a/workflow/driveruns.cpp
+++ b/workflow/driveruns.cpp
@@ -25,7 +25,7 @@
     order.target = run.place.target;
     order.address = target.registration.address;
     order.token = board.ownership.token;
-    order.timeout = board.self.limits.orderTimeout;
+    order.timeout = board.self.limits.startTimeout;
     run.isStopCall = std::holds_alternative<StopRun>(request);
     order.request = std::move(request);
     run.call = order.id;
--- a/workflow/placement.cpp
+++ b/workflow/placement.cpp
@@ -7,7 +7,7 @@
 #include <functional>
 #include <map>
 #include <numeric>
-#include <set>
+#include <optional>
 #include <tuple>
 #include <utility>
 
@@ -17,9 +17,12 @@
 namespace
 {
 
-// Work waits for its rack or its data no longer than this share of its run time: elsewhere it takes three times as long at the sites seen so far, so a short
-// wait costs less than the slower run.
-constexpr double localityPatience = 1.0;
+// Work waits for its rack or its data as long as it then still ends earlier than elsewhere, where it takes the remote factor times as long: the factor less one,
+// in run times.
+double localityPatience(const PlacementInput &input)
+{
+    return input.remoteFactor - 1;
+}
 
 bool isAnyTarget(const PlacementTarget &)
 {
@@ -43,10 +46,11 @@
     std::ranges::stable_sort(waiting, {}, [](const WaitingStep &step) { return std::tuple(step.priority, step.slack < Duration{0}, step.slack); });
 }
 
-bool mayLeaveLocality(const WaitingStep &waiting)
+bool mayLeaveLocality(const PlacementInput &input, const WaitingStep &waiting)
 {
-    const auto patience = std::chrono::duration_cast<Duration>(waiting.remaining * localityPatience);
-    return waiting.waited >= patience;
+    const auto patience = std::chrono::duration_cast<Duration>(waiting.remaining * localityPatience(input));
+    // Urgent work has to begin in time, wherever.
+    return waiting.waited >= (waiting.priority == 0 ? std::min(patience, input.urgentPatience) : patience);
 }
 
 /// What work other than the most urgent may take of each rack in all.
@@ -101,6 +105,13 @@
     return packRack(input.targets, waiting, count, {whole, isAnyTarget, {}}).has_value();
 }
 
+/// True if the gang may stand on several racks.
+bool maySpread(const PlacementInput &input, const WaitingStep &waiting)
+{
+    const int count = static_cast<int>(waiting.tasks.size());
+    return !waiting.specification.needsOneRack || mayLeaveLocality(input, waiting) || !couldFitOneRack(input, waiting, count);
+}
+
 std::optional<TaskCounts> placeGang(const PlacementInput &input, const WaitingStep &waiting, const RoomOf &roomOf)
 {
     const int count = static_cast<int>(waiting.tasks.size());
@@ -108,12 +119,11 @@
     const auto &step = waiting.specification;
     if (step.needsOneRack) {
         auto counts = packRack(input.targets, waiting, count, limits);
-        const bool maySpread = !counts && (mayLeaveLocality(waiting) || !couldFitOneRack(input, waiting, count));
-        return maySpread ? packTasks(input.targets, waiting, count, limits) : counts;
+        return counts || !maySpread(input, waiting) ? counts : packTasks(input.targets, waiting, count, limits);
     }
     if (!step.dataRack.value.empty()) {
         auto counts = packTasks(input.targets, waiting, count, within(step.dataRack, limits));
-        return counts || !mayLeaveLocality(waiting) ? counts : packTasks(input.targets, waiting, count, limits);
+        return counts || !mayLeaveLocality(input, waiting) ? counts : packTasks(input.targets, waiting, count, limits);
     }
     return packTasks(input.targets, waiting, count, limits);
 }
@@ -122,7 +132,7 @@
 TaskCounts placeSingles(const PlacementInput &input, const WaitingStep &waiting)
 {
     const auto &step = waiting.specification;
-    const bool mustBeNear = !step.dataRack.value.empty() && !mayLeaveLocality(waiting);
+    const bool mustBeNear = !step.dataRack.value.empty() && !mayLeaveLocality(input, waiting);
     const auto limits = limitsFor(input, waiting, freeRoom);
     const auto chosen = mustBeNear ? within(step.dataRack, limits) : limits;
     // The largest number that fits, found by halving; a failed packing of a large number is cheap.
@@ -162,35 +172,142 @@
     }
 }
 
-/// An urgent step that does not fit now: waits for what is being stopped, or has more stopped.
+TaskPlaces placesOf(const std::vector<PlacementTarget> &targets, const TaskCounts &counts)
+{
+    TaskPlaces places;
+    for (std::size_t index = 0; index < targets.size(); ++index) {
+        if (counts[index] > 0) {
+            places.emplace(targets[index].id, counts[index]);
+        }
+    }
+    return places;
+}
+
+/// The counts of places on targets of the input; nothing if a target is missing or takes no work any more.
+std::optional<TaskCounts> countsOf(const std::vector<PlacementTarget> &targets, const TaskPlaces &places)
+{
+    TaskCounts counts(targets.size(), 0);
+    int found = 0;
+    for (std::size_t index = 0; index < targets.size(); ++index) {
+        const auto place = places.find(targets[index].id);
+        if (place != places.end() && targets[index].takesWork) {
+            counts[index] = place->second;
+            ++found;
+        }
+    }
+    return std::cmp_equal(found, places.size()) ? std::optional(std::move(counts)) : std::nullopt;
+}
+
+void giveRoomBack(std::vector<PlacementTarget> &targets, const WaitingStep &waiting, const TaskCounts &counts)
+{
+    for (std::size_t index = 0; index < targets.size(); ++index) {
+        const auto used = waiting.specification.perTask * counts[index];
+        targets[index].free = targets[index].free + used;
+        targets[index].soon = targets[index].soon + used;
+        targets[index].patientUse -= waiting.priority == 0 ? 0 : used.accelerators;
+    }
+}
+
+bool fitsAll(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, const TaskCounts &counts, const RoomOf &roomOf)
+{
+    for (std::size_t index = 0; index < targets.size(); ++index) {
+        if (counts[index] > 0 && !fitsInto(waiting.specification.perTask * counts[index], roomOf(targets[index]))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void start(PlacementInput &input, PlacementPlan &plan, const WaitingStep &waiting, const TaskCounts &counts)
+{
+    takeRoom(input.targets, waiting, counts);
+    addStarts(plan, input.targets, waiting, counts);
+}
+
+void hold(PlacementInput &input, PlacementPlan &plan, const WaitingStep &waiting, const TaskCounts &counts)
+{
+    takeRoom(input.targets, waiting, counts);
+    plan.held.insert_or_assign(waiting.step, placesOf(input.targets, counts));
+}
+
+/// An urgent step that does not fit now: waits for what is being stopped, or has more stopped. Its room is held, or later work would take what becomes free and
+/// the step would have ever more work stopped.
 void makeRoom(PlacementInput &input, PlacementPlan &plan, const WaitingStep &waiting)
 {
     if (auto counts = placeGang(input, waiting, soonRoom)) {
-        takeRoom(input.targets, waiting, *counts);
+        hold(input, plan, waiting, *counts);
         return;
     }
-    if (auto reclaim = findReclaim(input, waiting)) {
+    if (auto reclaim = findReclaim(input, waiting, maySpread(input, waiting))) {
         plan.stops.insert(plan.stops.end(), reclaim->stops.begin(), reclaim->stops.end());
-        takeRoom(input.targets, waiting, reclaim->places);
+        hold(input, plan, waiting, reclaim->places);
     }
 }
 
-void placeStep(PlacementInput &input, PlacementPlan &plan, const WaitingStep &waiting)
+/// Room that an earlier pass held for the step, given back for the step itself.
+std::optional<TaskCounts> takeHeld(PlacementInput &input, const WaitingStep &waiting)
 {
-    if (!waiting.specification.isGang) {
-        const auto counts = placeSingles(input, waiting);
-        takeRoom(input.targets, waiting, counts);
-        addStarts(plan, input.targets, waiting, counts);
-        return;
+    const auto held = input.held.extract(waiting.step);
+    const auto counts = held ? countsOf(input.targets, held.mapped()) : std::nullopt;
+    if (counts) {
+        giveRoomBack(input.targets, waiting, *counts);
     }
-    if (auto counts = placeGang(input, waiting, freeRoom)) {
-        takeRoom(input.targets, waiting, *counts);
-        addStarts(plan, input.targets, waiting, *counts);
+    return counts;
+}
+
+void placeGangStep(PlacementInput &input, PlacementPlan &plan, const WaitingStep &waiting)
+{
+    const auto held = takeHeld(input, waiting);
+    if (held && fitsAll(input.targets, waiting, *held, freeRoom)) {
+        start(input, plan, waiting, *held);
+    } else if (auto counts = placeGang(input, waiting, freeRoom)) {
+        start(input, plan, waiting, *counts);
+    } else if (held && fitsAll(input.targets, waiting, *held, soonRoom)) {
+        hold(input, plan, waiting, *held);
     } else if (waiting.priority == 0) {
         makeRoom(input, plan, waiting);
     }
 }
 
+void placeTasks(PlacementInput &input, PlacementPlan &plan, const WaitingStep &waiting)
+{
+    takeHeld(input, waiting);
+    const auto counts = placeSingles(input, waiting);
+    start(input, plan, waiting, counts);
+    const auto placed = std::accumulate(counts.begin(), counts.end(), 0);
+    if (waiting.priority != 0 || std::cmp_equal(placed, waiting.tasks.size())) {
+        return;
+    }
+    // The urgent tasks that found no room have it made for them like a gang.
+    WaitingStep rest = waiting;
+    rest.tasks.erase(rest.tasks.begin(), rest.tasks.begin() + placed);
+    makeRoom(input, plan, rest);
+}
+
+void placeStep(PlacementInput &input, PlacementPlan &plan, const WaitingStep &waiting)
+{
+    if (waiting.specification.isGang) {
+        placeGangStep(input, plan, waiting);
+    } else {
+        placeTasks(input, plan, waiting);
+    }
+}
+
+/// Takes what is held for steps that still wait out of the room of the others.
+void reserveHeld(PlacementInput &input, const std::vector<WaitingStep> &waiting)
+{
+    std::map<StepId, TaskPlaces> held;
+    for (const auto &step : waiting) {
+        const auto places = input.held.find(step.step);
+        const auto counts = places == input.held.end() ? std::nullopt : countsOf(input.targets, places->second);
+        if (counts) {
+            takeRoom(input.targets, step, *counts);
+            held.insert(*places);
+        }
+    }
+    input.held = std::move(held);
+}
+
 }
 
 PlacementPlan planPlacements(PlacementInput input)
@@ -198,6 +315,7 @@
     PlacementPlan plan;
     sortWaiting(input.waiting);
     const auto waiting = std::move(input.waiting);
+    reserveHeld(input, waiting);
     std::ranges::for_each(waiting, [&](const WaitingStep &step) { placeStep(input, plan, step); });
     return plan;
 }
--- a/workflow/placement.h
+++ b/workflow/placement.h
@@ -59,11 +59,17 @@
     friend bool operator==(const RunningUnit &, const RunningUnit &) = default;
 };
 
+/// Tasks on each target.
+using TaskPlaces = std::map<TargetId, int>;
+
 struct PlacementInput
 {
     std::vector<PlacementTarget> targets;
     std::vector<WaitingStep> waiting;
     std::vector<RunningUnit> running;
+    std::map<StepId, TaskPlaces> held; ///< Room that earlier passes keep for urgent steps until what stands there has been stopped.
+    double remoteFactor = 3;      ///< How much longer a gang on several racks takes, or a task away from its data.
+    Duration urgentPatience{1'000}; ///< How long urgent work waits for its rack or its data at most.
     double urgentReserve = 0; ///< Share of each rack's accelerators that only the most urgent work may use, as long as other work is in time.
 
     friend bool operator==(const PlacementInput &, const PlacementInput &) = default;
@@ -77,18 +83,19 @@
     friend bool operator==(const PlannedStart &, const PlannedStart &) = default;
 };
 
-struct PlannedStop
+struct PreemptedTask
 {
     TaskId task;
     StepId inFavourOf;
 
-    friend bool operator==(const PlannedStop &, const PlannedStop &) = default;
+    friend bool operator==(const PreemptedTask &, const PreemptedTask &) = default;
 };
 
 struct PlacementPlan
 {
     std::vector<PlannedStart> starts;
-    std::vector<PlannedStop> stops;
+    std::vector<PreemptedTask> stops;
+    std::map<StepId, TaskPlaces> held; ///< For the next pass.
 
     friend bool operator==(const PlacementPlan &, const PlacementPlan &) = default;
 };
--- a/workflow/planwork.cpp
+++ b/workflow/planwork.cpp
@@ -19,6 +19,9 @@
 constexpr int suspectFailures = 2;
 constexpr Duration suspicion{8'000};
 
+// Of the time in which guaranteed work has to begin, for the start itself and for a store that answers slowly.
+constexpr Duration reclaimMargin{600};
+
 // What a core of work is worth beside an accelerator when the cost of a stop is weighed.
 constexpr double coresPerAccelerator = 8;
 
@@ -214,7 +217,7 @@
     }
 }
 
-void stopPlanned(WorkflowBoard &board, const std::vector<PlannedStop> &stops)
+void stopPlanned(WorkflowBoard &board, const std::vector<PreemptedTask> &stops)
 {
     for (const auto &stop : stops) {
         if (const auto *run = board.runs.find(stop.task)) {
@@ -245,10 +248,14 @@
     if (!input.waiting.empty()) {
         input.targets = targetsOf(board);
         input.running = runningUnits(board);
+        input.held = std::exchange(board.heldRoom, {});
+        input.remoteFactor = board.self.limits.remoteFactor;
+        input.urgentPatience = board.self.limits.reclaimBound - board.self.limits.stopGrace - reclaimMargin;
         input.urgentReserve = board.self.limits.urgentReserve;
-        const auto plan = planPlacements(std::move(input));
+        auto plan = planPlacements(std::move(input));
         stopPlanned(board, plan.stops);
         startPlanned(board, plan.starts);
+        board.heldRoom = std::move(plan.held);
         // What waits for its rack or its data may go elsewhere after a while, and targets come back into contact.
         subscribeNoLaterThan(board.timers, "plan", board.now + Duration{200});
     }
--- a/workflow/reclaim.cpp
+++ b/workflow/reclaim.cpp
@@ -123,7 +123,7 @@
 
 }
 
-std::optional<Reclaim> findReclaim(PlacementInput &input, const WaitingStep &waiting)
+std::optional<Reclaim> findReclaim(PlacementInput &input, const WaitingStep &waiting, bool maySpread)
 {
     const auto index = indexTargets(input.targets);
     Option best;
@@ -137,7 +137,7 @@
             }
         }
     }
-    if (best.places.empty()) {
+    if (best.places.empty() && maySpread) {
         best = prune(input, waiting, index, lessUrgentUnits(input, waiting, index, nullptr), nullptr);
     }
     if (best.places.empty()) {
--- a/workflow/reclaim.h
+++ b/workflow/reclaim.h
@@ -13,13 +13,14 @@
 struct Reclaim
 {
     TaskCounts places; ///< Parallel to the targets of the input.
-    std::vector<PlannedStop> stops;
+    std::vector<PreemptedTask> stops;
 
     friend bool operator==(const Reclaim &, const Reclaim &) = default;
 };
 
-/// The cheapest set of less urgent units whose stop makes room for the whole step, or nothing if even all of them would not.
+/// The cheapest set of less urgent units whose stop makes room for the whole step, or nothing if even all of them would not. A step that wants one rack gets one if
+/// that is possible, and otherwise only if it may be spread.
 /// The room they leave is added to `soon` of their targets, and they are taken out of `running`.
-std::optional<Reclaim> findReclaim(PlacementInput &input, const WaitingStep &waiting);
+std::optional<Reclaim> findReclaim(PlacementInput &input, const WaitingStep &waiting, bool maySpread);
 
 }
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -8,6 +8,7 @@
 #include "core/table.h"
 #include "core/timerservice.h"
 #include "domainsettings.h"
+#include "placement.h"
 #include "targetorder.h"
 
 #include <deque>
@@ -368,6 +369,7 @@
     Table<CallId, OpenCallerCall> calls;
     SummaryCopy summary;
     HostDirectory directory;
+    std::map<StepId, TaskPlaces> heldRoom; ///< Room that the last placement pass holds for urgent steps.
     TimePoint nextPlanAt;
     bool isPlanWanted = false; ///< Something has changed that a placement pass should look at.
     TimerTable timers;
