--- a/app/settings.cpp
+++ b/app/settings.cpp
@@ -119,7 +119,6 @@
     reader.read("orderTimeoutMs", limits.orderTimeout, shortest, minutes{1});
     reader.read("startTimeoutMs", limits.startTimeout, shortest, minutes{1});
     reader.read("contactAgeMs", limits.contactAge, shortest, minutes{10});
-    reader.read("urgentReserve", limits.urgentReserve, 0.0, 1.0);
     reader.read("planPeriodMs", limits.planPeriod, Duration{1}, minutes{1});
 }
 
--- a/workflow/domainsettings.h
+++ b/workflow/domainsettings.h
@@ -42,7 +42,6 @@
     Duration retryAfter{1'000};     ///< Told to callers whose request was refused for a passing reason that concerns all hosts.
     Duration readinessAge{1'000};   ///< How old another host's word that it is ready may be.
     Duration readinessTimeout{120}; ///< Hosts answer within some milliseconds; a refused caller waits no longer.
-    double urgentReserve = 0.4;    ///< Share of a rack's accelerators kept for the most urgent work: a typical urgent gang of both sites, three tasks of five.
     int maxRecordsPerBatch = 29;    ///< The store takes 32 entries a transaction; two conditions and the mark are always there.
 
     friend bool operator==(const DomainLimits &, const DomainLimits &) = default;
--- a/workflow/packing.cpp
+++ b/workflow/packing.cpp
@@ -30,7 +30,18 @@
     return tasks;
 }
 
-/// Targets in the order in which they are filled: in good standing first, then those that are left with the fewest free accelerators.
+/// Accelerators that are free in each rack.
+std::map<RackId, int> freeByRack(const std::vector<PlacementTarget> &targets, const RoomOf &roomOf)
+{
+    std::map<RackId, int> free;
+    for (const auto &target : targets) {
+        free[target.rack] += std::max(0, roomOf(target).accelerators);
+    }
+    return free;
+}
+
+/// Targets in the order in which they are filled: in good standing first, then in the fullest racks, so that others stay free for gangs that want one rack, then
+/// those that are left with the fewest free accelerators.
 std::vector<std::size_t> fillOrder(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, const TaskCounts &room, const RoomOf &roomOf)
 {
     std::vector<std::size_t> order;
@@ -39,39 +50,27 @@
             order.push_back(index);
         }
     }
+    const auto rackRoom = freeByRack(targets, roomOf);
     const auto rank = [&](std::size_t index) {
         const auto &target = targets[index];
         const auto free = roomOf(target);
         const int perTask = waiting.specification.perTask.accelerators;
         const int leftover = perTask > 0 ? free.accelerators - perTask * std::min(room[index], free.accelerators / perTask) : free.accelerators;
-        return std::tuple(target.isSuspect, leftover, free.accelerators, free.memoryMb, index);
+        return std::tuple(target.isSuspect, rackRoom.at(target.rack), leftover, free.accelerators, free.memoryMb, index);
     };
     std::ranges::sort(order, {}, rank);
     return order;
 }
 
-/// Tasks that the rack's budget still allows.
-int budgetedTasks(const std::map<RackId, int> &budgets, const RackId &rack, int acceleratorsPerTask)
-{
-    const auto budget = budgets.find(rack);
-    return budget == budgets.end() ? std::numeric_limits<int>::max() : dimensionCount(acceleratorsPerTask, budget->second);
-}
-
-std::optional<TaskCounts>
-fill(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, const std::vector<std::size_t> &order, const TaskCounts &room, int count, std::map<RackId, int> budgets)
+std::optional<TaskCounts> fill(const std::vector<std::size_t> &order, const TaskCounts &room, int count)
 {
     TaskCounts counts(room.size(), 0);
-    const int perTask = waiting.specification.perTask.accelerators;
     for (const std::size_t index : order) {
-        const auto &rack = targets[index].rack;
-        counts[index] = std::min({room[index], count, budgetedTasks(budgets, rack, perTask)});
+        counts[index] = std::min(room[index], count);
         count -= counts[index];
         if (count == 0) {
             return counts;
         }
-        if (const auto budget = budgets.find(rack); budget != budgets.end()) {
-            budget->second -= counts[index] * perTask;
-        }
     }
     return std::nullopt;
 }
@@ -94,6 +93,10 @@
 
 std::optional<TaskCounts> packTasks(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, int count, const PackingLimits &limits)
 {
+    const int perTask = waiting.specification.perTask.accelerators;
+    if (limits.acceleratorBudget && perTask * count > *limits.acceleratorBudget) {
+        return std::nullopt;
+    }
     TaskCounts room(targets.size(), 0);
     for (std::size_t index = 0; index < targets.size(); ++index) {
         if (isAllowed(waiting, targets[index]) && limits.mayUse(targets[index])) {
@@ -103,18 +106,14 @@
     if (std::accumulate(room.begin(), room.end(), 0LL) < count) {
         return std::nullopt;
     }
-    return fill(targets, waiting, fillOrder(targets, waiting, room, limits.roomOf), room, count, limits.rackBudgets);
+    return fill(fillOrder(targets, waiting, room, limits.roomOf), room, count);
 }
 
 std::optional<TaskCounts> packRack(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, int count, const PackingLimits &limits)
 {
-    std::map<RackId, int> freeAccelerators;
-    for (const auto &target : targets) {
-        freeAccelerators[target.rack] += std::max(0, limits.roomOf(target).accelerators);
-    }
     std::optional<TaskCounts> best;
     int bestFree = std::numeric_limits<int>::max();
-    for (const auto &[rack, free] : freeAccelerators) {
+    for (const auto &[rack, free] : freeByRack(targets, limits.roomOf)) {
         // The data's own rack is always better than the tightest fit elsewhere.
         const int rank = rack == waiting.specification.dataRack ? -1 : free;
         if (rank >= bestFree) {
--- a/workflow/packing.h
+++ b/workflow/packing.h
@@ -3,7 +3,6 @@
 #include "placement.h"
 
 #include <functional>
-#include <map>
 #include <optional>
 #include <vector>
 
@@ -27,7 +26,7 @@
 {
     RoomOf roomOf;
     std::function<bool(const PlacementTarget &)> mayUse;
-    std::map<RackId, int> rackBudgets; ///< Accelerators that the step may take in a rack; a rack that is not named has no limit.
+    std::optional<int> acceleratorBudget; ///< That the step may take in all; none: no limit.
 };
 
 /// Places for `count` tasks, or nothing if they do not all fit. Fills the targets that leave the least room first.
--- a/workflow/placement.cpp
+++ b/workflow/placement.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <map>
 #include <numeric>
 #include <optional>
 #include <tuple>
@@ -53,43 +52,31 @@
     return waiting.waited >= (waiting.priority == 0 ? std::min(patience, input.urgentPatience) : patience);
 }
 
-/// What work other than the most urgent may take of each rack in all.
-std::map<RackId, int> rackShares(const PlacementInput &input)
-{
-    std::map<RackId, int> shares;
-    for (const auto &target : input.targets) {
-        shares[target.rack] += target.capacity.accelerators;
-    }
-    for (auto &[rack, share] : shares) {
-        share = static_cast<int>(share * (1 - input.urgentReserve));
-    }
-    return shares;
-}
-
-/// What the step may take of each rack without touching the reserve of urgent work, which would otherwise wait until something has been stopped. A step that is too
-/// large for that has no limit.
-std::map<RackId, int> rackBudgets(const PlacementInput &input, const WaitingStep &waiting)
+/// What the step may take without touching the reserve of urgent work, which would otherwise wait until something has been stopped. A step that is too large for
+/// that even when nothing else runs has no limit.
+std::optional<int> acceleratorBudget(const PlacementInput &input, const WaitingStep &waiting)
 {
     if (waiting.priority == 0) {
-        return {};
-    }
-    auto budgets = rackShares(input);
-    const auto whole = [](const PlacementTarget &target) { return target.capacity; };
-    const int atOnce = waiting.specification.isGang ? static_cast<int>(waiting.tasks.size()) : 1;
-    if (!packTasks(input.targets, waiting, atOnce, {whole, isAnyTarget, budgets})) {
-        return {};
+        return std::nullopt;
     }
+    int capacity = 0;
+    int free = 0;
     for (const auto &target : input.targets) {
-        budgets[target.rack] -= target.patientUse;
+        if (isAllowed(waiting, target)) {
+            capacity += target.capacity.accelerators;
+            free += std::max(0, target.free.accelerators);
+        }
     }
-    return budgets;
+    const int atOnce = waiting.specification.isGang ? static_cast<int>(waiting.tasks.size()) : 1;
+    const bool isTooLarge = atOnce * waiting.specification.perTask.accelerators > capacity - input.urgentReserve;
+    return isTooLarge ? std::nullopt : std::optional(free - input.urgentReserve);
 }
 
 PackingLimits limitsFor(const PlacementInput &input, const WaitingStep &waiting, const RoomOf &roomOf)
 {
     // A task that has failed has few tries left, so it keeps away from targets on which work fails.
     const auto isGood = [&waiting](const PlacementTarget &target) { return !waiting.hasFailed || !target.isSuspect; };
-    return {roomOf, isGood, rackBudgets(input, waiting)};
+    return {roomOf, isGood, acceleratorBudget(input, waiting)};
 }
 
 PackingLimits within(const RackId &rack, PackingLimits limits)
@@ -102,7 +89,7 @@
 bool couldFitOneRack(const PlacementInput &input, const WaitingStep &waiting, int count)
 {
     const auto whole = [](const PlacementTarget &target) { return target.capacity; };
-    return packRack(input.targets, waiting, count, {whole, isAnyTarget, {}}).has_value();
+    return packRack(input.targets, waiting, count, {whole, isAnyTarget, std::nullopt}).has_value();
 }
 
 /// True if the gang may stand on several racks.
@@ -157,7 +144,6 @@
         const auto used = waiting.specification.perTask * counts[index];
         targets[index].free = targets[index].free - used;
         targets[index].soon = targets[index].soon - used;
-        targets[index].patientUse += waiting.priority == 0 ? 0 : used.accelerators;
     }
 }
 
@@ -204,7 +190,6 @@
         const auto used = waiting.specification.perTask * counts[index];
         targets[index].free = targets[index].free + used;
         targets[index].soon = targets[index].soon + used;
-        targets[index].patientUse -= waiting.priority == 0 ? 0 : used.accelerators;
     }
 }
 
--- a/workflow/placement.h
+++ b/workflow/placement.h
@@ -23,7 +23,6 @@
     Resources soon;          ///< `free` and what is being stopped.
     bool takesWork = false;  ///< May be given work now.
     bool isSuspect = false;  ///< Failed runs there since it last finished one.
-    int patientUse = 0;      ///< Accelerators that work of other than the most urgent priority holds.
 
     friend bool operator==(const PlacementTarget &, const PlacementTarget &) = default;
 };
@@ -70,7 +69,7 @@
     std::map<StepId, TaskPlaces> held; ///< Room that earlier passes keep for urgent steps until what stands there has been stopped.
     double remoteFactor = 3;      ///< How much longer a gang on several racks takes, or a task away from its data.
     Duration urgentPatience{1'000}; ///< How long urgent work waits for its rack or its data at most.
-    double urgentReserve = 0; ///< Share of each rack's accelerators that only the most urgent work may use, as long as other work is in time.
+    int urgentReserve = 0;          ///< Accelerators that other than the most urgent work leaves free.
 
     friend bool operator==(const PlacementInput &, const PlacementInput &) = default;
 };
--- a/workflow/planwork.cpp
+++ b/workflow/planwork.cpp
@@ -19,6 +19,16 @@
 constexpr int suspectFailures = 2;
 constexpr Duration suspicion{8'000};
 
+// The urgent work of this time tells how much of it arrives.
+constexpr Duration arrivalWindow{10'000};
+
+// From the decision to stop something until its room is known to be free, beyond the stop grace.
+constexpr Duration stopOverhead{300};
+
+// Arrivals come in clusters, so more than the mean of a stop's time is kept free, and room for two typical steps besides.
+constexpr double arrivalSpread = 1.5;
+constexpr double keptSteps = 2;
+
 // Of the time in which guaranteed work has to begin, for the start itself and for a store that answers slowly.
 constexpr Duration reclaimMargin{600};
 
@@ -33,7 +43,6 @@
     {
         Resources all;
         Resources stopping;
-        int patientAccelerators = 0;
     };
     std::map<TargetId, Use> uses;
     for (const auto &[task, run] : board.runs.rows()) {
@@ -42,10 +51,6 @@
         if (run.isStopWanted || run.step == RunStep::Ending) {
             use.stopping = use.stopping + run.uses;
         }
-        const auto *entry = board.workflows.find(task.step.workflow);
-        if (entry != nullptr && queueOf(board, *entry->workflow).priority > 0) {
-            use.patientAccelerators += run.uses.accelerators;
-        }
     }
     const auto silent = silentZones(board);
     std::vector<PlacementTarget> targets;
@@ -60,7 +65,6 @@
         const auto &use = uses[id];
         target.free = row.registration.capacity - use.all;
         target.soon = target.free + use.stopping;
-        target.patientUse = use.patientAccelerators;
         target.takesWork = takesWork(board, row) && !silent.contains(row.registration.availabilityZone);
         target.isSuspect = row.recentFailures >= suspectFailures && row.lastFailureAt && board.now - *row.lastFailureAt < suspicion;
         targets.push_back(std::move(target));
@@ -68,6 +72,27 @@
     return targets;
 }
 
+/// Accelerators to keep free for urgent work: what arrives while something would be stopped for it, and room for typical steps at any time.
+int urgentReserve(const WorkflowBoard &board)
+{
+    int accelerators = 0;
+    int steps = 0;
+    for (const auto &[id, entry] : board.workflows.rows()) {
+        if (queueOf(board, *entry.workflow).priority == 0 && board.wallNow - entry.workflow->acceptedAt <= arrivalWindow) {
+            const auto &first = entry.workflow->specification.steps.front();
+            accelerators += first.taskCount * first.perTask.accelerators;
+            ++steps;
+        }
+    }
+    if (steps == 0) {
+        return 0;
+    }
+    const auto stopTime = board.self.limits.stopGrace + stopOverhead;
+    const double arriving = static_cast<double>(accelerators) * static_cast<double>(stopTime.count()) / static_cast<double>(arrivalWindow.count());
+    const double typical = static_cast<double>(accelerators) / steps;
+    return static_cast<int>(arriving * arrivalSpread + typical * keptSteps);
+}
+
 /// Time until the workflow must have ended to meet its objective, less the work that is left.
 Duration slackOf(const WorkflowBoard &board, const WorkflowEntry &entry, const Queue &queue, int occurrence)
 {
@@ -251,7 +276,7 @@
         input.held = std::exchange(board.heldRoom, {});
         input.remoteFactor = board.self.limits.remoteFactor;
         input.urgentPatience = board.self.limits.reclaimBound - board.self.limits.stopGrace - reclaimMargin;
-        input.urgentReserve = board.self.limits.urgentReserve;
+        input.urgentReserve = urgentReserve(board);
         auto plan = planPlacements(std::move(input));
         stopPlanned(board, plan.stops);
         startPlanned(board, plan.starts);
--- a/workflow/reclaim.cpp
+++ b/workflow/reclaim.cpp
@@ -49,7 +49,7 @@
     const auto *first = input.targets.data();
     const auto roomOf = [&](const PlacementTarget &target) { return room[static_cast<std::size_t>(&target - first)]; };
     const auto mayUse = [&](const PlacementTarget &target) { return rack == nullptr || target.rack == *rack; };
-    return packTasks(input.targets, waiting, static_cast<int>(waiting.tasks.size()), {roomOf, mayUse, {}});
+    return packTasks(input.targets, waiting, static_cast<int>(waiting.tasks.size()), {roomOf, mayUse, std::nullopt});
 }
 
 double costOf(const PlacementInput &input, const std::vector<std::size_t> &victims)
