--- a/app/log.cpp
+++ b/app/log.cpp
@@ -102,7 +102,12 @@
         return;
     }
     if (const auto suppressed = takeSuppressed(m_rate, now); suppressed > 0) {
-        writeLine({{"log", "", "", std::to_string(suppressed) + " lines were left out because more than " + std::to_string(m_rate.linesPerSecond) + " came in a second", true}, 0});
+        writeLine({{"log",
+                    "",
+                    "",
+                    std::to_string(suppressed) + " lines were left out because more than " + std::to_string(m_rate.linesPerSecond) + " came in a second",
+                    true},
+                   0});
     }
     if (takeLine(m_rate, now)) {
         writeLine(*line);
--- a/app/logbuffer.cpp
+++ b/app/logbuffer.cpp
@@ -30,7 +30,8 @@
         return;
     }
     if (m_reportedDrops < m_droppedLines) {
-        m_pending += R"({"level":"error","step":"log","message":")" + std::to_string(m_droppedLines - m_reportedDrops) + " lines were dropped because the log's reader is too slow\"}\n";
+        m_pending += R"({"level":"error","step":"log","message":")" + std::to_string(m_droppedLines - m_reportedDrops)
+                     + " lines were dropped because the log's reader is too slow\"}\n";
         m_reportedDrops = m_droppedLines;
     }
     m_pending += line;
--- a/app/settings.cpp
+++ b/app/settings.cpp
@@ -144,7 +144,8 @@
             nested.readTexts("availabilityZones", zones, nameRule, true);
             nested.readSeconds("gracePeriodS", settings.gracePeriod, Duration{1'000}, minutes{10});
             nested.readObject("limits", [&](SettingsReader &limits) { readDomainLimits(limits, settings.domain.limits); });
-            std::ranges::transform(zones, std::back_inserter(settings.domain.availabilityZones), [](const std::string &zone) { return AvailabilityZoneId{zone}; });
+            std::ranges::transform(
+                zones, std::back_inserter(settings.domain.availabilityZones), [](const std::string &zone) { return AvailabilityZoneId{zone}; });
         },
         true);
     reader.readObject("http", [&](SettingsReader &nested) { readHttp(nested, settings.http); });
--- a/core/workflow.h
+++ b/core/workflow.h
@@ -19,20 +19,20 @@
 {
     int taskCount = 1;
     Resources perTask;
-    Duration estimate{0};         ///< The caller's rough guess of one task's run time.
-    std::vector<int> after;       ///< Numbers of earlier steps whose tasks must all have finished first.
+    Duration estimate{0};   ///< The caller's rough guess of one task's run time.
+    std::vector<int> after; ///< Numbers of earlier steps whose tasks must all have finished first.
     bool isCheckpointable = false;
-    bool isGang = false;          ///< The tasks run only together.
-    bool needsOneRack = false;    ///< Tasks on more than one rack run slower by the service's remote factor.
-    std::string requiredLabel;    ///< Label that the target must have; empty: none.
-    RackId dataRack;              ///< Rack that holds the data; tasks elsewhere run slower by the remote factor. Empty: none.
-    int maxPerTarget = 0;         ///< Most tasks of one occurrence on one target; zero: no limit.
-    bool isSpeculative = false;   ///< Copies of a task may run side by side.
-    bool isLasting = false;       ///< The tasks run until the workflow is cancelled.
-    std::string image;            ///< Tasks of one image behave alike.
-    Duration latencyTarget{0};    ///< Of a lasting task that serves users of its own; zero: it serves none.
-    bool isFiller = false;        ///< The processors are not reserved; the tasks use what others leave.
-    int maxUnavailable = 0;       ///< Tasks of a lasting step that may be away at a time because of the scheduler.
+    bool isGang = false;        ///< The tasks run only together.
+    bool needsOneRack = false;  ///< Tasks on more than one rack run slower by the service's remote factor.
+    std::string requiredLabel;  ///< Label that the target must have; empty: none.
+    RackId dataRack;            ///< Rack that holds the data; tasks elsewhere run slower by the remote factor. Empty: none.
+    int maxPerTarget = 0;       ///< Most tasks of one occurrence on one target; zero: no limit.
+    bool isSpeculative = false; ///< Copies of a task may run side by side.
+    bool isLasting = false;     ///< The tasks run until the workflow is cancelled.
+    std::string image;          ///< Tasks of one image behave alike.
+    Duration latencyTarget{0};  ///< Of a lasting task that serves users of its own; zero: it serves none.
+    bool isFiller = false;      ///< The processors are not reserved; the tasks use what others leave.
+    int maxUnavailable = 0;     ///< Tasks of a lasting step that may be away at a time because of the scheduler.
 
     friend bool operator==(const StepSpecification &, const StepSpecification &) = default;
 };
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -21,7 +21,7 @@
     std::string path;
     std::string body;
     std::string bearerToken;
-    Duration timeout{0}; ///< Zero: no limit; for streams.
+    Duration timeout{0};              ///< Zero: no limit; for streams.
     std::vector<std::string> headers; ///< Further ones, as "Name: value".
     bool isRepeatable = false;        ///< May be sent again on a new connection when a reused one turns out to be closed.
 
--- a/standins/fleetmodel.h
+++ b/standins/fleetmodel.h
@@ -29,9 +29,9 @@
 {
     int run = 0;
     TimePoint startedAt;
-    Duration done{0};               ///< Of its work, until `countedAt`.
+    Duration done{0}; ///< Of its work, until `countedAt`.
     TimePoint countedAt;
-    bool isTogether = true;         ///< All members of its gang are there; runs that are no gang's are always.
+    bool isTogether = true; ///< All members of its gang are there; runs that are no gang's are always.
     std::optional<TimePoint> stopsAt;
     Revision token = 0;
 
@@ -41,9 +41,9 @@
 /// How a target misbehaves.
 struct ModelTargetFaults
 {
-    double slowness = 1;        ///< Work takes this many times as long.
+    double slowness = 1; ///< Work takes this many times as long.
     bool failsEverything = false;
-    bool standsStill = false;   ///< Its runs make no progress.
+    bool standsStill = false; ///< Its runs make no progress.
 
     friend bool operator==(const ModelTargetFaults &, const ModelTargetFaults &) = default;
 };
@@ -59,7 +59,7 @@
     std::deque<EndedRun> ended;
     long long ends = 0;
     std::map<long long, TimePoint> endedAt; ///< Times of the ends that are not forgotten.
-    std::map<TaskId, int> highestEnded; ///< Runs up to this number are refused.
+    std::map<TaskId, int> highestEnded;     ///< Runs up to this number are refused.
     ModelTargetFaults faults;
 
     friend bool operator==(const ModelTarget &, const ModelTarget &) = default;
@@ -75,10 +75,10 @@
     std::map<TargetId, ModelTarget> targets;
     std::map<RequestId, Workflow> workflows;
     std::map<RequestId, TaskBehaviour> behaviours;
-    std::map<TaskId, TimePoint> finished;  ///< When a run of the task finished first.
-    std::map<TaskId, TimePoint> noted;     ///< When a finish of the task was acknowledged, if the target had been held until then.
+    std::map<TaskId, TimePoint> finished; ///< When a run of the task finished first.
+    std::map<TaskId, TimePoint> noted;    ///< When a finish of the task was acknowledged, if the target had been held until then.
     std::map<TaskId, TimePoint> lastStart;
-    std::map<TaskId, int> failures; ///< Acknowledged failed runs of a task; of a gang under its first task.
+    std::map<TaskId, int> failures;              ///< Acknowledged failed runs of a task; of a gang under its first task.
     std::set<std::pair<TaskId, int>> failedRuns; ///< What `failures` counts, by run.
     std::map<RequestId, int> starts;
     std::vector<std::string> objections;
--- a/tests/domainfixture.cpp
+++ b/tests/domainfixture.cpp
@@ -259,7 +259,11 @@
     return request.id;
 }
 
-CallId DomainTest::submit(const RequestId &id, const WorkflowSpecification &specification, const TaskBehaviour &behaviour, const std::string &host, const std::string &prefix)
+CallId DomainTest::submit(const RequestId &id,
+                          const WorkflowSpecification &specification,
+                          const TaskBehaviour &behaviour,
+                          const std::string &host,
+                          const std::string &prefix)
 {
     Workflow workflow;
     workflow.id = id;
@@ -461,7 +465,13 @@
     }
     const auto answer = carryOut(fleet, order, now);
     if (isStart) {
-        history.push_back(absl::StrCat(now.time_since_epoch().count(), " start ", order.target.value, " ", toString(std::get<StartRun>(order.request).task), " ", std::string(name(answer.refusal))));
+        history.push_back(absl::StrCat(now.time_since_epoch().count(),
+                                       " start ",
+                                       order.target.value,
+                                       " ",
+                                       toString(std::get<StartRun>(order.request).task),
+                                       " ",
+                                       std::string(name(answer.refusal))));
     }
     if (isStart && losesStartAnswers) {
         reply(host, unknown);
@@ -486,8 +496,13 @@
         }
         if (order.due <= now) {
             const auto answer = carryOut(fleet, order.order, now);
-            history.push_back(
-                absl::StrCat(now.time_since_epoch().count(), " late start ", order.order.target.value, " ", toString(std::get<StartRun>(order.order.request).task), " ", std::string(name(answer.refusal))));
+            history.push_back(absl::StrCat(now.time_since_epoch().count(),
+                                           " late start ",
+                                           order.order.target.value,
+                                           " ",
+                                           toString(std::get<StartRun>(order.order.request).task),
+                                           " ",
+                                           std::string(name(answer.refusal))));
         } else {
             m_lateOrders.push_back(order);
         }
--- a/tests/domainfixture.h
+++ b/tests/domainfixture.h
@@ -58,7 +58,11 @@
     void runUntil(const std::function<bool()> &condition, Duration limit);
 
     /// Hands a workflow in at the host. The targets know from then on how its tasks behave.
-    CallId submit(const RequestId &id, const WorkflowSpecification &specification, const TaskBehaviour &behaviour = {}, const std::string &host = "h1", const std::string &prefix = "/urgent/");
+    CallId submit(const RequestId &id,
+                  const WorkflowSpecification &specification,
+                  const TaskBehaviour &behaviour = {},
+                  const std::string &host = "h1",
+                  const std::string &prefix = "/urgent/");
     CallId query(const RequestId &id, const std::string &host = "h1", const std::string &prefix = "/urgent/");
     CallId cancel(const RequestId &id, const std::string &host = "h1", const std::string &prefix = "/urgent/");
     CallId countWaiting(const std::string &prefix, const std::string &host = "h1");
--- a/tests/fakestore.cpp
+++ b/tests/fakestore.cpp
@@ -262,7 +262,8 @@
 {
     std::erase_if(store.watchers, [&](const auto &row) {
         const auto mirror = mirrors.find(row.first.second);
-        return row.first.first == host && (mirror == mirrors.end() || mirror->second.step != MirrorStep::Watching || mirror->second.generation != row.second.generation);
+        return row.first.first == host
+               && (mirror == mirrors.end() || mirror->second.step != MirrorStep::Watching || mirror->second.generation != row.second.generation);
     });
     for (const auto &[prefix, mirror] : mirrors) {
         if (mirror.step == MirrorStep::Watching) {
--- a/tests/fakestore.h
+++ b/tests/fakestore.h
@@ -69,7 +69,7 @@
     std::map<StoreKey, long long> boundTo; ///< Lease that each bound key hangs on.
     std::map<long long, FakeLease> leases;
     long long nextLease = 1;
-    std::vector<StoreWatchEvent> history; ///< In order of revision.
+    std::vector<StoreWatchEvent> history;                         ///< In order of revision.
     std::map<std::pair<HostId, std::string>, FakeWatch> watchers; ///< By host and prefix.
     std::vector<FakeLateCall> lateCalls;
     Revision historyBegin = 0; ///< Watches that stand before it are lost.
--- a/wire/recordjson.cpp
+++ b/wire/recordjson.cpp
@@ -112,8 +112,10 @@
 }
 
 template<typename Record>
-Json recordToJson(const Record &record)
-    requires requires { toJson(record); }
+Json recordToJson(const Record &record) requires requires
+{
+    toJson(record);
+}
 {
     return toJson(record);
 }
--- a/workflow/advanceworkflows.cpp
+++ b/workflow/advanceworkflows.cpp
@@ -28,8 +28,9 @@
                 "endWorkflow",
                 queue.id.value,
                 id.value,
-                std::string(name(state)) + ": " + reason + ", " + std::to_string((board.wallNow - workflow.acceptedAt).count()) + " ms after acceptance, objective "
-                    + std::to_string(objectiveOf(workflow, queue).count()) + " ms, priority " + std::to_string(queue.priority));
+                std::string(name(state)) + ": " + reason + ", " + std::to_string((board.wallNow - workflow.acceptedAt).count())
+                    + " ms after acceptance, objective " + std::to_string(objectiveOf(workflow, queue).count()) + " ms, priority "
+                    + std::to_string(queue.priority));
     count(board.counters, "workflowsEnded", std::string(name(state)));
     for (const auto &run : runsOf(board, id)) {
         stopRun(board, run, "its workflow is " + std::string(name(state)));
--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -32,7 +32,9 @@
 
 bool isRequestId(std::string_view text)
 {
-    return text.size() == requestIdDigits && std::ranges::all_of(text, [](char digit) { return (digit >= '0' && digit <= '9') || (digit >= 'a' && digit <= 'f') || (digit >= 'A' && digit <= 'F'); });
+    return text.size() == requestIdDigits && std::ranges::all_of(text, [](char digit) {
+               return (digit >= '0' && digit <= '9') || (digit >= 'a' && digit <= 'f') || (digit >= 'A' && digit <= 'F');
+           });
 }
 
 /// What a call is about, once its queue is known.
@@ -55,8 +57,9 @@
                     "answerCall",
                     call.request.host,
                     call.request.path,
-                    outcome + " after " + std::to_string((board.now - call.receivedAt).count()) + " ms, configuration " + std::to_string(board.view.configuration.version) + " proven "
-                        + age + " ms ago" + (result.refusal ? ": " + result.refusal->message : ""));
+                    outcome + " after " + std::to_string((board.now - call.receivedAt).count()) + " ms, configuration "
+                        + std::to_string(board.view.configuration.version) + " proven " + age + " ms ago"
+                        + (result.refusal ? ": " + result.refusal->message : ""));
     }
     board.outbox.emplace_back(std::move(result));
     board.calls.erase(call.request.id);
@@ -301,7 +304,9 @@
 /// A condition failed: the workflow or cancellation exists already, or the configuration has changed.
 void takeConflict(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
 {
-    const auto isOurs = [](const StoreEntry &entry) { return std::holds_alternative<Workflow>(entry.record) || std::holds_alternative<WorkflowCancellation>(entry.record); };
+    const auto isOurs = [](const StoreEntry &entry) {
+        return std::holds_alternative<Workflow>(entry.record) || std::holds_alternative<WorkflowCancellation>(entry.record);
+    };
     if (std::ranges::any_of(reply.entries, isOurs)) {
         answer(board, call, {});
         return;
--- a/workflow/claimdomain.cpp
+++ b/workflow/claimdomain.cpp
@@ -66,7 +66,8 @@
         return;
     }
     if (holder != ownership.holder) {
-        logDecision(board, "ownDomain", holder ? holder->host.value : "", "", holder ? "owner since revision " + std::to_string(revision) : "the domain has no owner");
+        logDecision(
+            board, "ownDomain", holder ? holder->host.value : "", "", holder ? "owner since revision " + std::to_string(revision) : "the domain has no owner");
     }
     ownership.holder = std::move(holder);
     ownership.holderRevision = ownership.holder ? revision : 0;
--- a/workflow/commitprogress.cpp
+++ b/workflow/commitprogress.cpp
@@ -70,7 +70,13 @@
         finishBatch(board, mark->revision);
         return;
     }
-    logDecision(board, "commitProgress", "", "", "batch " + std::to_string(board.chain.batches) + " of " + std::to_string(batch.versions.size()) + " records refused: the domain has another owner", true);
+    logDecision(board,
+                "commitProgress",
+                "",
+                "",
+                "batch " + std::to_string(board.chain.batches) + " of " + std::to_string(batch.versions.size())
+                    + " records refused: the domain has another owner",
+                true);
     count(board.counters, "commitsRefused", "");
     board.ownership.authorityUntil = board.now;
 }
--- a/workflow/domainsettings.h
+++ b/workflow/domainsettings.h
@@ -12,17 +12,17 @@
 /// Bounds of a service domain. Those of the first group are given by the deployment, the others are the product's own.
 struct DomainLimits
 {
-    Duration holdMax{10'000};      ///< Longest time that a target lets runs go on without another hold.
-    Duration reclaimBound{2'700};  ///< In which guaranteed work of the most urgent priority has to begin after its acceptance.
-    Duration stopGrace{200};       ///< Longest time that a stop takes on a target.
-    Duration gangWait{3'000};      ///< How long a gang's member waits on its target for the others.
-    Duration revokeBound{5'000};   ///< From the acknowledgement of a configuration until no host may serve a key that it took away.
+    Duration holdMax{10'000};          ///< Longest time that a target lets runs go on without another hold.
+    Duration reclaimBound{2'700};      ///< In which guaranteed work of the most urgent priority has to begin after its acceptance.
+    Duration stopGrace{200};           ///< Longest time that a stop takes on a target.
+    Duration gangWait{3'000};          ///< How long a gang's member waits on its target for the others.
+    Duration revokeBound{5'000};       ///< From the acknowledgement of a configuration until no host may serve a key that it took away.
     Duration statusRetention{120'000}; ///< How long the state of an ended workflow can be asked for.
-    Duration startEarly{0};        ///< How much before its due time an occurrence may start.
-    double remoteFactor = 3;       ///< How much longer tasks take away from their data or rack.
-    Duration minStoreLease{1'000}; ///< Shortest lease that the store grants.
-    Duration checkpointPeriod{500}; ///< Work between two checkpoints of a task.
-    Duration restoreTime{100};     ///< To resume from a checkpoint.
+    Duration startEarly{0};            ///< How much before its due time an occurrence may start.
+    double remoteFactor = 3;           ///< How much longer tasks take away from their data or rack.
+    Duration minStoreLease{1'000};     ///< Shortest lease that the store grants.
+    Duration checkpointPeriod{500};    ///< Work between two checkpoints of a task.
+    Duration restoreTime{100};         ///< To resume from a checkpoint.
 
     Duration proofPeriod{1'000};    ///< Between two proofs of the configuration; three fit into `maxProofAge`.
     Duration maxProofAge{3'000};    ///< Below `revokeBound` by the time of a call and the spread of clocks.
--- a/workflow/eligibility.cpp
+++ b/workflow/eligibility.cpp
@@ -44,7 +44,8 @@
 {
     const auto &registration = target.registration;
     const bool isInService = target.isRegistered && !registration.isDraining && !board.view.evacuated.contains(registration.availabilityZone);
-    const bool isInContact = target.isFenced && target.failures == 0 && !target.suspectedAt && target.answeredAt && board.now - *target.answeredAt <= board.self.limits.contactAge;
+    const bool isInContact =
+        target.isFenced && target.failures == 0 && !target.suspectedAt && target.answeredAt && board.now - *target.answeredAt <= board.self.limits.contactAge;
     const bool isAvoided = target.avoidUntil && board.now < *target.avoidUntil;
     return isInService && isInContact && !isAvoided && !target.hasStrays;
 }
--- a/workflow/followstore.cpp
+++ b/workflow/followstore.cpp
@@ -50,7 +50,8 @@
         return mirror;
     }
     if (reply->outcome != StoreOutcome::Applied) {
-        logDecision(board, "readStore", prefix, "", "read failed, next try in " + std::to_string(board.self.limits.storeRetry.count()) + " ms: " + reply->error, true);
+        logDecision(
+            board, "readStore", prefix, "", "read failed, next try in " + std::to_string(board.self.limits.storeRetry.count()) + " ms: " + reply->error, true);
         mirror.step = MirrorStep::Off;
         mirror.retryAt = board.now + board.self.limits.storeRetry;
         return mirror;
--- a/workflow/holdtargets.cpp
+++ b/workflow/holdtargets.cpp
@@ -12,7 +12,6 @@
 namespace
 {
 
-
 // What stands on a leaving target is lost when it goes; with a short hold that is certain soon afterwards.
 constexpr Duration drainingHold{4'000};
 
--- a/workflow/placement.h
+++ b/workflow/placement.h
@@ -19,10 +19,10 @@
     RackId rack;
     std::vector<std::string> labels;
     Resources capacity;
-    Resources free;          ///< Room that nothing holds now.
-    Resources soon;          ///< `free` and what is being stopped.
-    bool takesWork = false;  ///< May be given work now.
-    bool isSuspect = false;  ///< Failed runs there since it last finished one.
+    Resources free;         ///< Room that nothing holds now.
+    Resources soon;         ///< `free` and what is being stopped.
+    bool takesWork = false; ///< May be given work now.
+    bool isSuspect = false; ///< Failed runs there since it last finished one.
 
     friend bool operator==(const PlacementTarget &, const PlacementTarget &) = default;
 };
@@ -67,9 +67,9 @@
     std::vector<WaitingStep> waiting;
     std::vector<RunningUnit> running;
     std::map<StepId, TaskPlaces> held; ///< Room that earlier passes keep for urgent steps until what stands there has been stopped.
-    double remoteFactor = 3;      ///< How much longer a gang on several racks takes, or a task away from its data.
-    Duration urgentPatience{1'000}; ///< How long urgent work waits for its rack or its data at most.
-    int urgentReserve = 0;          ///< Accelerators that other than the most urgent work leaves free.
+    double remoteFactor = 3;           ///< How much longer a gang on several racks takes, or a task away from its data.
+    Duration urgentPatience{1'000};    ///< How long urgent work waits for its rack or its data at most.
+    int urgentReserve = 0;             ///< Accelerators that other than the most urgent work leaves free.
 
     friend bool operator==(const PlacementInput &, const PlacementInput &) = default;
 };
--- a/workflow/planwork.cpp
+++ b/workflow/planwork.cpp
@@ -200,9 +200,10 @@
                 "placeStep",
                 tasks.front().target.value,
                 toString(step),
-                "run " + std::to_string(findTask(entry.progress, tasks.front().task)->lastRun) + " of " + std::to_string(tasks.size()) + " tasks on " + std::to_string(targets.size())
-                    + " targets in " + std::to_string(racks.size()) + " racks" + (isSpread ? " although one rack is wanted, " : ", ")
-                    + std::to_string((board.wallNow - entry.workflow->acceptedAt).count()) + " ms after acceptance");
+                "run " + std::to_string(findTask(entry.progress, tasks.front().task)->lastRun) + " of " + std::to_string(tasks.size()) + " tasks on "
+                    + std::to_string(targets.size()) + " targets in " + std::to_string(racks.size()) + " racks"
+                    + (isSpread ? " although one rack is wanted, " : ", ") + std::to_string((board.wallNow - entry.workflow->acceptedAt).count())
+                    + " ms after acceptance");
 }
 
 void startPlanned(WorkflowBoard &board, const std::vector<PlannedStart> &starts)
--- a/workflow/proveconfiguration.cpp
+++ b/workflow/proveconfiguration.cpp
@@ -25,7 +25,8 @@
                     "applyConfiguration",
                     "",
                     "",
-                    "kept version " + std::to_string(view.configuration.version) + "; the store holds the lower version " + std::to_string(configuration.version),
+                    "kept version " + std::to_string(view.configuration.version) + "; the store holds the lower version "
+                        + std::to_string(configuration.version),
                     true);
         return;
     }
@@ -122,7 +123,12 @@
         return;
     }
     board.view.isReachable = isReachable;
-    logDecision(board, "reachStore", "", "", isReachable ? "the store answers" : "the store has not answered " + std::to_string(board.view.failedProofs) + " proofs in a row", !isReachable);
+    logDecision(board,
+                "reachStore",
+                "",
+                "",
+                isReachable ? "the store answers" : "the store has not answered " + std::to_string(board.view.failedProofs) + " proofs in a row",
+                !isReachable);
 }
 
 void takeProof(WorkflowBoard &board)
--- a/workflow/reclaim.cpp
+++ b/workflow/reclaim.cpp
@@ -62,7 +62,11 @@
 }
 
 /// Drops victims, the dearest first, as long as the step still fits without stopping them.
-Option prune(const PlacementInput &input, const WaitingStep &waiting, const std::map<TargetId, std::size_t> &index, std::vector<std::size_t> victims, const RackId *rack)
+Option prune(const PlacementInput &input,
+             const WaitingStep &waiting,
+             const std::map<TargetId, std::size_t> &index,
+             std::vector<std::size_t> victims,
+             const RackId *rack)
 {
     Option option;
     auto places = packInto(input, waiting, roomWithout(input, index, victims), rack);
@@ -85,7 +89,8 @@
     return option;
 }
 
-std::vector<std::size_t> lessUrgentUnits(const PlacementInput &input, const WaitingStep &waiting, const std::map<TargetId, std::size_t> &index, const RackId *rack)
+std::vector<std::size_t>
+lessUrgentUnits(const PlacementInput &input, const WaitingStep &waiting, const std::map<TargetId, std::size_t> &index, const RackId *rack)
 {
     std::vector<std::size_t> units;
     for (std::size_t number = 0; number < input.running.size(); ++number) {
--- a/workflow/runends.cpp
+++ b/workflow/runends.cpp
@@ -111,12 +111,14 @@
 {
     const auto *entry = board.workflows.find(ended.task.step.workflow);
     const auto *task = entry == nullptr ? nullptr : findTask(entry->progress, ended.task);
-    const bool isStillWanted = ended.end == RunEnd::Finished && task != nullptr && !task->isFinished && task->lastRun == ended.run && !board.runs.contains(ended.task);
+    const bool isStillWanted =
+        ended.end == RunEnd::Finished && task != nullptr && !task->isFinished && task->lastRun == ended.run && !board.runs.contains(ended.task);
     logDecision(board,
                 "endRun",
                 target.value,
                 toString(ended.task),
-                runText(ended.run) + " ended as " + std::string(name(ended.end)) + (isStillWanted ? ", although it had been taken for lost" : ", which is known or no longer counts"));
+                runText(ended.run) + " ended as " + std::string(name(ended.end))
+                    + (isStillWanted ? ", although it had been taken for lost" : ", which is known or no longer counts"));
     if (isStillWanted) {
         TaskRun run;
         run.task = ended.task;
@@ -167,7 +169,8 @@
     }
     removeRun(board, run);
     if (ended.end != RunEnd::Finished) {
-        failGangOf(board, run, ended.end == RunEnd::Failed ? GangFault::MemberFailed : GangFault::MemberEnded, "a member ended as " + std::string(name(ended.end)));
+        failGangOf(
+            board, run, ended.end == RunEnd::Failed ? GangFault::MemberFailed : GangFault::MemberEnded, "a member ended as " + std::string(name(ended.end)));
     }
 }
 
--- a/workflow/targetorder.h
+++ b/workflow/targetorder.h
@@ -72,9 +72,9 @@
 enum class OrderRefusal
 {
     None,
-    Fenced,    ///< It has seen a higher fencing token.
-    OldRun,    ///< A run of that number or a higher one has ended or was stopped there.
-    TooLate,   ///< The order's deadline had passed.
+    Fenced,  ///< It has seen a higher fencing token.
+    OldRun,  ///< A run of that number or a higher one has ended or was stopped there.
+    TooLate, ///< The order's deadline had passed.
     NoRoom,
     NoTicket,
     Unhealthy,
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -94,8 +94,8 @@
     QueueConfiguration configuration;
     Revision revision = 0; ///< Of the configuration's key; zero: never read.
     std::map<AvailabilityZoneId, Revision> evacuated;
-    bool isRead = false;   ///< All of it has been read once.
-    bool isLoaded = false; ///< And the operators have written a configuration.
+    bool isRead = false;               ///< All of it has been read once.
+    bool isLoaded = false;             ///< And the operators have written a configuration.
     std::optional<TimePoint> provenAt; ///< When the last question was sent whose answer confirmed all of this.
     std::optional<CallId> proof;
     TimePoint proofSentAt;
@@ -182,15 +182,15 @@
     TargetLife place;
     Resources uses;
     RunStep step = RunStep::Recording;
-    TimePoint since;                    ///< Of the step.
-    unsigned long long recordedIn = 0;  ///< Version of the progress that must be stored before the order goes out.
-    std::optional<CallId> call;         ///< Start or stop under way.
-    TimePoint startSentAt;              ///< Of the newest start order.
+    TimePoint since;                   ///< Of the step.
+    unsigned long long recordedIn = 0; ///< Version of the progress that must be stored before the order goes out.
+    std::optional<CallId> call;        ///< Start or stop under way.
+    TimePoint startSentAt;             ///< Of the newest start order.
     TimePoint retryAt;
-    int starts = 0;                     ///< Start orders sent.
-    bool mayArriveLate = false;         ///< A start was not answered, so the target may carry it out even in its next life.
-    TargetClock startDeadline{0};       ///< Latest deadline given to the target with a start.
-    bool isStopCall = false;            ///< `call` is a stop.
+    int starts = 0;               ///< Start orders sent.
+    bool mayArriveLate = false;   ///< A start was not answered, so the target may carry it out even in its next life.
+    TargetClock startDeadline{0}; ///< Latest deadline given to the target with a start.
+    bool isStopCall = false;      ///< `call` is a stop.
     bool isStopWanted = false;
     bool isGangBroken = false;          ///< Another member's end has already been counted for the gang.
     std::optional<TimePoint> stoppedAt; ///< When the target answered the stop.
@@ -198,7 +198,7 @@
     std::string checkpoint;
     int percent = 0;
     std::optional<TimePoint> firstSeenRunning;
-    bool isListed = false;              ///< The target's lists have named it.
+    bool isListed = false; ///< The target's lists have named it.
 
     friend bool operator==(const TaskRun &, const TaskRun &) = default;
 };
@@ -240,20 +240,20 @@
     bool isRegistered = true;
     bool isFenced = false; ///< It has answered under this owner's token.
     std::optional<ClockSample> clock;
-    TargetClock heldUntil{0};              ///< Latest deadline sent to it, on its clock.
-    std::optional<TimePoint> lostAt;       ///< From then on nothing of a former owner runs there, if it cannot be asked.
+    TargetClock heldUntil{0};        ///< Latest deadline sent to it, on its clock.
+    std::optional<TimePoint> lostAt; ///< From then on nothing of a former owner runs there, if it cannot be asked.
     std::optional<CallId> hold;
     TimePoint holdSentAt;
     TimePoint nextHoldAt;
     std::optional<TimePoint> answeredAt;
-    int failures = 0;                      ///< Holds without an answer in a row.
+    int failures = 0;                     ///< Holds without an answer in a row.
     std::optional<TimePoint> suspectedAt; ///< When an order was not answered, unless the target has answered since.
     long long lastSeen = 0;
     long long newestEnd = 0;
     std::deque<PendingEnd> pendingEnds;
-    bool hasStrays = false;          ///< It runs something whose size is not known.
+    bool hasStrays = false;              ///< It runs something whose size is not known.
     std::optional<TimePoint> avoidUntil; ///< It refused an order for a reason of its own.
-    int recentFailures = 0;          ///< Runs that failed there since the last one that finished.
+    int recentFailures = 0;              ///< Runs that failed there since the last one that finished.
     std::optional<TimePoint> lastFailureAt;
     int finishedRuns = 0;
 
@@ -290,8 +290,8 @@
 
 enum class CallerStep
 {
-    Proving, ///< Waits for a fresh proof of the configuration.
-    Reading, ///< Reads the record that the answer needs.
+    Proving,  ///< Waits for a fresh proof of the configuration.
+    Reading,  ///< Reads the record that the answer needs.
     Writing,  ///< Creates the workflow or the cancellation.
     Refusing, ///< Waits for other hosts' word on whether they could serve the caller.
 };
@@ -306,9 +306,9 @@
     std::optional<CallId> call;
     TimePoint retryAt;
     std::optional<Refusal> refusal; ///< Held back until other hosts have said whether they are ready.
-    bool mayBeStored = false; ///< A write was sent whose outcome is not known.
-    int lostAnswers = 0;      ///< Sendings of the write without an answer.
-    bool isSettled = false;   ///< The state has been read a second time.
+    bool mayBeStored = false;       ///< A write was sent whose outcome is not known.
+    int lostAnswers = 0;            ///< Sendings of the write without an answer.
+    bool isSettled = false;         ///< The state has been read a second time.
 
     friend bool operator==(const OpenCallerCall &, const OpenCallerCall &) = default;
 };
@@ -339,7 +339,7 @@
     std::optional<CallId> call;
     long long lease = 0;
     TimePoint nextCallAt;
-    std::set<CallId> checks;           ///< Hosts of the last round that have not said whether they are ready.
+    std::set<CallId> checks;            ///< Hosts of the last round that have not said whether they are ready.
     std::optional<TimePoint> checkedAt; ///< When the last round began.
     std::optional<TimePoint> readyAt;   ///< When a host said last that it is ready.
 
@@ -361,7 +361,7 @@
     DomainLoad load;
     Table<RequestId, WorkflowEntry> workflows;
     Table<TaskId, TaskRun> runs;
-    std::map<CallId, TaskId> runCalls;    ///< Tasks whose start or stop is under way.
+    std::map<CallId, TaskId> runCalls;      ///< Tasks whose start or stop is under way.
     std::map<TaskId, TimePoint> strayStops; ///< When a run that is not the newest of its task was last told to stop.
     std::vector<LateStart> lateStarts;
     Table<TargetId, DomainTarget> targets;
@@ -391,7 +391,6 @@
 /// A uniformly distributed duration between zero and the bound.
 Duration takeJitter(WorkflowBoard &board, Duration bound);
 
-
 /// True while this host may decide and give orders as the owner.
 bool hasAuthority(const WorkflowBoard &board);
 
