--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -45,6 +45,12 @@
     std::string rest; ///< Path after the queue's prefix: a workflow's id, or nothing for the queue itself.
 };
 
+void putCall(WorkflowBoard &board, OpenCallerCall call)
+{
+    const CallId id = call.request.id;
+    board.calls.put(id, std::move(call));
+}
+
 void answer(WorkflowBoard &board, const OpenCallerCall &call, CallerAnswer result)
 {
     result.id = call.request.id;
@@ -73,7 +79,7 @@
         call.refusal = std::move(refusal);
         call.step = CallerStep::Refusing;
         call.call.reset();
-        board.calls.put(call.request.id, std::move(call));
+        putCall(board, std::move(call));
         return;
     }
     refusal.retryAfter = isAnotherHostReady(board) ? retryAtOnce : board.self.limits.retryAfter;
@@ -121,7 +127,7 @@
 {
     call.step = CallerStep::Writing;
     call.call = sendToStore(board, std::move(transaction));
-    board.calls.put(call.request.id, std::move(call));
+    putCall(board, std::move(call));
 }
 
 void submit(WorkflowBoard &board, const OpenCallerCall &call, const RoutedCall &routed)
@@ -151,7 +157,7 @@
 {
     call.step = CallerStep::Reading;
     call.call = sendToStore(board, StoreRange{workflowProgressKey({routed.rest}), false});
-    board.calls.put(call.request.id, std::move(call));
+    putCall(board, std::move(call));
 }
 
 void answerWaiting(WorkflowBoard &board, OpenCallerCall call, const RoutedCall &routed)
@@ -167,7 +173,7 @@
     }
     call.step = CallerStep::Reading;
     call.call = copy.read;
-    board.calls.put(call.request.id, std::move(call));
+    putCall(board, std::move(call));
 }
 
 /// True if some target could hold the task; unknown targets count as large enough.
@@ -289,7 +295,7 @@
         again.isSettled = true;
         again.call.reset();
         again.retryAt = board.now + settlingTime;
-        board.calls.put(call.request.id, std::move(again));
+        putCall(board, std::move(again));
         return;
     }
     if (call.request.action == CallerAction::Query || hasEnded(progress->state)) {
@@ -318,7 +324,7 @@
     board.view.nextProofAt = board.now;
     board.view.doubtedAt = board.now;
     subscribeNoLaterThan(board.timers, "proof", board.now);
-    board.calls.put(call.request.id, std::move(call));
+    putCall(board, std::move(call));
 }
 
 void takeWrite(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
@@ -348,7 +354,7 @@
     }
     // Sending the same conditions again settles whether an earlier copy took effect.
     call.call.reset();
-    board.calls.put(call.request.id, std::move(call));
+    putCall(board, std::move(call));
 }
 
 void resend(WorkflowBoard &board, const OpenCallerCall &call)
@@ -402,7 +408,7 @@
             call.receivedAt = board.now;
             const auto patience = request->patience > Duration{0} ? request->patience : defaultPatience;
             call.answerBy = board.now + std::max(patience - answerMargin, patience / 2);
-            board.calls.put(request->id, std::move(call));
+            putCall(board, std::move(call));
         } else if (const auto *abandoned = std::get_if<CallAbandoned>(&event)) {
             board.calls.erase(abandoned->id);
         }
--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -115,7 +115,7 @@
             TargetRegistration registration = target.registration;
             registration.life.bornMs = reply.lists->bornMs;
             logDecision(board, "renewTarget", id.value, "", "its lists show that the target has started again");
-            beginNewLife(board, std::move(target), registration);
+            beginNewLife(board, target, registration);
             return;
         }
         target.nextHoldAt = board.now;
--- a/workflow/followtargets.cpp
+++ b/workflow/followtargets.cpp
@@ -39,7 +39,7 @@
     target.isRegistered = true;
     if (isNewLife) {
         logDecision(board, "renewTarget", id.value, "", "the target has started again");
-        beginNewLife(board, std::move(target), registration);
+        beginNewLife(board, target, registration);
         return;
     }
     target.registration = registration;
--- a/workflow/placement.cpp
+++ b/workflow/placement.cpp
@@ -233,7 +233,7 @@
 std::optional<TaskCounts> takeHeld(PlacementInput &input, const WaitingStep &waiting)
 {
     const auto held = input.held.extract(waiting.step);
-    const auto counts = held ? countsOf(input.targets, held.mapped()) : std::nullopt;
+    auto counts = held ? countsOf(input.targets, held.mapped()) : std::nullopt;
     if (counts) {
         giveRoomBack(input.targets, waiting, *counts);
     }
--- a/workflow/targetlease.cpp
+++ b/workflow/targetlease.cpp
@@ -102,7 +102,7 @@
 
 }
 
-void beginNewLife(WorkflowBoard &board, DomainTarget former, const TargetRegistration &registration)
+void beginNewLife(WorkflowBoard &board, const DomainTarget &former, const TargetRegistration &registration)
 {
     DomainTarget fresh;
     fresh.registration = registration;
--- a/workflow/targetlease.h
+++ b/workflow/targetlease.h
@@ -16,7 +16,7 @@
 
 /// Replaces the target's row as a new life of it begins: what the former one ran and knew is gone. Starts that may still arrive there are stopped beforehand,
 /// because a run that has been stopped is refused. Runs that cannot stand on the new life are lost.
-void beginNewLife(WorkflowBoard &board, DomainTarget former, const TargetRegistration &registration);
+void beginNewLife(WorkflowBoard &board, const DomainTarget &former, const TargetRegistration &registration);
 
 /// Notes a start without an answer: a copy of it may arrive seconds later.
 void noteLateStart(WorkflowBoard &board, const TaskRun &run);
