Leave a broken gang to its targets where stops are slow, and stop it at once elsewhere

Cause, from the logs of trials: targets end the other members 200 ms after one has ended, whatever the site's stop grace; a stop takes between 0.3 and 1.0 of the grace and holds the break up if it comes first. A pause of 80 ms was therefore wrong on both sides: with a grace of 900 ms some members ended only after 280 to 829 ms, with one of 200 ms 80 ms were given away.

--- a/standins/fleetmodel.cpp
+++ b/standins/fleetmodel.cpp
@@ -91,10 +91,11 @@
     return members;
 }
 
-void breakGang(FleetModel &fleet, const StepId &step, int run)
+void breakGang(FleetModel &fleet, const StepId &step, int run, TimePoint now)
 {
     for (const auto &[id, task] : membersOf(fleet, step, run)) {
-        endRun(fleet, fleet.targets.at(id), task, RunEnd::Broken);
+        auto &member = fleet.targets.at(id).running.at(task);
+        member.breaksAt = member.breaksAt.value_or(now + fleet.gangBreak);
     }
 }
 
@@ -103,9 +104,10 @@
     const int run = target.running.at(task).run;
     const auto *step = stepOf(fleet, task.step);
     const bool wasTogether = target.running.at(task).isTogether;
+    const TimePoint endedAt = target.running.at(task).countedAt;
     endRun(fleet, target, task, end);
     if (step != nullptr && step->isGang && wasTogether) {
-        breakGang(fleet, task.step, run);
+        breakGang(fleet, task.step, run, endedAt);
     }
 }
 
@@ -280,7 +282,7 @@
 void countWork(FleetModel &fleet, ModelTarget &target, TimePoint now)
 {
     for (auto &[task, run] : target.running) {
-        const bool works = run.isTogether && !target.faults.standsStill && !run.stopsAt;
+        const bool works = run.isTogether && !target.faults.standsStill && !run.stopsAt && !run.breaksAt;
         if (works) {
             const auto passed = std::chrono::duration<double, std::milli>(now - run.countedAt) / target.faults.slowness;
             run.done = std::min(workOf(fleet, task), run.done + std::chrono::duration_cast<Duration>(passed));
@@ -294,6 +296,9 @@
     if (run.stopsAt && now >= *run.stopsAt) {
         return RunEnd::Stopped;
     }
+    if (run.breaksAt && !run.stopsAt && now >= *run.breaksAt) {
+        return RunEnd::Broken;
+    }
     if (now >= target.heldUntil) {
         return RunEnd::Lapsed;
     }
@@ -301,7 +306,7 @@
         return RunEnd::Alone;
     }
     const auto *step = stepOf(fleet, task.step);
-    if (!run.isTogether || run.done < workOf(fleet, task) || (step != nullptr && step->isLasting)) {
+    if (!run.isTogether || run.breaksAt || run.done < workOf(fleet, task) || (step != nullptr && step->isLasting)) {
         return std::nullopt;
     }
     return alwaysFails(fleet, task) || target.faults.failsEverything ? RunEnd::Failed : RunEnd::Finished;
@@ -380,7 +385,7 @@
     for (const auto &[task, run] : gone.mapped().running) {
         const auto *step = stepOf(fleet, task.step);
         if (step != nullptr && step->isGang && run.isTogether) {
-            breakGang(fleet, task.step, run.run);
+            breakGang(fleet, task.step, run.run, run.countedAt);
         }
     }
 }
--- a/standins/fleetmodel.h
+++ b/standins/fleetmodel.h
@@ -33,6 +33,7 @@
     TimePoint countedAt;
     bool isTogether = true; ///< All members of its gang are there; runs that are no gang's are always.
     std::optional<TimePoint> stopsAt;
+    std::optional<TimePoint> breaksAt; ///< Another member of its gang has ended.
     Revision token = 0;
 
     friend bool operator==(const ModelRun &, const ModelRun &) = default;
@@ -71,6 +72,7 @@
     Duration holdMax{10'000};
     Duration stopGrace{200};
     Duration gangWait{3'000};
+    Duration gangBreak{200}; ///< From the end of one member until the others end as broken, unless they have been told to stop before.
     Duration checkpointPeriod{500};
     std::map<TargetId, ModelTarget> targets;
     std::map<RequestId, Workflow> workflows;
--- a/workflow/runends.cpp
+++ b/workflow/runends.cpp
@@ -15,8 +15,17 @@
 // A stop of a stray run is sent again after this time if the target still lists the run.
 constexpr Duration strayRetry{300};
 
-// Targets end the members of a gang that has lost one within some 10 ms; a stop that comes first takes up to the whole stop grace.
-constexpr Duration brokenGangPause{80};
+// Targets end the other members of a gang this long after one has ended, and list them as broken.
+constexpr Duration gangBreakTime{200};
+
+// Left to the targets before the members are stopped after all, for instance because they cannot hear of each other.
+constexpr Duration gangBreakMargin{100};
+
+/// A stop that reaches a member first takes up to the stop grace, so it only comes at once where that is the faster way.
+Duration brokenGangPause(const WorkflowBoard &board)
+{
+    return board.self.limits.stopGrace > gangBreakTime ? gangBreakTime + gangBreakMargin : Duration{0};
+}
 
 std::string runText(int run)
 {
@@ -142,7 +151,7 @@
         }
         member.isGangBroken = member.isGangBroken || fault == GangFault::MemberFailed;
         putRun(board, member);
-        stopRun(board, member, reason, fault == GangFault::NeverTogether ? Duration{0} : brokenGangPause);
+        stopRun(board, member, reason, fault == GangFault::NeverTogether ? Duration{0} : brokenGangPause(board));
     }
 }
 
