Let an organisation reach only its own workflows, and know absent targets' shapes

Causes: any known key could query or cancel any workflow whose id it knew, and an id that another organisation had used was answered as accepted; a task was refused as never fitting while the only targets of its kind were away for a moment, and accepted to wait for ever at a host that no caller had asked for a count. The summary now keeps shapes for ten minutes, the next owner takes them over, and hosts read it every 30 s. Each query has its log line as well, within the bounded rate.

--- a/core/storerecord.cpp
+++ b/core/storerecord.cpp
@@ -80,6 +80,11 @@
     return {"progress/" + id.value};
 }
 
+StoreKey domainPrefix()
+{
+    return {"domain/"};
+}
+
 StoreKey domainOwnerKey()
 {
     return {"domain/owner"};
--- a/core/storerecord.h
+++ b/core/storerecord.h
@@ -108,12 +108,13 @@
     friend bool operator==(const CommitMark &, const CommitMark &) = default;
 };
 
-/// Capacity and labels that some target of a service has.
+/// Capacity and labels that some target of a service has, or had lately.
 struct TargetShape
 {
     ServiceId service;
     Resources capacity;
     std::vector<std::string> labels;
+    WallTime seenAt; ///< When such a target was registered, at most a minute old while there is one.
 
     friend bool operator==(const TargetShape &, const TargetShape &) = default;
 };
@@ -276,6 +277,9 @@
 StoreKey zoneEvacuationKey(const AvailabilityZoneId &zone);
 StoreKey targetRegistrationKey(const TargetId &target);
 
+/// Common prefix of the owner key, the commit mark and the summary.
+StoreKey domainPrefix();
+
 /// The last part of a key: the workflow, zone or target that it names.
 std::string lastPart(const StoreKey &key);
 
--- a/core/workflowprogress.h
+++ b/core/workflowprogress.h
@@ -63,6 +63,7 @@
 struct WorkflowProgress
 {
     WorkflowState state = WorkflowState::Queued;
+    OrganisationId organisation;                   ///< Whose workflow it is, so that a query needs no other record; empty on an anonymous queue.
     std::map<int, OccurrenceProgress> occurrences; ///< Begun and not finished.
     int finishedOccurrences = 0;                   ///< All occurrences below this number have finished.
     std::vector<int> finishedOutOfOrder;           ///< Later occurrences that have finished too, in rising order.
--- a/tests/domainfixture.cpp
+++ b/tests/domainfixture.cpp
@@ -253,7 +253,7 @@
     request.host = queueHost;
     request.patience = Duration{3'000};
     if (request.key.empty()) {
-        request.key = "key-tailors";
+        request.key = callerKey;
     }
     m_hosts.at(host).inbox.emplace_back(request);
     return request.id;
--- a/tests/domainfixture.h
+++ b/tests/domainfixture.h
@@ -88,9 +88,10 @@
     QueueConfiguration configuration;
     TimePoint now{Duration{1'000'000}};
     WallTime wallNow{Duration{1'700'000'000'000}};
-    bool losesStartAnswers = false; ///< Starts take effect, but the hosts hear nothing of it.
-    Duration startDelay{0};         ///< Starts are carried out so much later, and not answered.
-    bool lateStartsSurvive = false; ///< Also if the target has crashed meanwhile, as if something in between had held them up.
+    std::string callerKey = "key-tailors"; ///< With which the following calls are made.
+    bool losesStartAnswers = false;        ///< Starts take effect, but the hosts hear nothing of it.
+    Duration startDelay{0};                ///< Starts are carried out so much later, and not answered.
+    bool lateStartsSurvive = false;        ///< Also if the target has crashed meanwhile, as if something in between had held them up.
     std::vector<TargetOrder> sentOrders;
     std::vector<std::string> history; ///< Log lines of the hosts and what the test did, in order; printed for the tasks that the model objects to.
 
--- a/tests/testworkflowpath.cpp
+++ b/tests/testworkflowpath.cpp
@@ -134,4 +134,48 @@
     EXPECT_EQ((fleet.failures[{{id(1), 0, 0}, 0}]), 3);
 }
 
+TEST_F(WorkflowPath, taskThatFitsOnlyATargetOutOfServiceIsAcceptedAndWaits)
+{
+    // Guards against "never fits" for work whose targets are away for a moment, also under an owner that has never seen them.
+    auto special = fleet.targets.at({"t8"}).registration;
+    special.labels.push_back("special");
+    fleet.targets.at({"t8"}).registration = special;
+    registerAgain("t8");
+    run(Duration{1'500});
+    unregister("t8");
+    run(Duration{500});
+    const auto former = owner();
+    kill(former);
+    const std::string left = former == "h1" ? "h2" : "h1";
+    run(Duration{4'000});
+    answerTo(countWaiting("/urgent/", left));
+    auto specification = batch(1, {1'000, 1'000, 1});
+    specification.steps.front().requiredLabel = "special";
+    EXPECT_FALSE(answerTo(submit(id(1), specification, {}, left)).refusal);
+    registerAgain("t8");
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{5'000});
+}
+
+TEST_F(WorkflowPath, oversizedTaskIsRefusedWithoutAQueryBefore)
+{
+    run(Duration{31'000}); // Until the hosts have read the summary again.
+    const auto answer = answerTo(submit(id(1), batch(1, {1'000, 1'000, 9})));
+    ASSERT_TRUE(answer.refusal);
+    EXPECT_EQ(answer.refusal->reason, RefusalReason::NeverFits);
+}
+
+TEST_F(WorkflowPath, anotherOrganisationNeitherSeesNorCancelsAWorkflow)
+{
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{60'000}, {}}));
+    callerKey = "key-hotels";
+    EXPECT_EQ(answerTo(query(id(1), "h2")).refusal->reason, RefusalReason::NotFound);
+    EXPECT_EQ(answerTo(cancel(id(1), "h2")).refusal->reason, RefusalReason::NotFound);
+    const auto reused = answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{60'000}, {}}));
+    ASSERT_TRUE(reused.refusal);
+    EXPECT_EQ(reused.refusal->reason, RefusalReason::RequestIdReused);
+    EXPECT_EQ(reused.refusal->run, RunClaim::NotRun);
+    callerKey = "key-tailors";
+    EXPECT_EQ(answerTo(query(id(1))).state, WorkflowState::Running);
+}
+
 }
--- a/wire/workflowjson.cpp
+++ b/wire/workflowjson.cpp
@@ -140,14 +140,16 @@
             {"milliCpu", shape.capacity.milliCpu},
             {"memoryMb", shape.capacity.memoryMb},
             {"accelerators", shape.capacity.accelerators},
-            {"labels", shape.labels}};
+            {"labels", shape.labels},
+            {"seenAtMs", millisecondsOf(shape.seenAt)}};
 }
 
 TargetShape shapeFromJson(const Json &json)
 {
     return {{json.at("service").get<std::string>()},
             {json.value("milliCpu", 0), json.value("memoryMb", 0), json.value("accelerators", 0)},
-            json.value("labels", std::vector<std::string>{})};
+            json.value("labels", std::vector<std::string>{}),
+            wallTimeOf(json.at("seenAtMs"))};
 }
 
 }
@@ -238,6 +240,7 @@
     if (!occurrences.empty()) {
         json["occurrences"] = std::move(occurrences);
     }
+    putUnless(json, "organisation", record.organisation.value, std::string{});
     putUnless(json, "finished", record.finishedOccurrences, 0);
     putUnless(json, "finishedLater", record.finishedOutOfOrder, std::vector<int>{});
     if (record.endedAt) {
@@ -255,6 +258,7 @@
         throw Json::other_error::create(501, "unknown state \"" + state + "\"", &json);
     }
     record.state = *known;
+    record.organisation = {json.value("organisation", std::string{})};
     if (json.contains("occurrences")) {
         for (const auto &row : json.at("occurrences")) {
             record.occurrences.emplace(row.at(0).get<int>(), occurrenceFromJson(row.at(1)));
--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -1,3 +1,4 @@
+#include "callerchecks.h"
 #include "controllers.h"
 
 #include <algorithm>
@@ -24,27 +25,12 @@
 // After so many sendings without an answer the host is likely to be cut off, and the caller is better served by another host, which finds out what became of them.
 constexpr int maxLostAnswers = 2;
 
+// Between two reads of the summary for the shapes of targets, which change when machines of another kind join.
+constexpr Duration summaryRefresh{30'000};
+
 // Zero would say that a retry cannot succeed.
 constexpr Duration retryAtOnce{1};
 
-constexpr std::size_t maxPayloadBytes = 4'000;
-constexpr std::size_t requestIdDigits = 16;
-
-bool isRequestId(std::string_view text)
-{
-    return text.size() == requestIdDigits && std::ranges::all_of(text, [](char digit) {
-               return (digit >= '0' && digit <= '9') || (digit >= 'a' && digit <= 'f') || (digit >= 'A' && digit <= 'F');
-           });
-}
-
-/// What a call is about, once its queue is known.
-struct RoutedCall
-{
-    const Queue *queue = nullptr;
-    OrganisationId organisation;
-    std::string rest; ///< Path after the queue's prefix: a workflow's id, or nothing for the queue itself.
-};
-
 void putCall(WorkflowBoard &board, OpenCallerCall call)
 {
     const CallId id = call.request.id;
@@ -57,16 +43,14 @@
     const std::string outcome = result.refusal ? std::string(name(result.refusal->reason)) : result.state ? std::string(name(*result.state)) : "done";
     count(board.counters, result.refusal ? "callsRefused" : "callsAnswered", outcome);
     addSample(board.counters, "answerMs", static_cast<double>((board.now - call.receivedAt).count()));
-    if (call.request.action != CallerAction::Query || result.refusal) {
-        const auto age = board.view.provenAt ? std::to_string((board.now - *board.view.provenAt).count()) : "unknown";
-        logDecision(board,
-                    "answerCall",
-                    call.request.host,
-                    call.request.path,
-                    outcome + " after " + std::to_string((board.now - call.receivedAt).count()) + " ms, configuration "
-                        + std::to_string(board.view.configuration.version) + " proven " + age + " ms ago"
-                        + (result.refusal ? ": " + result.refusal->message : ""));
-    }
+    const auto age = board.view.provenAt ? std::to_string((board.now - *board.view.provenAt).count()) : "unknown";
+    logDecision(board,
+                "answerCall",
+                call.request.host,
+                call.request.path,
+                std::string(name(call.request.action)) + ": " + outcome + " after " + std::to_string((board.now - call.receivedAt).count())
+                    + " ms, configuration " + std::to_string(board.view.configuration.version) + " proven " + age + " ms ago"
+                    + (result.refusal ? ": " + result.refusal->message : ""));
     board.outbox.emplace_back(std::move(result));
     board.calls.erase(call.request.id);
 }
@@ -98,24 +82,15 @@
     }
 }
 
-/// The call's queue and organisation, or the refusal that the configuration calls for.
+/// The call's queue and organisation; refuses the call if the configuration does not allow it.
 std::optional<RoutedCall> route(WorkflowBoard &board, const OpenCallerCall &call)
 {
-    const auto &configuration = board.view.configuration;
-    const auto *queue = findQueue(configuration, call.request.host, call.request.path);
-    if (queue == nullptr) {
-        refuse(board, call, RefusalReason::UnknownQueue, "no queue has this host and path");
-        return std::nullopt;
-    }
-    RoutedCall routed{queue, {}, call.request.path.substr(queue->prefix.size())};
-    const auto key = configuration.keys.find(call.request.key);
-    if (key != configuration.keys.end()) {
-        routed.organisation = key->second;
-    } else if (!queue->isAnonymous) {
-        refuse(board, call, RefusalReason::Unauthorised, "the key is not known");
+    auto routing = routeCall(board.view.configuration, call.request);
+    if (const auto *refusal = std::get_if<Refusal>(&routing)) {
+        refuse(board, call, refusal->reason, refusal->message);
         return std::nullopt;
     }
-    return routed;
+    return std::get<RoutedCall>(std::move(routing));
 }
 
 std::vector<StoreCondition> configurationCondition(const WorkflowBoard &board)
@@ -141,7 +116,9 @@
     StoreTransaction transaction;
     transaction.conditions = configurationCondition(board);
     transaction.writes.push_back({workflowKey(workflow.id), workflow, 0, false});
-    transaction.writes.push_back({workflowProgressKey(workflow.id), WorkflowProgress{}, 0, false});
+    WorkflowProgress progress;
+    progress.organisation = routed.organisation;
+    transaction.writes.push_back({workflowProgressKey(workflow.id), std::move(progress), 0, false});
     write(board, call, std::move(transaction));
 }
 
@@ -163,7 +140,7 @@
 void answerWaiting(WorkflowBoard &board, OpenCallerCall call, const RoutedCall &routed)
 {
     auto &copy = board.summary;
-    if (copy.readAt && board.now - *copy.readAt <= board.self.limits.summaryAge) {
+    if (copy.summary && copy.readAt && board.now - *copy.readAt <= board.self.limits.summaryAge) {
         const int waiting = copy.summary && copy.summary->waiting.contains(routed.queue->id) ? copy.summary->waiting.at(routed.queue->id) : 0;
         answer(board, call, {{}, {}, {}, waiting});
         return;
@@ -176,48 +153,10 @@
     putCall(board, std::move(call));
 }
 
-/// True if some target could hold the task; unknown targets count as large enough.
-bool couldFit(const WorkflowBoard &board, const Queue &queue, const StepSpecification &step)
-{
-    const auto &summary = board.summary.summary;
-    if (!summary || summary->shapes.empty()) {
-        return true;
-    }
-    return std::ranges::any_of(summary->shapes, [&](const TargetShape &shape) {
-        const bool hasLabel = step.requiredLabel.empty() || std::ranges::find(shape.labels, step.requiredLabel) != shape.labels.end();
-        return shape.service == queue.service && hasLabel && fitsInto(step.perTask, shape.capacity);
-    });
-}
-
-std::optional<std::string> findSubmissionFault(const OpenCallerCall &call, const RoutedCall &routed)
-{
-    const auto &request = call.request;
-    if (!isRequestId(routed.rest)) {
-        return "the id is not 16 hexadecimal digits";
-    }
-    if (!request.specification) {
-        return request.bodyFault;
-    }
-    if (request.specification->payload.size() > maxPayloadBytes) {
-        return "the payload has more than " + std::to_string(maxPayloadBytes) + " bytes";
-    }
-    return findFault(*request.specification);
-}
-
 void handleSubmission(WorkflowBoard &board, const OpenCallerCall &call, const RoutedCall &routed)
 {
-    const auto limit = board.view.configuration.maxBodyBytes;
-    if (limit > 0 && call.request.bodyBytes > limit) {
-        refuse(board, call, RefusalReason::BodyTooLarge, "the body has more than " + std::to_string(limit) + " bytes");
-        return;
-    }
-    if (const auto fault = findSubmissionFault(call, routed)) {
-        refuse(board, call, RefusalReason::BadRequest, *fault);
-        return;
-    }
-    const auto &steps = call.request.specification->steps;
-    if (!std::ranges::all_of(steps, [&](const StepSpecification &step) { return couldFit(board, *routed.queue, step); })) {
-        refuse(board, call, RefusalReason::NeverFits, "a task is larger than every target, or asks for a label that none has");
+    if (const auto refusal = checkSubmission(board, call.request, routed)) {
+        refuse(board, call, refusal->reason, refusal->message);
         return;
     }
     submit(board, call, routed);
@@ -246,6 +185,21 @@
     return call.call && call.call == board.summary.read;
 }
 
+/// The copy also says which tasks can never fit, so it is read before a caller asks for a count.
+void refreshSummary(WorkflowBoard &board)
+{
+    auto &copy = board.summary;
+    if (copy.read || !board.view.isReachable || board.isStopping) {
+        return;
+    }
+    if (board.now >= copy.refreshAt) {
+        const bool isKnown = copy.summary && !copy.summary->shapes.empty();
+        copy.refreshAt = board.now + (isKnown ? summaryRefresh : board.self.limits.summaryAge);
+        copy.read = sendToStore(board, StoreRange{domainSummaryKey(), false});
+    }
+    subscribeNoLaterThan(board.timers, "summaryCopy", copy.refreshAt);
+}
+
 void takeSummary(WorkflowBoard &board)
 {
     auto &copy = board.summary;
@@ -285,8 +239,12 @@
         refuse(board, call, RefusalReason::StoreUnavailable, "the store does not answer");
         return;
     }
+    const auto routed = route(board, call);
+    if (!routed) {
+        return;
+    }
     const auto *progress = reply.entries.empty() ? nullptr : std::get_if<WorkflowProgress>(&reply.entries.front().record);
-    if (progress == nullptr) {
+    if (progress == nullptr || !mayAccess(*routed, progress->organisation)) {
         refuse(board, call, RefusalReason::NotFound, "no workflow has this id");
         return;
     }
@@ -302,20 +260,27 @@
         answer(board, call, {{}, {}, progress->state, {}});
         return;
     }
-    if (const auto routed = route(board, call)) {
-        cancel(board, call, *routed);
-    }
+    cancel(board, call, *routed);
 }
 
 /// A condition failed: the workflow or cancellation exists already, or the configuration has changed.
 void takeConflict(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
 {
-    const auto isOurs = [](const StoreEntry &entry) {
-        return std::holds_alternative<Workflow>(entry.record) || std::holds_alternative<WorkflowCancellation>(entry.record);
-    };
-    if (std::ranges::any_of(reply.entries, isOurs)) {
-        answer(board, call, {});
-        return;
+    for (const auto &entry : reply.entries) {
+        const auto *workflow = std::get_if<Workflow>(&entry.record);
+        const auto routed = workflow == nullptr ? std::nullopt : route(board, call);
+        if (workflow != nullptr && !routed) {
+            return;
+        }
+        if (routed && !mayAccess(*routed, workflow->organisation)) {
+            call.mayBeStored = false; // An earlier copy of this call would have had the same conflict.
+            refuse(board, call, RefusalReason::RequestIdReused, "another organisation has used this id");
+            return;
+        }
+        if (workflow != nullptr || std::holds_alternative<WorkflowCancellation>(entry.record)) {
+            answer(board, call, {});
+            return;
+        }
     }
     // Nothing was written, and no earlier copy can be any more: it had the same conditions.
     call.mayBeStored = false;
@@ -420,6 +385,7 @@
 void answerCallers(WorkflowBoard &board)
 {
     openCalls(board);
+    refreshSummary(board);
     takeSummary(board);
     std::vector<OpenCallerCall> open;
     std::ranges::transform(board.calls.rows(), std::back_inserter(open), [](const auto &row) { return row.second; });
--- /dev/null
+++ b/workflow/callerchecks.cpp
@@ -0,0 +1,94 @@
+#include "callerchecks.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+// Of the platform's interface for callers.
+constexpr std::size_t maxPayloadBytes = 4'000;
+constexpr std::size_t requestIdDigits = 16;
+
+Refusal notRun(RefusalReason reason, std::string message)
+{
+    return {reason, RunClaim::NotRun, Duration{0}, std::move(message)};
+}
+
+/// True if some target could hold the task; without knowledge of any target, every task counts as small enough.
+bool couldFit(const WorkflowBoard &board, const Queue &queue, const StepSpecification &step)
+{
+    const auto &summary = board.summary.summary;
+    if (!summary || summary->shapes.empty()) {
+        return true;
+    }
+    return std::ranges::any_of(summary->shapes, [&](const TargetShape &shape) {
+        const bool hasLabel = step.requiredLabel.empty() || std::ranges::find(shape.labels, step.requiredLabel) != shape.labels.end();
+        return shape.service == queue.service && hasLabel && fitsInto(step.perTask, shape.capacity);
+    });
+}
+
+std::optional<std::string> findSubmissionFault(const CallerRequest &request, const RoutedCall &routed)
+{
+    if (!isRequestId(routed.rest)) {
+        return "the id is not " + std::to_string(requestIdDigits) + " hexadecimal digits";
+    }
+    if (!request.specification) {
+        return request.bodyFault;
+    }
+    if (request.specification->payload.size() > maxPayloadBytes) {
+        return "the payload has more than " + std::to_string(maxPayloadBytes) + " bytes";
+    }
+    return findFault(*request.specification);
+}
+
+}
+
+bool isRequestId(std::string_view text)
+{
+    return text.size() == requestIdDigits && std::ranges::all_of(text, [](char digit) {
+               return (digit >= '0' && digit <= '9') || (digit >= 'a' && digit <= 'f') || (digit >= 'A' && digit <= 'F');
+           });
+}
+
+std::variant<RoutedCall, Refusal> routeCall(const QueueConfiguration &configuration, const CallerRequest &request)
+{
+    const auto *queue = findQueue(configuration, request.host, request.path);
+    if (queue == nullptr) {
+        return notRun(RefusalReason::UnknownQueue, "no queue has this host and path");
+    }
+    RoutedCall routed{queue, {}, request.path.substr(queue->prefix.size())};
+    const auto key = configuration.keys.find(request.key);
+    if (key != configuration.keys.end()) {
+        routed.organisation = key->second;
+    } else if (!queue->isAnonymous) {
+        return notRun(RefusalReason::Unauthorised, "the key is not known");
+    }
+    return routed;
+}
+
+bool mayAccess(const RoutedCall &routed, const OrganisationId &owner)
+{
+    return routed.queue->isAnonymous || owner.value.empty() || owner == routed.organisation;
+}
+
+std::optional<Refusal> checkSubmission(const WorkflowBoard &board, const CallerRequest &request, const RoutedCall &routed)
+{
+    const auto limit = board.view.configuration.maxBodyBytes;
+    if (limit > 0 && request.bodyBytes > limit) {
+        return notRun(RefusalReason::BodyTooLarge, "the body has more than " + std::to_string(limit) + " bytes");
+    }
+    if (auto fault = findSubmissionFault(request, routed)) {
+        return notRun(RefusalReason::BadRequest, *std::move(fault));
+    }
+    const auto &steps = request.specification->steps;
+    if (!std::ranges::all_of(steps, [&](const StepSpecification &step) { return couldFit(board, *routed.queue, step); })) {
+        return notRun(RefusalReason::NeverFits, "a task is larger than every target, or asks for a label that none has");
+    }
+    return std::nullopt;
+}
+
+}
--- a/workflow/callermessage.h
+++ b/workflow/callermessage.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace sequoiastand
 {
@@ -16,6 +17,8 @@
     Cancel,
 };
 
+std::string_view name(CallerAction action);
+
 /// A caller's request to a queue.
 struct CallerRequest
 {
--- a/workflow/claimdomain.cpp
+++ b/workflow/claimdomain.cpp
@@ -45,6 +45,7 @@
     board.lateStarts.clear();
     board.heldRoom.clear();
     board.targets = {};
+    board.shapes.clear();
 }
 
 void giveUp(WorkflowBoard &board, const std::string &reason)
--- a/workflow/commitprogress.cpp
+++ b/workflow/commitprogress.cpp
@@ -21,12 +21,7 @@
             ++summary.waiting[entry.workflow->queue.id];
         }
     }
-    for (const auto &[id, target] : board.targets.rows()) {
-        TargetShape shape{target.registration.service, target.registration.capacity, target.registration.labels};
-        if (target.isRegistered && std::ranges::find(summary.shapes, shape) == summary.shapes.end()) {
-            summary.shapes.push_back(std::move(shape));
-        }
-    }
+    summary.shapes = board.shapes;
     return summary;
 }
 
@@ -136,7 +131,7 @@
     }
     std::ranges::for_each(taken, [&](const RequestId &id) { chain.dirty.erase(id); });
     addForgotten(batch, chain, room);
-    if (board.now >= chain.nextSummaryAt && static_cast<int>(batch.transaction.writes.size()) < room) {
+    if (board.load.hasTargets && board.now >= chain.nextSummaryAt && static_cast<int>(batch.transaction.writes.size()) < room) {
         auto summary = summaryOf(board);
         if (summary != chain.storedSummary) {
             batch.transaction.writes.push_back({domainSummaryKey(), summary, std::nullopt, false});
--- a/workflow/followtargets.cpp
+++ b/workflow/followtargets.cpp
@@ -1,5 +1,6 @@
 #include "controllers.h"
 #include "targetlease.h"
+#include "targetshapes.h"
 
 #include <algorithm>
 #include <set>
@@ -97,6 +98,7 @@
 {
     for (const auto &entry : update.put) {
         if (const auto *registration = std::get_if<TargetRegistration>(&entry.record)) {
+            board.shapes = withShape(std::move(board.shapes), *registration, board.wallNow);
             putRegistration(board, *registration);
         }
     }
--- a/workflow/loaddomain.cpp
+++ b/workflow/loaddomain.cpp
@@ -1,5 +1,6 @@
 #include "controllers.h"
 #include "progresschange.h"
+#include "targetshapes.h"
 
 #include <algorithm>
 #include <string>
@@ -32,6 +33,19 @@
     }
 }
 
+/// The former owner's commit mark, and the shapes of targets that it knew: some of them may be away just now.
+void takeDomainRecords(WorkflowBoard &board, const StoreReply &reply)
+{
+    board.chain.markRevision = 0;
+    for (const auto &entry : reply.entries) {
+        if (std::holds_alternative<CommitMark>(entry.record)) {
+            board.chain.markRevision = entry.revision;
+        } else if (const auto *summary = std::get_if<DomainSummary>(&entry.record)) {
+            board.shapes = withShapes(std::move(board.shapes), summary->shapes);
+        }
+    }
+}
+
 void readMark(WorkflowBoard &board)
 {
     auto &load = board.load;
@@ -39,13 +53,13 @@
         load.markRead.reset();
         if (reply->outcome == StoreOutcome::Applied) {
             load.hasMark = true;
-            board.chain.markRevision = reply->entries.empty() ? 0 : reply->entries.front().revision;
+            takeDomainRecords(board, *reply);
         } else {
             load.retryAt = board.now + board.self.limits.storeRetry;
         }
     }
     if (!load.hasMark && !load.markRead && board.now >= load.retryAt) {
-        load.markRead = sendToStore(board, StoreRange{commitMarkKey(), false});
+        load.markRead = sendToStore(board, StoreRange{domainPrefix(), true});
     }
 }
 
@@ -83,6 +97,7 @@
     }
     WorkflowEntry entry;
     entry.workflow = std::make_shared<const Workflow>(workflow);
+    entry.progress.organisation = workflow.organisation;
     if (auto read = board.load.progress.extract(workflow.id)) {
         entry.progress = std::move(read.mapped());
     }
--- /dev/null
+++ b/workflow/targetshapes.cpp
@@ -0,0 +1,47 @@
+#include "targetshapes.h"
+
+#include <algorithm>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+// Work that fits only targets that have been gone for longer than any usual outage is refused at once instead of waiting for their return.
+constexpr Duration shapeRetention{600'000};
+
+// The time of a shape that is still there is renewed this seldom, because each change is a write.
+constexpr Duration shapeRenewal{60'000};
+
+bool isSameShape(const TargetShape &left, const TargetShape &right)
+{
+    return left.service == right.service && left.capacity == right.capacity && left.labels == right.labels;
+}
+
+void addShape(std::vector<TargetShape> &shapes, const TargetShape &shape)
+{
+    const auto present = std::ranges::find_if(shapes, [&](const TargetShape &known) { return isSameShape(known, shape); });
+    if (present == shapes.end()) {
+        shapes.push_back(shape);
+    } else if (shape.seenAt - present->seenAt >= shapeRenewal) {
+        present->seenAt = shape.seenAt;
+    }
+}
+
+}
+
+std::vector<TargetShape> withShape(std::vector<TargetShape> shapes, const TargetRegistration &registration, WallTime now)
+{
+    std::erase_if(shapes, [&](const TargetShape &shape) { return now - shape.seenAt > shapeRetention; });
+    addShape(shapes, {registration.service, registration.capacity, registration.labels, now});
+    return shapes;
+}
+
+std::vector<TargetShape> withShapes(std::vector<TargetShape> shapes, const std::vector<TargetShape> &others)
+{
+    std::ranges::for_each(others, [&](const TargetShape &shape) { addShape(shapes, shape); });
+    return shapes;
+}
+
+}
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -319,6 +319,7 @@
     std::optional<DomainSummary> summary;
     std::optional<TimePoint> readAt;
     std::optional<CallId> read;
+    TimePoint refreshAt; ///< When it is read again although no caller asks for a count.
 
     friend bool operator==(const SummaryCopy &, const SummaryCopy &) = default;
 };
@@ -365,6 +366,7 @@
     std::map<TaskId, TimePoint> strayStops; ///< When a run that is not the newest of its task was last told to stop.
     std::vector<LateStart> lateStarts;
     Table<TargetId, DomainTarget> targets;
+    std::vector<TargetShape> shapes; ///< Each differing shape of targets once, also of those that left a while ago.
     CommitChain chain;
     Table<CallId, OpenCallerCall> calls;
     SummaryCopy summary;
