Refuse numbers that no type holds, and parse every message with one bounded parser

Messages of peers and of the zone domain's store were still parsed without a bound on nesting. The adapter's codecs get tests of their own.

--- /dev/null
+++ b/tests/testplatformfront.cpp
@@ -0,0 +1,98 @@
+#include "platform/frontport.h"
+#include "platform/platformrecords.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace sequoiastand
+{
+
+/// Bodies of submissions, and the responses that callers get.
+struct PlatformFront : testing::Test
+{
+    static std::string faultOf(const std::string &body)
+    {
+        const auto read = readSubmission(body);
+        return read.ok() ? "" : std::string(read.status().message());
+    }
+
+    static int statusOf(RefusalReason reason)
+    {
+        return responseOf({CallId{1}, Refusal{reason, RunClaim::NotRun, Duration{0}, "why"}, {}, {}}).status;
+    }
+};
+
+TEST_F(PlatformFront, submissionIsDecodedIntoStepsAndSchedule)
+{
+    const auto read = readSubmission(R"({"spec":"p","steps":[{"count":4,"cpu":500,"memMb":256,"gpu":2,"estimateMs":900,"affinity":"r1-3","gang":true,
+        "sameRack":true},{"count":20,"after":[0],"savesProgress":true,"requiredLabel":"b","maxPerServer":3,"longRunning":true,"image":"i","targetMs":50,
+        "fills":true,"maxUnavailable":2,"speculative":true,"unknown":1}],"times":3,"startAtMs":1700000000000,"intervalMs":2000})");
+    ASSERT_TRUE(read.ok()) << read.status();
+    ASSERT_EQ(read->steps.size(), 2U);
+    const auto &first = read->steps.front();
+    EXPECT_EQ(first.taskCount, 4);
+    EXPECT_EQ(first.perTask, (Resources{500, 256, 2}));
+    EXPECT_EQ(first.dataRack, RackId{"r1-3"});
+    EXPECT_TRUE(first.isGang);
+    EXPECT_TRUE(first.needsOneRack);
+    const auto &second = read->steps.back();
+    EXPECT_EQ(second.after, std::vector<int>{0});
+    EXPECT_TRUE(second.isCheckpointable);
+    EXPECT_TRUE(second.isLasting);
+    EXPECT_TRUE(second.isFiller);
+    EXPECT_TRUE(second.isSpeculative);
+    EXPECT_EQ(second.maxPerTarget, 3);
+    EXPECT_EQ(second.maxUnavailable, 2);
+    EXPECT_EQ(second.latencyTarget, Duration{50});
+    EXPECT_EQ(read->schedule, (OccurrenceSchedule{3, WallTime{Duration{1'700'000'000'000}}, Duration{2'000}}));
+}
+
+TEST_F(PlatformFront, faultySubmissionsNameTheField)
+{
+    EXPECT_NE(faultOf(R"({"steps":[{"count":1}]})").find("spec"), std::string::npos);
+    EXPECT_NE(faultOf(R"({"spec":"p"})").find("steps"), std::string::npos);
+    EXPECT_NE(faultOf(R"({"spec":"p","steps":[{"count":"many"}]})").find("steps[0].count"), std::string::npos);
+    EXPECT_NE(faultOf(R"({"spec":"p","steps":[{"count":1,"cpu":-5}]})").find("cpu"), std::string::npos);
+    EXPECT_NE(faultOf(R"({"spec":"p","spec":"q","steps":[{"count":1}]})").find("twice"), std::string::npos);
+    EXPECT_FALSE(faultOf("not json").empty());
+    EXPECT_FALSE(faultOf("").empty());
+}
+
+TEST_F(PlatformFront, deeplyNestedBodyIsRefusedAndDoesNotExhaustTheStack)
+{
+    std::string body = R"({"spec":"p","steps":)";
+    for (int depth = 0; depth < 200'000; ++depth) {
+        body += '[';
+    }
+    EXPECT_NE(faultOf(body).find("within one another"), std::string::npos);
+}
+
+TEST_F(PlatformFront, refusalsThatPromiseNoRunUseTheStatusesThatSaySo)
+{
+    // Callers take 429 and 503 for "never runs", 502 and 504 for "may have been accepted".
+    EXPECT_EQ(statusOf(RefusalReason::StoreUnavailable), 503);
+    EXPECT_EQ(statusOf(RefusalReason::ShuttingDown), 503);
+    EXPECT_EQ(statusOf(RefusalReason::Timeout), 504);
+    EXPECT_EQ(statusOf(RefusalReason::NotFound), 410);
+    EXPECT_EQ(statusOf(RefusalReason::UnknownQueue), 404);
+    EXPECT_EQ(statusOf(RefusalReason::Unauthorised), 401);
+    EXPECT_EQ(statusOf(RefusalReason::BadRequest), 400);
+}
+
+TEST_F(PlatformFront, answersCarryStateCountAndTimeToReturn)
+{
+    EXPECT_EQ(responseOf({CallId{1}, {}, WorkflowState::Running, {}}).body, R"({"state":"running"})");
+    EXPECT_EQ(responseOf({CallId{1}, {}, {}, 12}).body, R"({"waiting":12})");
+    const auto refused = responseOf({CallId{1}, Refusal{RefusalReason::StoreUnavailable, RunClaim::NotRun, Duration{1'500}, "why"}, {}, {}});
+    EXPECT_EQ(refused.retryAfter, Duration{1'500});
+}
+
+TEST_F(PlatformFront, numberThatNoTypeHoldsIsAFaultOfTheBody)
+{
+    // Guards against a parser that throws past its caller and ends the process.
+    EXPECT_FALSE(faultOf(R"({"spec":"p","steps":[{"count":1e999}]})").empty());
+    EXPECT_FALSE(faultOf(R"({"spec":"p","steps":[{"count":99999999999999999999}]})").empty());
+}
+
+}
--- /dev/null
+++ b/tests/testplatformtargets.cpp
@@ -0,0 +1,103 @@
+#include "platform/targetcodec.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace sequoiastand
+{
+
+using Json = nlohmann::json;
+
+/// Orders to the platform's targets and their answers.
+struct PlatformTargetCodec : testing::Test
+{
+    static TargetOrder order(TargetOrderRequest request)
+    {
+        return {CallId{3}, {"i-1"}, "10.0.0.9:80", 7, std::move(request), Duration{500}};
+    }
+
+    static TargetOrder look()
+    {
+        return order(HoldRuns{std::nullopt, 57, Duration{0}});
+    }
+
+    static std::string lists(const std::string &running, const std::string &ended)
+    {
+        return R"({"clockMs":482113,"born":1700,"running":[)" + running + R"(],"endedRuns":[)" + ended + "]}";
+    }
+
+    const TaskId task{{{"5c0e7a21d94b36f8"}, 0, 1}, 17};
+};
+
+TEST_F(PlatformTargetCodec, startCarriesPayloadDeadlineAndToken)
+{
+    Workflow workflow;
+    workflow.specification.payload = "payload";
+    const auto call = encodeTargetOrder(order(StartRun{task, 2, std::make_shared<const Workflow>(workflow), TargetClock{486'000}, "c1", "t1"}));
+    EXPECT_EQ(call.path, "/sequoiastand/run-start");
+    EXPECT_EQ(Json::parse(call.body),
+              (Json{{"task", "5c0e7a21d94b36f8.0.1.17"},
+                    {"run", 2},
+                    {"spec", "payload"},
+                    {"deadlineMs", 486'000},
+                    {"fenceToken", 7},
+                    {"lastCheckpoint", "c1"},
+                    {"ticket", "t1"}}));
+}
+
+TEST_F(PlatformTargetCodec, lookWithoutADeadlineExtendsNothing)
+{
+    const auto body = Json::parse(encodeTargetOrder(look()).body);
+    EXPECT_FALSE(body.contains("deadlineMs"));
+    EXPECT_FALSE(body.contains("waitMs"));
+    EXPECT_EQ(body["lastSeen"], 57);
+}
+
+TEST_F(PlatformTargetCodec, listsAreDecodedWithAndWithoutALoadFigure)
+{
+    const auto body = lists(R"(["5c0e7a21d94b36f8.0.1.17",2,"c1",41],["5c0e7a21d94b36f8.0.1.18",1,"",7,350])",
+                            R"([58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[59,"5c0e7a21d94b36f8.0.1.10",3,"alone","c9"])");
+    const auto reply = decodeTargetReply(look(), 200, body);
+    ASSERT_EQ(reply.outcome, OrderOutcome::Accepted);
+    ASSERT_TRUE(reply.lists);
+    EXPECT_EQ(reply.lists->bornMs, 1'700);
+    EXPECT_EQ(reply.clock, TargetClock{482'113});
+    ASSERT_EQ(reply.lists->running.size(), 2U);
+    EXPECT_EQ(reply.lists->running.front().task, task);
+    EXPECT_EQ(reply.lists->running.front().percent, 41);
+    ASSERT_EQ(reply.lists->ended.size(), 2U);
+    EXPECT_EQ(reply.lists->ended.front().end, RunEnd::Finished);
+    EXPECT_EQ(reply.lists->ended.back().end, RunEnd::Alone);
+    EXPECT_EQ(reply.lists->ended.back().checkpoint, "c9");
+}
+
+TEST_F(PlatformTargetCodec, reasonOfARefusalIsKept)
+{
+    const auto refusalFor = [&](int status, const std::string &body) { return decodeTargetReply(look(), status, body).refusal; };
+    EXPECT_EQ(refusalFor(409, R"({"reason":"fence"})"), OrderRefusal::Fenced);
+    EXPECT_EQ(refusalFor(409, R"({"reason":"old"})"), OrderRefusal::OldRun);
+    EXPECT_EQ(refusalFor(409, R"({"reason":"late"})"), OrderRefusal::TooLate);
+    EXPECT_EQ(refusalFor(409, R"({"reason":"room"})"), OrderRefusal::NoRoom);
+    EXPECT_EQ(refusalFor(409, R"({"reason":"ticket"})"), OrderRefusal::NoTicket);
+    EXPECT_EQ(refusalFor(409, R"({"reason":"unheard of"})"), OrderRefusal::Invalid);
+    EXPECT_EQ(refusalFor(421, ""), OrderRefusal::OtherLife);
+    EXPECT_EQ(refusalFor(429, ""), OrderRefusal::Unhealthy);
+}
+
+TEST_F(PlatformTargetCodec, answerWithoutReadableListsIsUnknownAndNotEmpty)
+{
+    // Guards against lists that cannot be read being taken for "nothing runs here".
+    for (const std::string body : {"", "[]", "{\"clockMs\":1}", R"({"clockMs":1,"running":[["no task",1,"",0]],"endedRuns":[]})"}) {
+        const auto reply = decodeTargetReply(look(), 200, body);
+        EXPECT_EQ(reply.outcome, OrderOutcome::Unknown) << body;
+        EXPECT_FALSE(reply.lists) << body;
+    }
+}
+
+TEST_F(PlatformTargetCodec, serverFaultLeavesTheOrdersOutcomeOpen)
+{
+    EXPECT_EQ(decodeTargetReply(look(), 500, "").outcome, OrderOutcome::Unknown);
+    EXPECT_EQ(decodeTargetReply(look(), 400, "").outcome, OrderOutcome::Refused);
+}
+
+}
--- a/tests/teststorejson.cpp
+++ b/tests/teststorejson.cpp
@@ -144,4 +144,15 @@
     EXPECT_EQ(1U, message->unreadable.size());
 }
 
+TEST_F(StoreJson, deeplyNestedAnswersAreFaultsAndDoNotExhaustTheStack)
+{
+    const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+    EXPECT_FALSE(decodeStoreReply({CallId{1}, StoreRange{}, 0, Duration{1}}, deep, "store").ok());
+    EXPECT_FALSE(decodeWatchMessage(deep, "store").ok());
+    EXPECT_FALSE(storeErrorText(deep).empty());
+    const json answer{{"header", {{"revision", "3"}}}, {"kvs", {keyValue("config/version", deep, "3")}}};
+    const auto reply = decodeStoreReply({CallId{1}, StoreRange{configurationVersionKey(), false}, 0, Duration{1}}, answer.dump(), "store");
+    EXPECT_TRUE(!reply.ok() || reply->entries.empty());
+}
+
 }
--- a/wire/jsonfields.cpp
+++ b/wire/jsonfields.cpp
@@ -240,6 +240,9 @@
     } catch (const nlohmann::json::parse_error &error) {
         const std::string fault = form == JsonForm::WithComments ? ": not JSON with comments at byte " : ": not valid JSON at byte ";
         return absl::InvalidArgumentError(std::string{what} + fault + std::to_string(error.byte));
+    } catch (const nlohmann::json::exception &error) {
+        // A number that no type holds is not reported as a fault of the text.
+        return absl::InvalidArgumentError(std::string{what} + ": " + error.what());
     }
 }
 
--- a/wire/peerconversion.cpp
+++ b/wire/peerconversion.cpp
@@ -26,11 +26,11 @@
 
 Json parse(const std::string &text)
 {
-    auto json = Json::parse(text, nullptr, false);
-    if (json.is_discarded()) {
-        throw Unreadable{"embedded record is not JSON"};
+    auto json = parseJson(text, "embedded record");
+    if (!json.ok()) {
+        throw Unreadable{std::string(json.status().message())};
     }
-    return json;
+    return *std::move(json);
 }
 
 template<typename Value>
--- a/wire/storejson.cpp
+++ b/wire/storejson.cpp
@@ -124,12 +124,12 @@
     entry.key = decodeKey(keyValue);
     entry.revision = integer(keyValue, "mod_revision");
     std::string value;
-    const auto json =
-        absl::Base64Unescape(keyValue.value("value", std::string{}), &value) ? Json::parse(value, nullptr, false) : Json(Json::value_t::discarded);
-    if (json.is_discarded()) {
-        return errorAt(absl::StatusCode::kDataLoss, "decodeRecord", entry.key.path, "value is not JSON");
+    const bool isText = absl::Base64Unescape(keyValue.value("value", std::string{}), &value);
+    const auto json = isText ? parseJson(value, "value") : absl::InvalidArgumentError("value is not base64");
+    if (!json.ok()) {
+        return errorAt(absl::StatusCode::kDataLoss, "decodeRecord", entry.key.path, std::string(json.status().message()));
     }
-    auto record = storeRecordFromJson(json, entry.key);
+    auto record = storeRecordFromJson(*json, entry.key);
     if (!record.ok()) {
         return record.status();
     }
@@ -204,6 +204,11 @@
     return header == body.end() ? 0 : integer(*header, "revision");
 }
 
+std::string whyNotAnObject(const absl::StatusOr<Json> &parsed)
+{
+    return parsed.ok() ? "not a JSON object" : absl::StrCat("not a JSON object: ", parsed.status().message());
+}
+
 absl::Status unreadable(const std::string &step, const std::string &peer, const std::string &why)
 {
     return errorAt(absl::StatusCode::kDataLoss, step, peer, absl::StrCat("unreadable answer: ", why));
@@ -252,10 +257,11 @@
 
 absl::StatusOr<StoreReply> decodeStoreReply(const StoreCall &call, const std::string &body, const std::string &peer)
 {
-    const auto json = Json::parse(body, nullptr, false);
-    if (!json.is_object()) {
-        return unreadable("decodeStoreReply", peer, "not a JSON object");
+    const auto parsed = parseJson(body, "answer");
+    if (!parsed.ok() || !parsed->is_object()) {
+        return unreadable("decodeStoreReply", peer, whyNotAnObject(parsed));
     }
+    const Json &json = *parsed;
     StoreReply reply;
     reply.id = call.id;
     reply.outcome = StoreOutcome::Applied;
@@ -270,10 +276,10 @@
 
 std::string storeErrorText(const std::string &body)
 {
-    const auto json = Json::parse(body, nullptr, false);
-    if (json.is_object()) {
+    const auto json = parseJson(body, "error");
+    if (json.ok() && json->is_object()) {
         for (const char *key : {"message", "error"}) {
-            if (const auto text = json.find(key); text != json.end() && text->is_string()) {
+            if (const auto text = json->find(key); text != json->end() && text->is_string()) {
                 return text->get<std::string>();
             }
         }
@@ -292,10 +298,11 @@
 
 absl::StatusOr<WatchMessage> decodeWatchMessage(const std::string &line, const std::string &peer)
 {
-    const auto json = Json::parse(line, nullptr, false);
-    if (!json.is_object()) {
-        return unreadable("decodeWatch", peer, "not a JSON object");
+    const auto parsed = parseJson(line, "watch message");
+    if (!parsed.ok() || !parsed->is_object()) {
+        return unreadable("decodeWatch", peer, whyNotAnObject(parsed));
     }
+    const Json &json = *parsed;
     if (json.contains("error")) {
         return errorAt(absl::StatusCode::kUnavailable, "decodeWatch", peer, json.at("error").dump());
     }
