Begin due occurrences only as far as their tasks stay bounded

Cause: a schedule may name 10,000 times with no interval between them and 10,000 tasks each; all of them began at once, so one accepted workflow would have filled the memory of the owner and of each owner after it.

--- a/tests/testworkflowpath.cpp
+++ b/tests/testworkflowpath.cpp
@@ -178,4 +178,18 @@
     EXPECT_EQ(answerTo(query(id(1))).state, WorkflowState::Running);
 }
 
+TEST_F(WorkflowPath, occurrencesThatAreAllDueBeginAFewAtATime)
+{
+    // Guards against one workflow that fills the owner's memory, and that of each owner after it.
+    auto specification = batch(100, {1'000, 1'000, 1}, Duration{100});
+    specification.schedule = {10'000, wallNow, Duration{0}};
+    EXPECT_FALSE(answerTo(submit(id(1), specification, {Duration{100}, {}})).refusal);
+    run(Duration{500});
+    const auto *entry = board(owner()).workflows.find(id(1));
+    ASSERT_NE(entry, nullptr);
+    EXPECT_GE(entry->progress.occurrences.size(), 2U);
+    EXPECT_LE(entry->progress.occurrences.size(), 20U);
+    runUntil([&] { return board(owner()).workflows.find(id(1))->progress.finishedOccurrences > 20; }, Duration{20'000});
+}
+
 }
--- a/workflow/advanceworkflows.cpp
+++ b/workflow/advanceworkflows.cpp
@@ -3,6 +3,8 @@
 #include "progresschange.h"
 
 #include <algorithm>
+#include <numeric>
+#include <ranges>
 #include <string>
 #include <utility>
 #include <vector>
@@ -16,6 +18,16 @@
 // The records of an ended workflow are kept a little longer than its state may be asked for.
 constexpr Duration retentionMargin{30'000};
 
+// Occurrences that are due begin as long as their tasks together are no more than this, so that the record of a workflow with thousands of times stays far below
+// the store's value size. A single larger occurrence begins alone.
+constexpr int maxOpenTasks = 2'000;
+
+int taskCount(const WorkflowSpecification &specification)
+{
+    const auto counts = specification.steps | std::views::transform(&StepSpecification::taskCount);
+    return std::accumulate(counts.begin(), counts.end(), 0);
+}
+
 void endWorkflow(WorkflowBoard &board, const RequestId &id, WorkflowState state, const std::string &reason)
 {
     changeProgress(board, id, [&](WorkflowProgress &progress) {
@@ -43,6 +55,7 @@
     const auto *present = board.workflows.find(id);
     const auto &workflow = *present->workflow;
     const int occurrences = occurrenceCount(workflow.specification.schedule);
+    const int tasks = taskCount(workflow.specification);
     std::optional<WorkflowEntry> changed;
     for (int occurrence = present->progress.finishedOccurrences; occurrence < occurrences; ++occurrence) {
         const auto due = dueTime(workflow, occurrence) - board.self.limits.startEarly;
@@ -54,6 +67,10 @@
         if (present->progress.occurrences.contains(occurrence) || isOccurrenceFinished(present->progress, occurrence)) {
             continue;
         }
+        const auto open = static_cast<int>((changed ? *changed : *present).progress.occurrences.size());
+        if (open > 0 && (open + 1) * tasks > maxOpenTasks) {
+            break; // Begins when another one has finished.
+        }
         if (!changed) {
             changed = *present;
         }
