Let guaranteed urgent work take back what urgent work of others borrows

Cause: only less urgent work could be stopped, so an organisation whose urgent work filled the fleet beyond its guarantee kept another one's guaranteed work out for as long as it ran. Workflows are now covered by their organisation's guarantee in the order of acceptance; what is covered goes first, may take back equally urgent work that is not, and is never stopped for other work. The reserve for urgent work is counted per service and bounded at 40 % of it.

--- /dev/null
+++ b/tests/testgangplacement.cpp
@@ -0,0 +1,159 @@
+#include "tests/placementfixture.h"
+
+#include <algorithm>
+
+namespace sequoiastand
+{
+
+/// Wide gangs on fragmented racks, and gangs that want to stand together.
+struct GangPlacement : PlacementTest
+{
+    GangPlacement()
+    {
+        addRacks(4);
+        input.remoteFactor = 3;
+    }
+};
+
+TEST_F(GangPlacement, gangStartsWholeOrNotAtAll)
+{
+    for (int number = 1; number <= 16; ++number) {
+        occupy(number, 5);
+    }
+    addGang("wide", 1, 17, 3);
+    EXPECT_EQ(startsOf(plan(), "wide"), 0);
+    input.waiting.clear();
+    addGang("fits", 1, 16, 3);
+    EXPECT_EQ(startsOf(plan(), "fits"), 16);
+}
+
+TEST_F(GangPlacement, gangMayBeWiderThanAnyZone)
+{
+    addGang("wide", 1, 16, 8);
+    EXPECT_EQ(startsOf(plan(), "wide"), 16);
+}
+
+TEST_F(GangPlacement, batchStartsAsManyTasksAsFit)
+{
+    for (int number = 3; number <= 16; ++number) {
+        occupy(number, 8);
+    }
+    addBatch("batch", 2, 40, 1);
+    EXPECT_EQ(startsOf(plan(), "batch"), 16);
+}
+
+TEST_F(GangPlacement, tasksFillTheFullestRackAndLeaveWholeRacksFree)
+{
+    // Guards against small work spread over all racks, after which no rack holds a gang that wants one.
+    for (const int number : {1, 2, 3}) {
+        occupy(number, 8);
+    }
+    addBatch("small", 2, 4, 2);
+    EXPECT_EQ(racksOf(plan(), "small"), (std::set<RackId>{{"r1"}}));
+}
+
+TEST_F(GangPlacement, oneRackGangWaitsForARackAsLongAsThatEndsEarlier)
+{
+    for (const int number : {1, 5, 9, 13}) {
+        occupy(number, 8);
+    }
+    auto &gang = addGang("together", 1, 4, 8);
+    gang.specification.needsOneRack = true;
+    gang.remaining = Duration{2'000};
+    gang.waited = Duration{3'900};
+    EXPECT_EQ(startsOf(plan(), "together"), 0) << "spread although a rack may be free before it would end elsewhere";
+    gang.waited = Duration{4'000};
+    EXPECT_EQ(startsOf(plan(), "together"), 4);
+}
+
+TEST_F(GangPlacement, gangThatNoRackCouldEverHoldIsSpreadAtOnce)
+{
+    auto &gang = addGang("wide", 1, 6, 8);
+    gang.specification.needsOneRack = true;
+    EXPECT_EQ(startsOf(plan(), "wide"), 6);
+}
+
+TEST_F(GangPlacement, oneRackGangTakesTheTightestRack)
+{
+    occupy(1, 8);
+    occupy(5, 8);
+    occupy(6, 8);
+    auto &gang = addGang("pair", 1, 2, 8);
+    gang.specification.needsOneRack = true;
+    EXPECT_EQ(racksOf(plan(), "pair"), (std::set<RackId>{{"r2"}}));
+}
+
+TEST_F(GangPlacement, urgentOneRackGangWaitsNoLongerThanItsPatience)
+{
+    for (const int number : {1, 5, 9, 13}) {
+        occupy(number, 8);
+    }
+    input.urgentPatience = Duration{500};
+    auto &gang = addGang("urgent", 0, 4, 8);
+    gang.specification.needsOneRack = true;
+    gang.remaining = Duration{10'000};
+    gang.waited = Duration{500};
+    EXPECT_EQ(startsOf(plan(), "urgent"), 4);
+}
+
+TEST_F(GangPlacement, workStaysNearItsDataUntilWaitingCostsMore)
+{
+    for (int number = 1; number <= 4; ++number) {
+        occupy(number, 8);
+    }
+    auto &batch = addBatch("near", 2, 2, 4);
+    batch.specification.dataRack = {"r1"};
+    batch.remaining = Duration{1'000};
+    batch.waited = Duration{1'900};
+    EXPECT_EQ(startsOf(plan(), "near"), 0);
+    batch.waited = Duration{2'000};
+    EXPECT_EQ(startsOf(plan(), "near"), 2);
+}
+
+TEST_F(GangPlacement, workThatFailedKeepsAwayFromTargetsOnWhichWorkFails)
+{
+    for (int number = 1; number <= 15; ++number) {
+        target(number).isSuspect = true;
+    }
+    auto &batch = addBatch("failed", 1, 2, 8);
+    batch.hasFailed = true;
+    EXPECT_EQ(startsOf(plan(), "failed"), 1);
+    batch.hasFailed = false;
+    EXPECT_EQ(startsOf(plan(), "failed"), 2) << "first tries may go anywhere";
+}
+
+TEST_F(GangPlacement, noMoreTasksThanTheStepAllowsStandOnATarget)
+{
+    auto &batch = addBatch("apart", 2, 20, 1);
+    batch.specification.maxPerTarget = 1;
+    batch.taken[target(1).id] = 1;
+    const auto made = plan();
+    EXPECT_EQ(startsOf(made, "apart"), 15);
+    EXPECT_TRUE(std::ranges::none_of(made.starts, [&](const PlannedStart &start) { return start.target == target(1).id; }));
+}
+
+TEST_F(GangPlacement, stepsGoOnlyToTargetsOfTheirServiceWithTheirLabel)
+{
+    target(7).labels.push_back("special");
+    addBatch("special", 2, 3, 8).specification.requiredLabel = "special";
+    const auto made = plan();
+    ASSERT_EQ(startsOf(made, "special"), 1);
+    EXPECT_EQ(made.starts.front().target, target(7).id);
+    input.waiting.front().service = {"other"};
+    EXPECT_EQ(startsOf(plan(), "special"), 0);
+}
+
+TEST_F(GangPlacement, whatIsBeingStoppedStillTakesItsRoom)
+{
+    // Targets start whatever they are told, so a start before the end of a stop would bring one over its capacity.
+    for (int number = 1; number <= 16; ++number) {
+        occupy(number, 8);
+        target(number).soon = target(number).capacity;
+    }
+    addBatch("waiting", 0, 4, 8);
+    const auto made = plan();
+    EXPECT_TRUE(made.starts.empty());
+    EXPECT_TRUE(made.stops.empty()) << "more work was stopped although room is being made";
+}
+
+}
--- /dev/null
+++ b/tests/testguaranteeshare.cpp
@@ -0,0 +1,71 @@
+#include "tests/domainfixture.h"
+#include "workflow/guaranteeshare.h"
+
+namespace sequoiastand
+{
+
+/// Two organisations with a guarantee of 16 of 64 accelerators each.
+struct GuaranteeShare : DomainTest
+{
+    GuaranteeShare()
+    {
+        addTargets(8);
+        addHost("h1");
+        addHost("h2");
+        run(Duration{1'000});
+    }
+
+    /// Urgent gangs of 8 accelerators that run for a minute.
+    void submitUrgent(const std::string &organisation, int first, int count)
+    {
+        callerKey = "key-" + organisation;
+        for (int number = first; number < first + count; ++number) {
+            ASSERT_FALSE(answerTo(submit(id(number), gang(2, {4'000, 8'000, 4}), {Duration{60'000}, {}})).refusal);
+        }
+    }
+
+    int atWork(int first, int count)
+    {
+        int found = 0;
+        for (int number = first; number < first + count; ++number) {
+            found += isAtWork(fleet, id(number)) ? 1 : 0;
+        }
+        return found;
+    }
+};
+
+TEST_F(GuaranteeShare, guaranteedWorkTakesBorrowedRoomBackInTime)
+{
+    // Guards against an organisation whose urgent work has filled the fleet: nothing there is less urgent.
+    submitUrgent("hotels", 1, 8);
+    runUntil([&] { return atWork(1, 8) == 8; }, Duration{2'000});
+    submitUrgent("tailors", 101, 2);
+    runUntil([&] { return atWork(101, 2) == 2; }, settings.limits.reclaimBound);
+    EXPECT_EQ(atWork(1, 8), 6);
+}
+
+TEST_F(GuaranteeShare, workBeyondTheGuaranteeStopsNothingOfOthers)
+{
+    submitUrgent("hotels", 1, 8);
+    runUntil([&] { return atWork(1, 8) == 8; }, Duration{2'000});
+    submitUrgent("tailors", 101, 4);
+    run(Duration{4'000});
+    EXPECT_EQ(atWork(101, 4), 2);
+    EXPECT_EQ(atWork(1, 8), 6);
+}
+
+TEST_F(GuaranteeShare, earliestWorkflowsAreCoveredFirst)
+{
+    submitUrgent("hotels", 1, 3);
+    run(Duration{200});
+    EXPECT_EQ(guaranteedWorkflows(board(owner())), (std::set<RequestId>{id(1), id(2)}));
+}
+
+TEST_F(GuaranteeShare, ordinaryWorkIsNeverCovered)
+{
+    answerTo(submit(id(1), gang(2, {4'000, 8'000, 4}), {Duration{60'000}, {}}, "h1", "/ordinary/"));
+    run(Duration{200});
+    EXPECT_TRUE(guaranteedWorkflows(board(owner())).empty());
+}
+
+}
--- /dev/null
+++ b/tests/testurgentload.cpp
@@ -0,0 +1,154 @@
+#include "tests/placementfixture.h"
+#include "workflow/urgentreserve.h"
+
+#include <algorithm>
+
+namespace sequoiastand
+{
+
+/// Bursts of urgent gangs on a fleet that other work has filled.
+struct UrgentLoad : PlacementTest
+{
+    UrgentLoad()
+    {
+        addRacks(4);
+        input.urgentPatience = Duration{1'000};
+    }
+
+    /// Batches of priority 2 hold every accelerator, one task of 8 on each target.
+    void fillWithBatches()
+    {
+        for (int number = 1; number <= 16; ++number) {
+            addRunning("batch" + std::to_string(number), 2, {number}, 8).lostWork = number;
+        }
+    }
+};
+
+TEST_F(UrgentLoad, gangOnAFullFleetStopsTheCheapestWorkAndHoldsItsRoom)
+{
+    fillWithBatches();
+    addGang("urgent", 0, 2, 8);
+    const auto made = plan();
+    EXPECT_EQ(startsOf(made, "urgent"), 0) << "started before the room was free";
+    EXPECT_EQ(stopped(made), (std::set<StepId>{step("batch1"), step("batch2")}));
+    EXPECT_TRUE(made.held.contains(step("urgent")));
+}
+
+TEST_F(UrgentLoad, burstStopsDisjointWorkForEachGang)
+{
+    // Guards against two gangs that count on the same stopped work.
+    fillWithBatches();
+    for (int number = 0; number < 6; ++number) {
+        addGang("urgent" + std::to_string(number), 0, 2, 8);
+    }
+    const auto made = plan();
+    EXPECT_EQ(made.stops.size(), 12U);
+    EXPECT_EQ(stopped(made).size(), 12U);
+    EXPECT_EQ(made.held.size(), 6U);
+}
+
+TEST_F(UrgentLoad, roomThatIsBeingMadeIsNotGivenToLaterWork)
+{
+    fillWithBatches();
+    addGang("urgent", 0, 2, 8);
+    input.held = plan().held;
+    // The stops have ended; a patient batch and a second urgent gang have come meanwhile.
+    for (const auto &[id, count] : input.held.at(step("urgent"))) {
+        auto &freed = *std::ranges::find(input.targets, id, &PlacementTarget::id);
+        freed.free = freed.capacity;
+        freed.soon = freed.capacity;
+    }
+    input.running.erase(input.running.begin(), input.running.begin() + 2);
+    addGang("second", 0, 2, 8).slack = Duration{-5'000};
+    addBatch("patient", 2, 2, 8);
+    const auto made = plan();
+    EXPECT_EQ(startsOf(made, "urgent"), 2);
+    EXPECT_EQ(startsOf(made, "second"), 0);
+    EXPECT_EQ(startsOf(made, "patient"), 0);
+}
+
+TEST_F(UrgentLoad, urgentWorkIsNotStoppedForUrgentWork)
+{
+    for (int number = 1; number <= 16; ++number) {
+        addRunning("running" + std::to_string(number), 0, {number}, 8).isGuaranteed = true;
+    }
+    addGang("urgent", 0, 2, 8);
+    const auto made = plan();
+    EXPECT_TRUE(made.stops.empty());
+    EXPECT_TRUE(made.starts.empty());
+}
+
+TEST_F(UrgentLoad, guaranteedGangTakesBorrowedRoomBackFromUrgentWork)
+{
+    // Guards against an organisation whose urgent work fills the fleet far beyond its guarantee and keeps another one's out.
+    for (int number = 1; number <= 16; ++number) {
+        addRunning("running" + std::to_string(number), 0, {number}, 8).isGuaranteed = number <= 14;
+    }
+    addGang("urgent", 0, 2, 8).isGuaranteed = true;
+    EXPECT_EQ(stopped(plan()), (std::set<StepId>{step("running15"), step("running16")}));
+}
+
+TEST_F(UrgentLoad, lessUrgentWorkIsStoppedBeforeBorrowedUrgentWork)
+{
+    for (int number = 1; number <= 16; ++number) {
+        addRunning("running" + std::to_string(number), number <= 2 ? 1 : 0, {number}, 8).lostWork = number <= 2 ? 1'000 : 1;
+    }
+    addGang("urgent", 0, 2, 8).isGuaranteed = true;
+    EXPECT_EQ(stopped(plan()), (std::set<StepId>{step("running1"), step("running2")}));
+}
+
+TEST_F(UrgentLoad, roomHeldForBorrowedWorkDoesNotKeepGuaranteedWorkWaiting)
+{
+    for (int number = 3; number <= 16; ++number) {
+        occupy(number, 8);
+    }
+    addGang("borrowed", 0, 2, 8);
+    input.held[step("borrowed")] = {{target(1).id, 1}, {target(2).id, 1}};
+    addGang("guaranteed", 0, 2, 8).isGuaranteed = true;
+    const auto made = plan();
+    EXPECT_EQ(startsOf(made, "guaranteed"), 2);
+    EXPECT_EQ(startsOf(made, "borrowed"), 0);
+}
+
+TEST_F(UrgentLoad, urgentWorkThatCanStillEndInTimeGoesFirst)
+{
+    for (int number = 3; number <= 16; ++number) {
+        occupy(number, 8);
+    }
+    addGang("late", 0, 2, 8).slack = Duration{-4'000};
+    addGang("inTime", 0, 2, 8).slack = Duration{300};
+    const auto made = plan();
+    EXPECT_EQ(startsOf(made, "inTime"), 2);
+    EXPECT_EQ(startsOf(made, "late"), 0);
+}
+
+TEST_F(UrgentLoad, reserveKeepsOrdinaryWorkFromTheLastRoom)
+{
+    for (int number = 1; number <= 12; ++number) {
+        occupy(number, 8);
+    }
+    input.urgentReserves[{"press"}] = 24;
+    addBatch("patient", 2, 4, 8);
+    addGang("urgent", 0, 3, 8);
+    const auto made = plan();
+    EXPECT_EQ(startsOf(made, "urgent"), 3);
+    EXPECT_EQ(startsOf(made, "patient"), 0);
+}
+
+TEST_F(UrgentLoad, reserveOfOneServiceLeavesTheOthersAlone)
+{
+    input.urgentReserves[{"other"}] = 128;
+    addBatch("patient", 2, 16, 8);
+    EXPECT_EQ(startsOf(plan(), "patient"), 16);
+}
+
+TEST_F(UrgentLoad, reserveFollowsWhatArrivesAndIsBounded)
+{
+    EXPECT_EQ(urgentReserve({0, 0}, 384, Duration{900}), 0);
+    // 10 gangs of 14 in 10 s: 1.2 s of arrivals, half as much again, and two gangs.
+    EXPECT_EQ(urgentReserve({140, 10}, 384, Duration{900}), 53);
+    EXPECT_LT(urgentReserve({140, 10}, 384, Duration{200}), 53);
+    EXPECT_EQ(urgentReserve({140, 10}, 16, Duration{900}), 6) << "leaves other work most of a small fleet";
+}
+
+}
--- /dev/null
+++ b/workflow/guaranteeshare.cpp
@@ -0,0 +1,49 @@
+#include "guaranteeshare.h"
+
+#include "eligibility.h"
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+int acceleratorsOf(const WorkflowEntry &entry)
+{
+    const auto &steps = entry.workflow->specification.steps;
+    const auto widest = std::ranges::max(steps, {}, [](const StepSpecification &step) { return step.taskCount * step.perTask.accelerators; });
+    return widest.taskCount * widest.perTask.accelerators * static_cast<int>(std::max<std::size_t>(1, entry.progress.occurrences.size()));
+}
+
+}
+
+std::set<RequestId> guaranteedWorkflows(const WorkflowBoard &board)
+{
+    std::vector<const WorkflowEntry *> urgent;
+    for (const auto &[id, entry] : board.workflows.rows()) {
+        if (!hasEnded(entry.progress.state) && queueOf(board, *entry.workflow).priority == 0) {
+            urgent.push_back(&entry);
+        }
+    }
+    std::ranges::stable_sort(urgent, {}, [](const WorkflowEntry *entry) { return entry->workflow->acceptedAt; });
+    std::map<OrganisationId, int> left;
+    for (const auto &[id, share] : board.view.configuration.organisations) {
+        left.emplace(id, share.guaranteedAccelerators);
+    }
+    std::set<RequestId> guaranteed;
+    for (const auto *entry : urgent) {
+        const auto share = left.find(entry->workflow->organisation);
+        const int wanted = acceleratorsOf(*entry);
+        if (share != left.end() && wanted <= share->second) {
+            share->second -= wanted;
+            guaranteed.insert(entry->workflow->id);
+        }
+    }
+    return guaranteed;
+}
+
+}
--- a/workflow/placement.cpp
+++ b/workflow/placement.cpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <numeric>
 #include <optional>
+#include <span>
 #include <tuple>
 #include <utility>
 
@@ -38,11 +39,12 @@
     return target.soon;
 }
 
-/// Urgent steps first; within a priority those that can still end in time, by the time that is left until they must start. Work that is late already has lost most
+/// Urgent steps first, those within a guarantee before the others; within a priority those that can still end in time, by the time that is left until they must start. Work that is late already has lost most
 /// of its value to its caller, and would make others late too.
 void sortWaiting(std::vector<WaitingStep> &waiting)
 {
-    std::ranges::stable_sort(waiting, {}, [](const WaitingStep &step) { return std::tuple(step.priority, step.slack < Duration{0}, step.slack); });
+    std::ranges::stable_sort(
+        waiting, {}, [](const WaitingStep &step) { return std::tuple(step.priority, !step.isGuaranteed, step.slack < Duration{0}, step.slack); });
 }
 
 bool mayLeaveLocality(const PlacementInput &input, const WaitingStep &waiting)
@@ -67,9 +69,11 @@
             free += std::max(0, target.free.accelerators);
         }
     }
+    const auto kept = input.urgentReserves.find(waiting.service);
+    const int reserve = kept == input.urgentReserves.end() ? 0 : kept->second;
     const int atOnce = waiting.specification.isGang ? static_cast<int>(waiting.tasks.size()) : 1;
-    const bool isTooLarge = atOnce * waiting.specification.perTask.accelerators > capacity - input.urgentReserve;
-    return isTooLarge ? std::nullopt : std::optional(free - input.urgentReserve);
+    const bool isTooLarge = atOnce * waiting.specification.perTask.accelerators > capacity - reserve;
+    return isTooLarge ? std::nullopt : std::optional(free - reserve);
 }
 
 PackingLimits limitsFor(const PlacementInput &input, const WaitingStep &waiting, const RoomOf &roomOf)
@@ -278,19 +282,24 @@
     }
 }
 
-/// Takes what is held for steps that still wait out of the room of the others.
-void reserveHeld(PlacementInput &input, const std::vector<WaitingStep> &waiting)
+/// Takes what is held for the steps out of the room of the others, as far as it is still there.
+void reserveHeld(PlacementInput &input, std::span<const WaitingStep> waiting)
 {
-    std::map<StepId, TaskPlaces> held;
     for (const auto &step : waiting) {
         const auto places = input.held.find(step.step);
         const auto counts = places == input.held.end() ? std::nullopt : countsOf(input.targets, places->second);
-        if (counts) {
+        if (counts && fitsAll(input.targets, step, *counts, soonRoom)) {
             takeRoom(input.targets, step, *counts);
-            held.insert(*places);
+        } else {
+            input.held.erase(step.step);
         }
     }
-    input.held = std::move(held);
+}
+
+void placeSteps(PlacementInput &input, PlacementPlan &plan, std::span<const WaitingStep> waiting)
+{
+    reserveHeld(input, waiting);
+    std::ranges::for_each(waiting, [&](const WaitingStep &step) { placeStep(input, plan, step); });
 }
 
 }
@@ -300,8 +309,10 @@
     PlacementPlan plan;
     sortWaiting(input.waiting);
     const auto waiting = std::move(input.waiting);
-    reserveHeld(input, waiting);
-    std::ranges::for_each(waiting, [&](const WaitingStep &step) { placeStep(input, plan, step); });
+    const auto firstBorrowed = std::ranges::find(waiting, false, &WaitingStep::isGuaranteed);
+    // Room that is held for work beyond a guarantee must not keep guaranteed work waiting.
+    placeSteps(input, plan, {waiting.begin(), firstBorrowed});
+    placeSteps(input, plan, {firstBorrowed, waiting.end()});
     return plan;
 }
 
--- a/workflow/placement.h
+++ b/workflow/placement.h
@@ -35,6 +35,7 @@
     ServiceId service;
     OrganisationId organisation;
     int priority = 0;
+    bool isGuaranteed = false; ///< Most urgent work within its organisation's guarantee; gets back what others borrow.
     std::vector<int> tasks;
     bool hasFailed = false;        ///< A run of it has failed; it must not fail on a bad target again.
     Duration waited{0};            ///< Since it could first have started.
@@ -50,6 +51,7 @@
 {
     StepId step;
     int priority = 0;
+    bool isGuaranteed = false; ///< Most urgent work within its organisation's guarantee; never stopped for other work.
     OrganisationId organisation;
     Resources perTask;
     std::map<int, TargetId> tasks; ///< Place of each task.
@@ -66,10 +68,10 @@
     std::vector<PlacementTarget> targets;
     std::vector<WaitingStep> waiting;
     std::vector<RunningUnit> running;
-    std::map<StepId, TaskPlaces> held; ///< Room that earlier passes keep for urgent steps until what stands there has been stopped.
-    double remoteFactor = 3;           ///< How much longer a gang on several racks takes, or a task away from its data.
-    Duration urgentPatience{1'000};    ///< How long urgent work waits for its rack or its data at most.
-    int urgentReserve = 0;             ///< Accelerators that other than the most urgent work leaves free.
+    std::map<StepId, TaskPlaces> held;       ///< Room that earlier passes keep for urgent steps until what stands there has been stopped.
+    double remoteFactor = 3;                 ///< How much longer a gang on several racks takes, or a task away from its data.
+    Duration urgentPatience{1'000};          ///< How long urgent work waits for its rack or its data at most.
+    std::map<ServiceId, int> urgentReserves; ///< Accelerators of a service that other than the most urgent work leaves free.
 
     friend bool operator==(const PlacementInput &, const PlacementInput &) = default;
 };
--- a/workflow/planwork.cpp
+++ b/workflow/planwork.cpp
@@ -1,7 +1,9 @@
 #include "controllers.h"
 #include "eligibility.h"
+#include "guaranteeshare.h"
 #include "placement.h"
 #include "progresschange.h"
+#include "urgentreserve.h"
 
 #include <algorithm>
 #include <map>
@@ -19,16 +21,6 @@
 constexpr int suspectFailures = 2;
 constexpr Duration suspicion{8'000};
 
-// The urgent work of this time tells how much of it arrives.
-constexpr Duration arrivalWindow{10'000};
-
-// From the decision to stop something until its room is known to be free, beyond the stop grace.
-constexpr Duration stopOverhead{300};
-
-// Arrivals come in clusters, so more than the mean of a stop's time is kept free, and room for two typical steps besides.
-constexpr double arrivalSpread = 1.5;
-constexpr double keptSteps = 2;
-
 // Of the time in which guaranteed work has to begin, for the start itself and for a store that answers slowly.
 constexpr Duration reclaimMargin{600};
 
@@ -72,25 +64,28 @@
     return targets;
 }
 
-/// Accelerators to keep free for urgent work: what arrives while something would be stopped for it, and room for typical steps at any time.
-int urgentReserve(const WorkflowBoard &board)
+/// Accelerators of each service that are kept free for urgent work.
+std::map<ServiceId, int> urgentReserves(const WorkflowBoard &board)
 {
-    int accelerators = 0;
-    int steps = 0;
+    std::map<ServiceId, UrgentArrivals> arrivals;
     for (const auto &[id, entry] : board.workflows.rows()) {
-        if (queueOf(board, *entry.workflow).priority == 0 && board.wallNow - entry.workflow->acceptedAt <= arrivalWindow) {
+        const auto &queue = queueOf(board, *entry.workflow);
+        if (queue.priority == 0 && board.wallNow - entry.workflow->acceptedAt <= arrivalWindow) {
             const auto &first = entry.workflow->specification.steps.front();
-            accelerators += first.taskCount * first.perTask.accelerators;
-            ++steps;
+            auto &arrived = arrivals[queue.service];
+            arrived.accelerators += first.taskCount * first.perTask.accelerators;
+            ++arrived.steps;
         }
     }
-    if (steps == 0) {
-        return 0;
+    std::map<ServiceId, int> capacities;
+    for (const auto &[id, target] : board.targets.rows()) {
+        capacities[target.registration.service] += target.isRegistered ? target.registration.capacity.accelerators : 0;
+    }
+    std::map<ServiceId, int> reserves;
+    for (const auto &[service, arrived] : arrivals) {
+        reserves.emplace(service, urgentReserve(arrived, capacities[service], board.self.limits.stopGrace));
     }
-    const auto stopTime = board.self.limits.stopGrace + stopOverhead;
-    const double arriving = static_cast<double>(accelerators) * static_cast<double>(stopTime.count()) / static_cast<double>(arrivalWindow.count());
-    const double typical = static_cast<double>(accelerators) / steps;
-    return static_cast<int>(arriving * arrivalSpread + typical * keptSteps);
+    return reserves;
 }
 
 /// Time until the workflow must have ended to meet its objective, less the work that is left.
@@ -132,7 +127,7 @@
     return waiting;
 }
 
-std::vector<WaitingStep> waitingSteps(const WorkflowBoard &board)
+std::vector<WaitingStep> waitingSteps(const WorkflowBoard &board, const std::set<RequestId> &guaranteed)
 {
     std::vector<WaitingStep> found;
     for (const auto &[id, entry] : board.workflows.rows()) {
@@ -146,6 +141,7 @@
                     continue;
                 }
                 if (auto waiting = waitingStep(board, entry, {id, occurrence, step}, tasks)) {
+                    waiting->isGuaranteed = guaranteed.contains(id);
                     found.push_back(*std::move(waiting));
                 }
             }
@@ -167,7 +163,7 @@
     return cores(run.uses) * std::chrono::duration<double>(lost).count();
 }
 
-std::vector<RunningUnit> runningUnits(const WorkflowBoard &board)
+std::vector<RunningUnit> runningUnits(const WorkflowBoard &board, const std::set<RequestId> &guaranteed)
 {
     std::vector<RunningUnit> units;
     for (const auto &[task, run] : board.runs.rows()) {
@@ -178,7 +174,8 @@
         }
         const bool joins = step->isGang && !units.empty() && units.back().step == task.step;
         if (!joins) {
-            units.push_back({task.step, queueOf(board, *entry->workflow).priority, entry->workflow->organisation, step->perTask, {}, 0});
+            const auto &workflow = *entry->workflow;
+            units.push_back({task.step, queueOf(board, workflow).priority, guaranteed.contains(workflow.id), workflow.organisation, step->perTask, {}, 0});
         }
         units.back().tasks.emplace(task.index, run.place.target);
         units.back().lostWork += lostWork(board, run, *step);
@@ -270,14 +267,15 @@
     board.isPlanWanted = false;
     board.nextPlanAt = board.now + board.self.limits.planPeriod;
     PlacementInput input;
-    input.waiting = waitingSteps(board);
+    const auto guaranteed = guaranteedWorkflows(board);
+    input.waiting = waitingSteps(board, guaranteed);
     if (!input.waiting.empty()) {
         input.targets = targetsOf(board);
-        input.running = runningUnits(board);
+        input.running = runningUnits(board, guaranteed);
         input.held = std::exchange(board.heldRoom, {});
         input.remoteFactor = board.self.limits.remoteFactor;
         input.urgentPatience = board.self.limits.reclaimBound - board.self.limits.stopGrace - reclaimMargin;
-        input.urgentReserve = urgentReserve(board);
+        input.urgentReserves = urgentReserves(board);
         auto plan = planPlacements(std::move(input));
         stopPlanned(board, plan.stops);
         startPlanned(board, plan.starts);
--- a/workflow/reclaim.cpp
+++ b/workflow/reclaim.cpp
@@ -89,8 +89,22 @@
     return option;
 }
 
+/// Which running work may be stopped for a waiting step.
+enum class VictimScope
+{
+    LessUrgent,
+    AndBorrowed, ///< Also equally urgent work beyond its organisation's guarantee.
+};
+
+bool isInScope(const RunningUnit &unit, const WaitingStep &waiting, VictimScope scope)
+{
+    const bool isLessUrgent = unit.priority > waiting.priority;
+    const bool isBorrowed = unit.priority == waiting.priority && !unit.isGuaranteed;
+    return isLessUrgent || (scope == VictimScope::AndBorrowed && isBorrowed);
+}
+
 std::vector<std::size_t>
-lessUrgentUnits(const PlacementInput &input, const WaitingStep &waiting, const std::map<TargetId, std::size_t> &index, const RackId *rack)
+possibleVictims(const PlacementInput &input, const WaitingStep &waiting, VictimScope scope, const std::map<TargetId, std::size_t> &index, const RackId *rack)
 {
     std::vector<std::size_t> units;
     for (std::size_t number = 0; number < input.running.size(); ++number) {
@@ -99,7 +113,7 @@
             const auto found = index.find(task.second);
             return found != index.end() && (rack == nullptr || input.targets[found->second].rack == *rack);
         });
-        if (unit.priority > waiting.priority && stands) {
+        if (stands && isInScope(unit, waiting, scope)) {
             units.push_back(number);
         }
     }
@@ -126,24 +140,33 @@
     reclaim.places = option.places;
 }
 
-}
-
-std::optional<Reclaim> findReclaim(PlacementInput &input, const WaitingStep &waiting, bool maySpread)
+Option findOption(const PlacementInput &input, const WaitingStep &waiting, VictimScope scope, const std::map<TargetId, std::size_t> &index, bool maySpread)
 {
-    const auto index = indexTargets(input.targets);
     Option best;
     if (waiting.specification.needsOneRack) {
         std::set<RackId> racks;
         std::ranges::transform(input.targets, std::inserter(racks, racks.end()), &PlacementTarget::rack);
         for (const auto &rack : racks) {
-            auto option = prune(input, waiting, index, lessUrgentUnits(input, waiting, index, &rack), &rack);
+            auto option = prune(input, waiting, index, possibleVictims(input, waiting, scope, index, &rack), &rack);
             if (option.cost < best.cost) {
                 best = std::move(option);
             }
         }
     }
     if (best.places.empty() && maySpread) {
-        best = prune(input, waiting, index, lessUrgentUnits(input, waiting, index, nullptr), nullptr);
+        best = prune(input, waiting, index, possibleVictims(input, waiting, scope, index, nullptr), nullptr);
+    }
+    return best;
+}
+
+}
+
+std::optional<Reclaim> findReclaim(PlacementInput &input, const WaitingStep &waiting, bool maySpread)
+{
+    const auto index = indexTargets(input.targets);
+    auto best = findOption(input, waiting, VictimScope::LessUrgent, index, maySpread);
+    if (best.places.empty() && waiting.isGuaranteed) {
+        best = findOption(input, waiting, VictimScope::AndBorrowed, index, maySpread);
     }
     if (best.places.empty()) {
         return std::nullopt;
