--- a/core/storerecord.h
+++ b/core/storerecord.h
@@ -70,6 +70,7 @@
     std::string peerAddress;
     std::string httpAddress;
     long long incarnation = 0;
+    double processorShare = 0; ///< Of a core that the host may use; zero: not known.
 
     friend bool operator==(const HostRecord &, const HostRecord &) = default;
 };
--- a/tests/domainfixture.cpp
+++ b/tests/domainfixture.cpp
@@ -216,6 +216,11 @@
     m_hosts.at(host).inbox.emplace_back(StopRequested{});
 }
 
+void DomainTest::slowDown(const std::string &host, Duration pause)
+{
+    m_hosts.at(host).pause = pause;
+}
+
 void DomainTest::cutOff(const std::string &target)
 {
     note("cutOff " + target);
@@ -396,9 +401,10 @@
     }
     endStoreCalls(host);
     const auto due = nextDue(host.board.timers);
-    if (host.inbox.empty() && (!due || *due > now)) {
+    if ((host.inbox.empty() && (!due || *due > now)) || now < host.nextStepAt) {
         return;
     }
+    host.nextStepAt = now + host.pause;
     step(host.board, std::exchange(host.inbox, {}), now, wallNow);
     followMirrors(store, {id}, host.board.mirrors);
     for (const auto &message : std::exchange(host.board.outbox, {})) {
--- a/tests/domainfixture.h
+++ b/tests/domainfixture.h
@@ -43,6 +43,9 @@
     void resume(const std::string &host);
     void requestStop(const std::string &host);
 
+    /// The host takes its steps only so often, as one without processor time does; zero: as often as it wants.
+    void slowDown(const std::string &host, Duration pause);
+
     /// Orders to the target are not delivered, and nothing comes back from it.
     void cutOff(const std::string &target);
     void reconnect(const std::string &target);
@@ -107,6 +110,8 @@
         std::map<CallId, TimePoint> storeCalls; ///< When each call under way times out.
         bool isUp = true;
         bool isPaused = false;
+        Duration pause{0}; ///< Between two steps.
+        TimePoint nextStepAt;
         int starts = 0;
     };
 
--- a/tests/testdomainownership.cpp
+++ b/tests/testdomainownership.cpp
@@ -183,4 +183,107 @@
     EXPECT_EQ(owner(), "h2");
 }
 
+/// Hosts of different strength.
+struct UnevenHosts : DomainTest
+{
+    UnevenHosts()
+    {
+        addTargets(8);
+        for (const auto &[host, share] : std::map<std::string, double>{{"h1", 0.12}, {"h2", 0.5}, {"h3", 0.12}, {"h4", 0.5}}) {
+            settings.processorShare = share;
+            addHost(host);
+        }
+        run(Duration{2'000});
+    }
+
+    bool isStrong(const std::string &host) const
+    {
+        return host == "h2" || host == "h4";
+    }
+
+    long long ownershipsBegun()
+    {
+        long long begun = 0;
+        for (const char *host : {"h1", "h2", "h3", "h4"}) {
+            begun += board(host).counters.values[{"ownershipsBegun", ""}];
+        }
+        return begun;
+    }
+};
+
+TEST_F(UnevenHosts, strongHostFollowsAKilledStrongOwner)
+{
+    const auto first = owner();
+    ASSERT_TRUE(isStrong(first));
+    kill(first);
+    runUntil([&] { return !owner().empty(); }, Duration{4'000});
+    EXPECT_TRUE(isStrong(owner()));
+}
+
+TEST_F(UnevenHosts, weakOwnerHandsOverOnceAStrongHostIsReady)
+{
+    // Guards against a domain that stays for good with a host that cannot carry it, because it was there first.
+    kill("h2");
+    kill("h4");
+    runUntil([&] { return !owner().empty(); }, Duration{5'000});
+    EXPECT_FALSE(isStrong(owner()));
+    settings.processorShare = 0.5;
+    start("h4");
+    runUntil([&] { return owner() == "h4"; }, Duration{8'000});
+}
+
+TEST_F(UnevenHosts, weakOwnerKeepsTheDomainFromAStrongHostThatIsNotReady)
+{
+    kill("h2");
+    kill("h4");
+    runUntil([&] { return !owner().empty(); }, Duration{5'000});
+    const auto weak = owner();
+    settings.processorShare = 0.5;
+    start("h4");
+    store.faults.cutOff.insert({"h4"});
+    run(Duration{10'000});
+    EXPECT_EQ(owner(), weak);
+    EXPECT_EQ(board(weak).counters.values.at({"ownershipsBegun", ""}), 1);
+}
+
+TEST_F(UnevenHosts, ownerThatHasBecomeSlowHandsOverToAnEqualHost)
+{
+    const auto first = owner();
+    run(Duration{3'000});
+    slowDown(first, Duration{600});
+    runUntil([&] { return !owner().empty() && owner() != first; }, Duration{10'000});
+    EXPECT_TRUE(isStrong(owner()));
+}
+
+TEST_F(UnevenHosts, calmDomainKeepsItsOwner)
+{
+    run(Duration{60'000});
+    EXPECT_EQ(ownershipsBegun(), 1);
+}
+
+TEST_F(UnevenHosts, workGoesOnThroughAHandover)
+{
+    kill("h2");
+    kill("h4");
+    runUntil([&] { return !owner().empty(); }, Duration{5'000});
+    answerTo(submit(id(1), gang(4, {4'000, 8'000, 4}), {Duration{9'000}, {}}, owner()));
+    settings.processorShare = 0.5;
+    start("h4");
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{12'000});
+    EXPECT_EQ(owner(), "h4");
+    EXPECT_EQ(fleet.starts[id(1)], 4);
+}
+
+TEST_F(UnevenHosts, timerThatWasDueWhenItWasSubscribedIsNotTakenForLag)
+{
+    // Guards against handovers without end: retry times of the distant past looked like hours of lag.
+    auto own = makeWorkflowBoard(settings, now, wallNow);
+    for (int count = 0; count < 50; ++count) {
+        subscribe(own.timers, "retry", TimePoint{});
+        now += tick;
+        step(own, {}, now, wallNow);
+    }
+    EXPECT_LE(own.lag.mean, Duration{10});
+}
+
 }
--- a/wire/recordjson.cpp
+++ b/wire/recordjson.cpp
@@ -84,7 +84,8 @@
             {"availabilityZone", record.availabilityZone.value},
             {"peerAddress", record.peerAddress},
             {"httpAddress", record.httpAddress},
-            {"incarnation", record.incarnation}};
+            {"incarnation", record.incarnation},
+            {"processorShare", record.processorShare}};
 }
 
 /// Leaves out fields that have their default, because readers take absent fields for defaults; the ledger grows without end.
@@ -271,7 +272,8 @@
                           {json.at("availabilityZone").get<std::string>()},
                           text(json, "peerAddress"),
                           text(json, "httpAddress"),
-                          json.value("incarnation", 0LL)};
+                          json.value("incarnation", 0LL),
+                          json.value("processorShare", 0.0)};
     }
     if (path.starts_with("ledger/")) {
         return readLedger(json);
--- a/workflow/claimdomain.cpp
+++ b/workflow/claimdomain.cpp
@@ -1,4 +1,5 @@
 #include "controllers.h"
+#include "ownershipchange.h"
 
 #include <algorithm>
 #include <string>
@@ -10,8 +11,9 @@
 namespace
 {
 
-// A stronger host claims first: the share of a core that it lacks, spread over this time.
-constexpr Duration strengthSpread{80};
+// The strongest host claims first; another one waits for this time, times the share of the strongest one's processor time that it lacks. Weak hosts hear of a
+// vacant domain up to some 100 ms later or earlier than strong ones.
+constexpr Duration strengthSpread{500};
 constexpr Duration claimJitter{20};
 
 // Renewals within one life of the lease; with four, two may be lost.
@@ -34,32 +36,6 @@
     return holder.host == board.self.id && holder.incarnation == board.self.incarnation;
 }
 
-void clearOwnerSections(WorkflowBoard &board)
-{
-    board.load = {};
-    board.chain = {};
-    board.workflows = {};
-    board.runs = {};
-    board.runCalls.clear();
-    board.strayStops.clear();
-    board.lateStarts.clear();
-    board.heldRoom.clear();
-    board.targets = {};
-    board.shapes.clear();
-}
-
-void giveUp(WorkflowBoard &board, const std::string &reason)
-{
-    auto &ownership = board.ownership;
-    logDecision(board, "ownDomain", "", "", "gave up the domain, token " + std::to_string(ownership.token) + ": " + reason);
-    count(board.counters, "ownershipsEnded", "");
-    if (ownership.lease != 0) {
-        sendToStore(board, StoreLeaseRevoke{ownership.lease});
-    }
-    ownership = {OwnershipStep::Follower, ownership.isKnown, ownership.holder, ownership.holderRevision};
-    clearOwnerSections(board);
-}
-
 void noteHolder(WorkflowBoard &board, std::optional<DomainOwner> holder, Revision revision)
 {
     auto &ownership = board.ownership;
@@ -78,7 +54,7 @@
     }
     const bool isOurs = ownership.holder && ownership.step == OwnershipStep::Owner && revision == ownership.token;
     if (ownership.step == OwnershipStep::Owner && !isOurs) {
-        giveUp(board, ownership.holder ? "another host owns it" : "the store has ended the lease");
+        giveUpDomain(board, ownership.holder ? "another host owns it" : "the store has ended the lease");
     }
 }
 
@@ -124,10 +100,19 @@
     if (ownership.lease != 0) {
         sendToStore(board, StoreLeaseRevoke{ownership.lease});
     }
-    ownership = {OwnershipStep::Follower, ownership.isKnown, ownership.holder, ownership.holderRevision};
+    ownership = followerOf(ownership);
     ownership.claimAt = board.now + board.self.limits.storeRetry + takeJitter(board, board.self.limits.storeRetry);
 }
 
+Duration strengthDelay(const WorkflowBoard &board)
+{
+    constexpr double wholeCore = 1; // Stands for the strongest host as long as no other host is known.
+    const double own = board.self.processorShare;
+    const double strongest = std::max(own, board.directory.hosts.empty() ? wholeCore : strongestShare(board.directory));
+    const double lack = strongest > 0 ? 1 - own / strongest : 0;
+    return Duration{static_cast<Duration::rep>(lack * static_cast<double>(strengthSpread.count()))};
+}
+
 void considerClaim(WorkflowBoard &board)
 {
     auto &ownership = board.ownership;
@@ -136,9 +121,8 @@
         return;
     }
     if (!ownership.claimAt) {
-        const double weakness = 1 - std::clamp(board.self.processorShare, 0.0, 1.0);
-        const auto handicap = Duration{static_cast<Duration::rep>(weakness * static_cast<double>(strengthSpread.count()))};
-        ownership.claimAt = board.now + (ownership.holder ? Duration{0} : handicap + takeJitter(board, claimJitter));
+        const auto delay = ownership.holder ? Duration{0} : strengthDelay(board) + takeJitter(board, claimJitter);
+        ownership.claimAt = std::max(board.now + delay, ownership.noClaimBefore);
     }
     if (board.now < *ownership.claimAt) {
         subscribeNoLaterThan(board.timers, "claim", *ownership.claimAt);
@@ -221,7 +205,7 @@
         ownership.nextRenewalAt = board.now + limits.storeRetry;
         if (reply->outcome == StoreOutcome::Applied && reply->leaseTimeToLive == Duration{0}) {
             ownership.lease = 0;
-            giveUp(board, "the store has ended the lease");
+            giveUpDomain(board, "the store has ended the lease");
             return;
         }
         if (reply->outcome == StoreOutcome::Applied) {
@@ -231,7 +215,7 @@
         }
     }
     if (board.now >= ownership.authorityUntil) {
-        giveUp(board, "the lease could not be renewed in time");
+        giveUpDomain(board, "the lease could not be renewed in time");
         return;
     }
     if (!ownership.renewal && board.now >= ownership.nextRenewalAt) {
@@ -264,7 +248,7 @@
         considerClaim(board);
     } else if (ownership.step == OwnershipStep::Owner && board.isStopping) {
         // The next owner sees everything that matters in the store and in the targets' lists, so nothing has to be waited for.
-        giveUp(board, "the host stops");
+        giveUpDomain(board, "the host stops");
     } else if (ownership.step == OwnershipStep::Owner) {
         renewLease(board);
     }
--- a/workflow/controllers.h
+++ b/workflow/controllers.h
@@ -17,6 +17,10 @@
 /// Reads the events, `updates` and `view`; writes `ownership`, and clears the owner's sections when it gives up.
 void claimDomain(WorkflowBoard &board);
 
+/// Gives the domain up if another host is ready that has clearly more processor time, or if this one has become too slow for it.
+/// Reads the events, `directory` and `lag`; writes `ownership`, and clears the owner's sections when it gives up.
+void handOver(WorkflowBoard &board);
+
 /// Keeps this host's record in the store, follows those of the other hosts, and takes in whether they are ready.
 /// Reads the events, `updates` and `view`; writes `directory`.
 void followHosts(WorkflowBoard &board);
--- a/workflow/hostdirectory.cpp
+++ b/workflow/hostdirectory.cpp
@@ -35,7 +35,8 @@
     }
     directory.lease = reply.lease;
     directory.step = RecordStep::Writing;
-    const HostRecord record{board.self.id, board.self.availabilityZone, board.self.readinessAddress, board.self.callerAddress, board.self.incarnation};
+    const auto &self = board.self;
+    const HostRecord record{self.id, self.availabilityZone, self.readinessAddress, self.callerAddress, self.incarnation, self.processorShare};
     directory.call = sendToStore(board, StoreTransaction{{StoreWrite{hostKey(board.self.id), record, std::nullopt, true}}}, directory.lease);
 }
 
--- /dev/null
+++ b/workflow/ownershipchange.cpp
@@ -0,0 +1,53 @@
+#include "ownershipchange.h"
+
+#include <algorithm>
+
+namespace sequoiastand
+{
+
+void clearOwnerSections(WorkflowBoard &board)
+{
+    board.load = {};
+    board.chain = {};
+    board.workflows = {};
+    board.runs = {};
+    board.runCalls.clear();
+    board.strayStops.clear();
+    board.lateStarts.clear();
+    board.heldRoom.clear();
+    board.targets = {};
+    board.shapes.clear();
+}
+
+Ownership followerOf(const Ownership &ownership)
+{
+    Ownership follower;
+    follower.isKnown = ownership.isKnown;
+    follower.holder = ownership.holder;
+    follower.holderRevision = ownership.holderRevision;
+    follower.noClaimBefore = ownership.noClaimBefore;
+    return follower;
+}
+
+void giveUpDomain(WorkflowBoard &board, const std::string &reason)
+{
+    auto &ownership = board.ownership;
+    logDecision(board, "ownDomain", "", "", "gave up the domain, token " + std::to_string(ownership.token) + ": " + reason);
+    count(board.counters, "ownershipsEnded", "");
+    if (ownership.lease != 0) {
+        sendToStore(board, StoreLeaseRevoke{ownership.lease});
+    }
+    ownership = followerOf(ownership);
+    clearOwnerSections(board);
+}
+
+double strongestShare(const HostDirectory &directory)
+{
+    double strongest = 0;
+    for (const auto &[id, record] : directory.hosts) {
+        strongest = std::max(strongest, record.processorShare);
+    }
+    return strongest;
+}
+
+}
--- /dev/null
+++ b/workflow/ownershipchange.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "workflowboard.h"
+
+#include <string>
+
+namespace sequoiastand
+{
+
+/// Ends this host's ownership, or its claim, and clears the sections that only an owner has. The store is told, so that another host need not wait for the lease.
+void giveUpDomain(WorkflowBoard &board, const std::string &reason);
+
+/// Removes what an owner knows: workflows, runs, targets and the chain of commits.
+void clearOwnerSections(WorkflowBoard &board);
+
+/// What remains of the ownership section once this host neither owns nor claims the domain.
+Ownership followerOf(const Ownership &ownership);
+
+/// The largest processor share among the other hosts; zero if none is known.
+double strongestShare(const HostDirectory &directory);
+
+}
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -124,6 +124,7 @@
     std::optional<DomainOwner> holder;
     Revision holderRevision = 0;
     std::optional<TimePoint> claimAt; ///< When this host claims a vacant domain.
+    TimePoint noClaimBefore;          ///< It has handed the domain over and gives the successor time.
     std::optional<CallId> call;
     TimePoint callSentAt;
     long long lease = 0;
@@ -134,6 +135,8 @@
     TimePoint nextRenewalAt;
     Revision token = 0; ///< Fencing token while this host is the owner.
     TimePoint ownedSince;
+    std::map<CallId, HostId> successorChecks; ///< Hosts that could own the domain better and have been asked whether they are ready.
+    TimePoint nextSuccessorCheckAt;
 
     friend bool operator==(const Ownership &, const Ownership &) = default;
 };
@@ -347,6 +350,15 @@
     friend bool operator==(const HostDirectory &, const HostDirectory &) = default;
 };
 
+/// How late this host's timers fire: a host without enough processor time does everything late.
+struct LoopLag
+{
+    Duration mean{0}; ///< Over about a second.
+    TimePoint measuredAt;
+
+    friend bool operator==(const LoopLag &, const LoopLag &) = default;
+};
+
 /// All state of one host in a service domain. The rows of tables are replaced as a whole; docs/design.md names the writer of each section.
 struct WorkflowBoard
 {
@@ -375,6 +387,7 @@
     TimePoint nextPlanAt;
     bool isPlanWanted = false; ///< Something has changed that a placement pass should look at.
     TimerTable timers;
+    LoopLag lag; ///< Written by step.
     Counters counters;
     std::vector<LogEntry> log;
     bool isStopping = false;
--- a/workflow/workflowstep.cpp
+++ b/workflow/workflowstep.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+// The lag of timers is averaged over this time.
+constexpr std::chrono::duration<double> lagWindow{1.0};
+
 void takeProcessEvents(WorkflowBoard &board)
 {
     for (const auto &event : board.inbox) {
@@ -24,6 +27,20 @@
     }
 }
 
+/// Takes the present step into the mean lag, before its timers fire. A timer that was due already when the former step subscribed it counts from there.
+LoopLag measured(LoopLag lag, const TimerTable &timers, TimePoint formerStep, TimePoint now)
+{
+    const auto due = nextDue(timers);
+    if (!due || *due > now) {
+        return lag;
+    }
+    const double weight = std::min(1.0, std::chrono::duration<double>(now - lag.measuredAt) / lagWindow);
+    const auto late = now - std::max(*due, formerStep);
+    lag.mean += std::chrono::duration_cast<Duration>((late - lag.mean) * weight);
+    lag.measuredAt = now;
+    return lag;
+}
+
 }
 
 WorkflowBoard makeWorkflowBoard(const DomainSettings &settings, TimePoint now, WallTime wallNow)
@@ -33,12 +50,14 @@
     board.now = now;
     board.wallNow = wallNow;
     board.randomState = settings.randomSeed;
+    board.lag.measuredAt = now;
     subscribe(board.timers, "start", now);
     return board;
 }
 
 void step(WorkflowBoard &board, std::vector<WorkflowEvent> events, TimePoint now, WallTime wallNow)
 {
+    board.lag = measured(board.lag, board.timers, board.now, now);
     board.now = now;
     board.wallNow = wallNow;
     board.inbox = std::move(events);
@@ -48,6 +67,7 @@
     proveConfiguration(board);
     claimDomain(board);
     followHosts(board);
+    handOver(board);
     loadDomain(board);
     followTargets(board);
     followRuns(board);
