Send starts in a window of 48, and wait longer for answers where the own loop is late

Gangs still go out whole. Hosts also remember the strongest share ever seen, because records lapse with the store while the hosts live.

--- a/tests/testdomainownership.cpp
+++ b/tests/testdomainownership.cpp
@@ -286,4 +286,17 @@
     EXPECT_LE(own.lag.mean, Duration{10});
 }
 
+TEST_F(UnevenHosts, strongHostIsFirstAfterAnOutageInWhichAllRecordsLapsed)
+{
+    run(Duration{6'000}); // Until every host has read the others' records.
+    for (int round = 0; round < 5; ++round) {
+        store.faults.isDown = true;
+        run(Duration{20'000});
+        expireLeases(store, now);
+        store.faults.isDown = false;
+        runUntil([&] { return !owner().empty(); }, Duration{5'000});
+        EXPECT_TRUE(isStrong(owner())) << "round " << round;
+    }
+}
+
 }
--- a/workflow/claimdomain.cpp
+++ b/workflow/claimdomain.cpp
@@ -108,7 +108,8 @@
 {
     constexpr double wholeCore = 1; // Stands for the strongest host as long as no other host is known.
     const double own = board.self.processorShare;
-    const double strongest = std::max(own, board.directory.hosts.empty() ? wholeCore : strongestShare(board.directory));
+    const double known = board.directory.strongestShare;
+    const double strongest = std::max(own, known > 0 ? known : wholeCore);
     const double lack = strongest > 0 ? 1 - own / strongest : 0;
     return Duration{static_cast<Duration::rep>(lack * static_cast<double>(strengthSpread.count()))};
 }
--- a/workflow/domainsettings.h
+++ b/workflow/domainsettings.h
@@ -33,6 +33,7 @@
     Duration holdWait{1'200};       ///< The longest that a hold waits for an end; half of it is the shortest. Leaves most of `holdMax` for a cut.
     Duration orderTimeout{500};     ///< A hold beyond its wait. Targets answer in milliseconds.
     Duration startTimeout{200};     ///< A start or stop. It is sent again unchanged, and a gang waits for each of its members.
+    int maxStartsUnderWay = 48;     ///< Further starts wait for answers, so that even a host with a tenth of a core reads each answer within `startTimeout`.
     Duration orderRetry{150};       ///< After an order without an answer.
     Duration startLife{2'500};      ///< A start is refused by the target after this time, so a late copy does nothing.
     Duration contactAge{4'000};     ///< A target that has not answered for so long gets no new work.
--- a/workflow/driveruns.cpp
+++ b/workflow/driveruns.cpp
@@ -5,6 +5,8 @@
 #include "targetlease.h"
 
 #include <algorithm>
+#include <optional>
+#include <ranges>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,7 +27,7 @@
     order.target = run.place.target;
     order.address = target.registration.address;
     order.token = board.ownership.token;
-    order.timeout = board.self.limits.startTimeout;
+    order.timeout = patienceFor(board, board.self.limits.startTimeout);
     run.isStopCall = std::holds_alternative<StopRun>(request);
     order.request = std::move(request);
     run.call = order.id;
@@ -116,25 +118,67 @@
     subscribeNoLaterThan(board.timers, "orders", run.retryAt);
 }
 
-void driveRun(WorkflowBoard &board, const TaskId &task)
+void driveStop(WorkflowBoard &board, const TaskRun &run)
 {
-    const auto *present = board.runs.find(task);
-    if (present == nullptr || present->call) {
-        return;
+    if (board.now >= run.retryAt) {
+        sendStop(board, run);
+    } else {
+        subscribeNoLaterThan(board.timers, "orders", run.retryAt);
     }
-    const TaskRun run = *present;
-    if (run.isStopWanted && !run.stoppedAt) {
-        if (board.now >= run.retryAt) {
-            sendStop(board, run);
-        } else {
-            subscribeNoLaterThan(board.timers, "orders", run.retryAt);
+}
+
+/// Tasks of one step whose starts are to be sent, in the order in which steps are served.
+struct StartGroup
+{
+    int priority = 0;
+    TimePoint since;
+    bool isGang = false;
+    std::vector<TaskId> tasks;
+};
+
+std::vector<StartGroup> startGroups(const WorkflowBoard &board, const std::vector<TaskId> &tasks)
+{
+    std::vector<StartGroup> groups;
+    std::optional<StepId> step;
+    for (const auto &task : tasks) {
+        const auto *run = board.runs.find(task);
+        const auto *entry = board.workflows.find(task.step.workflow);
+        if (run == nullptr || run->step != RunStep::Recording || entry == nullptr) {
+            continue;
         }
-        return;
+        if (step != task.step) {
+            const auto *specification = findStep(board, task.step);
+            groups.push_back({queueOf(board, *entry->workflow).priority, run->since, specification != nullptr && specification->isGang, {}});
+            step = task.step;
+        }
+        groups.back().tasks.push_back(task);
     }
-    if (run.step == RunStep::Recording) {
-        driveRecorded(board, run);
-    } else if (run.step == RunStep::Starting && !run.stoppedAt) {
-        driveStarting(board, run);
+    std::ranges::stable_sort(groups, {}, [](const StartGroup &group) { return std::pair(group.priority, group.since); });
+    return groups;
+}
+
+int startsUnderWay(const WorkflowBoard &board)
+{
+    return static_cast<int>(std::ranges::count_if(board.runCalls, [&](const auto &call) {
+        const auto *run = board.runs.find(call.second);
+        return run != nullptr && run->call == call.first && !run->isStopCall;
+    }));
+}
+
+/// Sends recorded starts as far as the limit on those under way allows. A gang's members go out together, because they wait for each other on their targets.
+void sendRecorded(WorkflowBoard &board, const std::vector<TaskId> &tasks)
+{
+    int underWay = startsUnderWay(board);
+    const int limit = board.self.limits.maxStartsUnderWay;
+    for (const auto &group : startGroups(board, tasks)) {
+        if (underWay >= limit) {
+            return;
+        }
+        const auto room = group.isGang ? group.tasks.size() : static_cast<std::size_t>(limit - underWay);
+        for (const auto &task : group.tasks | std::views::take(room)) {
+            driveRecorded(board, *board.runs.find(task));
+        }
+        underWay = startsUnderWay(board);
     }
 }
 
@@ -158,7 +202,19 @@
             dropRecorded(board, TaskRun{*run});
         }
     }
-    std::ranges::for_each(waiting, [&](const TaskId &task) { driveRun(board, task); });
+    for (const auto &task : waiting) {
+        const auto *present = board.runs.find(task);
+        if (present == nullptr || present->call) {
+            continue;
+        }
+        const TaskRun run = *present;
+        if (run.isStopWanted && !run.stoppedAt) {
+            driveStop(board, run);
+        } else if (run.step == RunStep::Starting && !run.stoppedAt) {
+            driveStarting(board, run);
+        }
+    }
+    sendRecorded(board, waiting);
 }
 
 }
--- a/workflow/handover.cpp
+++ b/workflow/handover.cpp
@@ -54,7 +54,7 @@
         better.resize(askedSuccessors);
     }
     for (const auto &record : better) {
-        ReadinessCheck check{takeCallId(board), record.host, record.peerAddress, board.self.limits.readinessTimeout};
+        ReadinessCheck check{takeCallId(board), record.host, record.peerAddress, patienceFor(board, board.self.limits.readinessTimeout)};
         ownership.successorChecks.emplace(check.id, record.host);
         board.outbox.emplace_back(std::move(check));
     }
--- a/workflow/holdtargets.cpp
+++ b/workflow/holdtargets.cpp
@@ -59,7 +59,7 @@
     order.target = target.registration.life.target;
     order.address = target.registration.address;
     order.token = board.ownership.token;
-    order.timeout = hold.wait + limits.orderTimeout;
+    order.timeout = hold.wait + patienceFor(board, limits.orderTimeout);
     order.request = hold;
     target.hold = order.id;
     target.holdSentAt = board.now;
--- a/workflow/hostdirectory.cpp
+++ b/workflow/hostdirectory.cpp
@@ -101,6 +101,7 @@
         for (const auto &entry : update.put) {
             if (const auto *record = std::get_if<HostRecord>(&entry.record); record != nullptr && record->host != board.self.id) {
                 hosts.insert_or_assign(record->host, *record);
+                board.directory.strongestShare = std::max(board.directory.strongestShare, record->processorShare);
             }
         }
         std::ranges::for_each(update.deleted, [&](const StoreKey &key) { hosts.erase({lastPart(key)}); });
@@ -154,7 +155,7 @@
         others.resize(askedHosts);
     }
     for (const auto &record : others) {
-        ReadinessCheck check{takeCallId(board), record.host, record.peerAddress, board.self.limits.readinessTimeout};
+        ReadinessCheck check{takeCallId(board), record.host, record.peerAddress, patienceFor(board, board.self.limits.readinessTimeout)};
         directory.checks.insert(check.id);
         board.outbox.emplace_back(std::move(check));
     }
--- a/workflow/ownershipchange.cpp
+++ b/workflow/ownershipchange.cpp
@@ -1,7 +1,5 @@
 #include "ownershipchange.h"
 
-#include <algorithm>
-
 namespace sequoiastand
 {
 
@@ -41,13 +39,4 @@
     clearOwnerSections(board);
 }
 
-double strongestShare(const HostDirectory &directory)
-{
-    double strongest = 0;
-    for (const auto &[id, record] : directory.hosts) {
-        strongest = std::max(strongest, record.processorShare);
-    }
-    return strongest;
-}
-
 }
--- a/workflow/ownershipchange.h
+++ b/workflow/ownershipchange.h
@@ -16,7 +16,4 @@
 /// What remains of the ownership section once this host neither owns nor claims the domain.
 Ownership followerOf(const Ownership &ownership);
 
-/// The largest processor share among the other hosts; zero if none is known.
-double strongestShare(const HostDirectory &directory);
-
 }
--- a/workflow/runends.cpp
+++ b/workflow/runends.cpp
@@ -198,7 +198,7 @@
     order.target = target.registration.life.target;
     order.address = target.registration.address;
     order.token = board.ownership.token;
-    order.timeout = board.self.limits.orderTimeout;
+    order.timeout = patienceFor(board, board.self.limits.orderTimeout);
     order.request = StopRun{task, run};
     board.outbox.emplace_back(std::move(order));
 }
--- a/workflow/workflowboard.cpp
+++ b/workflow/workflowboard.cpp
@@ -7,13 +7,19 @@
 namespace sequoiastand
 {
 
+Duration patienceFor(const WorkflowBoard &board, Duration timeout)
+{
+    constexpr int lagsPerAnswer = 2; // One for the call to leave, one for its answer to be read.
+    return timeout + lagsPerAnswer * board.lag.mean;
+}
+
 CallId sendToStore(WorkflowBoard &board, StoreRequest request, long long lease)
 {
     StoreCall call;
     call.id = takeCallId(board);
     call.request = std::move(request);
     call.lease = lease;
-    call.timeout = board.self.limits.storeTimeout;
+    call.timeout = patienceFor(board, board.self.limits.storeTimeout);
     const CallId id = call.id;
     board.outbox.emplace_back(std::move(call));
     return id;
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -339,6 +339,7 @@
 struct HostDirectory
 {
     std::map<HostId, HostRecord> hosts; ///< Without this one.
+    double strongestShare = 0;          ///< Of all hosts that have ever been among them; records lapse with the store, hosts need not.
     RecordStep step = RecordStep::Absent;
     std::optional<CallId> call;
     long long lease = 0;
@@ -395,6 +396,9 @@
     unsigned long long randomState = 1;
 };
 
+/// How long to wait for an answer that takes that long at most: a host that does everything late also reads answers late.
+Duration patienceFor(const WorkflowBoard &board, Duration timeout);
+
 /// Adds a call to the outbox and returns its id.
 CallId sendToStore(WorkflowBoard &board, StoreRequest request, long long lease = 0);
 
