--- a/tests/testgangplacement.cpp
+++ b/tests/testgangplacement.cpp
@@ -156,4 +156,22 @@
     EXPECT_TRUE(made.stops.empty()) << "more work was stopped although room is being made";
 }
 
+TEST_F(GangPlacement, stepThatWaitsIsExplained)
+{
+    for (int number = 1; number <= 16; ++number) {
+        occupy(number, number % 4 == 1 ? 8 : 0);
+    }
+    auto &gang = addGang("gang", 1, 4, 8);
+    gang.wantsReason = true;
+    gang.specification.needsOneRack = true;
+    EXPECT_EQ(plan().waits.at(step("gang")).reason, WaitReason::OneRack);
+    gang.specification.needsOneRack = false;
+    input.urgentReserves[{"press"}] = 80;
+    EXPECT_EQ(plan().waits.at(step("gang")), (WaitExplanation{WaitReason::Reserve, 96, 80}));
+    gang.specification.perTask.memoryMb *= 2;
+    EXPECT_EQ(plan().waits.at(step("gang")).reason, WaitReason::NoRoom);
+    gang.wantsReason = false;
+    EXPECT_TRUE(plan().waits.empty());
+}
+
 }
--- a/workflow/ownershipchange.cpp
+++ b/workflow/ownershipchange.cpp
@@ -13,6 +13,7 @@
     board.strayStops.clear();
     board.lateStarts.clear();
     board.heldRoom.clear();
+    board.explainedWaits.clear();
     board.targets = {};
     board.shapes.clear();
 }
--- a/workflow/placement.cpp
+++ b/workflow/placement.cpp
@@ -4,6 +4,7 @@
 #include "reclaim.h"
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <numeric>
 #include <optional>
@@ -54,6 +55,21 @@
     return waiting.waited >= (waiting.priority == 0 ? std::min(patience, input.urgentPatience) : patience);
 }
 
+int freeAccelerators(const PlacementInput &input, const WaitingStep &waiting)
+{
+    int free = 0;
+    for (const auto &target : input.targets) {
+        free += isAllowed(waiting, target) ? std::max(0, target.free.accelerators) : 0;
+    }
+    return free;
+}
+
+int reserveOf(const PlacementInput &input, const ServiceId &service)
+{
+    const auto kept = input.urgentReserves.find(service);
+    return kept == input.urgentReserves.end() ? 0 : kept->second;
+}
+
 /// What the step may take without touching the reserve of urgent work, which would otherwise wait until something has been stopped. A step that is too large for
 /// that even when nothing else runs has no limit.
 std::optional<int> acceleratorBudget(const PlacementInput &input, const WaitingStep &waiting)
@@ -62,15 +78,11 @@
         return std::nullopt;
     }
     int capacity = 0;
-    int free = 0;
     for (const auto &target : input.targets) {
-        if (isAllowed(waiting, target)) {
-            capacity += target.capacity.accelerators;
-            free += std::max(0, target.free.accelerators);
-        }
+        capacity += isAllowed(waiting, target) ? target.capacity.accelerators : 0;
     }
-    const auto kept = input.urgentReserves.find(waiting.service);
-    const int reserve = kept == input.urgentReserves.end() ? 0 : kept->second;
+    const int free = freeAccelerators(input, waiting);
+    const int reserve = reserveOf(input, waiting.service);
     const int atOnce = waiting.specification.isGang ? static_cast<int>(waiting.tasks.size()) : 1;
     const bool isTooLarge = atOnce * waiting.specification.perTask.accelerators > capacity - reserve;
     return isTooLarge ? std::nullopt : std::optional(free - reserve);
@@ -273,13 +285,35 @@
     makeRoom(input, plan, rest);
 }
 
+WaitReason reasonOf(const PlacementInput &input, const PlacementPlan &plan, const WaitingStep &waiting)
+{
+    if (plan.held.contains(waiting.step)) {
+        return WaitReason::RoomIsMade;
+    }
+    const int count = waiting.specification.isGang ? static_cast<int>(waiting.tasks.size()) : 1;
+    const PackingLimits anywhere{freeRoom, isAnyTarget, std::nullopt};
+    if (!packTasks(input.targets, waiting, count, anywhere)) {
+        return WaitReason::NoRoom;
+    }
+    const bool isKept = !packTasks(input.targets, waiting, count, limitsFor(input, waiting, freeRoom));
+    if (isKept) {
+        return WaitReason::Reserve;
+    }
+    return waiting.specification.needsOneRack ? WaitReason::OneRack : WaitReason::AwayFromData;
+}
+
 void placeStep(PlacementInput &input, PlacementPlan &plan, const WaitingStep &waiting)
 {
+    const auto startsBefore = plan.starts.size();
     if (waiting.specification.isGang) {
         placeGangStep(input, plan, waiting);
     } else {
         placeTasks(input, plan, waiting);
     }
+    if (waiting.wantsReason && plan.starts.size() == startsBefore) {
+        const WaitExplanation why{reasonOf(input, plan, waiting), freeAccelerators(input, waiting), reserveOf(input, waiting.service)};
+        plan.waits.emplace(waiting.step, why);
+    }
 }
 
 /// Takes what is held for the steps out of the room of the others, as far as it is still there.
@@ -304,6 +338,16 @@
 
 }
 
+std::string_view name(WaitReason reason)
+{
+    static constexpr std::array<std::string_view, 5> names{"no target has room",
+                                                           "what is free is kept for urgent work",
+                                                           "no single rack has room",
+                                                           "the rack of its data has no room",
+                                                           "other work is being stopped for it"};
+    return names.at(static_cast<std::size_t>(reason));
+}
+
 PlacementPlan planPlacements(PlacementInput input)
 {
     PlacementPlan plan;
--- a/workflow/placement.h
+++ b/workflow/placement.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sequoiastand
@@ -42,6 +43,7 @@
     Duration remaining{0};         ///< Estimated run time that is left.
     Duration slack{0};             ///< Until it must start to meet its objective; negative: it is late.
     std::map<TargetId, int> taken; ///< Tasks of the step that stand on a target already.
+    bool wantsReason = false;      ///< The plan says why it does not start.
 
     friend bool operator==(const WaitingStep &, const WaitingStep &) = default;
 };
@@ -92,11 +94,34 @@
     friend bool operator==(const PreemptedTask &, const PreemptedTask &) = default;
 };
 
+/// Why a step does not start now.
+enum class WaitReason
+{
+    NoRoom,       ///< The targets that take work have no room for it.
+    Reserve,      ///< There is room, but it is kept for urgent work.
+    OneRack,      ///< There is room, but in no single rack.
+    AwayFromData, ///< There is room, but not in the rack of its data.
+    RoomIsMade,   ///< Other work is being stopped for it.
+};
+
+std::string_view name(WaitReason reason);
+
+/// What a step that does not start was weighed against.
+struct WaitExplanation
+{
+    WaitReason reason = WaitReason::NoRoom;
+    int freeAccelerators = 0; ///< On all targets that it may use.
+    int kept = 0;             ///< Of these, for urgent work.
+
+    friend bool operator==(const WaitExplanation &, const WaitExplanation &) = default;
+};
+
 struct PlacementPlan
 {
     std::vector<PlannedStart> starts;
     std::vector<PreemptedTask> stops;
-    std::map<StepId, TaskPlaces> held; ///< For the next pass.
+    std::map<StepId, TaskPlaces> held;       ///< For the next pass.
+    std::map<StepId, WaitExplanation> waits; ///< Of steps that want a reason.
 
     friend bool operator==(const PlacementPlan &, const PlacementPlan &) = default;
 };
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -384,7 +384,8 @@
     Table<CallId, OpenCallerCall> calls;
     SummaryCopy summary;
     HostDirectory directory;
-    std::map<StepId, TaskPlaces> heldRoom; ///< Room that the last placement pass holds for urgent steps.
+    std::map<StepId, TaskPlaces> heldRoom;      ///< Room that the last placement pass holds for urgent steps.
+    std::map<StepId, TimePoint> explainedWaits; ///< When the log said last why the step waits.
     TimePoint nextPlanAt;
     bool isPlanWanted = false; ///< Something has changed that a placement pass should look at.
     TimerTable timers;
