Pace orders to targets that do not answer, and write one log line for the stops of a step

The first repetition now goes out at once and the delay doubles up to 1 s. Stops of one step share a line, finished members of a gang too, and the counter of stops is labelled by cause instead of by the step that gained (its labels grew without bound).

--- a/tests/testtargetlifecycle.cpp
+++ b/tests/testtargetlifecycle.cpp
@@ -202,4 +202,17 @@
     }
 }
 
+TEST_F(TargetLifecycle, stopsForATargetThatIsGoneAreSentAtAPace)
+{
+    // Guards against a stop that is sent again as soon as the connection is refused, some thousand times a second.
+    const auto place = startLongTask(1);
+    removeTarget(fleet, {place});
+    answerTo(cancel(id(1)));
+    sentOrders.clear();
+    run(Duration{2'000});
+    const auto stops = std::ranges::count_if(sentOrders, [](const TargetOrder &order) { return std::holds_alternative<StopRun>(order.request); });
+    EXPECT_GE(stops, 2);
+    EXPECT_LE(stops, 8);
+}
+
 }
--- a/workflow/advanceworkflows.cpp
+++ b/workflow/advanceworkflows.cpp
@@ -44,9 +44,7 @@
                     + " ms after acceptance, objective " + std::to_string(objectiveOf(workflow, queue).count()) + " ms, priority "
                     + std::to_string(queue.priority));
     count(board.counters, "workflowsEnded", std::string(name(state)));
-    for (const auto &run : runsOf(board, id)) {
-        stopRun(board, run, "its workflow is " + std::string(name(state)));
-    }
+    stopRuns(board, runsOf(board, id), RunStopCause::WorkflowEnded, std::string(name(state)));
 }
 
 /// Adds the occurrences that are due. Their start is no decision that must outlast this owner, so the store is not told.
@@ -145,7 +143,7 @@
         }
     }
     for (const auto &run : left) {
-        stopRun(board, run, "its workflow has ended");
+        stopRuns(board, {run}, RunStopCause::WorkflowEnded, "left from before");
     }
 }
 
--- a/workflow/driveruns.cpp
+++ b/workflow/driveruns.cpp
@@ -106,7 +106,7 @@
     const auto gangWait = static_cast<double>(board.self.limits.gangWait.count()) * gangPatience;
     const Duration patience = isGang ? Duration{static_cast<Duration::rep>(gangWait)} : board.self.limits.startLife;
     if (board.now >= run.since + patience) {
-        stopRun(board, run, "its start was not answered in time");
+        stopRuns(board, {run}, RunStopCause::StartUnanswered, std::to_string(run.starts) + " starts without an answer");
         failGangOf(board, run, GangFault::NeverTogether, "a member's start was not answered in time");
         return;
     }
--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -20,6 +20,10 @@
 // A target that refused a start for a reason of its own gets no work for this time.
 constexpr Duration refusalPause{1'000};
 
+// The longest pause between two sendings of an order, so that a target which comes back is reached within a second.
+constexpr Duration maxOrderDelay{1'000};
+constexpr int maxDoublings = 8;
+
 // Ends that wait for the store are asked for again after this time.
 constexpr Duration pendingEndPause{500};
 
@@ -184,10 +188,17 @@
     failGangOf(board, run, GangFault::NeverTogether, "a member was refused");
 }
 
+/// The first repetition goes out at once, on a new connection; then the delay doubles.
+Duration orderDelay(Duration first, int unanswered)
+{
+    return unanswered <= 1 ? Duration{0} : std::min(maxOrderDelay, first * (1 << std::min(unanswered - 2, maxDoublings)));
+}
+
 void takeRunReply(WorkflowBoard &board, TaskRun run, const TargetOrderReply &reply)
 {
     const bool wasStop = run.isStopCall;
     run.call.reset();
+    run.unanswered = reply.outcome == OrderOutcome::Accepted || reply.outcome == OrderOutcome::Refused ? 0 : run.unanswered;
     if (reply.outcome == OrderOutcome::Accepted) {
         if (wasStop) {
             run.stoppedAt = board.now;
@@ -219,7 +230,8 @@
         run.mayArriveLate = true;
         noteLateStart(board, run);
     }
-    run.retryAt = board.now + (run.starts > 1 ? board.self.limits.orderRetry : Duration{0});
+    ++run.unanswered;
+    run.retryAt = board.now + orderDelay(board.self.limits.orderRetry, run.unanswered);
     putRun(board, run);
 }
 
--- a/workflow/placementinput.cpp
+++ b/workflow/placementinput.cpp
@@ -130,7 +130,7 @@
 {
     const auto explained = board.explainedWaits.find(waiting.step);
     const bool isOverdue = explained == board.explainedWaits.end() || board.now - explained->second >= explanationPeriod;
-    return waiting.waited >= explanationPeriod && isOverdue;
+    return waiting.waited >= explainedAfter && isOverdue;
 }
 
 std::vector<WaitingStep> waitingSteps(const WorkflowBoard &board, const std::set<RequestId> &guaranteed)
--- a/workflow/planwork.cpp
+++ b/workflow/planwork.cpp
@@ -96,11 +96,15 @@
 
 void stopPlanned(WorkflowBoard &board, const std::vector<PreemptedTask> &stops)
 {
+    std::map<std::pair<StepId, StepId>, std::vector<TaskRun>> bySteps;
     for (const auto &stop : stops) {
         if (const auto *run = board.runs.find(stop.task)) {
-            stopRun(board, *run, "preempted for " + toString(stop.inFavourOf));
+            bySteps[{stop.task.step, stop.inFavourOf}].push_back(*run);
         }
     }
+    for (const auto &[steps, runs] : bySteps) {
+        stopRuns(board, runs, RunStopCause::Preempted, "for " + toString(steps.second));
+    }
 }
 
 }
--- a/workflow/progresschange.cpp
+++ b/workflow/progresschange.cpp
@@ -1,5 +1,8 @@
 #include "progresschange.h"
 
+#include <algorithm>
+#include <array>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -96,21 +99,36 @@
     });
 }
 
-void stopRun(WorkflowBoard &board, TaskRun run, const std::string &reason, Duration delay)
+std::string_view name(RunStopCause cause)
 {
-    if (run.isStopWanted || run.stoppedAt) {
+    static constexpr std::array<std::string_view, 4> names{"workflowEnded", "preempted", "gangBroken", "startUnanswered"};
+    return names.at(static_cast<std::size_t>(cause));
+}
+
+void stopRuns(WorkflowBoard &board, const std::vector<TaskRun> &runs, RunStopCause cause, const std::string &detail, Duration delay)
+{
+    std::vector<TaskRun> stopped;
+    std::ranges::copy_if(runs, std::back_inserter(stopped), [](const TaskRun &run) { return !run.isStopWanted && !run.stoppedAt; });
+    if (stopped.empty()) {
         return;
     }
-    logDecision(board, "stopRun", run.place.target.value, toString(run.task), "run " + std::to_string(run.number) + ": " + reason);
-    count(board.counters, "runsStopped", reason);
-    if (run.step == RunStep::Recording) {
-        removeRun(board, run);
-        return;
+    const auto &first = stopped.front();
+    logDecision(board,
+                "stopRuns",
+                first.place.target.value,
+                stopped.size() == 1 ? toString(first.task) : toString(first.task.step),
+                std::string(name(cause)) + ", run " + std::to_string(first.number) + ", " + std::to_string(stopped.size()) + " tasks: " + detail);
+    count(board.counters, "runsStopped", std::string(name(cause)), static_cast<long long>(stopped.size()));
+    for (auto &run : stopped) {
+        if (run.step == RunStep::Recording) {
+            removeRun(board, run);
+            continue;
+        }
+        run.isStopWanted = true;
+        run.since = board.now;
+        run.retryAt = board.now + delay;
+        putRun(board, run);
     }
-    run.isStopWanted = true;
-    run.since = board.now;
-    run.retryAt = board.now + delay;
-    putRun(board, run);
 }
 
 }
--- a/workflow/progresschange.h
+++ b/workflow/progresschange.h
@@ -3,6 +3,9 @@
 #include "workflowboard.h"
 
 #include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace sequoiastand
 {
@@ -32,7 +35,19 @@
 /// Removes a run that its target certainly does not run any more, and frees the task.
 void removeRun(WorkflowBoard &board, const TaskRun &run);
 
-/// Asks for the run to be stopped, after the delay; one whose order has not gone out is removed at once.
-void stopRun(WorkflowBoard &board, TaskRun run, const std::string &reason, Duration delay = Duration{0});
+/// Why runs are stopped; names the counter.
+enum class RunStopCause
+{
+    WorkflowEnded,
+    Preempted,
+    GangBroken,
+    StartUnanswered,
+};
+
+std::string_view name(RunStopCause cause);
+
+/// Asks for runs of one step to be stopped, after the delay; those whose orders have not gone out are removed at once. Runs that are being stopped already are left
+/// alone. `detail` goes to the log.
+void stopRuns(WorkflowBoard &board, const std::vector<TaskRun> &runs, RunStopCause cause, const std::string &detail, Duration delay = Duration{0});
 
 }
--- a/workflow/runends.cpp
+++ b/workflow/runends.cpp
@@ -145,14 +145,16 @@
     if (step == nullptr || !step->isGang) {
         return;
     }
+    std::vector<TaskRun> others;
     for (auto member : runsOf(board, run.task.step)) {
         if (member.task == run.task || member.number != run.number) {
             continue;
         }
         member.isGangBroken = member.isGangBroken || fault == GangFault::MemberFailed;
         putRun(board, member);
-        stopRun(board, member, reason, fault == GangFault::NeverTogether ? Duration{0} : brokenGangPause(board));
+        others.push_back(std::move(member));
     }
+    stopRuns(board, others, RunStopCause::GangBroken, reason, fault == GangFault::NeverTogether ? Duration{0} : brokenGangPause(board));
 }
 
 void takeEnd(WorkflowBoard &board, const TargetId &target, const EndedRun &ended)
@@ -165,7 +167,10 @@
     const TaskRun run = *present;
     const auto *step = findStep(board, run.task.step);
     const bool isGang = step != nullptr && step->isGang;
-    logDecision(board, "endRun", target.value, toString(run.task), runText(run.number) + " ended as " + std::string(name(ended.end)));
+    const bool hasGangFinished = isGang && ended.end == RunEnd::Finished && run.step == RunStep::Ending;
+    if (!hasGangFinished) { // One line for the first member is enough.
+        logDecision(board, "endRun", target.value, toString(run.task), runText(run.number) + " ended as " + std::string(name(ended.end)));
+    }
     count(board.counters, "runsEnded", std::string(name(ended.end)));
     noteQuality(board, target, ended.end);
     if (ended.end == RunEnd::Finished) {
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -191,6 +191,7 @@
     TimePoint startSentAt;             ///< Of the newest start order.
     TimePoint retryAt;
     int starts = 0;               ///< Start orders sent.
+    int unanswered = 0;           ///< Orders without an answer since the last one that was answered.
     bool mayArriveLate = false;   ///< A start was not answered, so the target may carry it out even in its next life.
     TargetClock startDeadline{0}; ///< Latest deadline given to the target with a start.
     bool isStopCall = false;      ///< `call` is a stop.
