--- a/tests/testcallerproof.cpp
+++ b/tests/testcallerproof.cpp
@@ -163,4 +163,19 @@
     EXPECT_EQ(board("h1").view.configuration.version, present);
 }
 
+TEST_F(CallerProof, callersOfASilentStoreAreRefusedAtOnceAfterTwoProofsWithoutAnAnswer)
+{
+    // Guards against submissions that are sent to a store that answers nothing, and then count as possibly accepted.
+    store.faults.answersToSwallow = 1'000'000;
+    const auto &limits = settings.limits;
+    run(limits.proofPeriod + 2 * limits.storeTimeout + limits.storeRetry + Duration{100});
+    const auto before = now;
+    const auto answer = answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {}, "h2"));
+    ASSERT_TRUE(answer.refusal);
+    EXPECT_EQ(answer.refusal->reason, RefusalReason::StoreUnavailable);
+    EXPECT_EQ(answer.refusal->run, RunClaim::NotRun);
+    EXPECT_LT(now - before, Duration{50});
+    EXPECT_FALSE(storedState(id(1)));
+}
+
 }
--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -355,10 +355,11 @@
     }
     if (board.now >= call.answerBy) {
         refuse(board, call, RefusalReason::Timeout, "the store has not answered in time");
-    } else if (call.step == CallerStep::Proving && isProofFresh(board)) {
-        handle(board, call);
     } else if (call.step == CallerStep::Proving && !board.view.isReachable) {
+        // Also under a proof that is still fresh: what would be sent now is most likely lost, and the caller could not tell whether it was accepted.
         refuse(board, call, RefusalReason::StoreUnavailable, board.view.isLoaded ? "the store does not answer" : "the host has no configuration yet");
+    } else if (call.step == CallerStep::Proving && isProofFresh(board)) {
+        handle(board, call);
     } else if (call.step != CallerStep::Proving && !call.call && board.now >= call.retryAt) {
         resend(board, call);
     }
--- a/workflow/domainsettings.h
+++ b/workflow/domainsettings.h
@@ -41,7 +41,7 @@
     Duration summaryPeriod{1'000};  ///< Between two writes of the summary.
     Duration summaryAge{1'000};     ///< How old a copy of the summary an accepting host may use.
     Duration retryAfter{1'000};     ///< Told to callers whose request was refused for a passing reason that concerns all hosts.
-    Duration readinessAge{1'000};   ///< How old another host's word that it is ready may be.
+    Duration readinessAge{300};     ///< How old another host's word that it is ready may be.
     Duration readinessTimeout{120}; ///< Hosts answer within some milliseconds; a refused caller waits no longer.
     int maxRecordsPerBatch = 29;    ///< The store takes 32 entries a transaction; two conditions and the mark are always there.
 
--- a/workflow/proveconfiguration.cpp
+++ b/workflow/proveconfiguration.cpp
@@ -11,7 +11,7 @@
 {
 
 // After this many proofs without an answer in a row a host counts as cut off from the store; single answers get lost.
-constexpr int missedProofs = 3;
+constexpr int missedProofs = 2;
 
 void adoptConfiguration(WorkflowBoard &board, const QueueConfiguration &configuration, Revision revision)
 {
