--- a/tests/testgangplacement.cpp
+++ b/tests/testgangplacement.cpp
@@ -134,7 +134,7 @@
 
 TEST_F(GangPlacement, stepsGoOnlyToTargetsOfTheirServiceWithTheirLabel)
 {
-    target(7).labels.push_back("special");
+    target(7).labels.emplace_back("special");
     addBatch("special", 2, 3, 8).specification.requiredLabel = "special";
     const auto made = plan();
     ASSERT_EQ(startsOf(made, "special"), 1);
--- a/tests/testworkflowpath.cpp
+++ b/tests/testworkflowpath.cpp
@@ -138,7 +138,7 @@
 {
     // Guards against "never fits" for work whose targets are away for a moment, also under an owner that has never seen them.
     auto special = fleet.targets.at({"t8"}).registration;
-    special.labels.push_back("special");
+    special.labels.emplace_back("special");
     fleet.targets.at({"t8"}).registration = special;
     registerAgain("t8");
     run(Duration{1'500});
