Add a fault soak of real host processes against the platform's stand-ins

Cause: promises under faults were checked with fakes on virtual time only; no run had real processes, sockets and signals on the platform's protocol. platform/standin speaks the platform's side of store, targets, operators and callers; soak/ plans faults from a seed, injects them by proxies and signals, and judges the history by a function without network.

--- /dev/null
+++ b/soak/callers.cpp
@@ -0,0 +1,236 @@
+#include "callers.h"
+
+#include "platform/standin/platformwriter.h"
+#include "wire/jsonfields.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+// As the users' callers do: they wait three seconds and try five times in all.
+constexpr Duration callerPatience{3'000};
+constexpr int maxTries = 5;
+
+constexpr int minWorkGapMs = 100;
+constexpr int maxWorkGapMs = 500;
+constexpr int minQueryGapMs = 600;
+constexpr int maxQueryGapMs = 2'000;
+constexpr int minRetryMs = 100;
+constexpr int maxRetryMs = 1'200;
+
+int acceleratorsOf(const WorkflowSpecification &specification)
+{
+    int most = 0;
+    for (const auto &step : specification.steps) {
+        most = std::max(most, step.taskCount * step.perTask.accelerators);
+    }
+    return most;
+}
+
+bool isOpen(const SoakWorkflow &workflow)
+{
+    return !workflow.isGivenUp && !(workflow.state && hasEnded(*workflow.state));
+}
+
+/// All urgent work of the organisation that may not have ended fits into its guarantee, this workflow included.
+bool isWithinGuarantee(const SoakWorld &world, const Workflow &fresh)
+{
+    int accelerators = acceleratorsOf(fresh.specification);
+    for (const auto &[id, other] : world.workflows) {
+        if (isOpen(other) && other.workflow.organisation == fresh.organisation && other.workflow.queue.priority == 0) {
+            accelerators += acceleratorsOf(other.workflow.specification);
+        }
+    }
+    return accelerators <= world.configuration.organisations.at(fresh.organisation).guaranteedAccelerators;
+}
+
+bool hasUnfinishedTasks(const SoakWorld &world, const Workflow &workflow)
+{
+    const auto &steps = workflow.specification.steps;
+    for (std::size_t step = 0; step < steps.size(); ++step) {
+        for (int index = 0; index < steps[step].taskCount; ++index) {
+            if (!world.targets.fleet.finished.contains({{workflow.id, 0, static_cast<int>(step)}, index})) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+std::optional<WorkflowState> stateIn(const std::string &body)
+{
+    const auto json = parseJson(body, "answer");
+    if (!json.ok() || !json->is_object() || !json->contains("state")) {
+        return std::nullopt;
+    }
+    return workflowStateFromName(json->at("state").get<std::string>());
+}
+
+Duration drawDuration(SoakWorld &world, int least, int most)
+{
+    return Duration{drawNumber(world, least, most)};
+}
+
+void takeAnswer(SoakWorld &world, SoakWorkflow &workflow, ObservedCall &call, const HttpAnswer &answer)
+{
+    constexpr int statusUnauthorised = 401;
+    const bool isAnswered = answer.outcome == HttpOutcome::Answered;
+    call.endedAt = EventLoop::now();
+    call.status = isAnswered ? answer.status : 0;
+    call.isNotSent = answer.outcome == HttpOutcome::NotSent;
+    const bool isSuccess = call.status >= 200 && call.status < 300;
+    if (call.action == CallerAction::Submit) {
+        workflow.isCallOpen = false;
+        workflow.isAccepted = workflow.isAccepted || isSuccess;
+        // A caller whose key has been taken away, or whose body is at fault, does not try again.
+        const bool isFinal = call.status >= 400 && call.status < 500 && call.status != 429;
+        workflow.isGivenUp = !workflow.isAccepted && (workflow.tries >= maxTries || (isFinal && call.status != statusUnauthorised));
+        workflow.nextCallAt = EventLoop::now() + drawDuration(world, minRetryMs, maxRetryMs);
+    } else if (call.action == CallerAction::Query) {
+        workflow.isCallOpen = false;
+        workflow.nextCallAt = EventLoop::now() + drawDuration(world, minQueryGapMs, maxQueryGapMs);
+        call.state = isSuccess ? stateIn(answer.body) : std::nullopt;
+        call.hasUnfinishedTasks = hasUnfinishedTasks(world, workflow.workflow);
+        workflow.state = call.state ? call.state : workflow.state;
+    }
+}
+
+void send(SoakWorld &world, SoakWorkflow &workflow, CallerAction action)
+{
+    constexpr std::array<const char *, 3> methods{"POST", "GET", "DELETE"};
+    const auto &host = world.hosts[static_cast<std::size_t>(drawNumber(world, 0, static_cast<int>(world.hosts.size()) - 1))];
+    const auto &queue = workflow.workflow.queue;
+    HttpCall call;
+    call.method = methods.at(static_cast<std::size_t>(action));
+    call.address = host.callerLink->address();
+    call.path = queue.prefix + workflow.workflow.id.value;
+    call.body = action == CallerAction::Submit ? submissionText(workflow.workflow.specification) : std::string{};
+    call.bearerToken = workflow.key;
+    call.timeout = callerPatience;
+    call.headers = {"Host: " + queue.host, absl::StrCat("Deadline-Ms: ", callerPatience.count())};
+    const auto number = world.history.calls.size();
+    ObservedCall observed;
+    observed.action = action;
+    observed.workflow = workflow.workflow.id;
+    observed.host = host.place.id;
+    observed.key = workflow.key;
+    observed.sentAt = EventLoop::now();
+    world.history.calls.push_back(observed);
+    if (action != CallerAction::Cancel) {
+        workflow.isCallOpen = true;
+    }
+    workflow.tries += action == CallerAction::Submit ? 1 : 0;
+    world.http.send(call, [&world, &workflow, number](const HttpAnswer &answer) { takeAnswer(world, workflow, world.history.calls[number], answer); });
+}
+
+SoakWorkflow &addWorkflow(SoakWorld &world, const std::string &queue, const std::string &organisation, WorkflowSpecification specification)
+{
+    const RequestId id{absl::StrFormat("%016x", world.workflows.size() + 1)};
+    auto &row = world.workflows[id];
+    row.workflow.id = id;
+    row.workflow.queue = world.configuration.queues.at({queue});
+    row.workflow.organisation = {organisation};
+    row.workflow.specification = std::move(specification);
+    row.key = (drawNumber(world, 0, 3) == 0 ? "spare-" : "key-") + organisation;
+    TaskBehaviour behaviour;
+    behaviour.work = drawDuration(world, 200, 3'000);
+    if (drawNumber(world, 0, 9) == 0) {
+        behaviour.failingTasks.insert(0);
+    }
+    auto &sent = world.history.workflows[id];
+    sent.canComplete = behaviour.failingTasks.empty();
+    world.targets.fleet.behaviours[id] = behaviour;
+    world.targets.fleet.workflows[id] = row.workflow;
+    return row;
+}
+
+void sendAny(SoakWorld &world)
+{
+    constexpr std::array<const char *, 3> queues{"urgent", "ordinary", "patient"};
+    constexpr std::array<const char *, 2> organisations{"tailors", "hotels"};
+    const std::string queue = queues.at(static_cast<std::size_t>(drawNumber(world, 0, 2)));
+    StepSpecification step;
+    step.taskCount = drawNumber(world, 1, 6);
+    step.perTask = {1'000 * drawNumber(world, 1, 6), 2'000 * drawNumber(world, 1, 8), drawNumber(world, 1, 4)};
+    step.estimate = Duration{1'000};
+    step.isGang = drawNumber(world, 0, 1) == 0;
+    step.isCheckpointable = drawNumber(world, 0, 1) == 0;
+    WorkflowSpecification specification;
+    specification.payload = "soak";
+    specification.steps.push_back(step);
+    if (drawNumber(world, 0, 3) == 0) {
+        step.after = {0};
+        step.isGang = false;
+        specification.steps.push_back(step);
+    }
+    send(world, addWorkflow(world, queue, organisations.at(static_cast<std::size_t>(drawNumber(world, 0, 1))), std::move(specification)), CallerAction::Submit);
+}
+
+}
+
+void runCallers(SoakWorld &world)
+{
+    const auto now = EventLoop::now();
+    if (world.sendsWork && now >= world.nextWorkAt) {
+        world.nextWorkAt = now + drawDuration(world, minWorkGapMs, maxWorkGapMs);
+        sendAny(world);
+    }
+    for (auto &[id, workflow] : world.workflows) {
+        if (!workflow.isCallOpen && isOpen(workflow) && now >= workflow.nextCallAt) {
+            send(world, workflow, workflow.isAccepted ? CallerAction::Query : CallerAction::Submit);
+        }
+    }
+}
+
+void sendBurst(SoakWorld &world, int count)
+{
+    for (int sent = 0; sent < count; ++sent) {
+        sendAny(world);
+    }
+}
+
+void cancelSome(SoakWorld &world, int percent)
+{
+    for (auto &[id, workflow] : world.workflows) {
+        if (workflow.isAccepted && isOpen(workflow) && drawNumber(world, 1, 100) <= percent) {
+            auto &sent = world.history.workflows.at(id);
+            sent.cancelledAt = sent.cancelledAt.value_or(EventLoop::now());
+            send(world, workflow, CallerAction::Cancel);
+        }
+    }
+}
+
+void sendUrgentGangs(SoakWorld &world)
+{
+    for (const auto &[organisation, share] : world.configuration.organisations) {
+        StepSpecification step;
+        step.taskCount = 4;
+        step.perTask = {2'000, 4'000, share.guaranteedAccelerators / step.taskCount};
+        step.estimate = Duration{1'000};
+        step.isGang = true;
+        Workflow wanted;
+        wanted.organisation = organisation;
+        wanted.specification.payload = "soak";
+        wanted.specification.steps.push_back(step);
+        const bool isGuaranteed = isWithinGuarantee(world, wanted);
+        auto &workflow = addWorkflow(world, "urgent", organisation.value, wanted.specification);
+        world.history.workflows.at(workflow.workflow.id).isUrgent = isGuaranteed;
+        send(world, workflow, CallerAction::Submit);
+    }
+}
+
+bool haveAllEnded(const SoakWorld &world)
+{
+    return std::ranges::all_of(world.workflows, [](const auto &row) { return !isOpen(row.second) && !row.second.isCallOpen; });
+}
+
+}
--- /dev/null
+++ b/soak/proxy.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "core/time.h"
+#include "net/eventloop.h"
+
+#include <absl/status/status.h>
+
+#include <deque>
+#include <list>
+#include <memory>
+#include <string>
+
+namespace sequoiastand
+{
+
+/// How a proxy treats what passes through it.
+struct ProxyFaults
+{
+    Duration delay{0};         ///< Before bytes are passed on, each way.
+    bool cutsToServer = false; ///< Bytes to the server are held until the cut heals.
+    bool cutsToClient = false; ///< Bytes to the client are held until the cut heals.
+
+    friend bool operator==(const ProxyFaults &, const ProxyFaults &) = default;
+};
+
+/// TCP proxy on a free loopback port.
+class Proxy
+{
+public:
+    Proxy(EventLoop &loop, std::string serverAddress);
+    ~Proxy();
+    Proxy(const Proxy &) = delete;
+    Proxy &operator=(const Proxy &) = delete;
+
+    absl::Status listen();
+
+    /// IP number and port at which clients reach the server through the proxy.
+    std::string address() const;
+
+    void setFaults(const ProxyFaults &faults);
+
+    /// Resets all present connections at both ends.
+    void resetConnections();
+
+    /// Present connections carry nothing any more and stay open; new ones work.
+    void silenceConnections();
+
+    std::size_t connectionCount() const
+    {
+        return m_links.size();
+    }
+
+private:
+    /// Bytes on their way; empty stands for the end of the stream.
+    struct Chunk
+    {
+        TimePoint due;
+        std::string bytes;
+    };
+
+    struct End
+    {
+        int descriptor = -1;
+        std::unique_ptr<SocketWatch> watch;
+        std::deque<Chunk> toSend; ///< To this end.
+        bool hasEnded = false;    ///< It sends nothing more.
+        bool isClosedForSending = false;
+        bool isConnecting = false;
+    };
+
+    struct Link
+    {
+        End client;
+        End server;
+        bool isSilent = false;
+        bool isBroken = false;
+    };
+
+    void accept();
+    void onReady(Link &link, End &from, End &to, int events);
+    void receive(Link &link, End &from, End &to);
+    bool flush(Link &link, End &end);
+    bool isHeld(const Link &link, const End &end) const;
+    void watchEnds(Link &link);
+    void pump();
+    void removeEnded();
+
+    EventLoop &m_loop;
+    std::string m_serverAddress;
+    ProxyFaults m_faults;
+    int m_listener = -1;
+    int m_port = 0;
+    SocketWatch m_watch;
+    Timer m_timer;
+    std::list<Link> m_links;
+};
+
+}
--- /dev/null
+++ b/soak/soakhistory.cpp
@@ -0,0 +1,214 @@
+#include "soakhistory.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+constexpr int statusTooMany = 429;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusGatewayTimeout = 504;
+
+using Faults = std::vector<std::string>;
+
+long long millis(TimePoint time)
+{
+    return time.time_since_epoch().count();
+}
+
+bool isSuccess(const ObservedCall &call)
+{
+    return call.status >= 200 && call.status < 300;
+}
+
+/// The answer says that the workflow was not accepted and never runs.
+bool isRejection(const ObservedCall &call)
+{
+    const bool isUncertain = call.status == 0 || call.status == statusBadGateway || call.status == statusGatewayTimeout;
+    return call.isNotSent || (!isUncertain && !isSuccess(call));
+}
+
+/// Nothing that concerns the host, or everyone, was disturbed in that time.
+bool isCalm(const SoakHistory &history, const HostId &host, TimePoint from, TimePoint until)
+{
+    return std::ranges::none_of(history.disturbances, [&](const Disturbance &disturbance) {
+        const bool concerns = disturbance.host == HostId{} || host == HostId{} || disturbance.host == host;
+        return concerns && disturbance.from <= until && disturbance.until >= from;
+    });
+}
+
+/// Nothing at all was disturbed in that time.
+bool isCalm(const SoakHistory &history, TimePoint from, TimePoint until)
+{
+    return isCalm(history, HostId{}, from, until);
+}
+
+void checkRejections(const SoakHistory &history, Faults &faults)
+{
+    for (const auto &[id, workflow] : history.workflows) {
+        const auto isSubmission = [&](const ObservedCall &call) { return call.action == CallerAction::Submit && call.workflow == id; };
+        const bool isRejected = std::ranges::all_of(history.calls, [&](const ObservedCall &call) { return !isSubmission(call) || isRejection(call); });
+        const auto start = std::ranges::find(history.starts, id, [](const ObservedStart &started) { return started.task.step.workflow; });
+        if (isRejected && start != history.starts.end()) {
+            faults.push_back(
+                absl::StrCat("REFUSED: ", toString(start->task), ": started at ", millis(start->at), ", and every answer said that it never runs"));
+        }
+    }
+}
+
+void checkAccepted(const SoakHistory &history, Faults &faults)
+{
+    for (const auto &[id, workflow] : history.workflows) {
+        const bool isAccepted = std::ranges::any_of(
+            history.calls, [&](const ObservedCall &call) { return call.action == CallerAction::Submit && call.workflow == id && isSuccess(call); });
+        if (!isAccepted) {
+            continue;
+        }
+        if (!workflow.endState) {
+            faults.push_back(absl::StrCat("LOST: ", id.value, ": was accepted and is not known at the end"));
+        } else if (!hasEnded(*workflow.endState)) {
+            faults.push_back(absl::StrCat("LOST: ", id.value, ": is still ", std::string(name(*workflow.endState)), " at the end"));
+        } else if (workflow.canComplete && !workflow.cancelledAt && *workflow.endState != WorkflowState::Completed) {
+            faults.push_back(absl::StrCat("LOST: ", id.value, ": could be done and is shown as ", std::string(name(*workflow.endState))));
+        }
+    }
+}
+
+void checkStates(const SoakHistory &history, Faults &faults)
+{
+    for (const auto &call : history.calls) {
+        if (call.state == WorkflowState::Completed && call.hasUnfinishedTasks) {
+            faults.push_back(absl::StrCat("MIXED: ", call.workflow.value, ": shown as completed by ", call.host.value, " while a task had not finished"));
+        }
+    }
+}
+
+void checkKeys(const SoakHistory &history, const SoakBounds &bounds, Faults &faults)
+{
+    for (const auto &removal : history.keysRemoved) {
+        for (const auto &call : history.calls) {
+            const bool isOut = call.sentAt > removal.from + bounds.revoke && (!removal.until || call.sentAt < *removal.until);
+            if (call.key == removal.subject && isOut && isSuccess(call)) {
+                faults.push_back(
+                    absl::StrCat("CONFIG: ", call.host.value, " served a key at ", millis(call.sentAt), " that had been removed at ", millis(removal.from)));
+            }
+        }
+    }
+}
+
+/// Starts within a withdrawal, later than the bound after its begin. `subjectOf` names what may be withdrawn.
+template<typename SubjectOf>
+void checkStartsIn(const SoakHistory &history,
+                   const std::vector<Withdrawal> &withdrawals,
+                   Duration bound,
+                   const std::string &rule,
+                   const SubjectOf &subjectOf,
+                   const SoakBounds &bounds,
+                   Faults &faults)
+{
+    for (const auto &start : history.starts) {
+        for (const auto &withdrawal : withdrawals) {
+            const bool isIn = start.at > withdrawal.from + bound && (!withdrawal.until || start.at < *withdrawal.until);
+            const bool counts = !start.isLate && isCalm(history, start.at - bounds.contact, start.at);
+            if (subjectOf(start) == withdrawal.subject && isIn && counts) {
+                faults.push_back(absl::StrCat(rule,
+                                              ": ",
+                                              toString(start.task),
+                                              ": started at ",
+                                              millis(start.at),
+                                              ", ",
+                                              withdrawal.subject,
+                                              " was withdrawn at ",
+                                              millis(withdrawal.from)));
+            }
+        }
+    }
+}
+
+void checkCancellations(const SoakHistory &history, const SoakBounds &bounds, Faults &faults)
+{
+    for (const auto &call : history.calls) {
+        if (call.action != CallerAction::Cancel || !isSuccess(call)) {
+            continue;
+        }
+        for (const auto &start : history.starts) {
+            const bool isTooLate = start.task.step.workflow == call.workflow && start.at > *call.endedAt + bounds.cancellation;
+            if (isTooLate && !start.isLate && isCalm(history, start.at - bounds.contact, start.at)) {
+                faults.push_back(absl::StrCat("UNASKED: ", toString(start.task), ": started at ", millis(start.at), ", cancelled at ", millis(*call.endedAt)));
+            }
+        }
+    }
+}
+
+void checkPlannedStops(const SoakHistory &history, const SoakBounds &bounds, Faults &faults)
+{
+    for (const auto &stop : history.plannedStops) {
+        const auto end = stop.endedAt.value_or(TimePoint::max());
+        if (stop.endedAt && *stop.endedAt - stop.at > bounds.gracePeriod) {
+            faults.push_back(absl::StrCat("STOP: ", stop.host.value, ": ended ", (*stop.endedAt - stop.at).count(), " ms after SIGTERM"));
+        }
+        if (stop.endedAt && stop.exitStatus != 0) {
+            faults.push_back(absl::StrCat("STOP: ", stop.host.value, ": ended with status ", stop.exitStatus, " after SIGTERM"));
+        }
+        for (const auto &call : history.calls) {
+            const bool wasOpen = call.host == stop.host && call.endedAt && call.sentAt <= end && *call.endedAt >= stop.at;
+            const auto taken = call.endedAt.value_or(call.sentAt) - call.sentAt;
+            const bool isCut = call.status == 0 && !call.isNotSent && taken > bounds.lossSlack && taken < bounds.callerPatience;
+            if (wasOpen && isCut && isCalm(history, call.host, call.sentAt - bounds.contact, *call.endedAt)) {
+                faults.push_back(
+                    absl::StrCat("LOST: ", call.host.value, ": cut off a request of ", millis(call.sentAt), " in its planned stop of ", millis(stop.at)));
+            }
+        }
+    }
+}
+
+void checkReclaim(const SoakHistory &history, const SoakBounds &bounds, Faults &faults)
+{
+    for (const auto &call : history.calls) {
+        const auto workflow = history.workflows.find(call.workflow);
+        const bool isAcceptance = call.action == CallerAction::Submit && isSuccess(call) && workflow != history.workflows.end();
+        if (!isAcceptance || !workflow->second.isUrgent || workflow->second.cancelledAt) {
+            continue;
+        }
+        const auto due = *call.endedAt + bounds.reclaim;
+        const bool hasBegun =
+            std::ranges::any_of(history.starts, [&](const ObservedStart &start) { return start.task.step.workflow == call.workflow && start.at <= due; });
+        if (!hasBegun && isCalm(history, call.sentAt - bounds.contact, due)) {
+            faults.push_back(
+                absl::StrCat("RECLAIM: ", call.workflow.value, ": accepted at ", millis(*call.endedAt), ", not begun after ", bounds.reclaim.count(), " ms"));
+        }
+    }
+}
+
+}
+
+std::vector<std::string> checkHistory(const SoakHistory &history, const SoakBounds &bounds)
+{
+    Faults faults = history.objections;
+    checkRejections(history, faults);
+    checkAccepted(history, faults);
+    checkStates(history, faults);
+    checkKeys(history, bounds, faults);
+    const auto zoneOf = [](const ObservedStart &start) { return start.availabilityZone.value; };
+    const auto targetOf = [](const ObservedStart &start) { return start.target.value; };
+    checkStartsIn(history, history.zonesOut, bounds.evacuation, "EVAC", zoneOf, bounds, faults);
+    checkStartsIn(history, history.targetsLeaving, bounds.drain, "DRAIN", targetOf, bounds, faults);
+    checkCancellations(history, bounds, faults);
+    checkPlannedStops(history, bounds, faults);
+    checkReclaim(history, bounds, faults);
+    for (const auto &end : history.unaskedEnds) {
+        faults.push_back(absl::StrCat("END: ", end.host.value, ": ended by itself with status ", end.exitStatus, " at ", millis(end.at)));
+    }
+    for (const auto &host : history.hostsNotReadyAtEnd) {
+        faults.push_back(absl::StrCat("READY: ", host.value, ": is not ready although all faults have ended"));
+    }
+    return faults;
+}
+
+}
--- /dev/null
+++ b/soak/soakmain.cpp
@@ -0,0 +1,157 @@
+#include "callers.h"
+#include "faultplan.h"
+#include "injection.h"
+#include "soakworld.h"
+
+#include <absl/strings/str_cat.h>
+#include <docopt/docopt.h>
+
+#include <algorithm>
+#include <csignal>
+#include <iostream>
+#include <string>
+
+namespace
+{
+
+using namespace sequoiastand;
+
+constexpr const char *usage = R"(Runs the program as several processes against stand-ins, under faults from a seed, and checks what it promises.
+
+Usage:
+    soak --program=<file> --folder=<path> [--seed=<n>] [--hosts=<n>] [--targets=<n>] [--seconds=<n>]
+    soak --help
+
+Options:
+    --program=<file>  The binary under test.
+    --folder=<path>   An existing folder for settings and logs of the hosts.
+    --seed=<n>        Of the faults and the work [default: 1].
+    --hosts=<n>       Host processes, 2 to 60 [default: 4].
+    --targets=<n>     Targets, 4 to 200 [default: 12].
+    --seconds=<n>     How long faults are injected [default: 20].
+
+Exit status: 0 if every promise was kept, 1 if not, 2 if the run could not be made.
+)";
+
+// Hosts find each other's configuration and elect an owner in about two seconds.
+constexpr Duration warmUp{3'000};
+
+// Longest time after the last fault until everything has ended: a lease of ten seconds, and work of a few.
+constexpr Duration settleLimit{60'000};
+
+// Before the final look at promises that hold in calm times only.
+constexpr Duration calmTime{4'000};
+
+constexpr Duration tickPeriod{5};
+
+/// Runs the world for that time, or until the condition holds.
+void runFor(
+    SoakWorld &world,
+    Duration length,
+    const std::function<bool()> &isDone = [] { return false; })
+{
+    const auto end = EventLoop::now() + length;
+    while (EventLoop::now() < end && !isDone()) {
+        bool hasFired = false;
+        Timer pulse(world.loop, [&hasFired] { hasFired = true; });
+        pulse.startIn(tickPeriod);
+        world.loop.runUntil([&hasFired] { return hasFired; }, Duration{100});
+        tick(world);
+        runCallers(world);
+    }
+}
+
+void askReadiness(SoakWorld &world)
+{
+    std::size_t answers = 0;
+    for (const auto &host : world.hosts) {
+        HttpCall call;
+        call.method = "GET";
+        call.address = readinessAddress(host.place);
+        call.path = "/sequoiastand/ready";
+        call.timeout = Duration{1'000};
+        world.http.send(call, [&world, &answers, id = host.place.id](const HttpAnswer &answer) {
+            ++answers;
+            if (answer.outcome != HttpOutcome::Answered || answer.status != 200) {
+                world.history.hostsNotReadyAtEnd.push_back(id);
+            }
+        });
+    }
+    runFor(world, Duration{3'000}, [&] { return answers == world.hosts.size(); });
+}
+
+void play(SoakWorld &world)
+{
+    runFor(world, warmUp);
+    const auto begin = EventLoop::now();
+    for (const auto &fault : makeFaultPlan(world.options.seed, world.options.length)) {
+        runFor(world, std::max(Duration{0}, fault.at - (EventLoop::now() - begin)));
+        std::cout << "fault " << (EventLoop::now().time_since_epoch().count()) << " " << name(fault.kind) << " subject " << fault.subject << " for "
+                  << fault.length.count() << " ms\n";
+        inject(world, fault);
+    }
+    runFor(world, std::max(Duration{0}, world.options.length - (EventLoop::now() - begin)));
+    world.sendsWork = false;
+    healEverything(world);
+    runFor(world, calmTime);
+    sendUrgentGangs(world);
+    runFor(world, settleLimit, [&world] { return haveAllEnded(world); });
+    askReadiness(world);
+}
+
+/// Completes the history with what is known only at the end.
+SoakHistory finishedHistory(const SoakWorld &world)
+{
+    SoakHistory history = world.history;
+    history.starts = world.targets.starts;
+    history.objections = world.targets.fleet.objections;
+    for (const auto &[id, workflow] : world.workflows) {
+        history.workflows.at(id).endState = workflow.state;
+    }
+    return history;
+}
+
+void report(const SoakWorld &world, const std::vector<std::string> &faults)
+{
+    std::cout << "seed " << world.options.seed << ": " << world.workflows.size() << " workflows, " << world.history.calls.size() << " calls, "
+              << world.targets.starts.size() << " starts, " << world.store.writes << " writes; faults:";
+    for (const auto &[kind, count] : world.injected) {
+        std::cout << ' ' << name(kind) << ' ' << count;
+    }
+    std::cout << '\n';
+    for (const auto &fault : faults) {
+        std::cout << "seed " << world.options.seed << ": BROKEN " << fault << '\n';
+    }
+    std::cout << "seed " << world.options.seed << (faults.empty() ? ": kept" : ": broken") << std::endl;
+}
+
+int runSoak(const SoakOptions &options)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    SoakWorld world(options);
+    if (const auto status = startWorld(world); !status.ok()) {
+        std::cerr << status.message() << '\n';
+        endHosts(world);
+        return 2;
+    }
+    play(world);
+    endHosts(world);
+    const auto faults = checkHistory(finishedHistory(world));
+    report(world, faults);
+    return faults.empty() ? 0 : 1;
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+    SoakOptions options;
+    options.program = arguments.at("--program").asString();
+    options.folder = arguments.at("--folder").asString();
+    options.seed = static_cast<unsigned>(arguments.at("--seed").asLong());
+    options.hosts = static_cast<int>(std::clamp(arguments.at("--hosts").asLong(), 2L, 60L));
+    options.targets = static_cast<int>(std::clamp(arguments.at("--targets").asLong(), 4L, 200L));
+    options.length = Duration{arguments.at("--seconds").asLong() * 1'000};
+    return runSoak(options);
+}
--- /dev/null
+++ b/soak/soakworld.cpp
@@ -0,0 +1,288 @@
+#include "soakworld.h"
+
+#include "platform/platformrecords.h"
+#include "platform/standin/platformwriter.h"
+#include "wire/jsonfields.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <iostream>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+constexpr int targetsPerRack = 4;
+constexpr int guaranteedAccelerators = 16;
+constexpr const char *queueHost = "press.example";
+
+// Targets write their registration so often; one that is not heard for three times as long is removed.
+constexpr Duration heartbeatPeriod{1'500};
+constexpr Duration registrationLife{4'500};
+
+// A process that ended by itself is started again after this time.
+constexpr Duration restartDelay{300};
+
+// Beyond the grace period, before a process that does not end is killed.
+constexpr Duration graceSlack{1'000};
+
+Queue makeQueue(const std::string &name, int priority, int maxAttempts, double stretch, Duration latencyTarget)
+{
+    Queue queue;
+    queue.id = {name};
+    queue.host = queueHost;
+    queue.prefix = "/" + name + "/";
+    queue.service = {"press"};
+    queue.priority = priority;
+    queue.maxAttempts = maxAttempts;
+    queue.stretch = stretch;
+    queue.latencyTarget = latencyTarget;
+    queue.timeout = Duration{3'000};
+    return queue;
+}
+
+QueueConfiguration firstConfiguration()
+{
+    QueueConfiguration configuration;
+    configuration.services.emplace(ServiceId{"press"}, Service{{"press"}, false, false, "/health"});
+    for (const std::string organisation : {"tailors", "hotels"}) {
+        configuration.organisations.emplace(OrganisationId{organisation}, OrganisationShare{{organisation}, guaranteedAccelerators});
+        configuration.keys.emplace("key-" + organisation, OrganisationId{organisation});
+        configuration.keys.emplace("spare-" + organisation, OrganisationId{organisation});
+    }
+    for (const auto &queue :
+         {makeQueue("urgent", 0, 2, 1.5, Duration{250}), makeQueue("ordinary", 1, 3, 3, Duration{1'000}), makeQueue("patient", 2, 2, 3, Duration{3'000})}) {
+        configuration.queues.emplace(queue.id, queue);
+    }
+    configuration.maxBodyBytes = std::size_t{256} * 1024;
+    return configuration;
+}
+
+std::string zoneName(int number)
+{
+    return number % 2 == 0 ? "a" : "b";
+}
+
+absl::Status startTargets(SoakWorld &world)
+{
+    for (int number = 0; number < world.options.targets; ++number) {
+        TargetRegistration registration;
+        registration.life = {{absl::StrCat("t", number + 1)}, EventLoop::wallNow().time_since_epoch().count()};
+        registration.service = {"press"};
+        registration.rack = {absl::StrCat("r", number / targetsPerRack + 1)};
+        registration.availabilityZone = {zoneName(number / targetsPerRack)};
+        registration.labels = {"kind", registration.rack.value};
+        registration.capacity = {32'000, 131'072, 8};
+        const auto port = startTarget(world.targets, registration);
+        if (!port.ok()) {
+            return port.status();
+        }
+        auto &target = world.targetStates[registration.life.target];
+        target.link = std::make_unique<Proxy>(world.loop, absl::StrCat("127.0.0.1:", *port));
+        if (auto status = target.link->listen(); !status.ok()) {
+            return status;
+        }
+        writeRegistration(world, registration.life.target);
+    }
+    return absl::OkStatus();
+}
+
+/// Runs on one machine share the loopback network; the process id keeps their hosts apart.
+std::string hostIp(int number)
+{
+    const int run = static_cast<int>(getpid());
+    return absl::StrCat("127.", 1 + run / 250 % 250, ".", run % 250, ".", number + 1);
+}
+
+absl::Status startHosts(SoakWorld &world)
+{
+    world.hosts.resize(static_cast<std::size_t>(world.options.hosts));
+    for (int number = 0; number < world.options.hosts; ++number) {
+        auto &host = world.hosts[static_cast<std::size_t>(number)];
+        host.storeLink = std::make_unique<Proxy>(world.loop, absl::StrCat("127.0.0.1:", world.store.server.port()));
+        if (auto status = host.storeLink->listen(); !status.ok()) {
+            return status;
+        }
+        host.place = {{absl::StrCat("h", number + 1)}, {zoneName(number)}, {{"a"}, {"b"}}, hostIp(number), host.storeLink->address(), world.options.folder};
+        host.callerLink = std::make_unique<Proxy>(world.loop, callerAddress(host.place));
+        if (auto status = host.callerLink->listen(); !status.ok()) {
+            return status;
+        }
+        if (auto status = writeSettings(host.place, 0); !status.ok()) {
+            return status;
+        }
+        startProcess(world, host);
+    }
+    return absl::OkStatus();
+}
+
+void writeHeartbeats(SoakWorld &world)
+{
+    const auto now = EventLoop::now();
+    if (now < world.nextHeartbeatAt || world.store.faults.isSilent || world.store.faults.isBusy) {
+        return;
+    }
+    world.nextHeartbeatAt = now + heartbeatPeriod;
+    for (auto &[id, target] : world.targetStates) {
+        if (!target.cutSince) {
+            writeRegistration(world, id);
+        } else if (target.isRegistered && now - *target.cutSince > registrationLife) {
+            target.isRegistered = false;
+            removeItem(world.store, registrationItemName(id));
+        }
+    }
+}
+
+void noteEnd(SoakWorld &world, SoakHost &host, const ProcessEnd &end)
+{
+    const auto now = EventLoop::now();
+    if (host.step == ProcessStep::Stopping) {
+        auto &stop =
+            *std::ranges::find_if(world.history.plannedStops, [&](const PlannedStop &planned) { return planned.host == host.place.id && !planned.endedAt; });
+        stop.endedAt = now;
+        stop.exitStatus = end.exitStatus;
+    } else if (host.step != ProcessStep::Killed) {
+        world.history.unaskedEnds.push_back({host.place.id, now, end.exitStatus});
+    }
+    // A host that starts is disturbed until it runs.
+    world.history.disturbances.push_back({host.place.id, now, now + restartDelay});
+    host.step = ProcessStep::Down;
+    runAt(world, now + restartDelay, [&world, &host] {
+        if (host.step == ProcessStep::Down && !host.isHeldDown) {
+            startProcess(world, host);
+        }
+    });
+}
+
+void followProcesses(SoakWorld &world)
+{
+    for (auto &host : world.hosts) {
+        if (host.step == ProcessStep::Down) {
+            continue;
+        }
+        if (const auto end = endOf(host.process)) {
+            noteEnd(world, host, *end);
+        } else if (host.step == ProcessStep::Stopping && EventLoop::now() - host.stopSentAt > host.place.gracePeriod + graceSlack) {
+            sendSignal(host, SIGKILL);
+        }
+    }
+}
+
+void runDue(SoakWorld &world)
+{
+    while (!world.timeline.empty() && world.timeline.begin()->first <= EventLoop::now()) {
+        const auto action = world.timeline.extract(world.timeline.begin());
+        action.mapped()();
+    }
+}
+
+}
+
+SoakWorld::SoakWorld(const SoakOptions &soakOptions)
+    : options(soakOptions)
+    , random(soakOptions.seed)
+    , store(loop, soakOptions.seed)
+    , targets(loop, soakOptions.seed)
+    , http(loop)
+    , configuration(firstConfiguration())
+{
+}
+
+absl::Status startWorld(SoakWorld &world)
+{
+    if (auto status = startStore(world.store); !status.ok()) {
+        return status;
+    }
+    writeConfiguration(world);
+    if (auto status = startTargets(world); !status.ok()) {
+        return status;
+    }
+    return startHosts(world);
+}
+
+void tick(SoakWorld &world)
+{
+    tick(world.store);
+    tick(world.targets);
+    writeHeartbeats(world);
+    followProcesses(world);
+    runDue(world);
+}
+
+void endHosts(SoakWorld &world)
+{
+    for (auto &host : world.hosts) {
+        if (host.step != ProcessStep::Down) {
+            sendSignal(host, SIGKILL);
+            waitpid(host.process, nullptr, 0);
+            host.step = ProcessStep::Down;
+        }
+    }
+}
+
+void startProcess(SoakWorld &world, SoakHost &host)
+{
+    const auto process = startHost(world.options.program, host.place);
+    if (!process.ok()) {
+        std::cerr << process.status().message() << '\n';
+        return;
+    }
+    host.process = *process;
+    host.step = ProcessStep::Up;
+}
+
+void sendSignal(SoakHost &host, int signal)
+{
+    if (host.step != ProcessStep::Down) {
+        kill(host.process, signal);
+    }
+}
+
+void writeConfiguration(SoakWorld &world)
+{
+    // Versions rise in uneven steps.
+    world.configuration.version += drawNumber(world, 1, 3);
+    putItem(world.store, configurationItemName(), configurationText(world.configuration));
+}
+
+void writeRegistration(SoakWorld &world, const TargetId &target)
+{
+    auto &state = world.targetStates.at(target);
+    auto registration = world.targets.fleet.targets.at(target).registration;
+    registration.address = state.link->address();
+    registration.isDraining = state.isDraining;
+    state.isRegistered = true;
+    putItem(world.store, registrationItemName(target), registrationText(registration, ++world.heartbeats));
+}
+
+SoakHost *findOwner(SoakWorld &world)
+{
+    const auto row = world.store.model.rows.find(platformKey(domainOwnerKey()));
+    if (row == world.store.model.rows.end()) {
+        return nullptr;
+    }
+    const auto record = readPlatformRecord(domainOwnerKey(), row->second.value);
+    const auto *owner = record.ok() ? std::get_if<DomainOwner>(&*record) : nullptr;
+    const auto host = std::ranges::find_if(world.hosts, [&](const SoakHost &present) { return owner != nullptr && present.place.id == owner->host; });
+    return host == world.hosts.end() ? nullptr : &*host;
+}
+
+int drawNumber(SoakWorld &world, int least, int most)
+{
+    return std::uniform_int_distribution<int>(least, most)(world.random);
+}
+
+void runAt(SoakWorld &world, TimePoint time, std::function<void()> action)
+{
+    world.timeline.emplace(time, std::move(action));
+}
+
+}
