End calls at their timeout by a timer of the client's own

Ruled out: a reply lost between port and board (the call was still among the client's transfers), the targets' lists, the limit on starts under way. Change: the client keeps the deadlines itself and gives libcurl none.

--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "httpclient.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -46,6 +47,7 @@
     : m_loop(loop)
     , m_multi(nullptr)
     , m_timer(loop, [this] { onTimer(); })
+    , m_deadlineTimer(loop, [this] { endOverdue(); })
 {
     curl_global_init(CURL_GLOBAL_DEFAULT);
     m_multi = curl_multi_init();
@@ -93,7 +95,6 @@
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, maxIdleSeconds);
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
     if (call.method != "GET" && call.isRepeatable) {
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(transfer->requestBody.size()));
         curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->requestBody.c_str());
@@ -128,6 +129,10 @@
     }
     const auto id = transfer->id;
     m_transfers.emplace(id, std::move(transfer));
+    if (call.timeout > Duration{0}) {
+        m_deadlines.emplace(EventLoop::now() + call.timeout, id);
+        armDeadlines();
+    }
     curl_multi_add_handle(m_multi, easy);
     return id;
 }
@@ -176,6 +181,35 @@
     }
 }
 
+void HttpClient::endOverdue()
+{
+    // Callbacks may start calls, so the overdue ones are collected first.
+    const auto end = m_deadlines.upper_bound(EventLoop::now());
+    std::vector<unsigned long long> overdue;
+    std::transform(m_deadlines.begin(), end, std::back_inserter(overdue), [](const auto &row) { return row.second; });
+    m_deadlines.erase(m_deadlines.begin(), end);
+    for (const auto id : overdue) {
+        const auto found = m_transfers.find(id);
+        if (found != m_transfers.end()) {
+            finish(*found->second, CURLE_OPERATION_TIMEDOUT);
+        }
+    }
+    armDeadlines();
+}
+
+void HttpClient::armDeadlines()
+{
+    // Most calls are answered long before; their rows only wake the process if they are not dropped here.
+    while (!m_deadlines.empty() && !m_transfers.contains(m_deadlines.begin()->second)) {
+        m_deadlines.erase(m_deadlines.begin());
+    }
+    if (m_deadlines.empty()) {
+        m_deadlineTimer.stop();
+    } else {
+        m_deadlineTimer.startAt(m_deadlines.begin()->first);
+    }
+}
+
 void HttpClient::finish(Transfer &transfer, CURLcode code)
 {
     HttpAnswer answer;
@@ -193,6 +227,7 @@
     answer.body = std::move(transfer.body);
     const auto onEnd = std::move(transfer.onEnd);
     close(transfer.id);
+    armDeadlines();
     onEnd(answer);
 }
 
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -45,7 +45,8 @@
     friend bool operator==(const HttpAnswer &, const HttpAnswer &) = default;
 };
 
-/// HTTP calls by libcurl's multi interface on the loop. Connections are reused; after a call to an address failed, the next call to it opens a new connection,
+/// HTTP calls by libcurl's multi interface on the loop. A call ends at its timeout by this client's own timer: libcurl drops a transfer's timeout when another of
+/// its timers fires less than a millisecond earlier, and the transfer then stays open for good. Connections are reused; after a call to an address failed, the next call to it opens a new connection,
 /// because a connection that has become silent stays silent.
 class HttpClient
 {
@@ -85,6 +86,8 @@
     void onSocketReady(curl_socket_t descriptor, int events);
     void onTimer();
     void finishTransfers();
+    void endOverdue();
+    void armDeadlines();
     void finish(Transfer &transfer, CURLcode code);
     static int onSocketChange(CURL *easy, curl_socket_t descriptor, int action, void *self, void *socket);
     static int onTimerChange(CURLM *multi, long delayMs, void *self);
@@ -95,6 +98,8 @@
     EventLoop &m_loop;
     CURLM *m_multi;
     Timer m_timer;
+    Timer m_deadlineTimer;
+    std::multimap<TimePoint, unsigned long long> m_deadlines; ///< Of transfers that may have ended since.
     std::map<curl_socket_t, std::unique_ptr<SocketWatch>> m_watches;
     std::map<unsigned long long, std::unique_ptr<Transfer>> m_transfers;
     std::set<std::string> m_failedAddresses; ///< The next call there must open a new connection.
--- a/soak/injection.cpp
+++ b/soak/injection.cpp
@@ -20,6 +20,9 @@
 constexpr int burstSize = 10;
 constexpr int cancelPercent = 50;
 
+// From the start of a process until it handles signals; a few milliseconds on an idle machine.
+constexpr Duration startTime{1'000};
+
 // Between two hosts that are stopped in turn.
 constexpr Duration turnGap{1'500};
 
@@ -53,7 +56,8 @@
 
 void stop(SoakWorld &world, SoakHost &host)
 {
-    if (host.step != ProcessStep::Up) {
+    // A process that has only just been started dies of the signal, before it has read a request.
+    if (host.step != ProcessStep::Up || EventLoop::now() - host.startedAt < startTime) {
         return;
     }
     host.step = ProcessStep::Stopping;
--- a/soak/soakworld.cpp
+++ b/soak/soakworld.cpp
@@ -236,6 +236,7 @@
         return;
     }
     host.process = *process;
+    host.startedAt = EventLoop::now();
     host.step = ProcessStep::Up;
 }
 
--- a/soak/soakworld.h
+++ b/soak/soakworld.h
@@ -38,6 +38,7 @@
     std::unique_ptr<Proxy> callerLink;
     ProcessStep step = ProcessStep::Down;
     pid_t process = 0;
+    TimePoint startedAt;
     TimePoint stopSentAt;
     bool isHeldDown = false; ///< Not to be started again yet.
 };
--- a/tests/testhttpclient.cpp
+++ b/tests/testhttpclient.cpp
@@ -135,4 +135,34 @@
     EXPECT_FALSE(hasEnded);
 }
 
+TEST_F(HttpClientCall, everyCallEndsSoonAfterItsTimeout)
+{
+    // libcurl drops a transfer's timeout when another of its timers fires less than a millisecond earlier. Starts of tasks stood open for good that way.
+    constexpr int calls = 2'400;
+    ScriptedListener listener(m_loop, {});
+    int ended = 0;
+    for (int call = 0; call < calls; ++call) {
+        HttpCall silent{.address = listener.address(), .path = "/v1/x", .body = "{}", .timeout = Duration{150 + call % 100}};
+        silent.isRepeatable = call % 2 == 0;
+        m_client.send(silent, [&ended](const HttpAnswer &answer) { ended += answer.outcome == HttpOutcome::Answered ? 0 : 1; });
+        m_loop.runUntil([] { return false; }, Duration{call % 3});
+    }
+    EXPECT_TRUE(m_loop.runUntil([&] { return ended == calls; }, Duration{2'000})) << calls - ended << " calls are still open";
+}
+
+TEST_F(HttpClientCall, callBehindAPauseOfTheProcessStillEnds)
+{
+    ScriptedListener listener(m_loop, {});
+    int ended = 0;
+    for (int call = 0; call < 50; ++call) {
+        HttpCall silent{.address = listener.address(), .path = "/v1/x", .body = "{}", .timeout = silence};
+        m_client.send(silent, [&ended](const HttpAnswer &) { ++ended; });
+    }
+    const auto wake = EventLoop::now() + silence;
+    while (EventLoop::now() < wake) {
+        // The loop does not run, as in a process that is suspended.
+    }
+    EXPECT_TRUE(m_loop.runUntil([&] { return ended == 50; }, Duration{2'000}));
+}
+
 }
