Count failures that are acknowledged out of order as the rule does

The model compared the newest acknowledged end with the last start; it now compares as many ends as the queue allows. Three tests of the model hold the rule from both sides.

--- a/standins/fleetmodel.h
+++ b/standins/fleetmodel.h
@@ -80,8 +80,8 @@
     std::map<TaskId, TimePoint> finished; ///< When a run of the task finished first.
     std::map<TaskId, TimePoint> noted;    ///< When a finish of the task was acknowledged, if the target had been held until then.
     std::map<TaskId, TimePoint> lastStart;
-    std::map<TaskId, int> failures;              ///< Acknowledged failed runs of a task; of a gang under its first task.
-    std::set<std::pair<TaskId, int>> failedRuns; ///< What `failures` counts, by run.
+    std::map<TaskId, int> failures;                        ///< Acknowledged failed runs of a task; of a gang under its first task.
+    std::map<TaskId, std::map<int, TimePoint>> failedRuns; ///< What `failures` counts: when each run had failed.
     std::map<RequestId, int> starts;
     std::vector<std::string> objections;
     TimePoint now; ///< Of the last order.
--- /dev/null
+++ b/tests/testfleetmodel.cpp
@@ -0,0 +1,89 @@
+#include "standins/fleetmodel.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace sequoiastand
+{
+
+/// The targets' model as a judge: two targets and a task that fails on both, of a queue that allows two attempts.
+struct FleetModelJudge : testing::Test
+{
+    FleetModelJudge()
+    {
+        for (const std::string id : {"t1", "t2"}) {
+            TargetRegistration registration;
+            registration.life = {{id}, 1};
+            registration.capacity = {32'000, 131'072, 8};
+            addTarget(fleet, registration, at(0));
+            fleet.targets.at({id}).faults.failsEverything = true;
+        }
+        Workflow workflow;
+        workflow.id = task.step.workflow;
+        workflow.queue.maxAttempts = 2;
+        workflow.specification.steps.resize(1);
+        fleet.workflows[workflow.id] = workflow;
+        fleet.behaviours[workflow.id].work = Duration{100};
+    }
+
+    static TimePoint at(int ms)
+    {
+        return TimePoint{Duration{ms}};
+    }
+
+    void start(const std::string &target, int run, int ms)
+    {
+        StartRun order;
+        order.task = task;
+        order.run = run;
+        order.deadline = Duration{5'000};
+        carryOut(fleet, {{}, {target}, "", 1, order, {}}, at(ms));
+    }
+
+    void acknowledge(const std::string &target, int ms)
+    {
+        carryOut(fleet, {{}, {target}, "", 1, HoldRuns{{}, 100, {}}, {}}, at(ms));
+    }
+
+    const TaskId task{{{"00000000000000aa"}, 0, 0}, 0};
+    FleetModel fleet;
+};
+
+TEST_F(FleetModelJudge, failuresMayBeAcknowledgedInAnyOrder)
+{
+    // Guards against seed 1017 of the soak: the first failure was acknowledged last, and the second try was taken for one too many.
+    start("t1", 1, 10);
+    advance(fleet, at(200));
+    start("t2", 2, 210);
+    advance(fleet, at(400));
+    acknowledge("t2", 410);
+    acknowledge("t1", 420);
+    EXPECT_THAT(fleet.objections, testing::IsEmpty());
+}
+
+TEST_F(FleetModelJudge, startAfterTheLastTryIsFoundOnceItsFailuresAreAcknowledged)
+{
+    start("t1", 1, 10);
+    advance(fleet, at(200));
+    start("t2", 2, 210);
+    advance(fleet, at(400));
+    start("t2", 3, 410);
+    acknowledge("t2", 420);
+    EXPECT_THAT(fleet.objections, testing::IsEmpty());
+    acknowledge("t1", 430);
+    EXPECT_THAT(fleet.objections, testing::ElementsAre(testing::StartsWith("BUDGET")));
+}
+
+TEST_F(FleetModelJudge, startAfterTheLastAcknowledgedFailureIsFound)
+{
+    start("t1", 1, 10);
+    advance(fleet, at(200));
+    start("t2", 2, 210);
+    advance(fleet, at(400));
+    acknowledge("t1", 410);
+    acknowledge("t2", 420);
+    start("t1", 3, 430);
+    EXPECT_THAT(fleet.objections, testing::ElementsAre(testing::StartsWith("BUDGET")));
+}
+
+}
