Let runs that no list has named stand on a target's new life

A target crashed in the 30 ms between the placement of a run and the news of its new life; the new life carried the start out and answered it. The answer counted as a word of the former life, so the run was taken for gone with it and its task was started elsewhere. An answer to a start names no life; only lists do. Now a run that no list of the former life has named waits for the new life's lists. Ruled out: a late order (the start was answered at once), the fencing token (unchanged). The new unit test failed before.

--- a/tests/testrunreports.cpp
+++ b/tests/testrunreports.cpp
@@ -1,4 +1,5 @@
 #include "workflow/controllers.h"
+#include "workflow/targetlease.h"
 #include "workflow/workflowstep.h"
 
 #include <gtest/gtest.h>
@@ -50,6 +51,21 @@
         followRuns(board);
     }
 
+    /// The target starts again; its former life has answered the start 2 ms after it was sent.
+    void restartTarget(bool isListed)
+    {
+        board.now = now + Duration{5};
+        TaskRun run = *board.runs.find(task);
+        run.startSentAt = now;
+        run.isListed = isListed;
+        board.runs.put(task, run);
+        DomainTarget target = *board.targets.find(life.target);
+        target.answeredAt = now + Duration{2};
+        TargetRegistration registration = target.registration;
+        registration.life.bornMs += 1'000;
+        beginNewLife(board, target, registration);
+    }
+
     const TimePoint now{Duration{1'000'000}};
     const TargetLife life{{"t1"}, 1'000};
     const TaskId task{{{"0000000000000001"}, 0, 0}, 0};
@@ -110,4 +126,18 @@
     EXPECT_FALSE(findTask(board.workflows.find(task.step.workflow)->progress, task)->isFinished);
 }
 
+TEST_F(RunReports, runThatNoListHasNamedMayStandOnTheTargetsNewLife)
+{
+    // Guards against seed 2007 of the soak: the new life had answered the start, the run was taken for gone, and its task was started elsewhere as well.
+    restartTarget(false);
+    ASSERT_TRUE(board.runs.contains(task));
+    EXPECT_EQ(board.runs.find(task)->step, RunStep::Unconfirmed);
+}
+
+TEST_F(RunReports, runThatTheFormerLifeHasListedIsGoneWithIt)
+{
+    restartTarget(true);
+    EXPECT_FALSE(board.runs.contains(task));
+}
+
 }
--- a/tests/testtargetlifecycle.cpp
+++ b/tests/testtargetlifecycle.cpp
@@ -151,6 +151,21 @@
     EXPECT_EQ(fleet.starts[id(2)], 16);
 }
 
+TEST_F(TargetLifecycle, startThatANewLifeHasAnsweredBeforeItWasKnownIsNotGivenUp)
+{
+    // The start reaches the new life at another moment each time, before or after its registration is known.
+    for (int latency = 5; latency <= 60; latency += 5) {
+        store.faults.watchLatency = Duration{latency};
+        for (int number = 1; number <= 8; ++number) {
+            crash("t" + std::to_string(number));
+        }
+        const auto workflow = id(latency);
+        answerTo(submit(workflow, batch(16, {1'000, 1'000, 1}), {Duration{1'000}, {}}));
+        runUntil([&] { return storedState(workflow) == WorkflowState::Completed; }, Duration{15'000});
+        EXPECT_EQ(fleet.starts[workflow], 16) << "watch latency " << latency;
+    }
+}
+
 TEST_F(TargetLifecycle, workRunsThroughAnOutageOfTheStore)
 {
     startLongTask(1, Duration{8'000});
--- a/workflow/targetlease.cpp
+++ b/workflow/targetlease.cpp
@@ -69,10 +69,10 @@
     return run.mayArriveLate || (run.call && !run.isStopCall);
 }
 
-/// What was started after the former life's last answer may have been started by the new one.
-bool mayStandOnNewLife(const TaskRun &run, const DomainTarget &former)
+/// Only what the former life's lists have named certainly stood there. An answer to a start names no life, so the new one may have given it.
+bool mayStandOnNewLife(const TaskRun &run)
 {
-    return run.step == RunStep::Unconfirmed || !former.answeredAt || run.startSentAt >= *former.answeredAt;
+    return run.step == RunStep::Unconfirmed || !run.isListed;
 }
 
 void loseWithFormerLife(WorkflowBoard &board, const TaskRun &run)
@@ -87,6 +87,7 @@
 {
     const bool needsStop = mayArriveLater(run);
     run.place = life;
+    run.isListed = false;
     run.stoppedAt.reset();
     run.isStopWanted = run.isStopWanted || needsStop;
     run.step = needsStop ? RunStep::Ending : RunStep::Unconfirmed;
@@ -126,7 +127,7 @@
         }
     }
     for (const auto &run : runs) {
-        if (run.step != RunStep::Recording && (mayArriveLater(run) || mayStandOnNewLife(run, former))) {
+        if (run.step != RunStep::Recording && (mayArriveLater(run) || mayStandOnNewLife(run))) {
             moveToNextLife(board, run, life);
         } else {
             loseWithFormerLife(board, run);
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -202,7 +202,7 @@
     std::string checkpoint;
     int percent = 0;
     std::optional<TimePoint> firstSeenRunning;
-    bool isListed = false; ///< The target's lists have named it.
+    bool isListed = false; ///< The lists of this life of the target have named it.
 
     friend bool operator==(const TaskRun &, const TaskRun &) = default;
 };
