--- a/soak/soakworld.cpp
+++ b/soak/soakworld.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/platformrecords.h"
 #include "platform/standin/platformwriter.h"
+#include "standins/samplequeues.h"
 #include "wire/jsonfields.h"
 
 #include <absl/strings/str_cat.h>
@@ -22,7 +23,6 @@
 
 constexpr int targetsPerRack = 4;
 constexpr int guaranteedAccelerators = 16;
-constexpr const char *queueHost = "press.example";
 
 // Targets write their registration so often; one that is not heard for three times as long is removed.
 constexpr Duration heartbeatPeriod{1'500};
@@ -34,21 +34,6 @@
 // Beyond the grace period, before a process that does not end is killed.
 constexpr Duration graceSlack{1'000};
 
-Queue makeQueue(const std::string &name, int priority, int maxAttempts, double stretch, Duration latencyTarget)
-{
-    Queue queue;
-    queue.id = {name};
-    queue.host = queueHost;
-    queue.prefix = "/" + name + "/";
-    queue.service = {"press"};
-    queue.priority = priority;
-    queue.maxAttempts = maxAttempts;
-    queue.stretch = stretch;
-    queue.latencyTarget = latencyTarget;
-    queue.timeout = Duration{3'000};
-    return queue;
-}
-
 QueueConfiguration firstConfiguration()
 {
     QueueConfiguration configuration;
@@ -58,8 +43,8 @@
         configuration.keys.emplace("key-" + organisation, OrganisationId{organisation});
         configuration.keys.emplace("spare-" + organisation, OrganisationId{organisation});
     }
-    for (const auto &queue :
-         {makeQueue("urgent", 0, 2, 1.5, Duration{250}), makeQueue("ordinary", 1, 3, 3, Duration{1'000}), makeQueue("patient", 2, 2, 3, Duration{3'000})}) {
+    for (auto queue : sampleQueues()) {
+        queue.timeout = Duration{3'000};
         configuration.queues.emplace(queue.id, queue);
     }
     configuration.maxBodyBytes = std::size_t{256} * 1024;
--- a/tests/domainfixture.cpp
+++ b/tests/domainfixture.cpp
@@ -1,5 +1,7 @@
 #include "domainfixture.h"
 
+#include "standins/samplequeues.h"
+
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
@@ -20,20 +22,6 @@
 constexpr Duration heartbeatPeriod{1'500};
 constexpr const char *queueHost = "press.example";
 
-Queue makeQueue(const std::string &name, int priority, int maxAttempts, double stretch, Duration latencyTarget)
-{
-    Queue queue;
-    queue.id = {name};
-    queue.host = queueHost;
-    queue.prefix = "/" + name + "/";
-    queue.service = {"press"};
-    queue.priority = priority;
-    queue.maxAttempts = maxAttempts;
-    queue.stretch = stretch;
-    queue.latencyTarget = latencyTarget;
-    return queue;
-}
-
 }
 
 DomainTest::DomainTest()
@@ -45,9 +33,7 @@
     configuration.organisations.emplace(OrganisationId{"tailors"}, OrganisationShare{{"tailors"}, 16});
     configuration.organisations.emplace(OrganisationId{"hotels"}, OrganisationShare{{"hotels"}, 16});
     configuration.keys = {{"key-tailors", {"tailors"}}, {"key-hotels", {"hotels"}}};
-    setQueue(makeQueue("urgent", 0, 2, 1.5, Duration{250}));
-    setQueue(makeQueue("ordinary", 1, 3, 3, Duration{1'000}));
-    setQueue(makeQueue("patient", 2, 2, 3, Duration{3'000}));
+    std::ranges::for_each(sampleQueues(), [this](const Queue &queue) { setQueue(queue); });
     m_nextHeartbeat = now;
 }
 
