Remember failures that a crash takes before they are acknowledged

The trace shows the case is allowed; the check now counts runs that ended as failed, acknowledged or not.

--- a/soak/soakmain.cpp
+++ b/soak/soakmain.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <csignal>
 #include <iostream>
+#include <iterator>
 #include <string>
 
 namespace
@@ -109,10 +110,10 @@
     for (const auto &[id, workflow] : world.workflows) {
         history.workflows.at(id).endState = workflow.state;
     }
-    for (const auto &[task, failures] : world.targets.fleet.failures) {
+    for (const auto &[task, failedRuns] : world.targets.fleet.failedEnds) {
         const auto &id = task.step.workflow;
         auto &sent = history.workflows.at(id);
-        sent.mayFail = sent.mayFail || failures >= world.workflows.at(id).workflow.queue.maxAttempts;
+        sent.mayFail = sent.mayFail || std::ssize(failedRuns) >= world.workflows.at(id).workflow.queue.maxAttempts;
     }
     return history;
 }
--- a/standins/fleetmodel.cpp
+++ b/standins/fleetmodel.cpp
@@ -50,6 +50,13 @@
     return run.done / fleet.checkpointPeriod * fleet.checkpointPeriod;
 }
 
+/// Tasks that fail count by themselves, gangs under their first task.
+TaskId countedTask(const FleetModel &fleet, const TaskId &task)
+{
+    const auto *step = stepOf(fleet, task.step);
+    return {task.step, step != nullptr && step->isGang ? 0 : task.index};
+}
+
 void endRun(FleetModel &fleet, ModelTarget &target, const TaskId &task, RunEnd end)
 {
     const auto run = target.running.extract(task);
@@ -61,16 +68,11 @@
     highest = std::max(highest, run.mapped().run);
     if (end == RunEnd::Finished) {
         fleet.finished.try_emplace(task, run.mapped().countedAt);
+    } else if (end == RunEnd::Failed) {
+        fleet.failedEnds[countedTask(fleet, task)].insert(run.mapped().run);
     }
 }
 
-/// Tasks that fail count by themselves, gangs under their first task.
-TaskId countedTask(const FleetModel &fleet, const TaskId &task)
-{
-    const auto *step = stepOf(fleet, task.step);
-    return {task.step, step != nullptr && step->isGang ? 0 : task.index};
-}
-
 int maxAttempts(const FleetModel &fleet, const TaskId &task)
 {
     const auto workflow = fleet.workflows.find(task.step.workflow);
--- a/standins/fleetmodel.h
+++ b/standins/fleetmodel.h
@@ -82,6 +82,8 @@
     std::map<TaskId, TimePoint> lastStart;
     std::map<TaskId, int> failures;                        ///< Acknowledged failed runs of a task; of a gang under its first task.
     std::map<TaskId, std::map<int, TimePoint>> failedRuns; ///< What `failures` counts: when each run had failed.
+    std::map<TaskId, std::set<int>>
+        failedEnds; ///< Runs that ended as failed, counted like `failures`, also those that a crash took before they were acknowledged.
     std::map<RequestId, int> starts;
     std::vector<std::string> objections;
     TimePoint now; ///< Of the last order.
--- a/tests/testfleetmodel.cpp
+++ b/tests/testfleetmodel.cpp
@@ -86,4 +86,14 @@
     EXPECT_THAT(fleet.objections, testing::ElementsAre(testing::StartsWith("BUDGET")));
 }
 
+TEST_F(FleetModelJudge, failureThatACrashTakesBeforeItIsAcknowledgedIsRemembered)
+{
+    // Guards against seed 2007 of the soak: a target crashed 0.3 s after it had listed the last allowed failure, and the workflow was taken for lost.
+    start("t1", 1, 10);
+    advance(fleet, at(200));
+    restartTarget(fleet, {"t1"}, at(210));
+    EXPECT_EQ(fleet.failedEnds[task], std::set<int>{1});
+    EXPECT_EQ(fleet.failures[task], 0);
+}
+
 }
