--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -1,9 +1,7 @@
 #include "callers.h"
 
 #include "platform/standin/platformwriter.h"
-#include "wire/jsonfields.h"
 
-#include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
 #include <algorithm>
@@ -66,15 +64,6 @@
     return false;
 }
 
-std::optional<WorkflowState> stateIn(const std::string &body)
-{
-    const auto json = parseJson(body, "answer");
-    if (!json.ok() || !json->is_object() || !json->contains("state")) {
-        return std::nullopt;
-    }
-    return workflowStateFromName(json->at("state").get<std::string>());
-}
-
 Duration drawDuration(SoakWorld &world, int least, int most)
 {
     return Duration{drawNumber(world, least, most)};
@@ -83,6 +72,7 @@
 void takeAnswer(SoakWorld &world, SoakWorkflow &workflow, ObservedCall &call, const HttpAnswer &answer)
 {
     constexpr int statusUnauthorised = 401;
+    constexpr int statusTooMany = 429;
     const bool isAnswered = answer.outcome == HttpOutcome::Answered;
     call.endedAt = EventLoop::now();
     call.status = isAnswered ? answer.status : 0;
@@ -91,9 +81,9 @@
     if (call.action == CallerAction::Submit) {
         workflow.isCallOpen = false;
         workflow.isAccepted = workflow.isAccepted || isSuccess;
-        // A caller whose key has been taken away, or whose body is at fault, does not try again.
-        const bool isFinal = call.status >= 400 && call.status < 500 && call.status != 429;
-        workflow.isGivenUp = !workflow.isAccepted && (workflow.tries >= maxTries || (isFinal && call.status != statusUnauthorised));
+        // A caller whose request is at fault does not try again; a key that has been taken away may come back.
+        const bool isFinal = call.status >= 400 && call.status < 500 && call.status != statusTooMany && call.status != statusUnauthorised;
+        workflow.isGivenUp = !workflow.isAccepted && (workflow.tries >= maxTries || isFinal);
         workflow.nextCallAt = EventLoop::now() + drawDuration(world, minRetryMs, maxRetryMs);
     } else if (call.action == CallerAction::Query) {
         workflow.isCallOpen = false;
@@ -106,17 +96,9 @@
 
 void send(SoakWorld &world, SoakWorkflow &workflow, CallerAction action)
 {
-    constexpr std::array<const char *, 3> methods{"POST", "GET", "DELETE"};
     const auto &host = world.hosts[static_cast<std::size_t>(drawNumber(world, 0, static_cast<int>(world.hosts.size()) - 1))];
-    const auto &queue = workflow.workflow.queue;
-    HttpCall call;
-    call.method = methods.at(static_cast<std::size_t>(action));
+    auto call = callerCall(workflow.workflow, action, workflow.key, callerPatience);
     call.address = host.callerLink->address();
-    call.path = queue.prefix + workflow.workflow.id.value;
-    call.body = action == CallerAction::Submit ? submissionText(workflow.workflow.specification) : std::string{};
-    call.bearerToken = workflow.key;
-    call.timeout = callerPatience;
-    call.headers = {"Host: " + queue.host, absl::StrCat("Deadline-Ms: ", callerPatience.count())};
     const auto number = world.history.calls.size();
     ObservedCall observed;
     observed.action = action;
--- a/soak/injection.cpp
+++ b/soak/injection.cpp
@@ -31,10 +31,13 @@
 
 constexpr int configurationVersions = 4;
 
-constexpr Duration slowStoreLatency{250};
-constexpr double slowTarget = 4;
+// A plan's figure of 10 to 60 becomes a delay of 50 to 300 ms, so that some calls time out and others do not.
+constexpr int delayPerFigure = 5;
 
-/// Something that can be begun and ended, and whom it concerns: nobody's host stands for everyone.
+constexpr Duration slowStoreLatency{250}; // Fifty times the platform's few milliseconds.
+constexpr double slowTarget = 4;          // Tasks take this many times as long.
+
+/// A fault under way: whom it concerns and how to end it. An empty host means everyone.
 struct Effect
 {
     HostId host;
@@ -224,7 +227,7 @@
     auto &host = hostOf(world, fault.subject);
     auto *owner = findOwner(world);
     auto &leading = owner == nullptr ? host : *owner;
-    const Duration delay{fault.figure * 5};
+    const Duration delay{fault.figure * delayPerFigure};
     switch (fault.kind) {
     case FaultKind::KillHost:
         return killFor(world, host);
@@ -284,7 +287,7 @@
     case FaultKind::CutTargetAnswers:
         return cutTarget(world, id, {Duration{0}, false, true});
     case FaultKind::DelayTarget:
-        return proxyFor({}, *target.link, {Duration{fault.figure * 5}, false, false});
+        return proxyFor({}, *target.link, {Duration{fault.figure * delayPerFigure}, false, false});
     case FaultKind::CrashTarget:
         crashTarget(world.targets, id);
         writeRegistration(world, id);
--- a/soak/soakmain.cpp
+++ b/soak/soakmain.cpp
@@ -1,6 +1,7 @@
 #include "callers.h"
 #include "faultplan.h"
 #include "injection.h"
+#include "platform/standin/platformwriter.h"
 #include "soakworld.h"
 
 #include <absl/strings/str_split.h>
@@ -46,6 +47,9 @@
 
 constexpr Duration tickPeriod{5};
 
+// Hosts answer within some milliseconds.
+constexpr Duration readinessTimeout{1'000};
+
 /// Runs the world for that time, or until the condition holds.
 void runFor(
     SoakWorld &world,
@@ -57,7 +61,7 @@
         bool hasFired = false;
         Timer pulse(world.loop, [&hasFired] { hasFired = true; });
         pulse.startIn(tickPeriod);
-        world.loop.runUntil([&hasFired] { return hasFired; }, Duration{100});
+        world.loop.runUntil([&hasFired] { return hasFired; }, 20 * tickPeriod);
         tick(world);
         runCallers(world);
     }
@@ -67,19 +71,14 @@
 {
     std::size_t answers = 0;
     for (const auto &host : world.hosts) {
-        HttpCall call;
-        call.method = "GET";
-        call.address = readinessAddress(host.place);
-        call.path = "/sequoiastand/ready";
-        call.timeout = Duration{1'000};
-        world.http.send(call, [&world, &answers, id = host.place.id](const HttpAnswer &answer) {
+        world.http.send(readinessCall(readinessAddress(host.place), readinessTimeout), [&world, &answers, id = host.place.id](const HttpAnswer &answer) {
             ++answers;
             if (answer.outcome != HttpOutcome::Answered || answer.status != 200) {
                 world.history.hostsNotReadyAtEnd.push_back(id);
             }
         });
     }
-    runFor(world, Duration{3'000}, [&] { return answers == world.hosts.size(); });
+    runFor(world, 2 * readinessTimeout, [&] { return answers == world.hosts.size(); });
 }
 
 void play(SoakWorld &world)
