Ask a queue's adviser before steps are placed, and start them with its tickets

Cause: queues with advice were read, but the adviser was never asked, so every start on such a queue would have been refused for want of a ticket.

The owner asks about some 30 targets for the first step in the order of placement that lacks room on allowed targets, one question at a time. Tickets belong to one life of a target; one that has expired is renewed only where the step could start, so steps that wait on a full fleet ask nothing. Ruled out: asking about all targets at acceptance, because an answer takes longer with each target named.

--- a/app/settings.cpp
+++ b/app/settings.cpp
@@ -141,6 +141,7 @@
         [&](SettingsReader &nested) {
             std::vector<std::string> zones;
             nested.read("storeAddress", settings.storeAddress, addressRule, true);
+            nested.read("adviserAddress", settings.adviserAddress, addressRule);
             nested.readTexts("availabilityZones", zones, nameRule, true);
             nested.readSeconds("gracePeriodS", settings.gracePeriod, Duration{1'000}, minutes{10});
             nested.readObject("limits", [&](SettingsReader &limits) { readDomainLimits(limits, settings.domain.limits); });
--- /dev/null
+++ b/standins/advisermodel.cpp
@@ -0,0 +1,33 @@
+#include "advisermodel.h"
+
+namespace sequoiastand
+{
+
+AdviceReply answerQuestion(AdviserModel &adviser, const AdviceRequest &request, const std::map<TargetId, TargetLife> &lives, Duration validity, TimePoint now)
+{
+    ++adviser.questions;
+    AdviceReply reply;
+    reply.id = request.id;
+    reply.isAnswered = true;
+    reply.validity = validity;
+    const auto allowed = adviser.allowed.find(request.step.workflow);
+    for (const auto &target : request.targets) {
+        const auto life = lives.find(target);
+        const bool isAllowed = allowed == adviser.allowed.end() || allowed->second.contains(target);
+        if (life == lives.end() || !isAllowed) {
+            continue;
+        }
+        const auto text = "ticket-" + std::to_string(adviser.tickets.size() + 1);
+        adviser.tickets.emplace(text, ModelTicket{request.step, life->second, now + validity});
+        reply.tickets.emplace(target, text);
+    }
+    return reply;
+}
+
+bool isTicketValid(const AdviserModel &adviser, const std::string &ticket, const StepId &step, const TargetLife &life, TimePoint now)
+{
+    const auto known = adviser.tickets.find(ticket);
+    return known != adviser.tickets.end() && known->second.step == step && known->second.life == life && now <= known->second.validUntil;
+}
+
+}
--- a/standins/fleetmodel.cpp
+++ b/standins/fleetmodel.cpp
@@ -174,6 +174,10 @@
         object(fleet, "UNASKED", order.task, "nobody submitted it");
         return refused(std::move(reply), OrderRefusal::Invalid);
     }
+    const bool needsTicket = fleet.workflows.at(order.task.step.workflow).queue.advice.has_value();
+    if (needsTicket && !isTicketValid(fleet.adviser, order.ticket, order.task.step, target.registration.life, now)) {
+        return refused(std::move(reply), OrderRefusal::NoTicket);
+    }
     checkStart(fleet, target, order.task, *step);
     ModelRun run;
     run.run = order.run;
--- a/standins/fleetmodel.h
+++ b/standins/fleetmodel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "advisermodel.h"
 #include "core/targetregistration.h"
 #include "core/time.h"
 #include "core/workflow.h"
@@ -77,6 +78,7 @@
     std::map<TargetId, ModelTarget> targets;
     std::map<RequestId, Workflow> workflows;
     std::map<RequestId, TaskBehaviour> behaviours;
+    AdviserModel adviser;                 ///< Of queues with an adviser; their starts need a ticket.
     std::map<TaskId, TimePoint> finished; ///< When a run of the task finished first.
     std::map<TaskId, TimePoint> noted;    ///< When a finish of the task was acknowledged, if the target had been held until then.
     std::map<TaskId, TimePoint> lastStart;
--- a/tests/domainfixture.cpp
+++ b/tests/domainfixture.cpp
@@ -159,6 +159,7 @@
     closeWatches(store, {host});
     std::erase_if(store.deliveries, [&](const FakeDelivery &delivery) { return delivery.host == HostId{host}; });
     std::erase_if(m_holds, [&](const WaitingHold &hold) { return hold.host == host; });
+    std::erase_if(m_questions, [&](const OpenQuestion &question) { return question.host == host; });
 }
 
 void DomainTest::start(const std::string &host)
@@ -263,6 +264,7 @@
     writeHeartbeats();
     carryLateOrders();
     answerHolds();
+    answerQuestions();
     for (auto &[id, host] : m_hosts) {
         if (host.isUp && !host.isPaused) {
             stepHost(id, host);
@@ -295,6 +297,8 @@
             submitCall(store, {id}, *call, now);
         } else if (const auto *order = std::get_if<TargetOrder>(&message)) {
             carry(id, *order);
+        } else if (const auto *request = std::get_if<AdviceRequest>(&message)) {
+            ask(id, *request);
         } else if (const auto *check = std::get_if<ReadinessCheck>(&message)) {
             const auto asked = m_hosts.find(check->host.value);
             const bool isUp = asked != m_hosts.end() && asked->second.isUp && !asked->second.isPaused;
@@ -373,6 +377,36 @@
     reply(host, answer);
 }
 
+void DomainTest::ask(const std::string &host, const AdviceRequest &request)
+{
+    const auto &terms = *fleet.workflows.at(request.step.workflow).queue.advice;
+    const auto needed = isAdviserSilent ? request.timeout : terms.perCall + terms.perTarget * static_cast<int>(request.targets.size());
+    m_questions.push_back({host, request, now + needed});
+}
+
+void DomainTest::answerQuestions()
+{
+    const auto open = std::exchange(m_questions, {});
+    for (const auto &question : open) {
+        if (now < question.answerAt) {
+            m_questions.push_back(question);
+            continue;
+        }
+        AdviceReply answer;
+        answer.id = question.request.id;
+        answer.error = "timeout";
+        if (!isAdviserSilent) {
+            std::map<TargetId, TargetLife> lives;
+            for (const auto &[id, target] : fleet.targets) {
+                lives.emplace(id, target.registration.life);
+            }
+            const auto &terms = *fleet.workflows.at(question.request.step.workflow).queue.advice;
+            answer = answerQuestion(fleet.adviser, question.request, lives, terms.validity, now);
+        }
+        m_hosts.at(question.host).inbox.emplace_back(std::move(answer));
+    }
+}
+
 void DomainTest::carryLateOrders()
 {
     const auto late = std::exchange(m_lateOrders, {});
--- a/tests/domainfixture.h
+++ b/tests/domainfixture.h
@@ -95,6 +95,7 @@
     bool losesStartAnswers = false;        ///< Starts take effect, but the hosts hear nothing of it.
     Duration startDelay{0};                ///< Starts are carried out so much later, and not answered.
     bool lateStartsSurvive = false;        ///< Also if the target has crashed meanwhile, as if something in between had held them up.
+    bool isAdviserSilent = false;          ///< Questions to the adviser are not answered.
     std::vector<TargetOrder> sentOrders;
     std::vector<std::string> history; ///< Log lines of the hosts and what the test did, in order; printed for the tasks that the model objects to.
 
@@ -122,6 +123,13 @@
         long long bornMs = 0; ///< Life of the target when the order was sent.
     };
 
+    struct OpenQuestion
+    {
+        std::string host;
+        AdviceRequest request;
+        TimePoint answerAt;
+    };
+
     struct WaitingHold
     {
         std::string host;
@@ -137,6 +145,8 @@
     void endStoreCalls(Host &host);
     void carryLateOrders();
     void answerHolds();
+    void answerQuestions();
+    void ask(const std::string &host, const AdviceRequest &request);
     void reply(const std::string &host, const TargetOrderReply &reply);
     void writeConfiguration();
     void writeHeartbeats();
@@ -148,6 +158,7 @@
     std::set<TargetId> m_unregistered;
     std::vector<LateOrder> m_lateOrders;
     std::vector<WaitingHold> m_holds;
+    std::vector<OpenQuestion> m_questions;
     TimePoint m_nextHeartbeat;
     unsigned long long m_nextCall = 1'000'000;
 };
--- /dev/null
+++ b/workflow/advicequestion.cpp
@@ -0,0 +1,71 @@
+#include "advicequestion.h"
+
+#include "packing.h"
+
+#include <algorithm>
+#include <numeric>
+#include <tuple>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+// An answer takes longer with each target named. Three in ten targets are enough for most steps, and the objectives of queues with an adviser count on one call of
+// this size.
+constexpr std::size_t targetsPerQuestion = 30;
+
+/// Waiting tasks that the targets allowed now have room for.
+int placeableTasks(const PlacementInput &input, const WaitingStep &waiting)
+{
+    return std::transform_reduce(input.targets.begin(), input.targets.end(), 0, std::plus{}, [&](const PlacementTarget &target) {
+        return isAllowed(waiting, target) ? std::min(tasksThatFit(waiting.specification.perTask, target.free), static_cast<int>(waiting.tasks.size())) : 0;
+    });
+}
+
+/// A ticket lasts for seconds, so one that has expired is only renewed where the step could start soon. A verdict on a target that was never asked about lasts.
+bool isTicketUsable(const WaitingStep &waiting, const PlacementTarget &target)
+{
+    const bool hasExpired = waiting.advice->expired.contains(target.id);
+    return !hasExpired || waiting.priority == 0 || tasksThatFit(waiting.specification.perTask, target.soon) > 0;
+}
+
+std::vector<TargetId> targetsToAsk(const PlacementInput &input, const WaitingStep &waiting)
+{
+    const auto &advice = *waiting.advice;
+    std::vector<const PlacementTarget *> candidates;
+    for (const auto &target : input.targets) {
+        const bool isKnown = advice.allowed.contains(target.id) || advice.refused.contains(target.id);
+        if (!isKnown && isTicketUsable(waiting, target) && isEligible(waiting, target) && tasksThatFit(waiting.specification.perTask, target.capacity) > 0) {
+            candidates.push_back(&target);
+        }
+    }
+    std::ranges::stable_sort(candidates, {}, [&](const PlacementTarget *target) {
+        const bool hasRoom = tasksThatFit(waiting.specification.perTask, target->free) > 0;
+        return std::tuple(!advice.expired.contains(target->id), !hasRoom, target->isSuspect, -target->free.accelerators);
+    });
+    candidates.resize(std::min(candidates.size(), targetsPerQuestion));
+    std::vector<TargetId> targets;
+    std::ranges::transform(candidates, std::back_inserter(targets), &PlacementTarget::id);
+    return targets;
+}
+
+}
+
+std::optional<AdviceQuestion> nextQuestion(const PlacementInput &input)
+{
+    auto waiting = input.waiting;
+    sortWaiting(waiting);
+    for (const auto &step : waiting) {
+        if (!step.advice || placeableTasks(input, step) >= static_cast<int>(step.tasks.size())) {
+            continue;
+        }
+        if (auto targets = targetsToAsk(input, step); !targets.empty()) {
+            return AdviceQuestion{step.step, std::move(targets)};
+        }
+    }
+    return std::nullopt;
+}
+
+}
--- a/workflow/controllers.h
+++ b/workflow/controllers.h
@@ -41,8 +41,12 @@
 /// Reads `view`; writes rows of `workflows` and `runs`, and `chain`.
 void advanceWorkflows(WorkflowBoard &board);
 
-/// Decides which waiting tasks start where and which runs make room for them.
-/// Reads `view`, `workflows`, `targets`; writes rows of `runs` and `workflows`.
+/// Takes in what the adviser has answered and forgets what it said of steps that have ended.
+/// Reads the events and `workflows`; writes `advice`.
+void followAdvice(WorkflowBoard &board);
+
+/// Decides which waiting tasks start where and which runs make room for them, and asks the adviser where a step is short of targets.
+/// Reads `view`, `workflows`, `targets`; writes rows of `runs` and `workflows`, and the call of `advice`.
 void planWork(WorkflowBoard &board);
 
 /// Sends starts and stops, again where an answer is missing.
--- a/workflow/driveruns.cpp
+++ b/workflow/driveruns.cpp
@@ -45,6 +45,9 @@
     start.workflow = entry->workflow;
     start.deadline = estimatedClock(target, board.now).value_or(TargetClock{0}) + board.self.limits.startLife;
     start.checkpoint = run.resumedFrom;
+    if (const auto *ticket = findTicket(board.advice, run.task.step, run.place, board.now)) {
+        start.ticket = ticket->text;
+    }
     if (run.step == RunStep::Recording) {
         run.step = RunStep::Starting;
         run.since = board.now;
@@ -68,10 +71,17 @@
     putRun(board, run);
 }
 
+bool hasPermission(const WorkflowBoard &board, const TaskRun &run)
+{
+    const auto *entry = board.workflows.find(run.task.step.workflow);
+    const bool needsTicket = entry != nullptr && queueOf(board, *entry->workflow).advice.has_value();
+    return !needsTicket || findTicket(board.advice, run.task.step, run.place, board.now) != nullptr;
+}
+
 bool mayStart(const WorkflowBoard &board, const TaskRun &run)
 {
     const auto *target = board.targets.find(run.place.target);
-    return target != nullptr && target->registration.life == run.place && takesWork(board, *target);
+    return target != nullptr && target->registration.life == run.place && takesWork(board, *target) && hasPermission(board, run);
 }
 
 /// The run was recorded, but its target takes no new work any more. A gang is dropped whole, before any member has been started.
@@ -83,7 +93,8 @@
                 "startRun",
                 run.place.target.value,
                 toString(run.task),
-                "run " + std::to_string(run.number) + (isGang ? " of the whole gang" : "") + " dropped before its start: the target takes no new work");
+                "run " + std::to_string(run.number) + (isGang ? " of the whole gang" : "")
+                    + " dropped before its start: the target takes no new work, or its ticket has expired");
     const auto runs = isGang ? runsOf(board, run.task.step) : std::vector<TaskRun>{run};
     for (const auto &recorded : runs) {
         if (recorded.step == RunStep::Recording) {
--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -169,6 +169,12 @@
         putRun(board, run);
         return;
     }
+    if (reply.refusal == OrderRefusal::NoTicket) {
+        // The adviser is asked anew.
+        if (const auto advice = board.advice.steps.find(run.task.step); advice != board.advice.steps.end()) {
+            advice->second.allowed.erase(run.place);
+        }
+    }
     if (reply.refusal == OrderRefusal::Unhealthy || reply.refusal == OrderRefusal::NoRoom || reply.refusal == OrderRefusal::OtherLife) {
         pauseTarget(board, run.place.target);
     }
--- a/workflow/ownershipchange.cpp
+++ b/workflow/ownershipchange.cpp
@@ -12,6 +12,7 @@
     board.runCalls.clear();
     board.strayStops.clear();
     board.lateStarts.clear();
+    board.advice = {};
     board.heldRoom.clear();
     board.explainedWaits.clear();
     board.targets = {};
--- a/workflow/packing.cpp
+++ b/workflow/packing.cpp
@@ -84,13 +84,18 @@
                      dimensionCount(perTask.accelerators, room.accelerators)});
 }
 
-bool isAllowed(const WaitingStep &waiting, const PlacementTarget &target)
+bool isEligible(const WaitingStep &waiting, const PlacementTarget &target)
 {
     const auto &label = waiting.specification.requiredLabel;
     const bool hasLabel = label.empty() || std::ranges::find(target.labels, label) != target.labels.end();
     return target.takesWork && target.service == waiting.service && hasLabel;
 }
 
+bool isAllowed(const WaitingStep &waiting, const PlacementTarget &target)
+{
+    return isEligible(waiting, target) && (!waiting.advice || waiting.advice->allowed.contains(target.id));
+}
+
 std::optional<TaskCounts> packTasks(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, int count, const PackingLimits &limits)
 {
     const int perTask = waiting.specification.perTask.accelerators;
--- a/workflow/packing.h
+++ b/workflow/packing.h
@@ -15,7 +15,10 @@
 /// How many tasks of the step the room holds, as its largest dimension allows.
 int tasksThatFit(const Resources &perTask, const Resources &room);
 
-/// True if the step may stand on the target at all.
+/// True if the step may stand on the target, as far as the target and the step's own wishes decide.
+bool isEligible(const WaitingStep &waiting, const PlacementTarget &target);
+
+/// True if the step may stand on the target at all; steps with an adviser need its word.
 bool isAllowed(const WaitingStep &waiting, const PlacementTarget &target);
 
 /// The room of a target that a packing may use.
--- a/workflow/placement.cpp
+++ b/workflow/placement.cpp
@@ -40,14 +40,6 @@
     return target.soon;
 }
 
-/// Urgent steps first, those within a guarantee before the others; within a priority those that can still end in time, by the time that is left until they must start. Work that is late already has lost most
-/// of its value to its caller, and would make others late too.
-void sortWaiting(std::vector<WaitingStep> &waiting)
-{
-    std::ranges::stable_sort(
-        waiting, {}, [](const WaitingStep &step) { return std::tuple(step.priority, !step.isGuaranteed, step.slack < Duration{0}, step.slack); });
-}
-
 bool mayLeaveLocality(const PlacementInput &input, const WaitingStep &waiting)
 {
     const auto patience = std::chrono::duration_cast<Duration>(waiting.remaining * localityPatience(input));
@@ -59,7 +51,7 @@
 {
     int free = 0;
     for (const auto &target : input.targets) {
-        free += isAllowed(waiting, target) ? std::max(0, target.free.accelerators) : 0;
+        free += isEligible(waiting, target) ? std::max(0, target.free.accelerators) : 0;
     }
     return free;
 }
@@ -79,7 +71,7 @@
     }
     int capacity = 0;
     for (const auto &target : input.targets) {
-        capacity += isAllowed(waiting, target) ? target.capacity.accelerators : 0;
+        capacity += isEligible(waiting, target) ? target.capacity.accelerators : 0;
     }
     const int free = freeAccelerators(input, waiting);
     const int reserve = reserveOf(input, waiting.service);
@@ -185,14 +177,14 @@
     return places;
 }
 
-/// The counts of places on targets of the input; nothing if a target is missing or takes no work any more.
-std::optional<TaskCounts> countsOf(const std::vector<PlacementTarget> &targets, const TaskPlaces &places)
+/// The counts of places on targets of the input; nothing if a target is missing or may not be given the step any more.
+std::optional<TaskCounts> countsOf(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, const TaskPlaces &places)
 {
     TaskCounts counts(targets.size(), 0);
     int found = 0;
     for (std::size_t index = 0; index < targets.size(); ++index) {
         const auto place = places.find(targets[index].id);
-        if (place != places.end() && targets[index].takesWork) {
+        if (place != places.end() && isAllowed(waiting, targets[index])) {
             counts[index] = place->second;
             ++found;
         }
@@ -249,7 +241,7 @@
 std::optional<TaskCounts> takeHeld(PlacementInput &input, const WaitingStep &waiting)
 {
     const auto held = input.held.extract(waiting.step);
-    auto counts = held ? countsOf(input.targets, held.mapped()) : std::nullopt;
+    auto counts = held ? countsOf(input.targets, waiting, held.mapped()) : std::nullopt;
     if (counts) {
         giveRoomBack(input.targets, waiting, *counts);
     }
@@ -293,7 +285,9 @@
     const int count = waiting.specification.isGang ? static_cast<int>(waiting.tasks.size()) : 1;
     const PackingLimits anywhere{freeRoom, isAnyTarget, std::nullopt};
     if (!packTasks(input.targets, waiting, count, anywhere)) {
-        return WaitReason::NoRoom;
+        WaitingStep unadvised = waiting;
+        unadvised.advice.reset();
+        return waiting.advice && packTasks(input.targets, unadvised, count, anywhere) ? WaitReason::NotAdvised : WaitReason::NoRoom;
     }
     const bool isKept = !packTasks(input.targets, waiting, count, limitsFor(input, waiting, freeRoom));
     if (isKept) {
@@ -321,7 +315,7 @@
 {
     for (const auto &step : waiting) {
         const auto places = input.held.find(step.step);
-        const auto counts = places == input.held.end() ? std::nullopt : countsOf(input.targets, places->second);
+        const auto counts = places == input.held.end() ? std::nullopt : countsOf(input.targets, step, places->second);
         if (counts && fitsAll(input.targets, step, *counts, soonRoom)) {
             takeRoom(input.targets, step, *counts);
         } else {
@@ -340,14 +334,21 @@
 
 std::string_view name(WaitReason reason)
 {
-    static constexpr std::array<std::string_view, 5> names{"no target has room",
+    static constexpr std::array<std::string_view, 6> names{"no target has room",
                                                            "what is free is kept for urgent work",
                                                            "no single rack has room",
                                                            "the rack of its data has no room",
+                                                           "the targets that its adviser has allowed have no room",
                                                            "other work is being stopped for it"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
+void sortWaiting(std::vector<WaitingStep> &waiting)
+{
+    std::ranges::stable_sort(
+        waiting, {}, [](const WaitingStep &step) { return std::tuple(step.priority, !step.isGuaranteed, step.slack < Duration{0}, step.slack); });
+}
+
 PlacementPlan planPlacements(PlacementInput input)
 {
     PlacementPlan plan;
--- a/workflow/placement.h
+++ b/workflow/placement.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,16 @@
     friend bool operator==(const PlacementTarget &, const PlacementTarget &) = default;
 };
 
+/// Targets of which the step's adviser has spoken. The others have to be asked about before the step may run there.
+struct StepPermission
+{
+    std::set<TargetId> allowed; ///< With a ticket that lasts until a start has arrived.
+    std::set<TargetId> expired; ///< Allowed too, but without a valid ticket.
+    std::set<TargetId> refused;
+
+    friend bool operator==(const StepPermission &, const StepPermission &) = default;
+};
+
 /// Tasks of one step that may start: a whole gang, or every waiting task of a step that is none.
 struct WaitingStep
 {
@@ -38,12 +49,13 @@
     int priority = 0;
     bool isGuaranteed = false; ///< Most urgent work within its organisation's guarantee; gets back what others borrow.
     std::vector<int> tasks;
-    bool hasFailed = false;        ///< A run of it has failed; it must not fail on a bad target again.
-    Duration waited{0};            ///< Since it could first have started.
-    Duration remaining{0};         ///< Estimated run time that is left.
-    Duration slack{0};             ///< Until it must start to meet its objective; negative: it is late.
-    std::map<TargetId, int> taken; ///< Tasks of the step that stand on a target already.
-    bool wantsReason = false;      ///< The plan says why it does not start.
+    bool hasFailed = false;               ///< A run of it has failed; it must not fail on a bad target again.
+    Duration waited{0};                   ///< Since it could first have started.
+    Duration remaining{0};                ///< Estimated run time that is left.
+    Duration slack{0};                    ///< Until it must start to meet its objective; negative: it is late.
+    std::map<TargetId, int> taken;        ///< Tasks of the step that stand on a target already.
+    bool wantsReason = false;             ///< The plan says why it does not start.
+    std::optional<StepPermission> advice; ///< Only for steps of a queue with an adviser.
 
     friend bool operator==(const WaitingStep &, const WaitingStep &) = default;
 };
@@ -101,6 +113,7 @@
     Reserve,      ///< There is room, but it is kept for urgent work.
     OneRack,      ///< There is room, but in no single rack.
     AwayFromData, ///< There is room, but not in the rack of its data.
+    NotAdvised,   ///< There is room, but not on the targets that its adviser has allowed so far.
     RoomIsMade,   ///< Other work is being stopped for it.
 };
 
@@ -126,6 +139,10 @@
     friend bool operator==(const PlacementPlan &, const PlacementPlan &) = default;
 };
 
+/// Sorts steps into the order in which they are placed: urgent steps first, those within a guarantee before the others; within a priority those that can still end in
+/// time, by the time that is left until they must start. Work that is late already has lost most of its value to its caller, and would make others late too.
+void sortWaiting(std::vector<WaitingStep> &waiting);
+
 /// Decides which waiting steps start where now, and what is stopped for urgent ones. Gangs start whole or not at all.
 PlacementPlan planPlacements(PlacementInput input);
 
--- a/workflow/placementinput.cpp
+++ b/workflow/placementinput.cpp
@@ -23,6 +23,9 @@
 // Of the time in which guaranteed work has to begin, for the start itself and for a store that answers slowly.
 constexpr Duration reclaimMargin{600};
 
+// A placed task's record has to be stored, and its start has to arrive, before the ticket expires; some 20 ms, and a store that answers slowly.
+constexpr Duration ticketMargin{300};
+
 // What a core of work is worth beside an accelerator when the cost of a stop is weighed.
 constexpr double coresPerAccelerator = 8;
 
@@ -95,6 +98,27 @@
     return due + objectiveOf(workflow, queue) - longestChain(workflow.specification) - board.wallNow;
 }
 
+/// What the adviser has said of the step, for the present lives of the targets.
+StepPermission permissionOf(const WorkflowBoard &board, const StepId &step)
+{
+    StepPermission permission;
+    const auto advice = board.advice.steps.find(step);
+    if (advice == board.advice.steps.end()) {
+        return permission;
+    }
+    for (const auto &[id, target] : board.targets.rows()) {
+        const auto &life = target.registration.life;
+        if (findTicket(board.advice, step, life, board.now + ticketMargin) != nullptr) {
+            permission.allowed.insert(id);
+        } else if (advice->second.allowed.contains(life)) {
+            permission.expired.insert(id);
+        } else if (advice->second.refused.contains(life)) {
+            permission.refused.insert(id);
+        }
+    }
+    return permission;
+}
+
 std::optional<WaitingStep> waitingStep(const WorkflowBoard &board, const WorkflowEntry &entry, const StepId &id, const StepProgress &progress)
 {
     const auto &specification = entry.workflow->specification.steps.at(static_cast<std::size_t>(id.step));
@@ -123,6 +147,9 @@
     waiting.waited = std::max(Duration{0}, board.wallNow - std::max(dueTime(*entry.workflow, id.occurrence), entry.workflow->acceptedAt));
     waiting.remaining = specification.estimate;
     waiting.slack = slackOf(board, entry, queue, id.occurrence);
+    if (queue.advice) {
+        waiting.advice = permissionOf(board, id);
+    }
     return waiting;
 }
 
--- a/workflow/planwork.cpp
+++ b/workflow/planwork.cpp
@@ -1,4 +1,6 @@
+#include "advicequestion.h"
 #include "controllers.h"
+#include "eligibility.h"
 #include "placement.h"
 #include "placementinput.h"
 #include "progresschange.h"
@@ -107,6 +109,25 @@
     }
 }
 
+// Of the adviser's answer beyond what the queue's terms say.
+constexpr Duration adviceMargin{500};
+
+/// Asks the adviser about further targets, unless a question is under way.
+void askAdviser(WorkflowBoard &board, const PlacementInput &input)
+{
+    auto &book = board.advice;
+    const auto question = book.call || board.now < book.retryAt ? std::nullopt : nextQuestion(input);
+    if (!question) {
+        return;
+    }
+    const auto &terms = *queueOf(board, *board.workflows.find(question->step.workflow)->workflow).advice;
+    AdviceCall call{takeCallId(board), question->step, {}, board.now};
+    std::ranges::transform(question->targets, std::back_inserter(call.targets), [&](const TargetId &id) { return board.targets.find(id)->registration.life; });
+    const auto expected = terms.perCall + terms.perTarget * static_cast<int>(question->targets.size());
+    board.outbox.emplace_back(AdviceRequest{call.id, call.step, question->targets, expected + patienceFor(board, adviceMargin)});
+    book.call = std::move(call);
+}
+
 }
 
 void planWork(WorkflowBoard &board)
@@ -129,6 +150,7 @@
     if (!input.waiting.empty()) {
         std::vector<WaitingStep> unexplained;
         std::ranges::copy_if(input.waiting, std::back_inserter(unexplained), &WaitingStep::wantsReason);
+        askAdviser(board, input);
         auto plan = planPlacements(std::move(input));
         logWaits(board, unexplained, plan);
         stopPlanned(board, plan.stops);
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "advice.h"
 #include "callermessage.h"
 #include "core/counters.h"
 #include "core/event.h"
@@ -51,9 +52,17 @@
     friend bool operator==(const ReadinessReply &, const ReadinessReply &) = default;
 };
 
-using WorkflowEvent =
-    std::variant<CallerRequest, CallAbandoned, StoreReply, StoreWatchEvent, StoreWatchLost, TargetOrderReply, ReadinessReply, StopRequested, SettingsChanged>;
-using WorkflowMessage = std::variant<StoreCall, TargetOrder, ReadinessCheck, CallerAnswer>;
+using WorkflowEvent = std::variant<CallerRequest,
+                                   CallAbandoned,
+                                   StoreReply,
+                                   StoreWatchEvent,
+                                   StoreWatchLost,
+                                   TargetOrderReply,
+                                   AdviceReply,
+                                   ReadinessReply,
+                                   StopRequested,
+                                   SettingsChanged>;
+using WorkflowMessage = std::variant<StoreCall, TargetOrder, AdviceRequest, ReadinessCheck, CallerAnswer>;
 
 enum class MirrorStep
 {
@@ -385,6 +394,7 @@
     Table<CallId, OpenCallerCall> calls;
     SummaryCopy summary;
     HostDirectory directory;
+    AdviceBook advice;                          ///< Written by askAdviser and planWork.
     std::map<StepId, TaskPlaces> heldRoom;      ///< Room that the last placement pass holds for urgent steps.
     std::map<StepId, TimePoint> explainedWaits; ///< When the log said last why the step waits.
     TimePoint nextPlanAt;
--- a/workflow/workflowstep.cpp
+++ b/workflow/workflowstep.cpp
@@ -76,6 +76,7 @@
     followTargets(board);
     followRuns(board);
     advanceWorkflows(board);
+    followAdvice(board);
     planWork(board);
     commitProgress(board);
     driveRuns(board);
