Ask targets in turns, and idle ones of a large fleet less often

Besides, each step copied the row of every target: 10 s with 2,000 targets took 30 s of a core.

Targets that have not answered are asked as many at a time as the host's share of a core can read, those with runs first, then those that waited longest. A target without runs is asked again after a pause that grows with the fleet; the contact age and the silence of a zone grow with it. Rows are only copied where they change, and passes of placement are spaced by the fleet's size. The HTTP client keeps 3,000 idle connections instead of four for each call under way.

Before: 2,000 holds in one step and 22,167 in 10 s at 2,000 targets with half a core.

--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -17,6 +17,10 @@
 // Load balancers and agents drop connections that are idle for a minute; a connection that rested longer than this is not reused.
 constexpr long maxIdleSeconds = 20;
 
+// By default libcurl keeps four connections for each call under way, fewer than a large fleet has targets, and opens a new one for most calls then. Leaves room for
+// callers below the usual limit of 4,096 descriptors.
+constexpr long maxIdleConnections = 3'000;
+
 }
 
 struct HttpClient::Transfer
@@ -55,6 +59,7 @@
     curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
     curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &HttpClient::onTimerChange);
     curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maxIdleConnections);
 }
 
 HttpClient::~HttpClient()
--- /dev/null
+++ b/tests/testlargefleet.cpp
@@ -0,0 +1,122 @@
+#include "domainfixture.h"
+
+#include <algorithm>
+#include <map>
+
+namespace sequoiastand
+{
+
+/// An owner with a quarter of a core and many targets.
+struct LargeFleet : DomainTest
+{
+    static constexpr int targetCount = 600;
+
+    LargeFleet()
+    {
+        settings.processorShare = 0.25;
+        addTargets(targetCount);
+        addHost("h1");
+    }
+
+    void runUntilAllAreFenced()
+    {
+        runUntil(
+            [&] {
+                const auto &rows = board("h1").targets.rows();
+                return rows.size() == targetCount && std::ranges::all_of(rows, [](const auto &row) { return row.second.isFenced; });
+            },
+            Duration{20'000});
+    }
+
+    /// Holds sent from that order on.
+    int holdsSince(std::size_t first) const
+    {
+        return static_cast<int>(std::count_if(sentOrders.begin() + static_cast<std::ptrdiff_t>(first), sentOrders.end(), [](const TargetOrder &order) {
+            return std::holds_alternative<HoldRuns>(order.request);
+        }));
+    }
+};
+
+TEST_F(LargeFleet, newOwnerLooksAtItsTargetsInTurns)
+{
+    // Guards against a take-over that asks every target at once: a weak host cannot read the answers before they time out, asks again on new connections,
+    // and loses its lease meanwhile.
+    std::size_t sent = 0;
+    std::size_t most = 0;
+    for (int tick = 0; tick < 2'000; ++tick) {
+        run(Duration{5});
+        most = std::max(most, sentOrders.size() - sent);
+        sent = sentOrders.size();
+    }
+    EXPECT_LE(most, 120U) << "in one step, with a quarter of a core";
+    runUntilAllAreFenced();
+}
+
+TEST_F(LargeFleet, silentTargetsDoNotKeepOthersFromBeingAsked)
+{
+    // Guards against turns in which the targets that never answer come first every time.
+    for (int number = 1; number <= 200; ++number) {
+        cutOff("t" + std::to_string(number));
+    }
+    runUntil(
+        [&] {
+            const auto fenced = std::ranges::count_if(board("h1").targets.rows(), [](const auto &row) { return row.second.isFenced; });
+            return fenced == targetCount - 200;
+        },
+        Duration{20'000});
+    for (int number = 1; number <= 200; ++number) {
+        reconnect("t" + std::to_string(number));
+    }
+    runUntilAllAreFenced();
+}
+
+TEST_F(LargeFleet, idleTargetsAreAskedNoMoreOftenThanTheOwnerCanAfford)
+{
+    runUntilAllAreFenced();
+    run(Duration{10'000});
+    const auto before = sentOrders.size();
+    run(Duration{10'000});
+    EXPECT_LE(holdsSince(before), 10 * 150) << "per 10 s, with a quarter of a core";
+}
+
+TEST_F(LargeFleet, idleTargetsStillTakeWorkBetweenTwoHolds)
+{
+    // Guards against targets that are taken for silent because they are asked less often.
+    runUntilAllAreFenced();
+    run(Duration{15'000});
+    submit(id(1), gang(targetCount, {1'000, 1'000, 8}), {Duration{1'000}, {}}, "h1", "/urgent/");
+    runUntil([&] { return fleet.starts[id(1)] == targetCount; }, Duration{4'000});
+}
+
+TEST_F(LargeFleet, zoneOfFewIdleTargetsIsNotTakenForSilent)
+{
+    // Guards against a small zone of a large fleet that gets no work because its targets are asked so seldom.
+    TargetRegistration registration = fleet.targets.at({"t1"}).registration;
+    for (int number = 1; number <= 10; ++number) {
+        registration.life.target = {"small" + std::to_string(number)};
+        registration.availabilityZone = {"c"};
+        registration.labels = {"small", "r0"};
+        registration.address = "10.0.1." + std::to_string(number) + ":80";
+        addTarget(fleet, registration, now);
+        registerAgain(registration.life.target.value);
+    }
+    run(Duration{15'000});
+    auto work = gang(10, {1'000, 1'000, 8});
+    work.steps.front().requiredLabel = "small";
+    for (int number = 1; number <= 5; ++number) {
+        submit(id(number), work, {Duration{200}, {}}, "h1", "/urgent/");
+        runUntil([&] { return fleet.starts[id(number)] == 10; }, Duration{1'000});
+        run(Duration{3'000});
+    }
+}
+
+TEST_F(LargeFleet, endOfARunOnAnIdleTargetIsHeardAtOnce)
+{
+    runUntilAllAreFenced();
+    run(Duration{10'000});
+    submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{1'500}, {}}, "h1", "/urgent/");
+    runUntil([&] { return fleet.starts[id(1)] == 1; }, Duration{1'000});
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{1'800});
+}
+
+}
--- a/workflow/advanceworkflows.cpp
+++ b/workflow/advanceworkflows.cpp
@@ -135,15 +135,17 @@
 /// Runs of ended workflows that a former owner left, or that were recorded while the workflow ended.
 void stopLeftRuns(WorkflowBoard &board)
 {
-    std::vector<TaskRun> left;
-    for (const auto &[task, run] : board.runs.rows()) {
-        const auto *entry = board.workflows.find(task.step.workflow);
-        if (!run.isStopWanted && run.step != RunStep::Ending && entry != nullptr && hasEnded(entry->progress.state)) {
-            left.push_back(run);
+    const auto changed = board.workflows.changes();
+    for (const auto &id : changed) {
+        const auto *entry = board.workflows.find(id);
+        if (entry == nullptr || !hasEnded(entry->progress.state)) {
+            continue;
+        }
+        for (const auto &run : runsOf(board, id)) {
+            if (run.step != RunStep::Ending) {
+                stopRuns(board, {run}, RunStopCause::WorkflowEnded, "left from before");
+            }
         }
-    }
-    for (const auto &run : left) {
-        stopRuns(board, {run}, RunStopCause::WorkflowEnded, "left from before");
     }
 }
 
--- a/workflow/driveruns.cpp
+++ b/workflow/driveruns.cpp
@@ -56,6 +56,7 @@
     run.startSentAt = board.now;
     run.startDeadline = start.deadline;
     target.heldUntil = std::max(target.heldUntil, start.deadline);
+    target.nextHoldAt = std::min(target.nextHoldAt, board.now);
     sendOrder(board, run, target, std::move(start));
     board.targets.put(run.place.target, std::move(target));
     putRun(board, run);
--- a/workflow/eligibility.cpp
+++ b/workflow/eligibility.cpp
@@ -1,5 +1,7 @@
 #include "eligibility.h"
 
+#include "holdpacing.h"
+
 #include <algorithm>
 #include <map>
 
@@ -10,7 +12,7 @@
 {
 
 // With this many targets, each answering once a second or so, some target of a zone answers every tenth of a second. Silence of all of them for the time below
-// means that the zone cannot be reached, long before each of them has missed an answer.
+// means that the zone cannot be reached, long before each of them has missed an answer. Where idle targets answer less often, it takes more of them.
 constexpr int talkativeTargets = 8;
 constexpr Duration zoneSilence{450};
 
@@ -31,9 +33,11 @@
             contact.newest = std::max(contact.newest, *target.answeredAt);
         }
     }
+    const auto pace = holdPace(board);
+    const auto needed = talkativeTargets * (pace.idlePause + pace.answerPeriod) / pace.answerPeriod;
     std::set<AvailabilityZoneId> silent;
     for (const auto &[zone, contact] : contacts) {
-        if (contact.targets >= talkativeTargets && board.now - contact.newest > zoneSilence) {
+        if (contact.targets >= needed && board.now - contact.newest > zoneSilence) {
             silent.insert(zone);
         }
     }
@@ -45,7 +49,7 @@
     const auto &registration = target.registration;
     const bool isInService = target.isRegistered && !registration.isDraining && !board.view.evacuated.contains(registration.availabilityZone);
     const bool isInContact =
-        target.isFenced && target.failures == 0 && !target.suspectedAt && target.answeredAt && board.now - *target.answeredAt <= board.self.limits.contactAge;
+        target.isFenced && target.failures == 0 && !target.suspectedAt && target.answeredAt && board.now - *target.answeredAt <= holdPace(board).contactAge;
     const bool isAvoided = target.avoidUntil && board.now < *target.avoidUntil;
     return isInService && isInContact && !isAvoided && !target.hasStrays;
 }
--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -1,4 +1,5 @@
 #include "controllers.h"
+#include "holdpacing.h"
 #include "progresschange.h"
 #include "runends.h"
 #include "targetlease.h"
@@ -92,6 +93,15 @@
     compareRuns(board, id, lists, askedAt);
 }
 
+/// A target with runs is asked again at once, so that the next end is heard; one with nothing at work can wait.
+Duration pauseAfterLists(const WorkflowBoard &board, const DomainTarget &target, const TargetLists &lists)
+{
+    if (!target.pendingEnds.empty()) {
+        return pendingEndPause;
+    }
+    return lists.running.empty() ? holdPace(board).idlePause : Duration{0};
+}
+
 void takeHold(WorkflowBoard &board, const TargetId &id, const TargetOrderReply &reply)
 {
     DomainTarget target = *board.targets.find(id);
@@ -143,7 +153,7 @@
     board.targets.put(id, target);
     takeLists(board, id, *reply.lists, askedAt);
     target = *board.targets.find(id);
-    target.nextHoldAt = target.pendingEnds.empty() ? board.now : board.now + pendingEndPause;
+    target.nextHoldAt = board.now + pauseAfterLists(board, target, *reply.lists);
     board.targets.put(id, std::move(target));
 }
 
--- a/workflow/holdtargets.cpp
+++ b/workflow/holdtargets.cpp
@@ -1,9 +1,14 @@
 #include "controllers.h"
+#include "holdpacing.h"
 #include "progresschange.h"
 #include "targetlease.h"
 
 #include <algorithm>
+#include <iterator>
+#include <optional>
+#include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace sequoiastand
@@ -15,12 +20,18 @@
 // What stands on a leaving target is lost when it goes; with a short hold that is certain soon afterwards.
 constexpr Duration drainingHold{4'000};
 
-/// Moves `lastSeen` up to the newest end whose consequences the store holds.
+bool hasStoredEnd(const WorkflowBoard &board, const DomainTarget &target)
+{
+    return !target.pendingEnds.empty() && isStored(board, target.pendingEnds.front().workflow, target.pendingEnds.front().version);
+}
+
+/// Moves `lastSeen` up to the newest end whose consequences the store holds. The target hears of it at once.
 DomainTarget withStoredEnds(const WorkflowBoard &board, DomainTarget target)
 {
-    while (!target.pendingEnds.empty() && isStored(board, target.pendingEnds.front().workflow, target.pendingEnds.front().version)) {
+    while (hasStoredEnd(board, target)) {
         target.lastSeen = target.pendingEnds.front().number;
         target.pendingEnds.pop_front();
+        target.nextHoldAt = board.now;
     }
     return target;
 }
@@ -66,9 +77,79 @@
     board.outbox.emplace_back(std::move(order));
 }
 
-bool hasNewsForTarget(const DomainTarget &before, const DomainTarget &after)
+/// Asks a target that has not answered under this token, or did not answer the last time; the answer comes at once.
+bool isLook(const DomainTarget &target)
+{
+    return !target.isFenced || target.failures > 0;
+}
+
+bool isHoldDue(const WorkflowBoard &board, const DomainTarget &target)
+{
+    return !target.hold && !target.registration.address.empty() && board.now >= target.nextHoldAt;
+}
+
+int looksUnderWay(const WorkflowBoard &board)
 {
-    return after.lastSeen > before.lastSeen;
+    return static_cast<int>(std::ranges::count_if(board.targets.rows(), [](const auto &row) { return row.second.hold && isLook(row.second); }));
+}
+
+/// Targets whose row changes now: a hold is due, or ends may be forgotten. Looks are sent in turns: first to targets that runs stand on, then to those that have waited longest.
+std::vector<TargetId> targetsToHold(const WorkflowBoard &board)
+{
+    std::vector<TargetId> chosen;
+    std::vector<TargetId> looks;
+    for (const auto &[id, target] : board.targets.rows()) {
+        if (hasStoredEnd(board, target) || (isHoldDue(board, target) && !isLook(target))) {
+            chosen.push_back(id);
+        } else if (isHoldDue(board, target)) {
+            looks.push_back(id);
+        }
+    }
+    const auto room = static_cast<std::size_t>(std::max(0, looks.empty() ? 0 : holdPace(board).maxLooks - looksUnderWay(board)));
+    if (looks.size() > room) {
+        std::set<TargetId> withRuns;
+        std::ranges::transform(board.runs.rows(), std::inserter(withRuns, withRuns.end()), [](const auto &row) { return row.second.place.target; });
+        std::ranges::sort(looks, {}, [&](const TargetId &id) { return std::tuple(!withRuns.contains(id), board.targets.find(id)->nextHoldAt, id); });
+        looks.resize(room);
+    }
+    chosen.insert(chosen.end(), looks.begin(), looks.end());
+    return chosen;
+}
+
+void loseSilentRuns(WorkflowBoard &board)
+{
+    std::vector<TargetId> lapsed;
+    std::optional<TimePoint> next;
+    for (const auto &[id, target] : board.targets.rows()) {
+        const bool isSilent = !target.answeredAt || target.failures > 0;
+        if (!isSilent) {
+            continue;
+        }
+        const auto lapsesAt = surelyLapsedAt(target);
+        if (board.now >= lapsesAt) {
+            lapsed.push_back(id);
+        } else {
+            next = std::min(next.value_or(lapsesAt), lapsesAt);
+        }
+    }
+    if (next) {
+        subscribeNoLaterThan(board.timers, "lapses", *next);
+    }
+    std::ranges::for_each(lapsed, [&](const TargetId &id) { loseRuns(board, id); });
+}
+
+/// Holds that are due but have to wait for answers to others need no timer: the answers wake the host.
+void subscribeNextHold(WorkflowBoard &board)
+{
+    std::optional<TimePoint> next;
+    for (const auto &[id, target] : board.targets.rows()) {
+        if (!target.hold && target.nextHoldAt > board.now) {
+            next = std::min(next.value_or(target.nextHoldAt), target.nextHoldAt);
+        }
+    }
+    if (next) {
+        subscribeNoLaterThan(board.timers, "holds", *next);
+    }
 }
 
 }
@@ -78,33 +159,15 @@
     if (!hasAuthority(board) || !board.load.hasTargets || !board.load.hasIntake) {
         return;
     }
-    std::vector<TargetId> silent;
-    std::vector<std::pair<TargetId, DomainTarget>> changed;
-    for (const auto &[id, present] : board.targets.rows()) {
-        DomainTarget target = withStoredEnds(board, present);
-        if (hasNewsForTarget(present, target)) {
-            target.nextHoldAt = board.now;
-        }
-        if (!target.hold && !target.registration.address.empty() && board.now >= target.nextHoldAt) {
+    for (const auto &id : targetsToHold(board)) {
+        auto target = withStoredEnds(board, *board.targets.find(id));
+        if (isHoldDue(board, target)) {
             sendHold(board, target);
         }
-        if (!target.hold) {
-            subscribeNoLaterThan(board.timers, "holds", target.nextHoldAt);
-        }
-        const bool isSilent = !target.answeredAt || target.failures > 0;
-        if (isSilent && board.now >= surelyLapsedAt(target)) {
-            silent.push_back(id);
-        } else if (isSilent) {
-            subscribeNoLaterThan(board.timers, "lapses", surelyLapsedAt(target));
-        }
-        if (target != present) {
-            changed.emplace_back(id, std::move(target));
-        }
-    }
-    for (auto &[id, target] : changed) {
         board.targets.put(id, std::move(target));
     }
-    std::ranges::for_each(silent, [&](const TargetId &id) { loseRuns(board, id); });
+    subscribeNextHold(board);
+    loseSilentRuns(board);
 }
 
 }
--- a/workflow/planwork.cpp
+++ b/workflow/planwork.cpp
@@ -109,6 +109,15 @@
     }
 }
 
+// A pass weighs every target several times, some 2 us of a core in all, so that on half a core passes take two fifths of the time at most.
+constexpr std::chrono::microseconds planPausePerTarget{10};
+
+/// Added to the shortest time between two passes, for the size of the fleet.
+Duration planPause(const WorkflowBoard &board)
+{
+    return std::chrono::duration_cast<Duration>(planPausePerTarget * static_cast<int>(board.targets.size()));
+}
+
 // Of the adviser's answer beyond what the queue's terms say.
 constexpr Duration adviceMargin{500};
 
@@ -144,7 +153,7 @@
         return;
     }
     board.isPlanWanted = false;
-    board.nextPlanAt = board.now + board.self.limits.planPeriod;
+    board.nextPlanAt = board.now + board.self.limits.planPeriod + planPause(board);
     auto input = placementInput(board);
     board.heldRoom.clear();
     if (!input.waiting.empty()) {
