Pace tasks that fill beside tasks that serve, and stop lasting tasks only within their terms

Cause: fillers were started and never paced, and their processors were counted against a target's capacity; lasting tasks were never stopped, so that they could keep a guarantee from being met.

The pace on a target follows the tails that its lists report. Ruled out: a model of which images disturb each other, because it changes within seconds. Fillers are spread over targets. Lasting tasks of a step with maxUnavailable may be stopped for urgent work while fewer are away than it allows.

--- a/app/settings.cpp
+++ b/app/settings.cpp
@@ -104,6 +104,7 @@
     reader.read("holdMaxMs", limits.holdMax, Duration{1'000}, minutes{10});
     reader.read("reclaimBoundMs", limits.reclaimBound, Duration{100}, minutes{10});
     reader.read("stopGraceMs", limits.stopGrace, Duration{0}, minutes{1});
+    reader.read("harmBoundMs", limits.harmBound, Duration{500}, minutes{10});
     reader.read("gangWaitMs", limits.gangWait, Duration{100}, minutes{10});
     reader.read("revokeBoundMs", limits.revokeBound, Duration{1'000}, minutes{10});
     reader.readSeconds("statusRetentionS", limits.statusRetention, Duration{1'000}, hours{24 * 7});
--- a/core/workflow.cpp
+++ b/core/workflow.cpp
@@ -60,6 +60,11 @@
     return TaskId{{{parts.front()}, numbers[0], numbers[1]}, numbers[2]};
 }
 
+Resources reservedRoom(const StepSpecification &step)
+{
+    return step.isFiller ? Resources{0, step.perTask.memoryMb, step.perTask.accelerators} : step.perTask;
+}
+
 int occurrenceCount(const OccurrenceSchedule &schedule)
 {
     return std::max(1, schedule.count);
--- a/core/workflow.h
+++ b/core/workflow.h
@@ -37,6 +37,9 @@
     friend bool operator==(const StepSpecification &, const StepSpecification &) = default;
 };
 
+/// What a task of the step takes of its target's capacity; the processors of fillers are not counted.
+Resources reservedRoom(const StepSpecification &step);
+
 /// Times at which the steps of a workflow run again; a count of zero means once, at once.
 struct OccurrenceSchedule
 {
--- a/standins/fleetmodel.cpp
+++ b/standins/fleetmodel.cpp
@@ -12,6 +12,9 @@
 namespace
 {
 
+// Until a lasting task is at work.
+constexpr Duration startup{300};
+
 const StepSpecification *stepOf(const FleetModel &fleet, const StepId &step)
 {
     const auto workflow = fleet.workflows.find(step.workflow);
@@ -193,6 +196,24 @@
     return reply;
 }
 
+/// A stop of a task at work while as many others of its step are away as the step allows.
+void checkAvailability(FleetModel &fleet, const TaskId &task, TimePoint now)
+{
+    const auto *step = stepOf(fleet, task.step);
+    if (step == nullptr || step->maxUnavailable == 0) {
+        return;
+    }
+    int atWork = 0;
+    for (const auto &[id, target] : fleet.targets) {
+        atWork += static_cast<int>(std::ranges::count_if(target.running, [&](const auto &row) {
+            return row.first.step == task.step && row.first != task && !row.second.stopsAt && now - row.second.startedAt >= startup;
+        }));
+    }
+    if (step->taskCount - 1 - atWork >= step->maxUnavailable) {
+        object(fleet, "AVAIL", task, absl::StrCat("is stopped while only ", atWork, " others of its step are at work"));
+    }
+}
+
 TargetOrderReply stop(const FleetModel &fleet, ModelTarget &target, const StopRun &order, TargetOrderReply reply, TimePoint now)
 {
     auto &highest = target.highestEnded[order.task];
@@ -236,6 +257,16 @@
     }
 }
 
+TargetOrderReply pace(ModelTarget &target, const PaceRun &order, TargetOrderReply reply)
+{
+    const auto present = target.running.find(order.task);
+    if (present == target.running.end() || present->second.run != order.run) {
+        return refused(std::move(reply), OrderRefusal::OldRun);
+    }
+    present->second.pace = order.percent;
+    return reply;
+}
+
 TargetOrderReply hold(FleetModel &fleet, ModelTarget &target, const HoldRuns &order, TargetOrderReply reply, TimePoint now)
 {
     if (order.deadline) {
@@ -251,7 +282,10 @@
     for (const auto &[task, run] : target.running) {
         const auto *step = stepOf(fleet, task.step);
         const auto saved = step == nullptr ? Duration{0} : savedWork(fleet, *step, run);
-        lists.running.push_back({task, run.run, saved > Duration{0} ? checkpointText(saved) : std::string{}, 0});
+        ListedRun listed{task, run.run, saved > Duration{0} ? checkpointText(saved) : std::string{}};
+        listed.percent = step != nullptr && step->isLasting && now - run.startedAt >= startup ? 100 : 0;
+        listed.load = static_cast<int>(tailOf(fleet, target, task).count());
+        lists.running.push_back(std::move(listed));
     }
     lists.ended.assign(target.ended.begin(), target.ended.end());
     reply.lists = std::move(lists);
@@ -347,6 +381,25 @@
     }
 }
 
+/// Notes serving tasks that fillers keep over their target for too long.
+void checkHarm(FleetModel &fleet, ModelTarget &target, TimePoint now)
+{
+    for (auto &[task, run] : target.running) {
+        const auto *step = stepOf(fleet, task.step);
+        if (step == nullptr || step->latencyTarget == Duration{0}) {
+            continue;
+        }
+        const auto behaviour = fleet.behaviours.find(task.step.workflow);
+        const auto alone = behaviour == fleet.behaviours.end() ? Duration{0} : behaviour->second.tail;
+        const bool isHarmed = tailOf(fleet, target, task) > step->latencyTarget && alone <= step->latencyTarget;
+        run.overSince = isHarmed ? std::optional(run.overSince.value_or(now)) : std::nullopt;
+        if (run.overSince && now - *run.overSince >= fleet.harmBound) {
+            object(fleet, "HARM", task, absl::StrCat("is over its target on ", target.registration.life.target.value));
+            run.overSince = now;
+        }
+    }
+}
+
 void endDueRuns(FleetModel &fleet, const TargetId &id, TimePoint now)
 {
     std::vector<TaskId> tasks;
@@ -424,8 +477,12 @@
         return start(fleet, target, *startOrder, order.token, std::move(reply), now);
     }
     if (const auto *stopOrder = std::get_if<StopRun>(&order.request)) {
+        checkAvailability(fleet, stopOrder->task, now);
         return stop(fleet, target, *stopOrder, std::move(reply), now);
     }
+    if (const auto *paceOrder = std::get_if<PaceRun>(&order.request)) {
+        return pace(target, *paceOrder, std::move(reply));
+    }
     return hold(fleet, target, std::get<HoldRuns>(order.request), std::move(reply), now);
 }
 
@@ -434,6 +491,7 @@
     gatherGangs(fleet, now);
     for (auto &[id, target] : fleet.targets) {
         countWork(fleet, target, now);
+        checkHarm(fleet, target, now);
         target.lapsedAt = now >= target.heldUntil ? now : target.lapsedAt;
     }
     std::vector<TargetId> ids;
@@ -446,12 +504,26 @@
     Resources used;
     for (const auto &[task, run] : target.running) {
         if (const auto *step = stepOf(fleet, task.step)) {
-            used = used + step->perTask;
+            used = used + reservedRoom(*step);
         }
     }
     return used;
 }
 
+Duration tailOf(const FleetModel &fleet, const ModelTarget &target, const TaskId &task)
+{
+    const auto behaviour = fleet.behaviours.find(task.step.workflow);
+    Duration tail = behaviour == fleet.behaviours.end() ? Duration{0} : behaviour->second.tail;
+    for (const auto &[other, run] : target.running) {
+        const auto *step = stepOf(fleet, other.step);
+        const auto filler = fleet.behaviours.find(other.step.workflow);
+        if (step != nullptr && step->isFiller && filler != fleet.behaviours.end()) {
+            tail += filler->second.disturbance * run.pace / 100;
+        }
+    }
+    return tail;
+}
+
 bool isAtWork(const FleetModel &fleet, const RequestId &workflow)
 {
     return std::ranges::any_of(fleet.targets, [&](const auto &row) {
--- a/standins/fleetmodel.h
+++ b/standins/fleetmodel.h
@@ -21,6 +21,8 @@
 {
     Duration work{1'000};       ///< Of each task on a sound target.
     std::set<int> failingTasks; ///< Indexes of tasks that always fail at the end of their work.
+    Duration tail{0};           ///< Of a serving task's response times when nothing disturbs it.
+    Duration disturbance{0};    ///< What one filler at full speed adds to the tails on its target.
 
     friend bool operator==(const TaskBehaviour &, const TaskBehaviour &) = default;
 };
@@ -36,6 +38,8 @@
     std::optional<TimePoint> stopsAt;
     std::optional<TimePoint> breaksAt; ///< Another member of its gang has ended.
     Revision token = 0;
+    int pace = 100;                     ///< Percent of its full speed.
+    std::optional<TimePoint> overSince; ///< When its tail rose over its target with fillers as the cause.
 
     friend bool operator==(const ModelRun &, const ModelRun &) = default;
 };
@@ -73,6 +77,7 @@
     Duration holdMax{10'000};
     Duration stopGrace{200};
     Duration gangWait{3'000};
+    Duration harmBound{4'000};
     Duration gangBreak{200}; ///< From the end of one member until the others end as broken, unless they have been told to stop before.
     Duration checkpointPeriod{500};
     std::map<TargetId, ModelTarget> targets;
@@ -108,6 +113,9 @@
 /// What is at work on the target takes.
 Resources usedOn(const FleetModel &fleet, const ModelTarget &target);
 
+/// Tail of a serving task's response times on the target now.
+Duration tailOf(const FleetModel &fleet, const ModelTarget &target, const TaskId &task);
+
 /// True if the workflow has something at work anywhere.
 bool isAtWork(const FleetModel &fleet, const RequestId &workflow);
 
--- a/tests/testgangplacement.cpp
+++ b/tests/testgangplacement.cpp
@@ -42,6 +42,18 @@
     EXPECT_EQ(startsOf(plan(), "batch"), 16);
 }
 
+TEST_F(GangPlacement, fillersAreSpreadOverTheTargets)
+{
+    // Guards against fillers that all share the processors of one target, because none of them takes any of its room.
+    auto &fillers = addBatch("fillers", 2, 16, 0);
+    fillers.specification.isFiller = true;
+    fillers.specification.perTask = {0, 1'000, 0};
+    const auto made = plan();
+    std::set<TargetId> targets;
+    std::ranges::transform(made.starts, std::inserter(targets, targets.end()), &PlannedStart::target);
+    EXPECT_EQ(targets.size(), 16U);
+}
+
 TEST_F(GangPlacement, tasksFillTheFullestRackAndLeaveWholeRacksFree)
 {
     // Guards against small work spread over all racks, after which no rack holds a gang that wants one.
--- a/tests/testlargefleet.cpp
+++ b/tests/testlargefleet.cpp
@@ -43,7 +43,7 @@
     // and loses its lease meanwhile.
     std::size_t sent = 0;
     std::size_t most = 0;
-    for (int tick = 0; tick < 2'000; ++tick) {
+    for (int steps = 0; steps < 2'000; ++steps) {
         run(Duration{5});
         most = std::max(most, sentOrders.size() - sent);
         sent = sentOrders.size();
--- a/tests/testplatformtargets.cpp
+++ b/tests/testplatformtargets.cpp
@@ -45,6 +45,13 @@
                     {"ticket", "t1"}}));
 }
 
+TEST_F(PlatformTargetCodec, paceNamesRunAndShare)
+{
+    const auto call = encodeTargetOrder(order(PaceRun{task, 2, 40}));
+    EXPECT_EQ(call.path, "/sequoiastand/pace");
+    EXPECT_EQ(Json::parse(call.body), (Json{{"task", "5c0e7a21d94b36f8.0.1.17"}, {"run", 2}, {"percent", 40}, {"fenceToken", 7}}));
+}
+
 TEST_F(PlatformTargetCodec, lookWithoutADeadlineExtendsNothing)
 {
     const auto body = Json::parse(encodeTargetOrder(look()).body);
@@ -65,6 +72,8 @@
     ASSERT_EQ(reply.lists->running.size(), 2U);
     EXPECT_EQ(reply.lists->running.front().task, task);
     EXPECT_EQ(reply.lists->running.front().percent, 41);
+    EXPECT_EQ(reply.lists->running.front().load, 0);
+    EXPECT_EQ(reply.lists->running.back().load, 350);
     ASSERT_EQ(reply.lists->ended.size(), 2U);
     EXPECT_EQ(reply.lists->ended.front().end, RunEnd::Finished);
     EXPECT_EQ(reply.lists->ended.back().end, RunEnd::Alone);
--- /dev/null
+++ b/tests/testsharedtargets.cpp
@@ -0,0 +1,157 @@
+#include "domainfixture.h"
+#include "workflow/fillerpace.h"
+
+#include <algorithm>
+
+namespace sequoiastand
+{
+
+/// The pace of fillers from report to report, half a second apart.
+struct FillerPaces : testing::Test
+{
+    static constexpr Duration harmBound{4'000};
+
+    void report(double load)
+    {
+        now += Duration{500};
+        pace = nextPace(pace, load, harmBound, now);
+    }
+
+    TimePoint now{Duration{100'000}};
+    FillerPace pace{.changedAt = now};
+};
+
+TEST_F(FillerPaces, fillersStandStillBeforeTheBoundWhateverTheyDo)
+{
+    pace.percent = 100;
+    for (int reports = 0; reports < 6; ++reports) {
+        report(1.5);
+    }
+    EXPECT_EQ(pace.percent, 0) << "after " << (now - TimePoint{Duration{100'000}}).count() << " ms";
+}
+
+TEST_F(FillerPaces, reportThatMayBeOlderThanThePaceChangesNothing)
+{
+    // Guards against two steps down for one report of harm.
+    report(1.5);
+    report(1.5);
+    const int lowered = pace.percent;
+    EXPECT_LT(lowered, 50);
+    report(1.5);
+    EXPECT_EQ(pace.percent, lowered);
+}
+
+TEST_F(FillerPaces, fillersRiseToFullSpeedWhereTheyDisturbNobody)
+{
+    for (int reports = 0; reports < 20; ++reports) {
+        report(0.3);
+    }
+    EXPECT_EQ(pace.percent, 100);
+}
+
+TEST_F(FillerPaces, shareThatDidHarmIsNotTriedAgainAtOnce)
+{
+    pace.percent = 65;
+    report(0.9);
+    report(1.2);
+    for (int reports = 0; reports < 12; ++reports) {
+        report(0.3);
+    }
+    EXPECT_LT(pace.percent, 65);
+    for (int reports = 0; reports < 40; ++reports) {
+        report(0.3);
+    }
+    EXPECT_EQ(pace.percent, 100) << "what disturbs changes within seconds";
+}
+
+/// Fillers and serving tasks on the same targets. The model objects when a serving task is kept over its target, or is stopped against its step's terms.
+struct SharedTargets : DomainTest
+{
+    SharedTargets()
+    {
+        addHost("h1");
+        addTargets(4);
+        runUntil([&] { return owner() == "h1"; }, Duration{3'000});
+        run(Duration{500});
+    }
+
+    /// One serving task on each target.
+    void serve(int number, Duration target, Duration tail, int maxUnavailable = 0)
+    {
+        auto work = batch(4, {8'000, 16'000, 4});
+        work.steps.front().isLasting = true;
+        work.steps.front().latencyTarget = target;
+        work.steps.front().maxPerTarget = 1;
+        work.steps.front().maxUnavailable = maxUnavailable;
+        submit(id(number), work, {.tail = tail}, "h1", "/ordinary/");
+        runUntil([&] { return fleet.starts[id(number)] == 4; }, Duration{2'000});
+    }
+
+    void fill(int number, int tasks, Duration disturbance, Duration work)
+    {
+        auto fillers = batch(tasks, {32'000, 1'000, 0});
+        fillers.steps.front().isFiller = true;
+        submit(id(number), fillers, {.work = work, .disturbance = disturbance}, "h1", "/patient/");
+    }
+
+    int paceOf(int number) const
+    {
+        int highest = 0;
+        for (const auto &[target, row] : fleet.targets) {
+            for (const auto &[task, run] : row.running) {
+                highest = task.step.workflow == id(number) ? std::max(highest, run.pace) : highest;
+            }
+        }
+        return highest;
+    }
+};
+
+TEST_F(SharedTargets, processorsOfFillersAreNotCounted)
+{
+    serve(1, Duration{100}, Duration{20});
+    fill(2, 8, Duration{0}, Duration{2'000});
+    runUntil([&] { return fleet.starts[id(2)] == 8; }, Duration{2'000});
+}
+
+TEST_F(SharedTargets, fillersThatDisturbAreSlowedBeforeTheyDoHarm)
+{
+    serve(1, Duration{100}, Duration{40});
+    fill(2, 4, Duration{150}, Duration{60'000});
+    run(Duration{30'000});
+    EXPECT_LE(paceOf(2), 45);
+}
+
+TEST_F(SharedTargets, fillersBesideQuietServingTasksReachFullSpeed)
+{
+    serve(1, Duration{100}, Duration{20});
+    fill(2, 4, Duration{30}, Duration{60'000});
+    run(Duration{10'000});
+    EXPECT_EQ(paceOf(2), 100);
+}
+
+TEST_F(SharedTargets, newOwnerPacesWhatTheFormerOneLeft)
+{
+    addHost("h2");
+    serve(1, Duration{100}, Duration{40});
+    fill(2, 4, Duration{150}, Duration{60'000});
+    run(Duration{5'000});
+    kill("h1");
+    run(Duration{20'000});
+    EXPECT_EQ(owner(), "h2");
+    EXPECT_LE(paceOf(2), 45);
+}
+
+TEST_F(SharedTargets, urgentWorkStopsNoMoreLastingTasksThanTheirStepAllows)
+{
+    // Guards against a guarantee that can never be met beside lasting work, and against one that takes all of it away at once.
+    serve(1, Duration{100}, Duration{20}, 1);
+    setGuarantee("tailors", 16);
+    run(Duration{2'000});
+    submit(id(2), gang(1, {1'000, 1'000, 8}), {Duration{3'000}, {}}, "h1", "/urgent/");
+    submit(id(3), gang(1, {1'000, 1'000, 8}), {Duration{3'000}, {}}, "h1", "/urgent/");
+    runUntil([&] { return fleet.starts[id(2)] + fleet.starts[id(3)] >= 1; }, Duration{2'700});
+    run(Duration{1'000});
+    EXPECT_EQ(fleet.starts[id(2)] + fleet.starts[id(3)], 1);
+}
+
+}
--- a/workflow/callerchecks.cpp
+++ b/workflow/callerchecks.cpp
@@ -27,7 +27,7 @@
     }
     return std::ranges::any_of(summary->shapes, [&](const TargetShape &shape) {
         const bool hasLabel = step.requiredLabel.empty() || std::ranges::find(shape.labels, step.requiredLabel) != shape.labels.end();
-        return shape.service == queue.service && hasLabel && fitsInto(step.perTask, shape.capacity);
+        return shape.service == queue.service && hasLabel && fitsInto(reservedRoom(step), shape.capacity);
     });
 }
 
--- a/workflow/controllers.h
+++ b/workflow/controllers.h
@@ -49,6 +49,10 @@
 /// Reads `view`, `workflows`, `targets`; writes rows of `runs` and `workflows`, and the call of `advice`.
 void planWork(WorkflowBoard &board);
 
+/// Slows tasks that fill down where they disturb tasks that serve, and lets them go again.
+/// Reads rows of `runs` and `targets`; writes `fillerPaces` and the pace in rows of `runs`.
+void paceFillers(WorkflowBoard &board);
+
 /// Sends starts and stops, again where an answer is missing.
 /// Reads `workflows` and `targets`; writes rows of `runs` and `targets`.
 void driveRuns(WorkflowBoard &board);
--- a/workflow/domainsettings.h
+++ b/workflow/domainsettings.h
@@ -18,6 +18,7 @@
     Duration gangWait{3'000};          ///< How long a gang's member waits on its target for the others.
     Duration revokeBound{5'000};       ///< From the acknowledgement of a configuration until no host may serve a key that it took away.
     Duration statusRetention{120'000}; ///< How long the state of an ended workflow can be asked for.
+    Duration harmBound{4'000};         ///< Longest time that fillers may keep a serving task over its target.
     Duration startEarly{0};            ///< How much before its due time an occurrence may start.
     double remoteFactor = 3;           ///< How much longer tasks take away from their data or rack.
     Duration minStoreLease{1'000};     ///< Shortest lease that the store grants.
--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -53,6 +53,7 @@
         if (found != listed.end() && found->second->run == run.number) {
             run.isListed = true;
             run.percent = found->second->percent;
+            run.load = found->second->load;
             run.checkpoint = found->second->checkpoint.empty() ? run.checkpoint : found->second->checkpoint;
             run.firstSeenRunning = run.firstSeenRunning.value_or(board.now);
             if (run.step == RunStep::Starting || run.step == RunStep::Unconfirmed) {
@@ -251,6 +252,20 @@
     putRun(board, run);
 }
 
+/// A pace without an answer may act or not, so it is ordered again.
+void takePaceReply(WorkflowBoard &board, TaskRun run, const TargetOrderReply &reply)
+{
+    run.paceCall.reset();
+    if (reply.outcome != OrderOutcome::Accepted) {
+        run.pacedTo.reset();
+        run.paceRetryAt = board.now + board.self.limits.orderRetry;
+        subscribeNoLaterThan(board.timers, "orders", run.paceRetryAt);
+        count(board.counters, "pacesUnanswered", reply.outcome == OrderOutcome::Refused ? std::string(name(reply.refusal)) : "");
+        logDecision(board, "paceFillers", run.place.target.value, toString(run.task), "not paced: " + reply.error, true);
+    }
+    putRun(board, run);
+}
+
 void noteContact(WorkflowBoard &board, const TargetOrderReply &reply)
 {
     const auto *present = board.targets.find(reply.target);
@@ -287,7 +302,9 @@
         }
         const auto asked = board.runCalls.extract(reply->id);
         const auto *run = asked ? board.runs.find(asked.mapped()) : nullptr;
-        if (run != nullptr && run->call == reply->id) {
+        if (run != nullptr && run->paceCall == reply->id) {
+            takePaceReply(board, *run, *reply);
+        } else if (run != nullptr && run->call == reply->id) {
             noteContact(board, *reply);
             takeRunReply(board, *run, *reply);
         }
--- a/workflow/holdtargets.cpp
+++ b/workflow/holdtargets.cpp
@@ -20,6 +20,9 @@
 // What stands on a leaving target is lost when it goes; with a short hold that is certain soon afterwards.
 constexpr Duration drainingHold{4'000};
 
+// Where fillers share a target with serving tasks, its lists are the only sign of harm, so they are asked for so often.
+constexpr int reportsPerHarmBound = 10;
+
 bool hasStoredEnd(const WorkflowBoard &board, const DomainTarget &target)
 {
     return !target.pendingEnds.empty() && isStored(board, target.pendingEnds.front().workflow, target.pendingEnds.front().version);
@@ -62,7 +65,9 @@
     if (target.isFenced && target.clock && target.failures == 0) {
         hold.deadline = *estimatedClock(target, board.now) + (target.registration.isDraining ? std::min(drainingHold, limits.holdMax) : limits.holdMax);
         // Waits differ, so that some target of each zone answers at any time.
-        hold.wait = target.pendingEnds.empty() ? limits.holdWait / 2 + takeJitter(board, limits.holdWait / 2) : Duration{0};
+        const bool isShared = board.fillerPaces.contains(target.registration.life.target);
+        const auto longest = isShared ? std::min(limits.holdWait, limits.harmBound / reportsPerHarmBound) : limits.holdWait;
+        hold.wait = target.pendingEnds.empty() ? longest / 2 + takeJitter(board, longest / 2) : Duration{0};
         target.heldUntil = std::max(target.heldUntil, *hold.deadline);
     }
     TargetOrder order;
--- a/workflow/loaddomain.cpp
+++ b/workflow/loaddomain.cpp
@@ -78,7 +78,9 @@
                 run.task = {{workflow.id, occurrence, static_cast<int>(step)}, static_cast<int>(index)};
                 run.number = task.lastRun;
                 run.place = *task.place;
-                run.uses = workflow.specification.steps[step].perTask;
+                run.uses = reservedRoom(workflow.specification.steps[step]);
+                run.isFiller = workflow.specification.steps[step].isFiller;
+                run.servesWithin = workflow.specification.steps[step].latencyTarget;
                 run.step = RunStep::Unconfirmed;
                 run.since = board.now;
                 run.starts = 1;
--- a/workflow/ownershipchange.cpp
+++ b/workflow/ownershipchange.cpp
@@ -13,6 +13,7 @@
     board.strayStops.clear();
     board.lateStarts.clear();
     board.advice = {};
+    board.fillerPaces.clear();
     board.heldRoom.clear();
     board.explainedWaits.clear();
     board.targets = {};
--- /dev/null
+++ b/workflow/pacefillers.cpp
@@ -0,0 +1,106 @@
+#include "controllers.h"
+#include "progresschange.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+/// What shares one target.
+struct SharedTarget
+{
+    double load = 0; ///< The largest tail of a serving task, as a share of what the task may have.
+    bool serves = false;
+    std::vector<TaskId> fillers;
+};
+
+std::map<TargetId, SharedTarget> targetsWithFillers(const WorkflowBoard &board)
+{
+    std::map<TargetId, SharedTarget> targets;
+    for (const auto &[task, run] : board.runs.rows()) {
+        if (run.step == RunStep::Running && run.isFiller) {
+            targets[run.place.target].fillers.push_back(task);
+        }
+    }
+    if (targets.empty()) {
+        return targets;
+    }
+    for (const auto &[task, run] : board.runs.rows()) {
+        const auto shared = targets.find(run.place.target);
+        if (shared != targets.end() && run.servesWithin > Duration{0} && run.step == RunStep::Running) {
+            shared->second.serves = true;
+            shared->second.load = std::max(shared->second.load, static_cast<double>(run.load) / static_cast<double>(run.servesWithin.count()));
+        }
+    }
+    return targets;
+}
+
+void updatePace(WorkflowBoard &board, const TargetId &id, const SharedTarget &shared)
+{
+    const auto [row, isNew] = board.fillerPaces.try_emplace(id);
+    if (isNew) {
+        row->second.changedAt = board.now;
+        return;
+    }
+    const auto before = row->second;
+    row->second = nextPace(before, shared.load, board.self.limits.harmBound, board.now);
+    if (row->second.percent != before.percent) {
+        logDecision(board,
+                    "paceFillers",
+                    id.value,
+                    "",
+                    "from " + std::to_string(before.percent) + " to " + std::to_string(row->second.percent) + " percent: the largest tail is "
+                        + std::to_string(static_cast<int>(shared.load * 100)) + " percent of what its task may have");
+    }
+}
+
+void sendPace(WorkflowBoard &board, TaskRun run, int percent)
+{
+    const auto *target = board.targets.find(run.place.target);
+    if (target == nullptr || run.pacedTo == percent || run.paceCall || run.isStopWanted || board.now < run.paceRetryAt) {
+        return;
+    }
+    TargetOrder order;
+    order.id = takeCallId(board);
+    order.target = run.place.target;
+    order.address = target->registration.address;
+    order.token = board.ownership.token;
+    order.timeout = patienceFor(board, board.self.limits.startTimeout);
+    order.request = PaceRun{run.task, run.number, percent};
+    run.paceCall = order.id;
+    run.pacedTo = percent;
+    board.runCalls.insert_or_assign(order.id, run.task);
+    board.outbox.emplace_back(std::move(order));
+    putRun(board, run);
+}
+
+}
+
+void paceFillers(WorkflowBoard &board)
+{
+    if (!hasAuthority(board)) {
+        return;
+    }
+    const auto targets = targetsWithFillers(board);
+    std::erase_if(board.fillerPaces, [&](const auto &row) {
+        const auto shared = targets.find(row.first);
+        return shared == targets.end() || !shared->second.serves;
+    });
+    constexpr int unpaced = 100;
+    for (const auto &[id, shared] : targets) {
+        if (shared.serves) {
+            updatePace(board, id, shared);
+        }
+        const auto pace = board.fillerPaces.find(id);
+        const int percent = pace == board.fillerPaces.end() ? unpaced : pace->second.percent;
+        std::ranges::for_each(shared.fillers, [&](const TaskId &task) { sendPace(board, *board.runs.find(task), percent); });
+    }
+}
+
+}
--- a/workflow/packing.cpp
+++ b/workflow/packing.cpp
@@ -75,6 +75,25 @@
     return std::nullopt;
 }
 
+/// One task for each target in turn. Fillers share what others leave, so on few targets they would only slow each other down.
+std::optional<TaskCounts> spread(const std::vector<std::size_t> &order, const TaskCounts &room, int count)
+{
+    TaskCounts counts(room.size(), 0);
+    while (count > 0) {
+        const int before = count;
+        for (const std::size_t index : order) {
+            if (count > 0 && counts[index] < room[index]) {
+                ++counts[index];
+                --count;
+            }
+        }
+        if (count == before) {
+            return std::nullopt;
+        }
+    }
+    return counts;
+}
+
 }
 
 int tasksThatFit(const Resources &perTask, const Resources &room)
@@ -111,7 +130,8 @@
     if (std::accumulate(room.begin(), room.end(), 0LL) < count) {
         return std::nullopt;
     }
-    return fill(fillOrder(targets, waiting, room, limits.roomOf), room, count);
+    const auto order = fillOrder(targets, waiting, room, limits.roomOf);
+    return waiting.specification.isFiller ? spread(order, room, count) : fill(order, room, count);
 }
 
 std::optional<TaskCounts> packRack(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, int count, const PackingLimits &limits)
--- a/workflow/placementinput.cpp
+++ b/workflow/placementinput.cpp
@@ -26,6 +26,9 @@
 // A placed task's record has to be stored, and its start has to arrive, before the ticket expires; some 20 ms, and a store that answers slowly.
 constexpr Duration ticketMargin{300};
 
+// A lasting task loses no work when it is stopped, but is away until it is at work elsewhere.
+constexpr Duration restartTime{3'000};
+
 // What a core of work is worth beside an accelerator when the cost of a stop is weighed.
 constexpr double coresPerAccelerator = 8;
 
@@ -141,6 +144,7 @@
     }
     const auto &queue = queueOf(board, *entry.workflow);
     waiting.specification = specification;
+    waiting.specification.perTask = reservedRoom(specification);
     waiting.service = queue.service;
     waiting.organisation = entry.workflow->organisation;
     waiting.priority = queue.priority;
@@ -192,24 +196,55 @@
 /// Core-seconds that a stop throws away: all of the run, or with checkpoints the work since the last one and the restart.
 double lostWork(const WorkflowBoard &board, const TaskRun &run, const StepSpecification &step)
 {
+    if (step.isLasting) {
+        return cores(run.uses) * std::chrono::duration<double>(restartTime).count();
+    }
     const Duration ran = run.firstSeenRunning ? board.now - *run.firstSeenRunning : Duration{0};
     const Duration lost = step.isCheckpointable ? std::min(ran, board.self.limits.checkpointPeriod + board.self.limits.restoreTime) : ran;
     return cores(run.uses) * std::chrono::duration<double>(lost).count();
 }
 
+/// Lasting tasks of the step that may be stopped now. Tasks that are away for any reason count, also those whose stop is under way.
+int stoppableTasks(const WorkflowBoard &board, const StepId &id, const StepSpecification &step)
+{
+    constexpr int atWork = 100; // Percent, of a lasting task.
+    const auto runs = runsOf(board, id);
+    const auto present = std::ranges::count_if(
+        runs, [](const TaskRun &run) { return run.step == RunStep::Running && run.percent == atWork && !run.isStopWanted && !run.stoppedAt; });
+    return std::max(0, step.maxUnavailable - (step.taskCount - static_cast<int>(present)));
+}
+
+/// True if stopping it is one of the interruptions that the caller allows.
+bool mayBeStopped(const WorkflowBoard &board, const TaskRun &run, const StepSpecification &step, std::map<StepId, int> &stoppable)
+{
+    if (!step.isLasting) {
+        return true;
+    }
+    if (step.isGang || step.maxUnavailable == 0) {
+        return false;
+    }
+    const auto [left, isNew] = stoppable.try_emplace(run.task.step, 0);
+    if (isNew) {
+        left->second = stoppableTasks(board, run.task.step, step);
+    }
+    return left->second-- > 0;
+}
+
 std::vector<RunningUnit> runningUnits(const WorkflowBoard &board, const std::set<RequestId> &guaranteed)
 {
     std::vector<RunningUnit> units;
+    std::map<StepId, int> stoppable; ///< Left of each lasting step.
     for (const auto &[task, run] : board.runs.rows()) {
         const auto *entry = board.workflows.find(task.step.workflow);
         const auto *step = findStep(board, task.step);
-        if (entry == nullptr || step == nullptr || run.isStopWanted || run.step == RunStep::Ending || run.step == RunStep::Unconfirmed || step->isLasting) {
+        if (entry == nullptr || step == nullptr || run.isStopWanted || run.step == RunStep::Ending || run.step == RunStep::Unconfirmed
+            || !mayBeStopped(board, run, *step, stoppable)) {
             continue;
         }
         const bool joins = step->isGang && !units.empty() && units.back().step == task.step;
         if (!joins) {
             const auto &workflow = *entry->workflow;
-            units.push_back({task.step, queueOf(board, workflow).priority, guaranteed.contains(workflow.id), workflow.organisation, step->perTask, {}, 0});
+            units.push_back({task.step, queueOf(board, workflow).priority, guaranteed.contains(workflow.id), workflow.organisation, run.uses, {}, 0});
         }
         units.back().tasks.emplace(task.index, run.place.target);
         units.back().lostWork += lostWork(board, run, *step);
--- a/workflow/planwork.cpp
+++ b/workflow/planwork.cpp
@@ -65,7 +65,10 @@
             run.task = start.task;
             run.number = progress->lastRun;
             run.place = *progress->place;
-            run.uses = specification->perTask;
+            run.uses = reservedRoom(*specification);
+            run.isFiller = specification->isFiller;
+            run.servesWithin = specification->latencyTarget;
+            run.pacedTo = 100; // At which every run begins.
             run.since = board.now;
             run.recordedIn = entry->version;
             run.resumedFrom = progress->checkpoint;
--- a/workflow/targetorder.h
+++ b/workflow/targetorder.h
@@ -45,7 +45,17 @@
     friend bool operator==(const StopRun &, const StopRun &) = default;
 };
 
-using TargetOrderRequest = std::variant<HoldRuns, StartRun, StopRun>;
+/// Lets a run work, and disturb others on its target, at a share of its full speed; it begins with all of it.
+struct PaceRun
+{
+    TaskId task;
+    int run = 0;
+    int percent = 100;
+
+    friend bool operator==(const PaceRun &, const PaceRun &) = default;
+};
+
+using TargetOrderRequest = std::variant<HoldRuns, StartRun, StopRun, PaceRun>;
 
 /// A call to a target.
 struct TargetOrder
@@ -103,6 +113,7 @@
     int run = 0;
     std::string checkpoint;
     int percent = 0; ///< Of its work that is done.
+    int load = 0;    ///< Of the last half second: for a task that serves the tail of its response times in ms, for others the milli-CPUs in use.
 
     friend bool operator==(const ListedRun &, const ListedRun &) = default;
 };
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -9,6 +9,7 @@
 #include "core/table.h"
 #include "core/timerservice.h"
 #include "domainsettings.h"
+#include "fillerpace.h"
 #include "placement.h"
 #include "targetorder.h"
 
@@ -211,7 +212,13 @@
     std::string checkpoint;
     int percent = 0;
     std::optional<TimePoint> firstSeenRunning;
-    bool isListed = false; ///< The lists of this life of the target have named it.
+    bool isListed = false;      ///< The lists of this life of the target have named it.
+    bool isFiller = false;      ///< Works with what others leave, and is paced where it disturbs them.
+    Duration servesWithin{0};   ///< Below which the tail of its response times must stay; zero: it serves nobody.
+    int load = 0;               ///< As listed last.
+    std::optional<int> pacedTo; ///< The share last ordered; none: not known to this owner.
+    std::optional<CallId> paceCall;
+    TimePoint paceRetryAt;
 
     friend bool operator==(const TaskRun &, const TaskRun &) = default;
 };
@@ -395,6 +402,7 @@
     SummaryCopy summary;
     HostDirectory directory;
     AdviceBook advice;                          ///< Written by askAdviser and planWork.
+    std::map<TargetId, FillerPace> fillerPaces; ///< Of targets that fillers share with serving tasks. Written by paceFillers.
     std::map<StepId, TaskPlaces> heldRoom;      ///< Room that the last placement pass holds for urgent steps.
     std::map<StepId, TimePoint> explainedWaits; ///< When the log said last why the step waits.
     TimePoint nextPlanAt;
--- a/workflow/workflowstep.cpp
+++ b/workflow/workflowstep.cpp
@@ -80,6 +80,7 @@
     planWork(board);
     commitProgress(board);
     driveRuns(board);
+    paceFillers(board);
     holdTargets(board);
     answerCallers(board);
     board.inbox.clear();
