Look at each target once a packing, and scan for due holds at intervals

Targets are grouped by rack once a packing, with their rank computed once. Due holds are looked for every 10 us a target. A registration that only counts a heartbeat leaves its row alone. An owner that is late keeps a domain that has had more than two owners within 30 s, unless a clearly stronger host is ready: a domain that makes every owner late is not helped by an equal one.

--- a/workflow/claimdomain.cpp
+++ b/workflow/claimdomain.cpp
@@ -46,6 +46,10 @@
         logDecision(
             board, "ownDomain", holder ? holder->host.value : "", "", holder ? "owner since revision " + std::to_string(revision) : "the domain has no owner");
     }
+    if (holder && holder != ownership.holder) {
+        std::erase_if(ownership.changes, [&](TimePoint at) { return board.now - at > changeMemory; });
+        ownership.changes.push_back(board.now);
+    }
     ownership.holder = std::move(holder);
     ownership.holderRevision = ownership.holder ? revision : 0;
     if (!ownership.isKnown) {
--- a/workflow/followtargets.cpp
+++ b/workflow/followtargets.cpp
@@ -26,6 +26,9 @@
         board.isPlanWanted = true;
         return;
     }
+    if (registration == present->registration && present->isRegistered) {
+        return; // Only the heartbeat's count has changed.
+    }
     DomainTarget target = *present;
     if (registration.life.bornMs < target.registration.life.bornMs) {
         return; // Read before the target's lists showed its new life.
--- a/workflow/handover.cpp
+++ b/workflow/handover.cpp
@@ -27,12 +27,16 @@
 // of a second they are up to 100 ms late on a healthy host.
 constexpr Duration tooLate{200};
 
+// A domain that makes every owner late is not helped by another host that is no stronger; each change costs it the time of a take-over.
+constexpr long maxRecentChanges = 2;
+
 constexpr std::size_t askedSuccessors = 2;
 
 /// Hosts that would own the domain better, the strongest first.
 std::vector<HostRecord> betterHosts(const WorkflowBoard &board)
 {
-    const bool isTooLate = board.lag.mean > tooLate;
+    const auto recent = std::ranges::count_if(board.ownership.changes, [&](TimePoint at) { return board.now - at <= changeMemory; });
+    const bool isTooLate = board.lag.mean > tooLate && recent <= maxRecentChanges;
     const double wanted = board.self.processorShare * (isTooLate ? 1 : strongerFactor);
     std::vector<HostRecord> better;
     for (const auto &[id, record] : board.directory.hosts) {
--- a/workflow/holdpacing.cpp
+++ b/workflow/holdpacing.cpp
@@ -14,6 +14,9 @@
 // An answer on a new connection takes some 0.5 ms of a core, so a host reads that many well within an order's timeout.
 constexpr double looksPerCore = 480;
 
+// Looking at a target whether its hold is due takes some 0.1 us; a step that did so for thousands at each answer would do little else.
+constexpr std::chrono::microseconds scanPausePerTarget{10};
+
 // Hosts are taken for no weaker than this, or they would hardly ask at all.
 constexpr double weakestShare = 0.1;
 
@@ -28,6 +31,7 @@
     const double rate = idleHoldsPerSecondAndCore * share;
     const std::chrono::duration<double> period{static_cast<double>(targets) / rate};
     HoldPace pace;
+    pace.scanPause = std::chrono::duration_cast<Duration>(scanPausePerTarget * static_cast<int>(targets));
     // A hold waits three quarters of the longest time on the average.
     pace.answerPeriod = std::max(Duration{1}, limits.holdWait * 3 / 4);
     const auto pause = std::chrono::duration_cast<Duration>(period) - pace.answerPeriod;
--- a/workflow/holdtargets.cpp
+++ b/workflow/holdtargets.cpp
@@ -164,6 +164,11 @@
     if (!hasAuthority(board) || !board.load.hasTargets || !board.load.hasIntake) {
         return;
     }
+    if (board.now < board.nextHoldScanAt) {
+        subscribeNoLaterThan(board.timers, "holds", board.nextHoldScanAt);
+        return;
+    }
+    board.nextHoldScanAt = board.now + holdPace(board).scanPause;
     for (const auto &id : targetsToHold(board)) {
         auto target = withStoredEnds(board, *board.targets.find(id));
         if (isHoldDue(board, target)) {
--- a/workflow/ownershipchange.cpp
+++ b/workflow/ownershipchange.cpp
@@ -26,6 +26,7 @@
     follower.isKnown = ownership.isKnown;
     follower.holder = ownership.holder;
     follower.holderRevision = ownership.holderRevision;
+    follower.changes = ownership.changes;
     follower.noClaimBefore = ownership.noClaimBefore;
     return follower;
 }
--- a/workflow/ownershipchange.h
+++ b/workflow/ownershipchange.h
@@ -7,6 +7,9 @@
 namespace sequoiastand
 {
 
+/// Changes of the owner within this time count as recent.
+constexpr Duration changeMemory{30'000};
+
 /// Ends this host's ownership, or its claim, and clears the sections that only an owner has. The store is told, so that another host need not wait for the lease.
 void giveUpDomain(WorkflowBoard &board, const std::string &reason);
 
--- a/workflow/pacefillers.cpp
+++ b/workflow/pacefillers.cpp
@@ -12,6 +12,9 @@
 namespace
 {
 
+// Paces change no more often than several times this, and a new filler may work at full speed for so long.
+constexpr Duration scanPeriod{100};
+
 /// What shares one target.
 struct SharedTarget
 {
@@ -87,7 +90,14 @@
     if (!hasAuthority(board)) {
         return;
     }
+    if (board.now < board.nextPaceAt) {
+        return;
+    }
+    board.nextPaceAt = board.now + scanPeriod;
     const auto targets = targetsWithFillers(board);
+    if (!targets.empty()) {
+        subscribeNoLaterThan(board.timers, "pace", board.nextPaceAt);
+    }
     std::erase_if(board.fillerPaces, [&](const auto &row) {
         const auto shared = targets.find(row.first);
         return shared == targets.end() || !shared->second.serves;
--- a/workflow/packing.cpp
+++ b/workflow/packing.cpp
@@ -1,10 +1,12 @@
 #include "packing.h"
 
 #include <algorithm>
+#include <compare>
+#include <functional>
 #include <limits>
 #include <map>
 #include <numeric>
-#include <tuple>
+#include <utility>
 
 namespace sequoiastand
 {
@@ -30,70 +32,107 @@
     return tasks;
 }
 
-/// Accelerators that are free in each rack.
-std::map<RackId, int> freeByRack(const std::vector<PlacementTarget> &targets, const RoomOf &roomOf)
+/// Numbers of targets, in rising order.
+using TargetNumbers = std::vector<std::size_t>;
+
+/// The targets that the step may use at all, by rack. On a large fleet most of the time of a pass goes into looking at targets, so each is looked at once.
+std::map<RackId, TargetNumbers> usableByRack(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, const PackingLimits &limits)
 {
-    std::map<RackId, int> free;
-    for (const auto &target : targets) {
-        free[target.rack] += std::max(0, roomOf(target).accelerators);
+    std::map<RackId, TargetNumbers> racks;
+    auto rack = racks.end();
+    for (std::size_t index = 0; index < targets.size(); ++index) {
+        if (!isAllowed(waiting, targets[index]) || !limits.mayUse(targets[index])) {
+            continue;
+        }
+        if (rack == racks.end() || rack->first != targets[index].rack) {
+            rack = racks.try_emplace(targets[index].rack).first;
+        }
+        rack->second.push_back(index);
     }
-    return free;
+    return racks;
 }
 
-/// Targets in the order in which they are filled: in good standing first, then in the fullest racks, so that others stay free for gangs that want one rack, then
-/// those that are left with the fewest free accelerators.
-std::vector<std::size_t> fillOrder(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, const TaskCounts &room, const RoomOf &roomOf)
+int freeAccelerators(const std::vector<PlacementTarget> &targets, const TargetNumbers &numbers, const RoomOf &roomOf)
 {
-    std::vector<std::size_t> order;
-    for (std::size_t index = 0; index < targets.size(); ++index) {
-        if (room[index] > 0) {
-            order.push_back(index);
+    return std::transform_reduce(
+        numbers.begin(), numbers.end(), 0, std::plus{}, [&](std::size_t index) { return std::max(0, roomOf(targets[index]).accelerators); });
+}
+
+/// A target that has room for tasks of the step, with what decides when it is filled: targets in good standing first, then those in the fullest racks, so that others
+/// stay free for gangs that want one rack, then those that are left with the fewest free accelerators.
+struct Candidate
+{
+    bool isSuspect = false;
+    int rackRoom = 0;
+    int leftover = 0;
+    int accelerators = 0;
+    int memoryMb = 0;
+    std::size_t target = 0;
+    int room = 0;
+
+    friend auto operator<=>(const Candidate &, const Candidate &) = default;
+};
+
+void addCandidates(std::vector<Candidate> &candidates,
+                   const std::vector<PlacementTarget> &targets,
+                   const WaitingStep &waiting,
+                   const TargetNumbers &rack,
+                   int count,
+                   const PackingLimits &limits)
+{
+    const int rackRoom = freeAccelerators(targets, rack, limits.roomOf);
+    const int perTask = waiting.specification.perTask.accelerators;
+    for (const std::size_t index : rack) {
+        const auto free = limits.roomOf(targets[index]);
+        const int room = std::min(count, roomForTasks(waiting, targets[index], free));
+        if (room > 0) {
+            const int leftover = perTask > 0 ? free.accelerators - perTask * std::min(room, free.accelerators / perTask) : free.accelerators;
+            candidates.push_back({targets[index].isSuspect, rackRoom, leftover, free.accelerators, free.memoryMb, index, room});
         }
     }
-    const auto rackRoom = freeByRack(targets, roomOf);
-    const auto rank = [&](std::size_t index) {
-        const auto &target = targets[index];
-        const auto free = roomOf(target);
-        const int perTask = waiting.specification.perTask.accelerators;
-        const int leftover = perTask > 0 ? free.accelerators - perTask * std::min(room[index], free.accelerators / perTask) : free.accelerators;
-        return std::tuple(target.isSuspect, rackRoom.at(target.rack), leftover, free.accelerators, free.memoryMb, index);
-    };
-    std::ranges::sort(order, {}, rank);
-    return order;
-}
-
-std::optional<TaskCounts> fill(const std::vector<std::size_t> &order, const TaskCounts &room, int count)
-{
-    TaskCounts counts(room.size(), 0);
-    for (const std::size_t index : order) {
-        counts[index] = std::min(room[index], count);
-        count -= counts[index];
-        if (count == 0) {
-            return counts;
-        }
+}
+
+TaskCounts fill(std::size_t targets, const std::vector<Candidate> &candidates, int count)
+{
+    TaskCounts counts(targets, 0);
+    for (const auto &candidate : candidates) {
+        counts[candidate.target] = std::min(candidate.room, count);
+        count -= counts[candidate.target];
     }
-    return std::nullopt;
+    return counts;
 }
 
 /// One task for each target in turn. Fillers share what others leave, so on few targets they would only slow each other down.
-std::optional<TaskCounts> spread(const std::vector<std::size_t> &order, const TaskCounts &room, int count)
+TaskCounts spread(std::size_t targets, const std::vector<Candidate> &candidates, int count)
 {
-    TaskCounts counts(room.size(), 0);
+    TaskCounts counts(targets, 0);
     while (count > 0) {
-        const int before = count;
-        for (const std::size_t index : order) {
-            if (count > 0 && counts[index] < room[index]) {
-                ++counts[index];
+        for (const auto &candidate : candidates) {
+            if (count > 0 && counts[candidate.target] < candidate.room) {
+                ++counts[candidate.target];
                 --count;
             }
         }
-        if (count == before) {
-            return std::nullopt;
-        }
     }
     return counts;
 }
 
+bool isOverBudget(const WaitingStep &waiting, int count, const PackingLimits &limits)
+{
+    return limits.acceleratorBudget && waiting.specification.perTask.accelerators * count > *limits.acceleratorBudget;
+}
+
+std::optional<TaskCounts> pack(std::size_t targets, const WaitingStep &waiting, std::vector<Candidate> candidates, int count)
+{
+    const auto room = std::transform_reduce(
+        candidates.begin(), candidates.end(), 0LL, std::plus{}, [](const Candidate &candidate) { return static_cast<long long>(candidate.room); });
+    if (room < count) {
+        return std::nullopt;
+    }
+    std::ranges::sort(candidates);
+    return waiting.specification.isFiller ? spread(targets, candidates, count) : fill(targets, candidates, count);
+}
+
 }
 
 int tasksThatFit(const Resources &perTask, const Resources &room)
@@ -117,36 +156,32 @@
 
 std::optional<TaskCounts> packTasks(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, int count, const PackingLimits &limits)
 {
-    const int perTask = waiting.specification.perTask.accelerators;
-    if (limits.acceleratorBudget && perTask * count > *limits.acceleratorBudget) {
+    if (isOverBudget(waiting, count, limits)) {
         return std::nullopt;
     }
-    TaskCounts room(targets.size(), 0);
-    for (std::size_t index = 0; index < targets.size(); ++index) {
-        if (isAllowed(waiting, targets[index]) && limits.mayUse(targets[index])) {
-            room[index] = std::min(count, roomForTasks(waiting, targets[index], limits.roomOf(targets[index])));
-        }
-    }
-    if (std::accumulate(room.begin(), room.end(), 0LL) < count) {
-        return std::nullopt;
+    std::vector<Candidate> candidates;
+    for (const auto &[rack, numbers] : usableByRack(targets, waiting, limits)) {
+        addCandidates(candidates, targets, waiting, numbers, count, limits);
     }
-    const auto order = fillOrder(targets, waiting, room, limits.roomOf);
-    return waiting.specification.isFiller ? spread(order, room, count) : fill(order, room, count);
+    return pack(targets.size(), waiting, std::move(candidates), count);
 }
 
 std::optional<TaskCounts> packRack(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, int count, const PackingLimits &limits)
 {
+    if (isOverBudget(waiting, count, limits)) {
+        return std::nullopt;
+    }
     std::optional<TaskCounts> best;
     int bestFree = std::numeric_limits<int>::max();
-    for (const auto &[rack, free] : freeByRack(targets, limits.roomOf)) {
+    for (const auto &[rack, numbers] : usableByRack(targets, waiting, limits)) {
         // The data's own rack is always better than the tightest fit elsewhere.
-        const int rank = rack == waiting.specification.dataRack ? -1 : free;
+        const int rank = rack == waiting.specification.dataRack ? -1 : freeAccelerators(targets, numbers, limits.roomOf);
         if (rank >= bestFree) {
             continue;
         }
-        PackingLimits inRack = limits;
-        inRack.mayUse = [&, rack = rack](const PlacementTarget &target) { return target.rack == rack && limits.mayUse(target); };
-        if (auto counts = packTasks(targets, waiting, count, inRack)) {
+        std::vector<Candidate> candidates;
+        addCandidates(candidates, targets, waiting, numbers, count, limits);
+        if (auto counts = pack(targets.size(), waiting, std::move(candidates), count)) {
             best = std::move(counts);
             bestFree = rank;
         }
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -145,6 +145,7 @@
     TimePoint nextRenewalAt;
     Revision token = 0; ///< Fencing token while this host is the owner.
     TimePoint ownedSince;
+    std::vector<TimePoint> changes;           ///< When the domain got another owner lately, as this host has heard.
     std::map<CallId, HostId> successorChecks; ///< Hosts that could own the domain better and have been asked whether they are ready.
     TimePoint nextSuccessorCheckAt;
 
@@ -406,6 +407,8 @@
     std::map<StepId, TaskPlaces> heldRoom;      ///< Room that the last placement pass holds for urgent steps.
     std::map<StepId, TimePoint> explainedWaits; ///< When the log said last why the step waits.
     TimePoint nextPlanAt;
+    TimePoint nextHoldScanAt;  ///< When holdTargets looks at all targets again. Written by holdTargets.
+    TimePoint nextPaceAt;      ///< When paceFillers looks at all runs again. Written by paceFillers.
     bool isPlanWanted = false; ///< Something has changed that a placement pass should look at.
     TimerTable timers;
     LoopLag lag; ///< Written by step.
