Close connections to idle targets of a large fleet, and reclaim by rack

Targets close connections that rest for two seconds, and libcurl looks at each resting connection once a second, from the first again after each that it finds closed. With 3,000 of them it did little else.

Where idle targets are asked seldom, their connections are closed after the answer. Reclaim indexes racks and running units once for a step and looks at one rack's targets only. A new owner stops no work for urgent steps before it has looked at nine tenths of the targets or 1.5 s have passed. A late host gives its watches more time before it reads everything again.

--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -17,10 +17,6 @@
 // Load balancers and agents drop connections that are idle for a minute; a connection that rested longer than this is not reused.
 constexpr long maxIdleSeconds = 20;
 
-// By default libcurl keeps four connections for each call under way, fewer than a large fleet has targets, and opens a new one for most calls then. Leaves room for
-// callers below the usual limit of 4,096 descriptors.
-constexpr long maxIdleConnections = 3'000;
-
 }
 
 struct HttpClient::Transfer
@@ -59,7 +55,6 @@
     curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
     curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &HttpClient::onTimerChange);
     curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
-    curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maxIdleConnections);
 }
 
 HttpClient::~HttpClient()
@@ -132,6 +127,9 @@
     if (m_failedAddresses.contains(call.address)) {
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     }
+    if (call.isLastOnConnection) {
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
     const auto id = transfer->id;
     m_transfers.emplace(id, std::move(transfer));
     if (call.timeout > Duration{0}) {
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -23,6 +23,7 @@
     std::string bearerToken;
     Duration timeout{0};              ///< Zero: no limit; for streams.
     std::vector<std::string> headers; ///< Further ones, as "Name: value".
+    bool isLastOnConnection = false;  ///< The connection is closed afterwards, since the next call to the address is far off.
     bool isRepeatable = false;        ///< May be sent again on a new connection when a reused one turns out to be closed.
 
     friend bool operator==(const HttpCall &, const HttpCall &) = default;
--- a/tests/testlargefleet.cpp
+++ b/tests/testlargefleet.cpp
@@ -1,4 +1,5 @@
 #include "domainfixture.h"
+#include "workflow/holdpacing.h"
 
 #include <algorithm>
 #include <map>
@@ -79,6 +80,21 @@
     EXPECT_LE(holdsSince(before), 10 * 150) << "per 10 s, with a quarter of a core";
 }
 
+TEST_F(LargeFleet, connectionsToIdleTargetsAreKeptOnlyWhereTheyAreUsedAgainSoon)
+{
+    // Guards against thousands of resting connections that the targets close one by one.
+    EXPECT_TRUE(holdPace(350, 0.5, settings.limits).keepsIdleConnections);
+    EXPECT_FALSE(holdPace(targetCount, 0.25, settings.limits).keepsIdleConnections);
+    runUntilAllAreFenced();
+    submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{60'000}, {}}, "h1", "/urgent/");
+    runUntil([&] { return fleet.starts[id(1)] == 1; }, Duration{1'000});
+    const auto busy = std::ranges::find_if(fleet.targets, [](const auto &row) { return !row.second.running.empty(); })->first;
+    run(Duration{5'000});
+    sentOrders.clear();
+    run(Duration{10'000});
+    EXPECT_TRUE(std::ranges::all_of(sentOrders, [&](const TargetOrder &order) { return order.keepsConnection == (order.target == busy); }));
+}
+
 TEST_F(LargeFleet, idleTargetsStillTakeWorkBetweenTwoHolds)
 {
     // Guards against targets that are taken for silent because they are asked less often.
--- a/tests/testurgentload.cpp
+++ b/tests/testurgentload.cpp
@@ -67,6 +67,17 @@
     EXPECT_EQ(startsOf(made, "patient"), 0);
 }
 
+TEST_F(UrgentLoad, nothingIsStoppedWhileMuchOfTheFleetIsUnknown)
+{
+    // Guards against a new owner that throws work away for urgent gangs, although most targets have room and only have not been asked yet.
+    fillWithBatches();
+    addGang("urgent", 0, 2, 8);
+    input.mayStop = false;
+    EXPECT_TRUE(plan().stops.empty());
+    input.mayStop = true;
+    EXPECT_FALSE(plan().stops.empty());
+}
+
 TEST_F(UrgentLoad, urgentWorkIsNotStoppedForUrgentWork)
 {
     for (int number = 1; number <= 16; ++number) {
--- a/workflow/followstore.cpp
+++ b/workflow/followstore.cpp
@@ -88,7 +88,8 @@
     if (targets == board.mirrors.end() || targets->second.step != MirrorStep::Watching || board.targets.size() < talkativeTargets) {
         return;
     }
-    const auto deafAt = targets->second.heardAt + deafAfter;
+    // A host that does everything late also hears late; reading everything again would make it later still.
+    const auto deafAt = targets->second.heardAt + patienceFor(board, deafAfter);
     if (board.now < deafAt) {
         subscribeNoLaterThan(board.timers, "deafWatch", deafAt);
         return;
--- a/workflow/holdpacing.cpp
+++ b/workflow/holdpacing.cpp
@@ -20,6 +20,10 @@
 // Hosts are taken for no weaker than this, or they would hardly ask at all.
 constexpr double weakestShare = 0.1;
 
+// Targets close connections that rest for about two seconds, and libcurl looks at each resting connection once a second, from the first again after each that it
+// finds closed; with thousands of them it does little else.
+constexpr Duration longestRest{1'500};
+
 // A target that has gone is still noticed, and a start there is only sent again elsewhere, before its registration has lapsed for long.
 constexpr Duration longestIdlePause{6'000};
 
@@ -37,6 +41,7 @@
     const auto pause = std::chrono::duration_cast<Duration>(period) - pace.answerPeriod;
     pace.maxLooks = static_cast<int>(looksPerCore * share);
     pace.idlePause = std::clamp(pause, Duration{0}, longestIdlePause);
+    pace.keepsIdleConnections = pace.idlePause <= longestRest;
     pace.contactAge = limits.contactAge + pace.idlePause;
     return pace;
 }
--- a/workflow/holdtargets.cpp
+++ b/workflow/holdtargets.cpp
@@ -55,7 +55,15 @@
     }
 }
 
-void sendHold(WorkflowBoard &board, DomainTarget &target)
+/// Targets that runs stand on.
+std::set<TargetId> targetsWithRuns(const WorkflowBoard &board)
+{
+    std::set<TargetId> targets;
+    std::ranges::transform(board.runs.rows(), std::inserter(targets, targets.end()), [](const auto &row) { return row.second.place.target; });
+    return targets;
+}
+
+void sendHold(WorkflowBoard &board, DomainTarget &target, bool keepsConnection)
 {
     const auto &limits = board.self.limits;
     HoldRuns hold;
@@ -77,6 +85,7 @@
     order.token = board.ownership.token;
     order.timeout = hold.wait + patienceFor(board, limits.orderTimeout);
     order.request = hold;
+    order.keepsConnection = keepsConnection;
     target.hold = order.id;
     target.holdSentAt = board.now;
     board.outbox.emplace_back(std::move(order));
@@ -112,8 +121,7 @@
     }
     const auto room = static_cast<std::size_t>(std::max(0, looks.empty() ? 0 : holdPace(board).maxLooks - looksUnderWay(board)));
     if (looks.size() > room) {
-        std::set<TargetId> withRuns;
-        std::ranges::transform(board.runs.rows(), std::inserter(withRuns, withRuns.end()), [](const auto &row) { return row.second.place.target; });
+        const auto withRuns = targetsWithRuns(board);
         std::ranges::sort(looks, {}, [&](const TargetId &id) { return std::tuple(!withRuns.contains(id), board.targets.find(id)->nextHoldAt, id); });
         looks.resize(room);
     }
@@ -168,11 +176,13 @@
         subscribeNoLaterThan(board.timers, "holds", board.nextHoldScanAt);
         return;
     }
-    board.nextHoldScanAt = board.now + holdPace(board).scanPause;
+    const auto pace = holdPace(board);
+    board.nextHoldScanAt = board.now + pace.scanPause;
+    const auto withRuns = pace.keepsIdleConnections ? std::set<TargetId>{} : targetsWithRuns(board);
     for (const auto &id : targetsToHold(board)) {
         auto target = withStoredEnds(board, *board.targets.find(id));
         if (isHoldDue(board, target)) {
-            sendHold(board, target);
+            sendHold(board, target, pace.keepsIdleConnections || withRuns.contains(id));
         }
         board.targets.put(id, std::move(target));
     }
--- a/workflow/packing.cpp
+++ b/workflow/packing.cpp
@@ -6,6 +6,7 @@
 #include <limits>
 #include <map>
 #include <numeric>
+#include <ranges>
 #include <utility>
 
 namespace sequoiastand
@@ -32,22 +33,24 @@
     return tasks;
 }
 
-/// Numbers of targets, in rising order.
-using TargetNumbers = std::vector<std::size_t>;
-
 /// The targets that the step may use at all, by rack. On a large fleet most of the time of a pass goes into looking at targets, so each is looked at once.
 std::map<RackId, TargetNumbers> usableByRack(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, const PackingLimits &limits)
 {
     std::map<RackId, TargetNumbers> racks;
     auto rack = racks.end();
-    for (std::size_t index = 0; index < targets.size(); ++index) {
+    const auto add = [&](std::size_t index) {
         if (!isAllowed(waiting, targets[index]) || !limits.mayUse(targets[index])) {
-            continue;
+            return;
         }
         if (rack == racks.end() || rack->first != targets[index].rack) {
             rack = racks.try_emplace(targets[index].rack).first;
         }
         rack->second.push_back(index);
+    };
+    if (limits.among != nullptr) {
+        std::ranges::for_each(*limits.among, add);
+    } else {
+        std::ranges::for_each(std::views::iota(std::size_t{0}, targets.size()), add);
     }
     return racks;
 }
--- a/workflow/packing.h
+++ b/workflow/packing.h
@@ -21,6 +21,9 @@
 /// True if the step may stand on the target at all; steps with an adviser need its word.
 bool isAllowed(const WaitingStep &waiting, const PlacementTarget &target);
 
+/// Positions of targets among those of the input, in rising order.
+using TargetNumbers = std::vector<std::size_t>;
+
 /// The room of a target that a packing may use.
 using RoomOf = std::function<Resources(const PlacementTarget &)>;
 
@@ -30,6 +33,7 @@
     RoomOf roomOf;
     std::function<bool(const PlacementTarget &)> mayUse;
     std::optional<int> acceleratorBudget; ///< That the step may take in all; none: no limit.
+    const TargetNumbers *among = nullptr; ///< The only targets to look at; none: all.
 };
 
 /// Places for `count` tasks, or nothing if they do not all fit. Fills the targets that leave the least room first.
--- a/workflow/placement.cpp
+++ b/workflow/placement.cpp
@@ -231,6 +231,9 @@
         hold(input, plan, waiting, *counts);
         return;
     }
+    if (!input.mayStop) {
+        return;
+    }
     if (auto reclaim = findReclaim(input, waiting, maySpread(input, waiting))) {
         plan.stops.insert(plan.stops.end(), reclaim->stops.begin(), reclaim->stops.end());
         hold(input, plan, waiting, reclaim->places);
--- a/workflow/placement.h
+++ b/workflow/placement.h
@@ -85,6 +85,7 @@
     std::map<StepId, TaskPlaces> held;       ///< Room that earlier passes keep for urgent steps until what stands there has been stopped.
     double remoteFactor = 3;                 ///< How much longer a gang on several racks takes, or a task away from its data.
     Duration urgentPatience{1'000};          ///< How long urgent work waits for its rack or its data at most.
+    bool mayStop = true;                     ///< Work may be stopped for urgent steps; false while much of the fleet has not been looked at.
     std::map<ServiceId, int> urgentReserves; ///< Accelerators of a service that other than the most urgent work leaves free.
 
     friend bool operator==(const PlacementInput &, const PlacementInput &) = default;
--- a/workflow/placementinput.cpp
+++ b/workflow/placementinput.cpp
@@ -26,6 +26,10 @@
 // A placed task's record has to be stored, and its start has to arrive, before the ticket expires; some 20 ms, and a store that answers slowly.
 constexpr Duration ticketMargin{300};
 
+// A new owner stops no work for urgent steps before it has looked at all but this share of its targets, on which there may be room, or this time has passed.
+constexpr double unknownShare = 0.1;
+constexpr Duration lookPatience{1'500};
+
 // A lasting task loses no work when it is stopped, but is away until it is at work elsewhere.
 constexpr Duration restartTime{3'000};
 
@@ -188,6 +192,13 @@
     return found;
 }
 
+/// True if this owner has heard from nearly all of the targets that are registered, or has waited for them long enough.
+bool isFleetKnown(const WorkflowBoard &board)
+{
+    const auto unknown = std::ranges::count_if(board.targets.rows(), [](const auto &row) { return row.second.isRegistered && !row.second.isFenced; });
+    return board.now - board.ownership.ownedSince >= lookPatience || static_cast<double>(unknown) <= unknownShare * static_cast<double>(board.targets.size());
+}
+
 double cores(const Resources &resources)
 {
     return resources.milliCpu / milliPerCore + coresPerAccelerator * resources.accelerators;
@@ -268,6 +279,7 @@
     input.held = board.heldRoom;
     input.remoteFactor = limits.remoteFactor;
     input.urgentPatience = limits.reclaimBound - limits.stopGrace - reclaimMargin;
+    input.mayStop = isFleetKnown(board);
     input.urgentReserves = urgentReserves(board);
     return input;
 }
--- a/workflow/reclaim.cpp
+++ b/workflow/reclaim.cpp
@@ -20,36 +20,69 @@
     double cost = std::numeric_limits<double>::infinity();
 };
 
-std::map<TargetId, std::size_t> indexTargets(const std::vector<PlacementTarget> &targets)
+/// A rack's targets, and the running units that stand on some of them.
+struct RackContent
 {
-    std::map<TargetId, std::size_t> index;
-    for (std::size_t number = 0; number < targets.size(); ++number) {
-        index.emplace(targets[number].id, number);
+    TargetNumbers targets;
+    std::vector<std::size_t> units;
+};
+
+/// Where everything stands, looked up once for a waiting step: on a large fleet there are many racks, and each may have its work stopped.
+struct FleetIndex
+{
+    std::map<TargetId, std::size_t> targets;
+    std::map<RackId, RackContent> racks;
+};
+
+FleetIndex indexFleet(const PlacementInput &input)
+{
+    FleetIndex index;
+    for (std::size_t number = 0; number < input.targets.size(); ++number) {
+        index.targets.emplace(input.targets[number].id, number);
+        index.racks[input.targets[number].rack].targets.push_back(number);
+    }
+    for (std::size_t number = 0; number < input.running.size(); ++number) {
+        for (const auto &[task, target] : input.running[number].tasks) {
+            const auto found = index.targets.find(target);
+            if (found == index.targets.end()) {
+                continue;
+            }
+            auto &units = index.racks[input.targets[found->second].rack].units;
+            if (units.empty() || units.back() != number) {
+                units.push_back(number);
+            }
+        }
     }
     return index;
 }
 
-/// Room of each target once the units with those indexes have been stopped.
-std::vector<Resources> roomWithout(const PlacementInput &input, const std::map<TargetId, std::size_t> &index, const std::vector<std::size_t> &victims)
+/// What stopping the units with those indexes frees on each target.
+std::map<std::size_t, Resources> freedBy(const PlacementInput &input, const FleetIndex &index, const std::vector<std::size_t> &victims)
 {
-    std::vector<Resources> room;
-    std::ranges::transform(input.targets, std::back_inserter(room), &PlacementTarget::soon);
+    std::map<std::size_t, Resources> freed;
     for (const std::size_t victim : victims) {
         for (const auto &[task, target] : input.running[victim].tasks) {
-            if (const auto found = index.find(target); found != index.end()) {
-                room[found->second] = room[found->second] + input.running[victim].perTask;
+            if (const auto found = index.targets.find(target); found != index.targets.end()) {
+                freed[found->second] = freed[found->second] + input.running[victim].perTask;
             }
         }
     }
-    return room;
+    return freed;
 }
 
-std::optional<TaskCounts> packInto(const PlacementInput &input, const WaitingStep &waiting, const std::vector<Resources> &room, const RackId *rack)
+/// Places for the step once the units with those indexes have been stopped; in one rack, if one is named.
+std::optional<TaskCounts>
+packWithout(const PlacementInput &input, const WaitingStep &waiting, const FleetIndex &index, const std::vector<std::size_t> &victims, const RackContent *rack)
 {
+    const auto freed = freedBy(input, index, victims);
     const auto *first = input.targets.data();
-    const auto roomOf = [&](const PlacementTarget &target) { return room[static_cast<std::size_t>(&target - first)]; };
-    const auto mayUse = [&](const PlacementTarget &target) { return rack == nullptr || target.rack == *rack; };
-    return packTasks(input.targets, waiting, static_cast<int>(waiting.tasks.size()), {roomOf, mayUse, std::nullopt});
+    const auto roomOf = [&](const PlacementTarget &target) {
+        const auto more = freed.find(static_cast<std::size_t>(&target - first));
+        return more == freed.end() ? target.soon : target.soon + more->second;
+    };
+    const auto anyTarget = [](const PlacementTarget &) { return true; };
+    return packTasks(
+        input.targets, waiting, static_cast<int>(waiting.tasks.size()), {roomOf, anyTarget, std::nullopt, rack == nullptr ? nullptr : &rack->targets});
 }
 
 double costOf(const PlacementInput &input, const std::vector<std::size_t> &victims)
@@ -62,14 +95,10 @@
 }
 
 /// Drops victims, the dearest first, as long as the step still fits without stopping them.
-Option prune(const PlacementInput &input,
-             const WaitingStep &waiting,
-             const std::map<TargetId, std::size_t> &index,
-             std::vector<std::size_t> victims,
-             const RackId *rack)
+Option prune(const PlacementInput &input, const WaitingStep &waiting, const FleetIndex &index, std::vector<std::size_t> victims, const RackContent *rack)
 {
     Option option;
-    auto places = packInto(input, waiting, roomWithout(input, index, victims), rack);
+    auto places = packWithout(input, waiting, index, victims, rack);
     if (!places) {
         return option;
     }
@@ -78,7 +107,7 @@
     for (const std::size_t victim : victims) {
         auto fewer = needed;
         std::erase(fewer, victim);
-        if (auto fewerPlaces = packInto(input, waiting, roomWithout(input, index, fewer), rack)) {
+        if (auto fewerPlaces = packWithout(input, waiting, index, fewer, rack)) {
             needed = std::move(fewer);
             places = std::move(fewerPlaces);
         }
@@ -103,28 +132,26 @@
     return isLessUrgent || (scope == VictimScope::AndBorrowed && isBorrowed);
 }
 
-std::vector<std::size_t>
-possibleVictims(const PlacementInput &input, const WaitingStep &waiting, VictimScope scope, const std::map<TargetId, std::size_t> &index, const RackId *rack)
+std::vector<std::size_t> possibleVictims(const PlacementInput &input, const WaitingStep &waiting, VictimScope scope, const std::vector<std::size_t> &units)
 {
-    std::vector<std::size_t> units;
-    for (std::size_t number = 0; number < input.running.size(); ++number) {
-        const auto &unit = input.running[number];
-        const bool stands = std::ranges::any_of(unit.tasks, [&](const auto &task) {
-            const auto found = index.find(task.second);
-            return found != index.end() && (rack == nullptr || input.targets[found->second].rack == *rack);
-        });
-        if (stands && isInScope(unit, waiting, scope)) {
-            units.push_back(number);
-        }
+    std::vector<std::size_t> victims;
+    std::ranges::copy_if(units, std::back_inserter(victims), [&](std::size_t unit) { return isInScope(input.running[unit], waiting, scope); });
+    return victims;
+}
+
+std::vector<std::size_t> allUnits(const FleetIndex &index)
+{
+    std::set<std::size_t> units;
+    for (const auto &[rack, content] : index.racks) {
+        units.insert(content.units.begin(), content.units.end());
     }
-    return units;
+    return {units.begin(), units.end()};
 }
 
-void carryOut(PlacementInput &input, const WaitingStep &waiting, const std::map<TargetId, std::size_t> &index, const Option &option, Reclaim &reclaim)
+void carryOut(PlacementInput &input, const WaitingStep &waiting, const FleetIndex &index, const Option &option, Reclaim &reclaim)
 {
-    const auto room = roomWithout(input, index, option.victims);
-    for (std::size_t number = 0; number < input.targets.size(); ++number) {
-        input.targets[number].soon = room[number];
+    for (const auto &[target, freed] : freedBy(input, index, option.victims)) {
+        input.targets[target].soon = input.targets[target].soon + freed;
     }
     for (const std::size_t victim : option.victims) {
         const auto &unit = input.running[victim];
@@ -140,21 +167,19 @@
     reclaim.places = option.places;
 }
 
-Option findOption(const PlacementInput &input, const WaitingStep &waiting, VictimScope scope, const std::map<TargetId, std::size_t> &index, bool maySpread)
+Option findOption(const PlacementInput &input, const WaitingStep &waiting, VictimScope scope, const FleetIndex &index, bool maySpread)
 {
     Option best;
     if (waiting.specification.needsOneRack) {
-        std::set<RackId> racks;
-        std::ranges::transform(input.targets, std::inserter(racks, racks.end()), &PlacementTarget::rack);
-        for (const auto &rack : racks) {
-            auto option = prune(input, waiting, index, possibleVictims(input, waiting, scope, index, &rack), &rack);
+        for (const auto &[rack, content] : index.racks) {
+            auto option = prune(input, waiting, index, possibleVictims(input, waiting, scope, content.units), &content);
             if (option.cost < best.cost) {
                 best = std::move(option);
             }
         }
     }
     if (best.places.empty() && maySpread) {
-        best = prune(input, waiting, index, possibleVictims(input, waiting, scope, index, nullptr), nullptr);
+        best = prune(input, waiting, index, possibleVictims(input, waiting, scope, allUnits(index)), nullptr);
     }
     return best;
 }
@@ -163,7 +188,7 @@
 
 std::optional<Reclaim> findReclaim(PlacementInput &input, const WaitingStep &waiting, bool maySpread)
 {
-    const auto index = indexTargets(input.targets);
+    const auto index = indexFleet(input);
     auto best = findOption(input, waiting, VictimScope::LessUrgent, index, maySpread);
     if (best.places.empty() && waiting.isGuaranteed) {
         best = findOption(input, waiting, VictimScope::AndBorrowed, index, maySpread);
--- a/workflow/targetorder.h
+++ b/workflow/targetorder.h
@@ -66,6 +66,7 @@
     Revision token = 0; ///< Fencing token of the sender; a target refuses orders with a lower one than it has seen.
     TargetOrderRequest request;
     Duration timeout{0};
+    bool keepsConnection = true; ///< False: the next order to the target is so far off that its connection would only have to be watched.
 
     friend bool operator==(const TargetOrder &, const TargetOrder &) = default;
 };
