Look for runs of ended workflows at intervals, not only where a workflow changed

Cause: looked for such runs only beside workflows that had changed in the step, so a run that moved to its target's next life after its workflow had ended would have worked on there. All runs are looked at again, every 10 us a run.

--- a/tests/testworkflowpath.cpp
+++ b/tests/testworkflowpath.cpp
@@ -1,5 +1,7 @@
 #include "tests/domainfixture.h"
 
+#include <algorithm>
+
 namespace sequoiastand
 {
 
@@ -192,4 +194,26 @@
     runUntil([&] { return board(owner()).workflows.find(id(1))->progress.finishedOccurrences > 20; }, Duration{20'000});
 }
 
+TEST_F(WorkflowPath, runOfAnEndedWorkflowThatAppearsLaterIsStopped)
+{
+    // Guards against a run that moves to its target's next life after its workflow has ended, and then works on there.
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1})));
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{3'000});
+    run(Duration{1'000});
+    TaskRun left;
+    left.task = {{id(1), 0, 0}, 0};
+    left.number = 1;
+    left.place = fleet.targets.at({"t1"}).registration.life;
+    left.step = RunStep::Running;
+    left.since = now;
+    const auto owning = owner();
+    board(owning).runs.put(left.task, left);
+    sentOrders.clear();
+    run(Duration{400});
+    EXPECT_TRUE(std::ranges::any_of(sentOrders, [&](const TargetOrder &order) {
+        const auto *stop = std::get_if<StopRun>(&order.request);
+        return stop != nullptr && stop->task == left.task;
+    }));
+}
+
 }
--- a/workflow/advanceworkflows.cpp
+++ b/workflow/advanceworkflows.cpp
@@ -22,6 +22,14 @@
 // the store's value size. A single larger occurrence begins alone.
 constexpr int maxOpenTasks = 2'000;
 
+// Looking for runs of ended workflows takes some 0.1 us a run; a step that did so for thousands at each answer would do little else.
+constexpr std::chrono::microseconds scanPausePerRun{10};
+
+Duration runScanPause(const WorkflowBoard &board)
+{
+    return std::chrono::duration_cast<Duration>(scanPausePerRun * static_cast<int>(board.runs.size()));
+}
+
 int taskCount(const WorkflowSpecification &specification)
 {
     const auto counts = specification.steps | std::views::transform(&StepSpecification::taskCount);
@@ -135,18 +143,16 @@
 /// Runs of ended workflows that a former owner left, or that were recorded while the workflow ended.
 void stopLeftRuns(WorkflowBoard &board)
 {
-    const auto changed = board.workflows.changes();
-    for (const auto &id : changed) {
-        const auto *entry = board.workflows.find(id);
-        if (entry == nullptr || !hasEnded(entry->progress.state)) {
-            continue;
-        }
-        for (const auto &run : runsOf(board, id)) {
-            if (run.step != RunStep::Ending) {
-                stopRuns(board, {run}, RunStopCause::WorkflowEnded, "left from before");
-            }
+    std::vector<TaskRun> left;
+    for (const auto &[task, run] : board.runs.rows()) {
+        const auto *entry = board.workflows.find(task.step.workflow);
+        if (!run.isStopWanted && run.step != RunStep::Ending && entry != nullptr && hasEnded(entry->progress.state)) {
+            left.push_back(run);
         }
     }
+    for (const auto &run : left) {
+        stopRuns(board, {run}, RunStopCause::WorkflowEnded, "left from before");
+    }
 }
 
 void forgetOldWorkflows(WorkflowBoard &board)
@@ -176,7 +182,10 @@
         ids.assign(source.changes().begin(), source.changes().end());
     }
     std::ranges::for_each(ids, [&](const RequestId &id) { advance(board, id); });
-    stopLeftRuns(board);
+    if (board.now >= board.nextRunScanAt) {
+        board.nextRunScanAt = board.now + runScanPause(board);
+        stopLeftRuns(board);
+    }
     if (isDue(board.timers, "forget")) {
         forgetOldWorkflows(board);
     }
--- a/workflow/advice.h
+++ b/workflow/advice.h
@@ -18,7 +18,7 @@
 {
     CallId id;
     StepId step;
-    std::vector<TargetId> targets; ///< At most `maxAdvisedTargets`.
+    std::vector<TargetId> targets; ///< The adviser takes 100 at most.
     Duration timeout{0};
 
     friend bool operator==(const AdviceRequest &, const AdviceRequest &) = default;
--- a/workflow/advicequestion.cpp
+++ b/workflow/advicequestion.cpp
@@ -12,8 +12,7 @@
 namespace
 {
 
-// An answer takes longer with each target named. Three in ten targets are enough for most steps, and the objectives of queues with an adviser count on one call of
-// this size.
+// An answer takes longer with each target named; the objectives of queues with an adviser allow for one question of this size a step.
 constexpr std::size_t targetsPerQuestion = 30;
 
 /// Waiting tasks that the targets allowed now have room for.
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -408,6 +408,7 @@
     std::map<StepId, TimePoint> explainedWaits; ///< When the log said last why the step waits.
     TimePoint nextPlanAt;
     TimePoint nextHoldScanAt;  ///< When holdTargets looks at all targets again. Written by holdTargets.
+    TimePoint nextRunScanAt;   ///< When advanceWorkflows looks for runs of ended workflows again. Written by advanceWorkflows.
     TimePoint nextPaceAt;      ///< When paceFillers looks at all runs again. Written by paceFillers.
     bool isPlanWanted = false; ///< Something has changed that a placement pass should look at.
     TimerTable timers;
