Prune victims in one pass over the room of the fleet

The room is kept as one array; a victim's tasks are taken out of it and put back where the step no longer fits. Running units hold the positions of their targets.

--- a/workflow/reclaim.cpp
+++ b/workflow/reclaim.cpp
@@ -30,56 +30,66 @@
 /// Where everything stands, looked up once for a waiting step: on a large fleet there are many racks, and each may have its work stopped.
 struct FleetIndex
 {
-    std::map<TargetId, std::size_t> targets;
     std::map<RackId, RackContent> racks;
+    std::vector<TargetNumbers> unitTargets; ///< Of each running unit, the target of each task.
 };
 
 FleetIndex indexFleet(const PlacementInput &input)
 {
     FleetIndex index;
+    std::map<TargetId, std::size_t> numbers;
     for (std::size_t number = 0; number < input.targets.size(); ++number) {
-        index.targets.emplace(input.targets[number].id, number);
+        numbers.emplace(input.targets[number].id, number);
         index.racks[input.targets[number].rack].targets.push_back(number);
     }
-    for (std::size_t number = 0; number < input.running.size(); ++number) {
-        for (const auto &[task, target] : input.running[number].tasks) {
-            const auto found = index.targets.find(target);
-            if (found == index.targets.end()) {
+    for (std::size_t unit = 0; unit < input.running.size(); ++unit) {
+        auto &targets = index.unitTargets.emplace_back();
+        for (const auto &[task, target] : input.running[unit].tasks) {
+            const auto found = numbers.find(target);
+            if (found == numbers.end()) {
                 continue;
             }
+            targets.push_back(found->second);
             auto &units = index.racks[input.targets[found->second].rack].units;
-            if (units.empty() || units.back() != number) {
-                units.push_back(number);
+            if (units.empty() || units.back() != unit) {
+                units.push_back(unit);
             }
         }
     }
     return index;
 }
 
-/// What stopping the units with those indexes frees on each target.
-std::map<std::size_t, Resources> freedBy(const PlacementInput &input, const FleetIndex &index, const std::vector<std::size_t> &victims)
+/// Room of each target; `soon` of the input, and what stopping victims frees.
+using FleetRoom = std::vector<Resources>;
+
+void addUnit(FleetRoom &room, const PlacementInput &input, const FleetIndex &index, std::size_t unit)
 {
-    std::map<std::size_t, Resources> freed;
-    for (const std::size_t victim : victims) {
-        for (const auto &[task, target] : input.running[victim].tasks) {
-            if (const auto found = index.targets.find(target); found != index.targets.end()) {
-                freed[found->second] = freed[found->second] + input.running[victim].perTask;
-            }
-        }
+    for (const std::size_t target : index.unitTargets[unit]) {
+        room[target] = room[target] + input.running[unit].perTask;
+    }
+}
+
+void removeUnit(FleetRoom &room, const PlacementInput &input, const FleetIndex &index, std::size_t unit)
+{
+    for (const std::size_t target : index.unitTargets[unit]) {
+        room[target] = room[target] - input.running[unit].perTask;
     }
-    return freed;
 }
 
-/// Places for the step once the units with those indexes have been stopped; in one rack, if one is named.
-std::optional<TaskCounts>
-packWithout(const PlacementInput &input, const WaitingStep &waiting, const FleetIndex &index, const std::vector<std::size_t> &victims, const RackContent *rack)
+FleetRoom roomWithout(const PlacementInput &input, const FleetIndex &index, const std::vector<std::size_t> &victims)
+{
+    FleetRoom room;
+    room.reserve(input.targets.size());
+    std::ranges::transform(input.targets, std::back_inserter(room), &PlacementTarget::soon);
+    std::ranges::for_each(victims, [&](std::size_t victim) { addUnit(room, input, index, victim); });
+    return room;
+}
+
+/// Places for the step in that room; in one rack, if one is named.
+std::optional<TaskCounts> packInto(const PlacementInput &input, const WaitingStep &waiting, const FleetRoom &room, const RackContent *rack)
 {
-    const auto freed = freedBy(input, index, victims);
     const auto *first = input.targets.data();
-    const auto roomOf = [&](const PlacementTarget &target) {
-        const auto more = freed.find(static_cast<std::size_t>(&target - first));
-        return more == freed.end() ? target.soon : target.soon + more->second;
-    };
+    const auto roomOf = [&](const PlacementTarget &target) { return room[static_cast<std::size_t>(&target - first)]; };
     const auto anyTarget = [](const PlacementTarget &) { return true; };
     return packTasks(
         input.targets, waiting, static_cast<int>(waiting.tasks.size()), {roomOf, anyTarget, std::nullopt, rack == nullptr ? nullptr : &rack->targets});
@@ -98,18 +108,20 @@
 Option prune(const PlacementInput &input, const WaitingStep &waiting, const FleetIndex &index, std::vector<std::size_t> victims, const RackContent *rack)
 {
     Option option;
-    auto places = packWithout(input, waiting, index, victims, rack);
+    auto room = roomWithout(input, index, victims);
+    auto places = packInto(input, waiting, room, rack);
     if (!places) {
         return option;
     }
     std::ranges::sort(victims, std::greater{}, [&](std::size_t victim) { return input.running[victim].lostWork; });
     std::vector<std::size_t> needed = victims;
     for (const std::size_t victim : victims) {
-        auto fewer = needed;
-        std::erase(fewer, victim);
-        if (auto fewerPlaces = packWithout(input, waiting, index, fewer, rack)) {
-            needed = std::move(fewer);
+        removeUnit(room, input, index, victim);
+        if (auto fewerPlaces = packInto(input, waiting, room, rack)) {
+            std::erase(needed, victim);
             places = std::move(fewerPlaces);
+        } else {
+            addUnit(room, input, index, victim);
         }
     }
     option.cost = costOf(input, needed);
@@ -150,8 +162,9 @@
 
 void carryOut(PlacementInput &input, const WaitingStep &waiting, const FleetIndex &index, const Option &option, Reclaim &reclaim)
 {
-    for (const auto &[target, freed] : freedBy(input, index, option.victims)) {
-        input.targets[target].soon = input.targets[target].soon + freed;
+    const auto room = roomWithout(input, index, option.victims);
+    for (std::size_t number = 0; number < input.targets.size(); ++number) {
+        input.targets[number].soon = room[number];
     }
     for (const std::size_t victim : option.victims) {
         const auto &unit = input.running[victim];
