--- /dev/null
+++ b/standins/fleetchecks.cpp
@@ -0,0 +1,148 @@
+#include "fleetchecks.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+void object(FleetModel &fleet, const std::string &rule, const TaskId &task, const std::string &what)
+{
+    fleet.objections.push_back(absl::StrCat(rule, ": ", toString(task), ": ", what, ", at ", fleet.now.time_since_epoch().count()));
+}
+
+int maxAttempts(const FleetModel &fleet, const TaskId &task)
+{
+    const auto workflow = fleet.workflows.find(task.step.workflow);
+    return workflow == fleet.workflows.end() ? 0 : workflow->second.queue.maxAttempts;
+}
+
+/// A failed run counts once it is taken note of. As many as the queue allows must not be followed by another start; they may be acknowledged in any order.
+void noteFailure(FleetModel &fleet, const EndedRun &ended, TimePoint endedAt)
+{
+    const auto counted = countedTask(fleet, ended.task);
+    auto &failed = fleet.failedRuns[counted];
+    if (!failed.emplace(ended.run, endedAt).second) {
+        return;
+    }
+    ++fleet.failures[counted];
+    const auto lastStart = fleet.lastStart[ended.task];
+    const auto before = std::ranges::count_if(failed, [&](const auto &row) { return row.second < lastStart; });
+    if (before >= maxAttempts(fleet, ended.task)) {
+        object(fleet, "BUDGET", ended.task, "was started again after its last try, whose failure is acknowledged now");
+    }
+}
+
+}
+
+const StepSpecification *stepOf(const FleetModel &fleet, const StepId &step)
+{
+    const auto workflow = fleet.workflows.find(step.workflow);
+    if (workflow == fleet.workflows.end() || !std::cmp_less(step.step, workflow->second.specification.steps.size())) {
+        return nullptr;
+    }
+    return &workflow->second.specification.steps[static_cast<std::size_t>(step.step)];
+}
+
+TaskId countedTask(const FleetModel &fleet, const TaskId &task)
+{
+    const auto *step = stepOf(fleet, task.step);
+    return {task.step, step != nullptr && step->isGang ? 0 : task.index};
+}
+
+void checkStart(FleetModel &fleet, const ModelTarget &target, const TaskId &task, const StepSpecification &step)
+{
+    const bool runsElsewhere = std::ranges::any_of(fleet.targets, [&](const auto &row) { return row.second.running.contains(task); });
+    if (runsElsewhere && !step.isSpeculative) {
+        object(fleet, "TWICE", task, "started while another run of it is at work");
+    }
+    if (fleet.noted.contains(task)) {
+        object(fleet, "TWICE", task, "started after its finish had been acknowledged");
+    }
+    for (const int earlier : step.after) {
+        const auto *before = stepOf(fleet, {task.step.workflow, task.step.occurrence, earlier});
+        for (int index = 0; index < before->taskCount; ++index) {
+            if (!fleet.finished.contains({{task.step.workflow, task.step.occurrence, earlier}, index})) {
+                object(fleet, "ORDER", task, absl::StrCat("started before step ", earlier, " had finished"));
+                break;
+            }
+        }
+    }
+    const auto &label = step.requiredLabel;
+    if (!label.empty() && std::ranges::find(target.registration.labels, label) == target.registration.labels.end()) {
+        object(fleet, "ROUTE", task, "started on a target without its label");
+    }
+    const auto failures = fleet.failures.find(countedTask(fleet, task));
+    if (failures != fleet.failures.end() && failures->second >= maxAttempts(fleet, task)) {
+        object(fleet, "BUDGET", task, "started after its last try had failed");
+    }
+}
+
+void checkRoom(FleetModel &fleet, const ModelTarget &target, const TaskId &task)
+{
+    if (!fitsInto(usedOn(fleet, target), target.registration.capacity)) {
+        object(fleet, "LIMIT", task, absl::StrCat("brings ", target.registration.life.target.value, " over its capacity"));
+    }
+}
+
+void checkAvailability(FleetModel &fleet, const TaskId &task, TimePoint now)
+{
+    const auto *step = stepOf(fleet, task.step);
+    if (step == nullptr || step->maxUnavailable == 0) {
+        return;
+    }
+    int atWork = 0;
+    for (const auto &[id, target] : fleet.targets) {
+        atWork += static_cast<int>(std::ranges::count_if(target.running, [&](const auto &row) {
+            return row.first.step == task.step && row.first != task && !row.second.stopsAt && now - row.second.startedAt >= modelStartup;
+        }));
+    }
+    if (step->taskCount - 1 - atWork >= step->maxUnavailable) {
+        object(fleet, "AVAIL", task, absl::StrCat("is stopped while only ", atWork, " others of its step are at work"));
+    }
+}
+
+void checkHarm(FleetModel &fleet, ModelTarget &target, TimePoint now)
+{
+    for (auto &[task, run] : target.running) {
+        const auto *step = stepOf(fleet, task.step);
+        if (step == nullptr || step->latencyTarget == Duration{0}) {
+            continue;
+        }
+        const auto behaviour = fleet.behaviours.find(task.step.workflow);
+        const auto alone = behaviour == fleet.behaviours.end() ? Duration{0} : behaviour->second.tail;
+        const bool isHarmed = tailOf(fleet, target, task) > step->latencyTarget && alone <= step->latencyTarget;
+        run.overSince = isHarmed ? std::optional(run.overSince.value_or(now)) : std::nullopt;
+        if (run.overSince && now - *run.overSince >= fleet.harmBound) {
+            object(fleet, "HARM", task, absl::StrCat("is over its target on ", target.registration.life.target.value));
+            run.overSince = now;
+        }
+    }
+}
+
+void objectToUnknownTask(FleetModel &fleet, const TaskId &task)
+{
+    object(fleet, "UNASKED", task, "nobody submitted it");
+}
+
+void noteEnd(FleetModel &fleet, const ModelTarget &target, const EndedRun &ended, TimePoint now)
+{
+    const auto endedAt = target.endedAt.at(ended.number);
+    if (ended.end == RunEnd::Failed) {
+        noteFailure(fleet, ended, endedAt);
+    }
+    if (ended.end != RunEnd::Finished || target.lapsedAt > endedAt) {
+        return;
+    }
+    fleet.noted.try_emplace(ended.task, now);
+    if (fleet.lastStart[ended.task] > endedAt) {
+        object(fleet, "TWICE", ended.task, "was started again after the run whose finish is acknowledged now");
+    }
+}
+
+}
--- a/standins/fleetmodel.cpp
+++ b/standins/fleetmodel.cpp
@@ -1,5 +1,7 @@
 #include "fleetmodel.h"
 
+#include "fleetchecks.h"
+
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
@@ -12,23 +14,6 @@
 namespace
 {
 
-// Until a lasting task is at work.
-constexpr Duration startup{300};
-
-const StepSpecification *stepOf(const FleetModel &fleet, const StepId &step)
-{
-    const auto workflow = fleet.workflows.find(step.workflow);
-    if (workflow == fleet.workflows.end() || !std::cmp_less(step.step, workflow->second.specification.steps.size())) {
-        return nullptr;
-    }
-    return &workflow->second.specification.steps[static_cast<std::size_t>(step.step)];
-}
-
-void object(FleetModel &fleet, const std::string &rule, const TaskId &task, const std::string &what)
-{
-    fleet.objections.push_back(absl::StrCat(rule, ": ", toString(task), ": ", what, ", at ", fleet.now.time_since_epoch().count()));
-}
-
 TargetClock clockOf(const ModelTarget &target, TimePoint now)
 {
     return now - target.bornAt;
@@ -53,13 +38,6 @@
     return run.done / fleet.checkpointPeriod * fleet.checkpointPeriod;
 }
 
-/// Tasks that fail count by themselves, gangs under their first task.
-TaskId countedTask(const FleetModel &fleet, const TaskId &task)
-{
-    const auto *step = stepOf(fleet, task.step);
-    return {task.step, step != nullptr && step->isGang ? 0 : task.index};
-}
-
 void endRun(FleetModel &fleet, ModelTarget &target, const TaskId &task, RunEnd end)
 {
     const auto run = target.running.extract(task);
@@ -76,12 +54,6 @@
     }
 }
 
-int maxAttempts(const FleetModel &fleet, const TaskId &task)
-{
-    const auto workflow = fleet.workflows.find(task.step.workflow);
-    return workflow == fleet.workflows.end() ? 0 : workflow->second.queue.maxAttempts;
-}
-
 /// Members of the gang's run that are at work.
 std::vector<std::pair<TargetId, TaskId>> membersOf(const FleetModel &fleet, const StepId &step, int run)
 {
@@ -116,41 +88,6 @@
     }
 }
 
-void checkStart(FleetModel &fleet, const ModelTarget &target, const TaskId &task, const StepSpecification &step)
-{
-    const bool runsElsewhere = std::ranges::any_of(fleet.targets, [&](const auto &row) { return row.second.running.contains(task); });
-    if (runsElsewhere && !step.isSpeculative) {
-        object(fleet, "TWICE", task, "started while another run of it is at work");
-    }
-    if (fleet.noted.contains(task)) {
-        object(fleet, "TWICE", task, "started after its finish had been acknowledged");
-    }
-    for (const int earlier : step.after) {
-        const auto *before = stepOf(fleet, {task.step.workflow, task.step.occurrence, earlier});
-        for (int index = 0; index < before->taskCount; ++index) {
-            if (!fleet.finished.contains({{task.step.workflow, task.step.occurrence, earlier}, index})) {
-                object(fleet, "ORDER", task, absl::StrCat("started before step ", earlier, " had finished"));
-                break;
-            }
-        }
-    }
-    const auto &label = step.requiredLabel;
-    if (!label.empty() && std::ranges::find(target.registration.labels, label) == target.registration.labels.end()) {
-        object(fleet, "ROUTE", task, "started on a target without its label");
-    }
-    const auto failures = fleet.failures.find(countedTask(fleet, task));
-    if (failures != fleet.failures.end() && failures->second >= maxAttempts(fleet, task)) {
-        object(fleet, "BUDGET", task, "started after its last try had failed");
-    }
-}
-
-void checkRoom(FleetModel &fleet, const ModelTarget &target, const TaskId &task)
-{
-    if (!fitsInto(usedOn(fleet, target), target.registration.capacity)) {
-        object(fleet, "LIMIT", task, absl::StrCat("brings ", target.registration.life.target.value, " over its capacity"));
-    }
-}
-
 TargetOrderReply refused(TargetOrderReply reply, OrderRefusal refusal)
 {
     reply.outcome = OrderOutcome::Refused;
@@ -174,7 +111,7 @@
     }
     const auto *step = stepOf(fleet, order.task.step);
     if (step == nullptr) {
-        object(fleet, "UNASKED", order.task, "nobody submitted it");
+        objectToUnknownTask(fleet, order.task);
         return refused(std::move(reply), OrderRefusal::Invalid);
     }
     const bool needsTicket = fleet.workflows.at(order.task.step.workflow).queue.advice.has_value();
@@ -196,24 +133,6 @@
     return reply;
 }
 
-/// A stop of a task at work while as many others of its step are away as the step allows.
-void checkAvailability(FleetModel &fleet, const TaskId &task, TimePoint now)
-{
-    const auto *step = stepOf(fleet, task.step);
-    if (step == nullptr || step->maxUnavailable == 0) {
-        return;
-    }
-    int atWork = 0;
-    for (const auto &[id, target] : fleet.targets) {
-        atWork += static_cast<int>(std::ranges::count_if(target.running, [&](const auto &row) {
-            return row.first.step == task.step && row.first != task && !row.second.stopsAt && now - row.second.startedAt >= startup;
-        }));
-    }
-    if (step->taskCount - 1 - atWork >= step->maxUnavailable) {
-        object(fleet, "AVAIL", task, absl::StrCat("is stopped while only ", atWork, " others of its step are at work"));
-    }
-}
-
 TargetOrderReply stop(const FleetModel &fleet, ModelTarget &target, const StopRun &order, TargetOrderReply reply, TimePoint now)
 {
     auto &highest = target.highestEnded[order.task];
@@ -225,38 +144,6 @@
     return reply;
 }
 
-/// A failed run counts once it is taken note of. As many as the queue allows must not be followed by another start; they may be acknowledged in any order.
-void noteFailure(FleetModel &fleet, const EndedRun &ended, TimePoint endedAt)
-{
-    const auto counted = countedTask(fleet, ended.task);
-    auto &failed = fleet.failedRuns[counted];
-    if (!failed.emplace(ended.run, endedAt).second) {
-        return;
-    }
-    ++fleet.failures[counted];
-    const auto lastStart = fleet.lastStart[ended.task];
-    const auto before = std::ranges::count_if(failed, [&](const auto &row) { return row.second < lastStart; });
-    if (before >= maxAttempts(fleet, ended.task)) {
-        object(fleet, "BUDGET", ended.task, "was started again after its last try, whose failure is acknowledged now");
-    }
-}
-
-/// The end is taken note of. A finish that was followed by another start must not be, unless the target lapsed in between.
-void noteEnd(FleetModel &fleet, const ModelTarget &target, const EndedRun &ended, TimePoint now)
-{
-    const auto endedAt = target.endedAt.at(ended.number);
-    if (ended.end == RunEnd::Failed) {
-        noteFailure(fleet, ended, endedAt);
-    }
-    if (ended.end != RunEnd::Finished || target.lapsedAt > endedAt) {
-        return;
-    }
-    fleet.noted.try_emplace(ended.task, now);
-    if (fleet.lastStart[ended.task] > endedAt) {
-        object(fleet, "TWICE", ended.task, "was started again after the run whose finish is acknowledged now");
-    }
-}
-
 TargetOrderReply pace(ModelTarget &target, const PaceRun &order, TargetOrderReply reply)
 {
     const auto present = target.running.find(order.task);
@@ -272,7 +159,7 @@
     if (order.deadline) {
         target.heldUntil = std::max(target.heldUntil, target.bornAt + std::min(*order.deadline, clockOf(target, now) + fleet.holdMax));
     }
-    while (!target.ended.empty() && target.ended.front().number <= order.lastSeen) {
+    while (!target.ended.empty() && target.ended.front().number <= order.acknowledgedEnd) {
         noteEnd(fleet, target, target.ended.front(), now);
         target.endedAt.erase(target.ended.front().number);
         target.ended.pop_front();
@@ -283,7 +170,7 @@
         const auto *step = stepOf(fleet, task.step);
         const auto saved = step == nullptr ? Duration{0} : savedWork(fleet, *step, run);
         ListedRun listed{task, run.run, saved > Duration{0} ? checkpointText(saved) : std::string{}};
-        listed.percent = step != nullptr && step->isLasting && now - run.startedAt >= startup ? 100 : 0;
+        listed.percent = step != nullptr && step->isLasting && now - run.startedAt >= modelStartup ? 100 : 0;
         listed.load = static_cast<int>(tailOf(fleet, target, task).count());
         lists.running.push_back(std::move(listed));
     }
@@ -381,25 +268,6 @@
     }
 }
 
-/// Notes serving tasks that fillers keep over their target for too long.
-void checkHarm(FleetModel &fleet, ModelTarget &target, TimePoint now)
-{
-    for (auto &[task, run] : target.running) {
-        const auto *step = stepOf(fleet, task.step);
-        if (step == nullptr || step->latencyTarget == Duration{0}) {
-            continue;
-        }
-        const auto behaviour = fleet.behaviours.find(task.step.workflow);
-        const auto alone = behaviour == fleet.behaviours.end() ? Duration{0} : behaviour->second.tail;
-        const bool isHarmed = tailOf(fleet, target, task) > step->latencyTarget && alone <= step->latencyTarget;
-        run.overSince = isHarmed ? std::optional(run.overSince.value_or(now)) : std::nullopt;
-        if (run.overSince && now - *run.overSince >= fleet.harmBound) {
-            object(fleet, "HARM", task, absl::StrCat("is over its target on ", target.registration.life.target.value));
-            run.overSince = now;
-        }
-    }
-}
-
 void endDueRuns(FleetModel &fleet, const TargetId &id, TimePoint now)
 {
     std::vector<TaskId> tasks;
--- a/tests/testrunreports.cpp
+++ b/tests/testrunreports.cpp
@@ -109,7 +109,7 @@
     answerHold({0, {}, {{1, task, 1, RunEnd::Finished, ""}}});
     const auto *target = board.targets.find(life.target);
     ASSERT_EQ(target->pendingEnds.size(), 1U);
-    EXPECT_EQ(target->lastSeen, 0);
+    EXPECT_EQ(target->acknowledgedEnd, 0);
     EXPECT_TRUE(findTask(board.workflows.find(task.step.workflow)->progress, task)->isFinished);
 }
 
--- a/tests/testsharedtargets.cpp
+++ b/tests/testsharedtargets.cpp
@@ -21,10 +21,10 @@
     FillerPace pace{.changedAt = now};
 };
 
-TEST_F(FillerPaces, fillersStandStillBeforeTheBoundWhateverTheyDo)
+TEST_F(FillerPaces, fillersStandStillAfterHalfOfTheBoundWhateverTheyDo)
 {
     pace.percent = 100;
-    for (int reports = 0; reports < 6; ++reports) {
+    for (int reports = 0; reports < 4; ++reports) {
         report(1.5);
     }
     EXPECT_EQ(pace.percent, 0) << "after " << (now - TimePoint{Duration{100'000}}).count() << " ms";
--- a/workflow/fillerpace.h
+++ b/workflow/fillerpace.h
@@ -11,7 +11,7 @@
 struct FillerPace
 {
     int percent = 50;                  ///< Fillers begin in the middle: they may harm at once, and what they do on this target is not known.
-    int ceiling = 100;                 ///< The highest share since the serving tasks were last slowed down.
+    int ceiling = 100;                 ///< Highest share allowed until the last harm has been forgotten.
     TimePoint changedAt;               ///< Or when the pace began.
     std::optional<TimePoint> slowedAt; ///< When a serving task was last over its target.
 
--- a/workflow/holdtargets.cpp
+++ b/workflow/holdtargets.cpp
@@ -28,11 +28,11 @@
     return !target.pendingEnds.empty() && isStored(board, target.pendingEnds.front().workflow, target.pendingEnds.front().version);
 }
 
-/// Moves `lastSeen` up to the newest end whose consequences the store holds. The target hears of it at once.
+/// Moves `acknowledgedEnd` up to the newest end whose consequences the store holds. The target hears of it at once.
 DomainTarget withStoredEnds(const WorkflowBoard &board, DomainTarget target)
 {
     while (hasStoredEnd(board, target)) {
-        target.lastSeen = target.pendingEnds.front().number;
+        target.acknowledgedEnd = target.pendingEnds.front().number;
         target.pendingEnds.pop_front();
         target.nextHoldAt = board.now;
     }
@@ -67,7 +67,7 @@
 {
     const auto &limits = board.self.limits;
     HoldRuns hold;
-    hold.lastSeen = target.lastSeen;
+    hold.acknowledgedEnd = target.acknowledgedEnd;
     // The first look under a token extends nothing: what runs there has not been compared with the records yet. Nor does a look at a silent target: if it is
     // carried out without an answer, the time at which the runs have surely lapsed would move on for ever.
     if (target.isFenced && target.clock && target.failures == 0) {
--- a/workflow/targetorder.h
+++ b/workflow/targetorder.h
@@ -19,7 +19,7 @@
 struct HoldRuns
 {
     std::optional<TargetClock> deadline; ///< Until when everything on the target may run without another hold; none: only look.
-    long long lastSeen = 0;              ///< Number of the newest end that the store holds; the target forgets ends up to it.
+    long long acknowledgedEnd = 0;       ///< Number of the newest end that the store holds; the target forgets ends up to it.
     Duration wait{0};                    ///< How long the target may hold back its answer until a run ends.
 
     friend bool operator==(const HoldRuns &, const HoldRuns &) = default;
@@ -119,7 +119,7 @@
     friend bool operator==(const ListedRun &, const ListedRun &) = default;
 };
 
-/// A run that ended on a target and that `lastSeen` has not reached.
+/// A run that ended on a target and that `acknowledgedEnd` has not reached.
 struct EndedRun
 {
     long long number = 0; ///< Rises with every end in one life of the target.
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -269,7 +269,7 @@
     std::optional<TimePoint> answeredAt;
     int failures = 0;                     ///< Holds without an answer in a row.
     std::optional<TimePoint> suspectedAt; ///< When an order was not answered, unless the target has answered since.
-    long long lastSeen = 0;
+    long long acknowledgedEnd = 0;
     long long newestEnd = 0;
     std::deque<PendingEnd> pendingEnds;
     bool hasStrays = false;              ///< It runs something whose size is not known.
