Count a finish of a run that was taken for lost while the task runs again

The finish of run 2 did not count because run 3 was on the board, so the next step waited for run 3, up to 15 s longer, and the work was done twice.

A finish counts for any earlier run of the task or gang; later runs are stopped, and their failures do not count any more. Ruled out: the spaced scans (48 targets: no pause) and calls without an end (every call of the task was answered).

--- a/tests/testtargetlifecycle.cpp
+++ b/tests/testtargetlifecycle.cpp
@@ -230,4 +230,39 @@
     EXPECT_LE(stops, 8);
 }
 
+TEST_F(TargetLifecycle, finishOfARunThatWasTakenForLostCountsThoughTheTaskRunsAgain)
+{
+    // Guards against a later step that waits for a second run of a task, although the first run has finished behind a cut.
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{6'000}, {}}));
+    runUntil([&] { return fleet.starts[id(1)] == 1; }, Duration{1'000});
+    const auto cut = std::ranges::find_if(fleet.targets, [](const auto &row) { return !row.second.running.empty(); })->first;
+    cutOff(cut.value);
+    runUntil([&] { return fleet.starts[id(1)] == 2; }, Duration{14'000});
+    run(Duration{500});
+    reconnect(cut.value);
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{2'000});
+    run(Duration{1'000});
+    EXPECT_FALSE(isAtWork(fleet, id(1))) << "the second run was not stopped";
+}
+
+TEST_F(TargetLifecycle, finishOfALostGangCountsThoughTheGangRunsAgain)
+{
+    answerTo(submit(id(1), gang(3, {1'000, 1'000, 8}), {Duration{6'000}, {}}));
+    runUntil([&] { return fleet.starts[id(1)] == 3; }, Duration{1'000});
+    run(Duration{300});
+    std::vector<std::string> cut;
+    for (const auto &[target, row] : fleet.targets) {
+        if (!row.running.empty()) {
+            cut.push_back(target.value);
+        }
+    }
+    std::ranges::for_each(cut, [&](const std::string &target) { cutOff(target); });
+    runUntil([&] { return fleet.starts[id(1)] == 6; }, Duration{14'000});
+    run(Duration{500});
+    std::ranges::for_each(cut, [&](const std::string &target) { reconnect(target); });
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{2'000});
+    run(Duration{1'000});
+    EXPECT_FALSE(isAtWork(fleet, id(1)));
+}
+
 }
--- a/workflow/progresschange.cpp
+++ b/workflow/progresschange.cpp
@@ -101,7 +101,7 @@
 
 std::string_view name(RunStopCause cause)
 {
-    static constexpr std::array<std::string_view, 4> names{"workflowEnded", "preempted", "gangBroken", "startUnanswered"};
+    static constexpr std::array<std::string_view, 5> names{"workflowEnded", "preempted", "gangBroken", "startUnanswered", "finishedBefore"};
     return names.at(static_cast<std::size_t>(cause));
 }
 
--- a/workflow/progresschange.h
+++ b/workflow/progresschange.h
@@ -42,6 +42,7 @@
     Preempted,
     GangBroken,
     StartUnanswered,
+    FinishedBefore, ///< An earlier run of the task or gang has finished after all.
 };
 
 std::string_view name(RunStopCause cause);
--- a/workflow/runends.cpp
+++ b/workflow/runends.cpp
@@ -3,6 +3,7 @@
 #include "progresschange.h"
 
 #include <algorithm>
+#include <iterator>
 #include <string>
 #include <utility>
 
@@ -49,6 +50,14 @@
     board.targets.put(id, std::move(target));
 }
 
+/// Later runs of the same task or gang have become needless.
+void stopLaterRuns(WorkflowBoard &board, const std::vector<TaskRun> &runs, int finished)
+{
+    std::vector<TaskRun> later;
+    std::ranges::copy_if(runs, std::back_inserter(later), [&](const TaskRun &run) { return run.number > finished; });
+    stopRuns(board, later, RunStopCause::FinishedBefore, runText(finished) + " has finished");
+}
+
 /// The finish of one member stands for the whole gang; the others' targets list it a little later.
 void finishGang(WorkflowBoard &board, const TaskRun &run)
 {
@@ -59,13 +68,15 @@
             task.place.reset();
         }
     });
-    for (auto member : runsOf(board, run.task.step)) {
-        if (member.task != run.task) {
+    const auto members = runsOf(board, run.task.step);
+    for (auto member : members) {
+        if (member.task != run.task && member.number == run.number) {
             member.step = RunStep::Ending;
             member.stoppedAt = board.now;
             putRun(board, member);
         }
     }
+    stopLaterRuns(board, members, run.number);
 }
 
 void finishTask(WorkflowBoard &board, const TaskRun &run, bool isGang)
@@ -83,6 +94,9 @@
         progress.isFinished = true;
         progress.place.reset();
     });
+    if (const auto *present = board.runs.find(run.task)) {
+        stopLaterRuns(board, {*present}, run.number);
+    }
 }
 
 void keepCheckpoint(WorkflowBoard &board, const TaskRun &run, const std::string &checkpoint, bool isGang)
@@ -112,7 +126,8 @@
     // A gang's failures are counted on its first task.
     TaskId counted = run.task;
     counted.index = isGang ? 0 : run.task.index;
-    changeTask(board, counted, [](TaskProgress &task) { ++task.failedRuns; });
+    // A later run of a task that has finished does not matter any more.
+    changeTask(board, counted, [](TaskProgress &task) { task.failedRuns += task.isFinished ? 0 : 1; });
 }
 
 /// An end of a run that the board does not follow: one that was taken for lost, or that a former owner has dealt with.
@@ -120,8 +135,8 @@
 {
     const auto *entry = board.workflows.find(ended.task.step.workflow);
     const auto *task = entry == nullptr ? nullptr : findTask(entry->progress, ended.task);
-    const bool isStillWanted =
-        ended.end == RunEnd::Finished && task != nullptr && !task->isFinished && task->lastRun == ended.run && !board.runs.contains(ended.task);
+    // What was taken for lost behind a cut may have finished there, also while a later run is at work elsewhere.
+    const bool isStillWanted = ended.end == RunEnd::Finished && task != nullptr && !task->isFinished && ended.run <= task->lastRun;
     logDecision(board,
                 "endRun",
                 target.value,
