Log refused stops and why an unlisted run counts as gone

The traces of the tasks that ran twice show a refused start, then a run that is not listed, and nothing between them: a refused stop wrote no line, and loseRun did not say what was known of the run before. Both are logged now, and the counter stopsRefused counts refused stops by reason. No decision changes.

--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -235,6 +235,9 @@
         return;
     }
     if (reply.outcome == OrderOutcome::Refused) {
+        const auto reason = std::string(name(reply.refusal));
+        logDecision(board, "stopRun", run.place.target.value, toString(run.task), "stop of run " + std::to_string(run.number) + " refused: " + reason, true);
+        count(board.counters, "stopsRefused", reason);
         // A target refuses to stop a run that it does not run, so the run counts as stopped.
         run.stoppedAt = board.now;
         run.step = RunStep::Ending;
--- a/workflow/runends.cpp
+++ b/workflow/runends.cpp
@@ -35,6 +35,19 @@
     return "run " + std::to_string(run);
 }
 
+/// The last change of the run before the list that lacks it, with its age.
+std::string lastChange(const WorkflowBoard &board, const TaskRun &run)
+{
+    const auto ago = [&](TimePoint at) { return std::to_string((board.now - at).count()) + " ms ago"; };
+    if (run.stoppedAt) {
+        return "its stop was answered " + ago(*run.stoppedAt);
+    }
+    if (run.step == RunStep::Unconfirmed) {
+        return "it was adopted " + ago(run.stepSince);
+    }
+    return (run.isStopWanted ? "its stop was requested " : "its start was confirmed ") + ago(run.stepSince);
+}
+
 void recordOutcomeOnTarget(WorkflowBoard &board, const TargetId &id, RunEnd end)
 {
     const auto *present = board.targets.find(id);
@@ -209,7 +222,7 @@
 
 void dropUnlistedRun(WorkflowBoard &board, const TaskRun &run)
 {
-    logDecision(board, "loseRun", run.place.target.value, toString(run.task), runText(run.number) + " is not listed by the target");
+    logDecision(board, "loseRun", run.place.target.value, toString(run.task), runText(run.number) + " is not listed by the target, " + lastChange(board, run));
     count(board.counters, "runsEnded", "unlisted");
     removeRun(board, run);
     failGangOf(board, run, GangBreakCause::MemberEnded, "a member is not listed by its target");
