Show that a refused stop lets a task run twice

Two tests on the virtual fleet: the first start of a task is not answered and is executed two seconds later; its target refuses the repeated start and the stop as unhealthy. The task starts elsewhere and runs twice (TWICE of the model, for a single task and for a gang).

--- a/tests/domainfixture.cpp
+++ b/tests/domainfixture.cpp
@@ -356,6 +356,14 @@
         reply(host, unknown);
         return;
     }
+    if (unhealthyTargets.contains(order.target) && !std::holds_alternative<HoldRuns>(order.request)) {
+        TargetOrderReply refusal = unknown;
+        refusal.outcome = OrderOutcome::Refused;
+        refusal.refusal = OrderRefusal::Unhealthy;
+        refusal.error = "status 503";
+        reply(host, refusal);
+        return;
+    }
     const auto answer = carryOut(fleet, order, now);
     if (isStart) {
         history.push_back(absl::StrCat(now.time_since_epoch().count(),
--- a/tests/domainfixture.h
+++ b/tests/domainfixture.h
@@ -95,6 +95,7 @@
     bool losesStartAnswers = false;        ///< Starts take effect, but their answers are lost.
     Duration startDelay{0};                ///< Delay after which starts are executed; delayed starts are not answered.
     bool lateStartsSurvive = false;        ///< Delayed starts arrive even if the target has crashed meanwhile, as if the network had delayed them.
+    std::set<TargetId> unhealthyTargets;   ///< Targets that refuse all orders except holds as unhealthy, without any effect.
     bool isAdviserUnresponsive = false;    ///< The adviser answers no questions.
     std::vector<TargetOrder> sentOrders;
     std::vector<std::string> history; ///< Log lines of the hosts and actions of the test, in order. Printed for tasks that break a rule of the model.
