Repeat a refused stop instead of taking the run for stopped

Callers saw a task run twice, and targets got work beyond their room: a start was not answered, its repetition was refused as unhealthy, and so was the stop that followed. handleRunReply took every refusal of a stop for proof that the target does not run the task. The next list lacked the run, its task and room were free, and the unanswered start was executed beside the task's next run.

A target that refuses an order has not carried it out, so the stop is repeated with a growing delay; only the refusal of an old run shows that it is stopped. A target that refuses every stop does not hold the task for long: once a list was requested after the deadline of the newest start on the target's clock, a run that it lacks can no longer begin. docs/platform.md promised this bound, but nothing used startDeadline. The deadline is unknown for adopted runs and for runs that were moved to a target's new instance.

--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -35,9 +35,18 @@
     board.ownership.authorityUntil = board.now;
 }
 
+/// True if no start of the run can take effect any more, because the target's clock had passed the deadline of the newest one when the hold was sent. A
+/// target's clock may be slow but is never fast, so it has advanced by no more than the time since then.
+bool hasStartExpired(const WorkflowBoard &board, const TaskRun &run, std::optional<TargetClock> clock, TimePoint holdSentAt)
+{
+    const bool isStartUnderWay = run.call && !run.isStopCall;
+    return !isStartUnderWay && clock && run.startDeadline && *clock - (board.now - holdSentAt) > *run.startDeadline;
+}
+
 /// Compares the board's runs on the target with the target's list of running runs.
-void compareRuns(WorkflowBoard &board, const TargetId &id, const TargetLists &lists, TimePoint holdSentAt)
+void compareRuns(WorkflowBoard &board, const TargetId &id, const TargetOrderReply &reply, TimePoint holdSentAt)
 {
+    const auto &lists = *reply.lists;
     std::map<TaskId, const ListedRun *> listed;
     for (const auto &row : lists.running) {
         listed.emplace(row.task, &row);
@@ -67,7 +76,8 @@
         // after the run's last change. Times are in whole milliseconds, so at equal times it is unknown which came first, and the run does not count as
         // unlisted.
         const bool wasRunning = run.step == RunStep::Unconfirmed || run.step == RunStep::Running;
-        const bool isCertainlyAbsent = (wasRunning && holdSentAt > run.stepSince) || (run.stoppedAt && holdSentAt > *run.stoppedAt);
+        const bool hasBeenStopped = (run.stoppedAt && holdSentAt > *run.stoppedAt) || (run.isStopWanted && hasStartExpired(board, run, reply.clock, holdSentAt));
+        const bool isCertainlyAbsent = (wasRunning && holdSentAt > run.stepSince) || hasBeenStopped;
         if (isCertainlyAbsent && board.runs.contains(run.task)) {
             dropUnlistedRun(board, run);
         }
@@ -80,9 +90,9 @@
     }
 }
 
-void applyLists(WorkflowBoard &board, const TargetId &id, const TargetLists &lists, TimePoint holdSentAt)
+void applyLists(WorkflowBoard &board, const TargetId &id, const TargetOrderReply &reply, TimePoint holdSentAt)
 {
-    for (const auto &ended : lists.ended) {
+    for (const auto &ended : reply.lists->ended) {
         const auto *target = board.targets.find(id);
         if (ended.number <= target->newestEnd) {
             continue;
@@ -93,7 +103,7 @@
         changed.pendingEnds.push_back({ended.number, ended.task.step.workflow, progressVersion(board, ended.task.step.workflow)});
         board.targets.put(id, std::move(changed));
     }
-    compareRuns(board, id, lists, holdSentAt);
+    compareRuns(board, id, reply, holdSentAt);
 }
 
 /// Delay before the next hold. A target with runs gets its next hold at once, so that it can report the next end of a run; the hold of a target without runs
@@ -155,7 +165,7 @@
         target.clock = ClockSample{*reply.clock, board.now};
     }
     board.targets.put(id, target);
-    applyLists(board, id, *reply.lists, sentAt);
+    applyLists(board, id, reply, sentAt);
     target = *board.targets.find(id);
     target.nextHoldAt = board.now + delayOfNextHold(board, target, *reply.lists);
     board.targets.put(id, std::move(target));
@@ -214,10 +224,33 @@
     return unanswered <= 1 ? Duration{0} : std::min(maxOrderDelay, first * (1 << std::min(unanswered - 2, maxDoublings)));
 }
 
+/// Repeats a refused stop, because a target that refuses an order has not carried it out. Only the refusal of an old run shows that the run is stopped.
+void handleStopRefusal(WorkflowBoard &board, TaskRun run, const TargetOrderReply &reply)
+{
+    const auto reason = std::string(name(reply.refusal));
+    logDecision(board, "stopRun", run.place.target.value, toString(run.task), "stop of run " + std::to_string(run.number) + " refused: " + reason, true);
+    count(board.counters, "stopsRefused", reason);
+    if (reply.refusal == OrderRefusal::Fenced) {
+        handleFencedOrder(board, run.place.target);
+    }
+    if (reply.refusal == OrderRefusal::OldRun) {
+        run.stoppedAt = board.now;
+        run.step = RunStep::Ending;
+    } else {
+        ++run.unansweredOrders;
+        run.retryAt = board.now + std::max(board.self.limits.orderRetry, retryDelay(board.self.limits.orderRetry, run.unansweredOrders));
+    }
+    putRun(board, run);
+}
+
 void handleRunReply(WorkflowBoard &board, TaskRun run, const TargetOrderReply &reply)
 {
     const bool wasStop = run.isStopCall;
     run.call.reset();
+    if (reply.outcome == OrderOutcome::Refused && wasStop) {
+        handleStopRefusal(board, std::move(run), reply);
+        return;
+    }
     run.unansweredOrders = reply.outcome == OrderOutcome::Accepted || reply.outcome == OrderOutcome::Refused ? 0 : run.unansweredOrders;
     if (reply.outcome == OrderOutcome::Accepted) {
         if (wasStop) {
@@ -230,21 +263,8 @@
         putRun(board, run);
         return;
     }
-    if (reply.outcome == OrderOutcome::Refused && !wasStop) {
-        handleStartRefusal(board, std::move(run), reply);
-        return;
-    }
     if (reply.outcome == OrderOutcome::Refused) {
-        const auto reason = std::string(name(reply.refusal));
-        logDecision(board, "stopRun", run.place.target.value, toString(run.task), "stop of run " + std::to_string(run.number) + " refused: " + reason, true);
-        count(board.counters, "stopsRefused", reason);
-        // A target refuses to stop a run that it does not run, so the run counts as stopped.
-        run.stoppedAt = board.now;
-        run.step = RunStep::Ending;
-        if (reply.refusal == OrderRefusal::Fenced) {
-            handleFencedOrder(board, run.place.target);
-        }
-        putRun(board, run);
+        handleStartRefusal(board, std::move(run), reply);
         return;
     }
     logDecision(board, wasStop ? "stopRun" : "startRun", run.place.target.value, toString(run.task), "no answer: " + reply.error, true);
--- a/workflow/targetlease.cpp
+++ b/workflow/targetlease.cpp
@@ -90,6 +90,7 @@
     run.place = instance;
     run.isListed = false;
     run.stoppedAt.reset();
+    run.startDeadline.reset();
     run.isStopWanted = run.isStopWanted || needsStop;
     run.step = needsStop ? RunStep::Ending : RunStep::Unconfirmed;
     run.stepSince = board.now;
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -204,7 +204,7 @@
     int starts = 0;               ///< Number of start orders sent.
     int unansweredOrders = 0;     ///< Number of consecutive orders without an answer.
     bool mayArriveLate = false;   ///< A start was not answered, so even the target's next instance may execute it.
-    TargetClock startDeadline{0}; ///< Latest deadline that was sent to the target with a start.
+    std::optional<TargetClock> startDeadline; ///< Latest deadline that this owner sent with a start, on the clock of `place`; no value if another may be under way.
     bool isStopCall = false;      ///< `call` is a stop order.
     bool isStopWanted = false;
     bool isGangBroken = false;          ///< The failure of another member has already been counted for the gang.
