--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -76,7 +76,8 @@
         // after the run's last change. Times are in whole milliseconds, so at equal times it is unknown which came first, and the run does not count as
         // unlisted.
         const bool wasRunning = run.step == RunStep::Unconfirmed || run.step == RunStep::Running;
-        const bool hasBeenStopped = (run.stoppedAt && holdSentAt > *run.stoppedAt) || (run.isStopWanted && hasStartExpired(board, run, reply.clock, holdSentAt));
+        const bool hasBeenStopped =
+            (run.stoppedAt && holdSentAt > *run.stoppedAt) || (run.isStopWanted && hasStartExpired(board, run, reply.clock, holdSentAt));
         const bool isCertainlyAbsent = (wasRunning && holdSentAt > run.stepSince) || hasBeenStopped;
         if (isCertainlyAbsent && board.runs.contains(run.task)) {
             dropUnlistedRun(board, run);
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -201,11 +201,12 @@
     std::optional<CallId> call;               ///< Start or stop order under way.
     TimePoint startSentAt;                    ///< Send time of the newest start order.
     TimePoint retryAt;
-    int starts = 0;               ///< Number of start orders sent.
-    int unansweredOrders = 0;     ///< Number of consecutive orders without an answer.
-    bool mayArriveLate = false;   ///< A start was not answered, so even the target's next instance may execute it.
-    std::optional<TargetClock> startDeadline; ///< Latest deadline that this owner sent with a start, on the clock of `place`; no value if another may be under way.
-    bool isStopCall = false;      ///< `call` is a stop order.
+    int starts = 0;             ///< Number of start orders sent.
+    int unansweredOrders = 0;   ///< Number of consecutive orders without an answer.
+    bool mayArriveLate = false; ///< A start was not answered, so even the target's next instance may execute it.
+    /// Latest deadline that this owner sent with a start, on the clock of `place`; no value if a start with another deadline may be under way.
+    std::optional<TargetClock> startDeadline;
+    bool isStopCall = false; ///< `call` is a stop order.
     bool isStopWanted = false;
     bool isGangBroken = false;          ///< The failure of another member has already been counted for the gang.
     std::optional<TimePoint> stoppedAt; ///< When the target answered the stop order.
