--- a/tests/testrefusedorders.cpp
+++ b/tests/testrefusedorders.cpp
@@ -23,7 +23,7 @@
         answerTo(submit(id(1), specification, {work, {}}));
         runUntil([&] { return latestPlace(1).has_value(); }, Duration{500});
         startDelay = Duration{0};
-        const auto target = *latestPlace(1);
+        auto target = *latestPlace(1);
         unhealthyTargets.insert(target);
         return target;
     }
