Repeat the stop of a late start until a new instance confirms it

A start without an answer may be executed seconds later, also by the next instance of its target. Such starts were stopped on a new instance by one order whose answer was ignored. If the instance refused it as unhealthy, or the order was lost, the late start ran beside the task's newest run: TWICE on the virtual fleet, at 4.0 s in LateOrders.stopThatANewInstanceRefusesIsRepeatedBeforeTheLateStartArrives. This is the class of fault of: an order counted as carried out without an answer that says so. It is shown on the model only; no play of the platform has shown it.

stopLateStarts now repeats the stop until the instance has confirmed it, or until the start can no longer arrive; meanwhile the target gets no work, which replaces the fixed pause of 250 ms.

Also tested, and ruled out on the model: the refusal of a hold to the former instance (421) does not lose runs of the new one.

--- a/tests/domainfixture.cpp
+++ b/tests/domainfixture.cpp
@@ -150,6 +150,23 @@
     registerAgain(target);
 }
 
+void DomainTest::refuseHoldsOfFormerInstances()
+{
+    for (const auto &hold : std::exchange(m_holds, {})) {
+        if (fleet.targets.at(hold.order.target).registration.instance.startTimeMs == hold.startTimeMs) {
+            m_holds.push_back(hold);
+            continue;
+        }
+        TargetOrderReply refusal;
+        refusal.id = hold.order.id;
+        refusal.target = hold.order.target;
+        refusal.outcome = OrderOutcome::Refused;
+        refusal.refusal = OrderRefusal::OtherInstance;
+        refusal.error = "status 421";
+        reply(hold.host, refusal);
+    }
+}
+
 void DomainTest::kill(const std::string &host)
 {
     note("kill " + host);
@@ -380,7 +397,8 @@
     }
     const auto *hold = std::get_if<HoldRuns>(&order.request);
     if (hold != nullptr && hold->wait > Duration{0} && answer.outcome == OrderOutcome::Accepted && answer.lists->ended.empty()) {
-        m_holds.push_back({host, order, now + hold->wait, fleet.targets.at(order.target).ends});
+        const auto &target = fleet.targets.at(order.target);
+        m_holds.push_back({host, order, now + hold->wait, target.ends, target.registration.instance.startTimeMs});
         return;
     }
     reply(host, answer);
--- a/tests/domainfixture.h
+++ b/tests/domainfixture.h
@@ -55,6 +55,9 @@
     void registerAgain(const std::string &target);
     void crash(const std::string &target);
 
+    /// Refuses the holds that were sent to former instances of targets and are not answered yet, as other instances do.
+    void refuseHoldsOfFormerInstances();
+
     void run(Duration duration);
 
     /// Advances the time until the condition holds. Fails the test after the limit.
@@ -137,6 +140,7 @@
         TargetOrder order;
         TimePoint answerAt;
         long long knownEnds = 0;
+        long long startTimeMs = 0; ///< Instance of the target when the hold was sent.
     };
 
     void note(const std::string &what);
--- /dev/null
+++ b/tests/testlateorders.cpp
@@ -0,0 +1,72 @@
+#include "tests/domainfixture.h"
+
+#include <algorithm>
+
+namespace sequoiastand
+{
+
+/// A host and eight targets. Starts may be executed seconds after they were sent, also by the next instance of their target, whose clock, fencing token and
+/// runs have begun anew.
+struct LateOrders : DomainTest
+{
+    LateOrders()
+    {
+        lateStartsSurvive = true;
+        addTargets(8);
+        addHost("h1");
+        addHost("h2");
+        run(Duration{20'000}); // So that the deadline of a start is far ahead on the clock of a later instance.
+    }
+
+    /// Submits a workflow of one task whose first start is executed after the delay, and returns the target of this start.
+    std::string startLate(Duration delay, Duration work)
+    {
+        startDelay = delay;
+        answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {work, {}}));
+        runUntil([&] { return std::ranges::any_of(sentOrders, isStart); }, Duration{500});
+        startDelay = Duration{0};
+        return std::ranges::find_if(sentOrders, isStart)->target.value;
+    }
+
+    static bool isStart(const TargetOrder &order)
+    {
+        return std::holds_alternative<StartRun>(order.request);
+    }
+};
+
+// Guards against running a task twice: a new instance that refuses the stop of a late start as unhealthy still executes this start when it arrives.
+TEST_F(LateOrders, stopThatANewInstanceRefusesIsRepeatedBeforeTheLateStartArrives)
+{
+    const auto place = startLate(Duration{4'000}, Duration{6'000});
+    unhealthyTargets.insert({place});
+    run(Duration{300});
+    drain(place);
+    unhealthyTargets.clear();
+    runUntil([&] { return isAtWork(fleet, id(1)); }, Duration{3'000});
+    unhealthyTargets.insert({place});
+    crash(place);
+    run(Duration{1'500});
+    unhealthyTargets.clear();
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{20'000});
+    run(Duration{5'000});
+}
+
+// Guards against running a task twice: the answer to a hold that was meant for the former instance says nothing about the runs of the new one.
+TEST_F(LateOrders, refusedHoldOfTheFormerInstanceLosesNoRunOfTheNewOne)
+{
+    // In each round the start reaches the new instance at another time, before or after its registration is known.
+    for (int latency = 5; latency <= 60; latency += 5) {
+        store.faults.watchLatency = Duration{latency};
+        for (int number = 1; number <= 8; ++number) {
+            crash("t" + std::to_string(number));
+        }
+        const auto workflow = id(latency);
+        submit(workflow, batch(16, {1'000, 1'000, 1}), {Duration{1'000}, {}});
+        run(Duration{latency + 10});
+        refuseHoldsOfFormerInstances();
+        runUntil([&] { return storedState(workflow) == WorkflowState::Completed; }, Duration{15'000});
+        EXPECT_EQ(fleet.starts[workflow], 16) << "watch latency " << latency;
+    }
+}
+
+}
--- a/workflow/controllers.h
+++ b/workflow/controllers.h
@@ -38,6 +38,10 @@
 /// Reads the events; writes rows of `targets`, `runs` and `workflows`.
 void followRuns(WorkflowBoard &board);
 
+/// Stops unanswered starts on targets that have restarted since, until the new instance confirms the stop or the start can no longer arrive.
+/// Reads the events and `targets`; writes `lateStarts`.
+void stopLateStarts(WorkflowBoard &board);
+
 /// Begins the due occurrences of workflows, ends workflows that were cancelled, have failed or are complete, and removes workflows that ended long ago.
 /// Reads `view`; writes rows of `workflows` and `runs`, and `chain`.
 void advanceWorkflows(WorkflowBoard &board);
--- a/workflow/eligibility.cpp
+++ b/workflow/eligibility.cpp
@@ -52,7 +52,9 @@
     const bool isInContact = target.hasAnsweredOwner && target.failures == 0 && !target.orderUnansweredAt && target.answeredAt
                              && board.now - *target.answeredAt <= holdPace(board).contactAge;
     const bool isAvoided = target.avoidUntil && board.now < *target.avoidUntil;
-    return isInService && isInContact && !isAvoided && !target.hasStrays;
+    const bool mayExecuteLateStart =
+        std::ranges::any_of(board.lateStarts, [&](const LateStart &late) { return late.isStopWanted && late.target == registration.instance.target; });
+    return isInService && isInContact && !isAvoided && !mayExecuteLateStart && !target.hasStrays;
 }
 
 Duration objectiveOf(const Workflow &workflow, const Queue &queue)
--- a/workflow/eligibility.h
+++ b/workflow/eligibility.h
@@ -11,7 +11,7 @@
 std::set<AvailabilityZoneId> unresponsiveZones(const WorkflowBoard &board);
 
 /// True if the target may be given new work now: it is registered, its zone is not evacuated, it is not draining, it answers orders, it is not avoided for a
-/// while (`avoidUntil`), and it runs no stray tasks.
+/// while (`avoidUntil`), it can execute no late start of a former instance, and it runs no stray tasks.
 bool acceptsWork(const WorkflowBoard &board, const DomainTarget &target);
 
 /// Time from the due time within which an occurrence should end: the length of its critical path times the queue's stretch, plus the queue's latency target.
--- a/workflow/runends.cpp
+++ b/workflow/runends.cpp
@@ -228,7 +228,7 @@
     failGangOf(board, run, GangBreakCause::MemberEnded, "a member is not listed by its target");
 }
 
-void sendStrayStop(WorkflowBoard &board, const DomainTarget &target, const TaskId &task, int run)
+CallId sendStrayStop(WorkflowBoard &board, const DomainTarget &target, const TaskId &task, int run)
 {
     TargetOrder order;
     order.id = takeCallId(board);
@@ -237,7 +237,9 @@
     order.token = board.ownership.token;
     order.timeout = timeoutWithLag(board, board.self.limits.orderTimeout);
     order.request = StopRun{task, run};
+    const auto call = order.id;
     board.outbox.emplace_back(std::move(order));
+    return call;
 }
 
 void stopStray(WorkflowBoard &board, const TargetId &id, const ListedRun &row)
--- a/workflow/runends.h
+++ b/workflow/runends.h
@@ -17,8 +17,8 @@
 /// Orders the stop of a stray run: one that runs on the target but is not the newest run of its task.
 void stopStray(WorkflowBoard &board, const TargetId &target, const ListedRun &row);
 
-/// Orders the stop of a run that the board does not follow. The answer is ignored.
-void sendStrayStop(WorkflowBoard &board, const DomainTarget &target, const TaskId &task, int run);
+/// Orders the stop of a run that the board does not follow, and returns the call's id.
+CallId sendStrayStop(WorkflowBoard &board, const DomainTarget &target, const TaskId &task, int run);
 
 /// Reason why a gang cannot continue.
 enum class GangBreakCause
--- a/workflow/targetlease.cpp
+++ b/workflow/targetlease.cpp
@@ -19,9 +19,6 @@
 // The platform may deliver an order seconds after its sender has stopped waiting; the longest delay seen is 12 s.
 constexpr Duration maxDeliveryDelay{15'000};
 
-// Time for which a new target instance gets no new work after stop orders have been sent to it. A working target answers the stop orders within this time.
-constexpr Duration newInstancePause{250};
-
 // Margin for timers that fire late on the target.
 constexpr Duration lapseMargin{250};
 
@@ -56,8 +53,12 @@
 
 void noteLateStart(WorkflowBoard &board, const TaskRun &run)
 {
-    std::erase_if(board.lateStarts, [&](const LateStart &late) { return late.until <= board.now || (late.task == run.task && late.run == run.number); });
-    board.lateStarts.push_back({run.task, run.number, run.place.target, board.now + maxDeliveryDelay});
+    const auto known = std::ranges::find_if(board.lateStarts, [&](const LateStart &late) { return late.task == run.task && late.run == run.number; });
+    if (known == board.lateStarts.end()) {
+        board.lateStarts.push_back({run.task, run.number, run.place.target, board.now + maxDeliveryDelay});
+    } else {
+        known->until = board.now + maxDeliveryDelay;
+    }
 }
 
 namespace
@@ -115,10 +116,11 @@
     fresh.holdSentAt = former.holdSentAt;
     fresh.formerRunsLapseAt = board.now + maxFormerOwnerLease(board.self.limits);
     const auto &instance = registration.instance;
-    for (const auto &late : board.lateStarts) {
-        if (late.target == instance.target && board.now < late.until) {
-            fresh.avoidUntil = board.now + newInstancePause;
-            sendStrayStop(board, fresh, late.task, late.run);
+    for (auto &late : board.lateStarts) {
+        if (late.target == instance.target) {
+            late.isStopWanted = true;
+            late.stop.reset();
+            late.stopRetryAt = board.now;
         }
     }
     board.targets.put(instance.target, std::move(fresh));
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -241,7 +241,10 @@
     TaskId task;
     int run = 0;
     TargetId target;
-    TimePoint until; ///< Latest time at which the start may arrive.
+    TimePoint until;            ///< Latest time at which the start may arrive.
+    bool isStopWanted = false;  ///< The target has restarted since, and its new instance has not confirmed that it will not execute the start.
+    std::optional<CallId> stop; ///< Stop order under way.
+    TimePoint stopRetryAt;
 
     friend bool operator==(const LateStart &, const LateStart &) = default;
 };
@@ -274,7 +277,7 @@
     long long newestEnd = 0;
     std::deque<PendingEnd> pendingEnds;
     bool hasStrays = false;              ///< The target runs stray tasks, whose resources are not accounted for.
-    std::optional<TimePoint> avoidUntil; ///< Time until which the target gets no work: its own state made it refuse a start, or a late start may arrive.
+    std::optional<TimePoint> avoidUntil; ///< Time until which the target gets no work: its own state made it refuse a start.
     int recentFailures = 0;              ///< Runs that have failed on the target since the last one that finished.
     std::optional<TimePoint> lastFailureAt;
     int finishedRuns = 0;
--- a/workflow/workflowstep.cpp
+++ b/workflow/workflowstep.cpp
@@ -76,6 +76,7 @@
     loadDomain(board);
     followTargets(board);
     followRuns(board);
+    stopLateStarts(board);
     advanceWorkflows(board);
     followAdvice(board);
     planWork(board);
