Show that an unseen instance may execute a start after its lapse

A target that is cut off from hosts and store restarts and executes a start that is 11 s late, after the lease of its former instance has certainly lapsed and the task has started elsewhere. The virtual fleet reports TWICE.

--- a/tests/testlateorders.cpp
+++ b/tests/testlateorders.cpp
@@ -28,12 +28,30 @@
         return std::ranges::find_if(sentOrders, isStart)->target.value;
     }
 
+    /// Restarts a target that reaches neither the store nor the hosts.
+    void restartUnseen(const std::string &target)
+    {
+        restartTarget(fleet, {target}, now);
+    }
+
     static bool isStart(const TargetOrder &order)
     {
         return std::holds_alternative<StartRun>(order.request);
     }
 };
 
+// Guards against running a task twice: an unanswered start may be executed by the next instance of its target, which nobody has seen yet, after the lease of the
+// former one has lapsed.
+TEST_F(LateOrders, taskDoesNotStartElsewhereWhileAnUnseenInstanceMayExecuteItsStart)
+{
+    const auto place = startLate(Duration{11'000}, Duration{15'000});
+    cutOff(place);
+    unregister(place);
+    run(Duration{2'000});
+    restartUnseen(place);
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{60'000});
+}
+
 // Guards against running a task twice: a new instance that refuses the stop of a late start as unhealthy still executes this start when it arrives.
 TEST_F(LateOrders, stopThatANewInstanceRefusesIsRepeatedBeforeTheLateStartArrives)
 {
