Acknowledge run ends only until the target has confirmed them

Callers would see a finished task run a second time. Every hold acknowledged the newest stored end, in the numbering of the target's instance. A hold without an answer may be executed seconds later, also by the target's next instance, which numbers its ends from 1 again and discards ends that the owner has never read. The owner takes such a run for unlisted and starts the finished task again: TWICE on the virtual fleet, in LateOrders.lateHoldDiscardsNoUnreadEndOfTheNextInstance.

The owner now remembers the newest end that an answered hold has acknowledged, and a hold acknowledges nothing unless a newer end is stored. 0 discards nothing, because the platform numbers ends from 1, and new owners already send it. The test failed before and passes now. DomainTest can execute holds late as it does starts.

Still possible: a hold that is the first to acknowledge an end, gets no answer and reaches the next instance, or a second copy of it that the client has sent. Giving the new instance no work until such a hold can no longer arrive would close the first case, at the cost of 15 s of the target.

--- a/tests/domainfixture.cpp
+++ b/tests/domainfixture.cpp
@@ -356,6 +356,14 @@
     m_hosts.at(host).inbox.emplace_back(answer);
 }
 
+Duration DomainTest::delayOf(const TargetOrder &order) const
+{
+    if (std::holds_alternative<StartRun>(order.request)) {
+        return startDelay;
+    }
+    return std::holds_alternative<HoldRuns>(order.request) ? holdDelay : Duration{0};
+}
+
 void DomainTest::deliverOrder(const std::string &host, const TargetOrder &order)
 {
     sentOrders.push_back(order);
@@ -368,8 +376,8 @@
         return;
     }
     const bool isStart = std::holds_alternative<StartRun>(order.request);
-    if (isStart && startDelay > Duration{0}) {
-        m_lateOrders.push_back({now + startDelay, order, fleet.targets.at(order.target).registration.instance.startTimeMs});
+    if (const auto delay = delayOf(order); delay > Duration{0}) {
+        m_lateOrders.push_back({now + delay, order, fleet.targets.at(order.target).registration.instance.startTimeMs});
         reply(host, unknown);
         return;
     }
@@ -440,16 +448,17 @@
     for (const auto &order : late) {
         const auto target = fleet.targets.find(order.order.target);
         const bool isSameInstance = target != fleet.targets.end() && target->second.registration.instance.startTimeMs == order.startTimeMs;
-        if (!isSameInstance && !lateStartsSurvive) {
+        if (!isSameInstance && !lateOrdersSurvive) {
             continue;
         }
         if (order.due <= now) {
             const auto answer = carryOut(fleet, order.order, now);
+            const auto *start = std::get_if<StartRun>(&order.order.request);
             history.push_back(absl::StrCat(now.time_since_epoch().count(),
-                                           " late start ",
+                                           start != nullptr ? " late start " : " -- late hold ",
                                            order.order.target.value,
                                            " ",
-                                           toString(std::get<StartRun>(order.order.request).task),
+                                           start != nullptr ? toString(start->task) : "",
                                            " ",
                                            std::string(name(answer.refusal))));
         } else {
--- a/tests/domainfixture.h
+++ b/tests/domainfixture.h
@@ -97,7 +97,8 @@
     std::string callerKey = "key-tailors"; ///< API key of the following calls.
     bool losesStartAnswers = false;        ///< Starts take effect, but their answers are lost.
     Duration startDelay{0};                ///< Delay after which starts are executed; delayed starts are not answered.
-    bool lateStartsSurvive = false;        ///< Delayed starts arrive even if the target has crashed meanwhile, as if the network had delayed them.
+    Duration holdDelay{0};                 ///< Delay after which holds are executed; delayed holds are not answered.
+    bool lateOrdersSurvive = false;        ///< Delayed orders arrive even if the target has crashed meanwhile, as if the network had delayed them.
     std::set<TargetId> unhealthyTargets;   ///< Targets that refuse all orders except holds as unhealthy, without any effect.
     bool isAdviserUnresponsive = false;    ///< The adviser answers no questions.
     std::vector<TargetOrder> sentOrders;
@@ -147,6 +148,7 @@
     void tickOnce();
     void stepHost(const std::string &id, Host &host);
     void deliverOrder(const std::string &host, const TargetOrder &order);
+    Duration delayOf(const TargetOrder &order) const;
     void endStoreCalls(Host &host);
     void deliverLateOrders();
     void answerHolds();
--- a/tests/testlateorders.cpp
+++ b/tests/testlateorders.cpp
@@ -5,13 +5,13 @@
 namespace sequoiastand
 {
 
-/// A host and eight targets. Starts may be executed seconds after they were sent, also by the next instance of their target, whose clock, fencing token and
+/// Two hosts and eight targets. Starts and holds may be executed seconds after they were sent, also by the next instance of their target, whose clock, fencing token and
 /// runs have begun anew.
 struct LateOrders : DomainTest
 {
     LateOrders()
     {
-        lateStartsSurvive = true;
+        lateOrdersSurvive = true;
         addTargets(8);
         addHost("h1");
         addHost("h2");
@@ -34,6 +34,33 @@
         restartTarget(fleet, {target}, now);
     }
 
+    /// Sends holds that are executed after the delay to all targets.
+    void holdLate(Duration delay)
+    {
+        const auto first = sentOrders.size();
+        holdDelay = delay;
+        const auto isHeld = [&](const auto &row) {
+            return std::any_of(sentOrders.begin() + static_cast<std::ptrdiff_t>(first), sentOrders.end(), [&](const TargetOrder &order) {
+                return order.target == row.first && std::holds_alternative<HoldRuns>(order.request);
+            });
+        };
+        runUntil([&] { return std::ranges::all_of(fleet.targets, isHeld); }, Duration{3'000});
+        holdDelay = Duration{0};
+    }
+
+    void crashAll()
+    {
+        for (int number = 1; number <= 8; ++number) {
+            crash("t" + std::to_string(number));
+        }
+    }
+
+    /// The target of the newest start.
+    std::string newestPlace() const
+    {
+        return std::ranges::find_if(sentOrders.rbegin(), sentOrders.rend(), isStart)->target.value;
+    }
+
     static bool isStart(const TargetOrder &order)
     {
         return std::holds_alternative<StartRun>(order.request);
@@ -75,9 +102,7 @@
     // In each round the start reaches the new instance at another time, before or after its registration is known.
     for (int latency = 5; latency <= 60; latency += 5) {
         store.faults.watchLatency = Duration{latency};
-        for (int number = 1; number <= 8; ++number) {
-            crash("t" + std::to_string(number));
-        }
+        crashAll();
         const auto workflow = id(latency);
         submit(workflow, batch(16, {1'000, 1'000, 1}), {Duration{1'000}, {}});
         run(Duration{latency + 10});
@@ -87,4 +112,25 @@
     }
 }
 
+// Guards against running a task twice: a hold of the former instance acknowledges ends in its numbering, in which the new instance counts from 1 again.
+TEST_F(LateOrders, lateHoldDiscardsNoUnreadEndOfTheNextInstance)
+{
+    // Each target ends runs, so that its acknowledged ends are above the first ones of its next instance.
+    answerTo(submit(id(1), batch(64, {1'000, 1'000, 1}), {Duration{500}, {}}));
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{10'000});
+    run(Duration{3'000});
+    holdLate(Duration{5'000});
+    crashAll();
+    answerTo(submit(id(2), batch(1, {1'000, 1'000, 1}), {Duration{1'500}, {}}));
+    runUntil([&] { return isAtWork(fleet, id(2)); }, Duration{2'000});
+    run(Duration{500});
+    const auto place = newestPlace();
+    cutOff(place);
+    run(Duration{5'000});
+    reconnect(place);
+    runUntil([&] { return storedState(id(2)) == WorkflowState::Completed; }, Duration{10'000});
+    run(Duration{2'000});
+    EXPECT_EQ(fleet.starts[id(2)], 1);
+}
+
 }
--- a/tests/testtargetlifecycle.cpp
+++ b/tests/testtargetlifecycle.cpp
@@ -127,7 +127,7 @@
 
 TEST_F(TargetLifecycle, lateStartDoesNotRunOnTheNextInstanceOfItsTarget)
 {
-    lateStartsSurvive = true;
+    lateOrdersSurvive = true;
     startDelay = Duration{3'000};
     answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{2'000}, {}}));
     run(Duration{100});
--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -158,6 +158,7 @@
         board.isPlanWanted = true;
     }
     target.failures = 0;
+    target.confirmedEnd = std::max(target.confirmedEnd, target.acknowledgementUnderWay);
     target.orderUnansweredAt.reset();
     target.hasAnsweredOwner = true;
     target.answeredAt = board.now;
--- a/workflow/holdtargets.cpp
+++ b/workflow/holdtargets.cpp
@@ -70,7 +70,8 @@
 {
     const auto &limits = board.self.limits;
     HoldRuns hold;
-    hold.acknowledgedEnd = target.acknowledgedEnd;
+    // The next instance of the target numbers its ends from 1 again and may execute this hold late, so only ends that are not confirmed yet are acknowledged.
+    hold.acknowledgedEnd = target.acknowledgedEnd > target.confirmedEnd ? target.acknowledgedEnd : 0;
     // The first hold under a token does not extend the lease, because the target's runs have not been compared with the records yet. A hold to a target that
     // has not answered the latest one does not extend the lease either: if such holds took effect without being answered, the time at which the runs have
     // certainly lapsed would be postponed without end.
@@ -91,6 +92,7 @@
     order.request = hold;
     order.keepsConnection = keepsConnection;
     target.hold = order.id;
+    target.acknowledgementUnderWay = hold.acknowledgedEnd;
     target.holdSentAt = board.now;
     board.outbox.emplace_back(std::move(order));
 }
--- a/workflow/targetorder.h
+++ b/workflow/targetorder.h
@@ -19,7 +19,7 @@
 struct HoldRuns
 {
     std::optional<TargetClock> deadline; ///< Time until which all runs may continue without another hold; without a value the hold only asks for the lists.
-    long long acknowledgedEnd = 0;       ///< Number of the newest end that is stored; the target discards ends up to it.
+    long long acknowledgedEnd = 0;       ///< The target discards ends up to this number; zero discards none.
     Duration wait{0};                    ///< Longest time for which the target may delay its answer until a run ends.
 
     friend bool operator==(const HoldRuns &, const HoldRuns &) = default;
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -273,7 +273,9 @@
     std::optional<TimePoint> answeredAt;
     int failures = 0;                           ///< Number of consecutive holds without an answer.
     std::optional<TimePoint> orderUnansweredAt; ///< When an order was last not answered; no value once the target has answered again.
-    long long acknowledgedEnd = 0;
+    long long acknowledgedEnd = 0;              ///< Newest end whose effect on its workflow is stored.
+    long long acknowledgementUnderWay = 0;      ///< Newest end that the hold under way acknowledges; zero if it acknowledges none.
+    long long confirmedEnd = 0;                 ///< Newest end that an answered hold has acknowledged, so the target has discarded it.
     long long newestEnd = 0;
     std::deque<PendingEnd> pendingEnds;
     bool hasStrays = false;              ///< The target runs stray tasks, whose resources are not accounted for.
