Count late holds of the former instance in a new instance's lease

Callers would see a task run on two targets at once. A hold without an answer may be executed seconds later by the target's next instance. Its deadline is far ahead on the new clock, so the instance cuts it to holdMax from the arrival, and its runs continue beyond the time at which the owner takes them for lapsed. If the owner loses contact to the new instance within 15 s of its restart, it starts the tasks elsewhere too early: TWICE on the virtual fleet, in LateOrders.taskDoesNotStartElsewhereWhileALateHoldOfTheFormerInstanceKeepsItsRun.

beginNewInstance adds the longest delay of a delivery to the time at which the new instance's runs have surely lapsed. It does so at each restart, because a target with runs nearly always has a hold under way, and an earlier hold may also have been lost before a probe was answered. The test failed before and passes now.

The cost: tasks of a target that restarts under its id and loses contact within 15 s wait up to 25.5 s instead of 10.5 s (computed) after the restart before they start elsewhere. Other losses of contact are decided as before. Still possible: a new owner knows nothing of holds of the former owner to a target that restarted before the take-over.

--- a/tests/testlateorders.cpp
+++ b/tests/testlateorders.cpp
@@ -133,4 +133,16 @@
     EXPECT_EQ(fleet.starts[id(2)], 1);
 }
 
+// Guards against running a task twice: a hold of the former instance extends the lease of the next one, whose clock has begun anew, from its late arrival.
+TEST_F(LateOrders, taskDoesNotStartElsewhereWhileALateHoldOfTheFormerInstanceKeepsItsRun)
+{
+    holdLate(Duration{8'000});
+    crashAll();
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{30'000}, {}}));
+    runUntil([&] { return isAtWork(fleet, id(1)); }, Duration{2'000});
+    run(Duration{1'000});
+    cutOff(newestPlace());
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{90'000});
+}
+
 }
--- a/workflow/targetlease.cpp
+++ b/workflow/targetlease.cpp
@@ -114,7 +114,8 @@
     // The answer to a hold under way comes from the former instance. The lists in this answer name the former instance and are ignored.
     fresh.hold = former.hold;
     fresh.holdSentAt = former.holdSentAt;
-    fresh.formerRunsLapseAt = board.now + maxFormerOwnerLease(board.self.limits);
+    // A hold of the former instance may arrive late. Its deadline is far ahead on the new clock, so it extends the lease by up to the maximum.
+    fresh.formerRunsLapseAt = board.now + maxDeliveryDelay + maxFormerOwnerLease(board.self.limits);
     const auto &instance = registration.instance;
     for (auto &late : board.lateStarts) {
         if (late.target == instance.target) {
