Bound the error messages of entries that cannot be read

Operators would see log lines as long as another writer's entry: an unknown state of 10 MB gave a message of 10,000,036 bytes, a number of 100,000 digits one of 100,086. StorePort keeps up to 200 such messages in memory so that each is logged once, and decodes the entry again with each read of the range.

--- a/wire/jsonfields.cpp
+++ b/wire/jsonfields.cpp
@@ -240,8 +240,10 @@
     } catch (const nlohmann::json::parse_error &error) {
         const std::string message = form == JsonSyntax::WithComments ? ": not JSON with comments at byte " : ": not valid JSON at byte ";
         return absl::InvalidArgumentError(std::string{what} + message + std::to_string(error.byte));
+    } catch (const nlohmann::json::out_of_range &) {
+        // The library's message quotes the number with all its digits.
+        return absl::InvalidArgumentError(std::string{what} + ": a number is out of range");
     } catch (const nlohmann::json::exception &error) {
-        // A number that is out of range is not reported as a parse_error.
         return absl::InvalidArgumentError(std::string{what} + ": " + error.what());
     }
 }
