--- a/tests/testforeignentries.cpp
+++ b/tests/testforeignentries.cpp
@@ -105,4 +105,92 @@
     expectLeftOut(withText("/born", "1e" + std::string(100'000, '9')));
 }
 
+// Guards against numbers that are converted silently: 10^12 processor shares or a negative capacity became another number.
+TEST_F(ForeignEntries, numberOutOfRangeIsLeftOut)
+{
+    const std::vector<std::string> numbers{"1000000000000", "18446744073709551615", "18446744073709551616", "1e300", "1e400", "-1", "-1e300", "8.5"};
+    for (const auto &field : {"/capacity/cpu", "/capacity/memMb", "/capacity/gpu", "/born", "/remainingMs"}) {
+        for (const auto &number : numbers) {
+            const bool isTime = field == std::string("/born") || field == std::string("/remainingMs");
+            if ((number == "1000000000000" && isTime) || (number == "8.5" && field == std::string("/remainingMs"))) {
+                continue; // A valid time. Only `born` is always a whole number.
+            }
+            SCOPED_TRACE(field + (" " + number));
+            expectLeftOut(withText(field, number));
+        }
+    }
+    expectLeftOut(with("/capacity/cpu", 2'147'483'647));
+}
+
+// Guards against refusing what the platform allows: further fields, a remaining time with a fraction, and fields without a value left out.
+TEST_F(ForeignEntries, trueRegistrationIsRead)
+{
+    const auto isRead = [](const std::string &value) { return readPlatformRecord(targetRegistrationKey({"i-1"}), value).ok(); };
+    EXPECT_TRUE(isRead(toText(registration())));
+    EXPECT_TRUE(isRead(with("/unknown", Json::parse(R"({"a":[1.5,null,{"b":-1}]})"))));
+    EXPECT_TRUE(isRead(with("/slots", -1.5)));
+    EXPECT_TRUE(isRead(with("/remainingMs", 8.5)));
+    EXPECT_TRUE(isRead(with("/labels", Json::array())));
+    EXPECT_TRUE(isRead(with("/capacity", Json::object())));
+    auto withoutRemaining = registration();
+    withoutRemaining.erase("remainingMs");
+    EXPECT_TRUE(isRead(toText(withoutRemaining)));
+}
+
+// Guards against calls to addresses that cannot be called, and against names, whose lookup blocks or starts a thread.
+TEST_F(ForeignEntries, addressThatCannotBeCalledIsLeftOut)
+{
+    for (const auto &address : {"10.0.0.9",
+                                "10.0.0.9:",
+                                "10.0.0.9:0",
+                                "10.0.0.9:65536",
+                                "10.0.0.9:-1",
+                                "10.0.0.9:99999999999999999999",
+                                "10.0.0.9: 80",
+                                "10.0.0.9:+80",
+                                "10.0.0.9:80/path",
+                                "10.0.0.9:80\r\nHost: other",
+                                "worker.example:80",
+                                "user@10.0.0.9:80",
+                                ":80",
+                                ""}) {
+        SCOPED_TRACE(address);
+        expectLeftOut(with("/address", address));
+    }
+}
+
+// Guards against names and labels of any length, which are kept for each target and in the stored shapes of targets.
+TEST_F(ForeignEntries, longTextIsLeftOut)
+{
+    const std::string name(1'000'000, 'x'); // The store's limit for a page.
+    for (const auto &field : {"/service", "/address", "/zone", "/labels/0", "/labels/1"}) {
+        SCOPED_TRACE(field);
+        expectLeftOut(with(field, name));
+    }
+    expectLeftOut(with("/labels", std::vector<std::string>(100'000, "x")));
+}
+
+TEST_F(ForeignEntries, missingFieldsOtherTypesAndBytesThatAreNotTextAreLeftOut)
+{
+    for (const auto &field : {"service", "address", "zone", "state", "labels", "capacity", "born"}) {
+        SCOPED_TRACE(field);
+        auto changed = registration();
+        changed.erase(field);
+        expectLeftOut(toText(changed));
+        for (const auto &value : {Json(nullptr), Json(true), Json(Json::object({{"a", 1}})), Json("\xff\xfe")}) {
+            if (std::string(field) == "capacity" && value.is_object()) {
+                continue; // An object without known fields is a target without capacity.
+            }
+            if ((std::string(field) == "service" || std::string(field) == "zone") && value.is_string()) {
+                continue; // Text of another writer that happens to be no known name.
+            }
+            expectLeftOut(with("/" + std::string(field), value));
+        }
+    }
+    expectLeftOut("");
+    expectLeftOut("\xff\xfe\x00\x01");
+    expectLeftOut("null");
+    expectLeftOut("[]");
+}
+
 }
