--- a/tests/testforeignentries.cpp
+++ b/tests/testforeignentries.cpp
@@ -193,4 +193,17 @@
     expectLeftOut("[]");
 }
 
+// Guards against an entry that takes the place of a target's registration, or removes it, because the last segment of its key is the target's id.
+TEST_F(ForeignEntries, keyWithMoreSegmentsIsNotTheKeyOfATarget)
+{
+    EXPECT_FALSE(productKey("servers/other/i-1"));
+    EXPECT_FALSE(productKey("servers/i-1/"));
+    EXPECT_FALSE(productKey("servers/"));
+    const auto rows = "[" + item("servers/other/i-1", "{") + R"(,{"key":"servers/other/i-2","revision":8,"tombstone":true}])";
+    const auto watched = decodeWatchPage(R"({"events":)" + rows + R"(,"currentRev":9})");
+    ASSERT_TRUE(watched.ok());
+    EXPECT_TRUE(watched->changes.put.empty());
+    EXPECT_TRUE(watched->changes.deleted.empty());
+}
+
 }
