Ignore entries and lists whose start lies far ahead

Operators would see a target that has "restarted" and then gets no work any more: a well-formed entry of another writer under a true target's id, with a start far ahead, replaced the target's instance. Each later true entry was then older, and so were the target's own lists; its runs were moved to an instance that does not exist, lapsed, and started again elsewhere. Lists with such a start did the same.

An entry whose start lies more than ten minutes ahead of the host's clock names no target: the target counts as absent until its next entry, as with an entry that cannot be read. Lists with such a start do not begin a new instance. Clocks jump by seconds, so no true entry is refused.

An entry whose start is later than the target's, but less than ten minutes ahead, still replaces the instance.

--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -140,7 +140,7 @@
         return;
     }
     if (reply.lists->startTimeMs != target.registration.instance.startTimeMs) {
-        if (reply.lists->startTimeMs > target.registration.instance.startTimeMs) {
+        if (reply.lists->startTimeMs > target.registration.instance.startTimeMs && isPossibleStart(reply.lists->startTimeMs, board.wallNow)) {
             TargetRegistration registration = target.registration;
             registration.instance.startTimeMs = reply.lists->startTimeMs;
             logDecision(board, "renewTarget", id.value, "", "its lists show that the target has restarted");
--- a/workflow/followtargets.cpp
+++ b/workflow/followtargets.cpp
@@ -98,10 +98,21 @@
     std::ranges::for_each(unused, [&](const TargetId &id) { board.targets.erase(id); });
 }
 
+/// An entry of another writer has replaced the target's registration. The target's next entry brings it back.
+void ignoreEntry(WorkflowBoard &board, const TargetRegistration &registration)
+{
+    const auto &[target, startTimeMs] = registration.instance;
+    logDecision(board, "ignoreEntry", target.value, "", "its start " + std::to_string(startTimeMs) + " lies too far ahead", true);
+    removeRegistration(board, target);
+}
+
 void applyUpdate(WorkflowBoard &board, const MirrorUpdate &update)
 {
     for (const auto &entry : update.put) {
-        if (const auto *registration = std::get_if<TargetRegistration>(&entry.record)) {
+        const auto *registration = std::get_if<TargetRegistration>(&entry.record);
+        if (registration != nullptr && !isPossibleStart(registration->instance.startTimeMs, board.wallNow)) {
+            ignoreEntry(board, *registration);
+        } else if (registration != nullptr) {
             board.shapes = withShape(std::move(board.shapes), *registration, board.wallNow);
             putRegistration(board, *registration);
         }
--- a/workflow/targetlease.cpp
+++ b/workflow/targetlease.cpp
@@ -19,6 +19,9 @@
 // The platform may deliver an order seconds after its sender has stopped waiting; the longest delay seen is 12 s.
 constexpr Duration maxDeliveryDelay{15'000};
 
+// The clocks of hosts and targets may jump by seconds. A true start must never be refused, so the limit is well above that.
+constexpr Duration maxClockLead{600'000};
+
 // Time for which a new target instance gets no new work after stop orders have been sent to it. A working target answers the stop orders within this time.
 constexpr Duration newInstancePause{250};
 
@@ -105,6 +108,11 @@
 
 }
 
+bool isPossibleStart(long long startTimeMs, WallTime now)
+{
+    return startTimeMs <= (now + maxClockLead).time_since_epoch().count();
+}
+
 void beginNewInstance(WorkflowBoard &board, const DomainTarget &former, const TargetRegistration &registration)
 {
     DomainTarget fresh;
--- a/workflow/targetlease.h
+++ b/workflow/targetlease.h
@@ -15,6 +15,9 @@
 /// Longest time for which a hold by a former owner can keep runs going after that owner's authority has ended.
 Duration maxFormerOwnerLease(const DomainLimits &limits);
 
+/// True if an instance can have started at this time. A start that lies further ahead of this host's clock than any two clocks differ is not a target's.
+bool isPossibleStart(long long startTimeMs, WallTime now);
+
 /// Replaces the target's row when a new instance of it begins, which has lost the runs and the state of the former one. Runs whose start may still arrive
 /// late are stopped on the new instance first, because a target refuses to start a run that was stopped before. Runs that cannot be on the new instance
 /// are lost.
