Pause before lists of an older instance are asked for again

Operators would see a host at work with one target: if the registration names a later start than the target's lists, each answer made the next hold due at once. 907 holds went to one target within five seconds of virtual time.

The first such lists may answer a hold that was sent to the former instance, so the next hold is still sent at once.

--- a/tests/testforeigntargets.cpp
+++ b/tests/testforeigntargets.cpp
@@ -40,6 +40,12 @@
         return found != nullptr && found->isRegistered;
     }
 
+    long long holdsSentTo(const TargetId &target) const
+    {
+        return std::ranges::count_if(sentOrders,
+                                     [&](const TargetOrder &order) { return order.target == target && std::holds_alternative<HoldRuns>(order.request); });
+    }
+
     static constexpr Duration year{365LL * 86'400'000};
     TargetId place; ///< The target that runs the only task.
 };
@@ -105,4 +111,14 @@
     EXPECT_EQ(fleet.starts[id(1)], 1);
 }
 
+// Guards against a hold at every step: lists of an instance that is older than the registration were asked for again at once.
+TEST_F(ForeignTargets, listsOfAFormerInstanceAreNotAskedForWithoutPause)
+{
+    writeEntry(place, Duration{1'000});
+    run(Duration{500});
+    const auto before = holdsSentTo(place);
+    run(Duration{5'000});
+    EXPECT_LT(holdsSentTo(place) - before, 30);
+}
+
 }
--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -147,7 +147,9 @@
             beginNewInstance(board, target, registration);
             return;
         }
-        target.nextHoldAt = board.now;
+        // The first such lists may answer a hold that was sent to the former instance; the next hold is sent at once.
+        target.nextHoldAt = target.failures == 0 ? board.now : board.now + silentRetry;
+        ++target.failures;
         board.targets.put(id, std::move(target));
         return;
     }
