--- a/tests/testplatformtargets.cpp
+++ b/tests/testplatformtargets.cpp
@@ -60,6 +60,18 @@
     EXPECT_EQ(body["lastSeen"], 57);
 }
 
+// Guards against a start that is converted silently to another number, which would tell a wrong instance.
+TEST_F(PlatformTargetCodec, listsWithAStartOutOfRangeAreNotUnderstood)
+{
+    for (const auto &start : {"1e300", "18446744073709551615", "18446744073709551616", "-1", "8.5", "\"1700\"", "null"}) {
+        SCOPED_TRACE(start);
+        const auto body = std::string(R"({"clockMs":1,"running":[],"endedRuns":[],"born":)") + start + "}";
+        const auto reply = decodeTargetReply(holdOrder(), 200, body);
+        EXPECT_EQ(reply.outcome, OrderOutcome::Unknown);
+        EXPECT_FALSE(reply.lists);
+    }
+}
+
 TEST_F(PlatformTargetCodec, listsAreDecodedWithAndWithoutALoadFigure)
 {
     const auto body = lists(R"(["5c0e7a21d94b36f8.0.1.17",2,"c1",41],["5c0e7a21d94b36f8.0.1.18",1,"",7,350])",
