Write the embedded zero byte of a test entry

The bytes that are not text ended at the zero byte of a string literal, as scripts/lint found, so the test read two bytes instead of four.

--- a/tests/testforeignentries.cpp
+++ b/tests/testforeignentries.cpp
@@ -100,7 +100,9 @@
 // Guards against keeping whole entries in memory: each different error message of an entry is kept, and some messages quoted the entry.
 TEST_F(ForeignEntries, errorMessageDoesNotQuoteTheWholeEntry)
 {
-    expectLeftOut(with("/state", std::string(10'000'000, 'x')));
+    std::string state;
+    state.resize(10'000'000, 'x');
+    expectLeftOut(with("/state", state));
     expectLeftOut(withText("/born", std::string(100'000, '9')));
     expectLeftOut(withText("/born", "1e" + std::string(100'000, '9')));
 }
@@ -188,7 +190,7 @@
         }
     }
     expectLeftOut("");
-    expectLeftOut("\xff\xfe\x00\x01");
+    expectLeftOut(std::string("\xff\xfe\x00\x01", 4));
     expectLeftOut("null");
     expectLeftOut("[]");
 }
