--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -140,14 +140,16 @@
         return;
     }
     if (reply.lists->startTimeMs != target.registration.instance.startTimeMs) {
-        if (reply.lists->startTimeMs > target.registration.instance.startTimeMs) {
+        if (reply.lists->startTimeMs > target.registration.instance.startTimeMs && isPossibleStart(reply.lists->startTimeMs, board.wallNow)) {
             TargetRegistration registration = target.registration;
             registration.instance.startTimeMs = reply.lists->startTimeMs;
             logDecision(board, "renewTarget", id.value, "", "its lists show that the target has restarted");
             beginNewInstance(board, target, registration);
             return;
         }
-        target.nextHoldAt = board.now;
+        // The first such lists may answer a hold that was sent to the former instance; the next hold is sent at once.
+        target.nextHoldAt = target.failures == 0 ? board.now : board.now + silentRetry;
+        ++target.failures;
         board.targets.put(id, std::move(target));
         return;
     }
