--- a/tests/testrefusedorders.cpp
+++ b/tests/testrefusedorders.cpp
@@ -75,4 +75,18 @@
     runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, settings.limits.startValidity + settings.limits.holdWait + Duration{1'500});
 }
 
+// Guards against leaving a task of a cancelled job at work: a stop that was refused is sent again, also for a run that its target lists.
+TEST_F(RefusedOrders, cancelledTaskIsStoppedOnceItsTargetTakesOrdersAgain)
+{
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{60'000}, {}}));
+    runUntil([&] { return isAtWork(fleet, id(1)); }, Duration{1'000});
+    run(Duration{1'500});
+    unhealthyTargets.insert(*latestPlace(1));
+    answerTo(cancel(id(1)));
+    run(Duration{2'000});
+    EXPECT_TRUE(isAtWork(fleet, id(1)));
+    unhealthyTargets.clear();
+    runUntil([&] { return !isAtWork(fleet, id(1)); }, Duration{2'000});
+}
+
 }
