Keep the latest deadline of a run's starts

The deadline of a repeated start replaced that of the first one. The estimate of a target's clock can be lower at the second start, if an answer arrived late between them, and the run could then be dropped while its first start was still valid. The field is documented as the latest deadline. Found by reading; no test shows it.

--- a/workflow/driveruns.cpp
+++ b/workflow/driveruns.cpp
@@ -54,7 +54,7 @@
     }
     ++run.starts;
     run.startSentAt = board.now;
-    run.startDeadline = start.deadline;
+    run.startDeadline = std::max(run.startDeadline.value_or(start.deadline), start.deadline);
     target.heldUntil = std::max(target.heldUntil, start.deadline);
     target.nextHoldAt = std::min(target.nextHoldAt, board.now);
     sendOrder(board, run, target, std::move(start));
