Stop late starts also on targets that had been forgotten

A target whose entry was removed and that has no runs loses its row. If the next instance registered under its id within seconds, the owner took it for a target that it had never seen, sent no stop of the starts that may still arrive, and such a start ran beside the task's newest run.

Late starts are now stopped on each row that is created.

--- a/tests/testlateorders.cpp
+++ b/tests/testlateorders.cpp
@@ -112,6 +112,22 @@
     }
 }
 
+// Guards against running a task twice: a target whose entry was removed and that has no runs is forgotten, but its next instance may still execute a start.
+TEST_F(LateOrders, lateStartIsStoppedOnAnInstanceThatRegistersAfterTheTargetWasForgotten)
+{
+    const auto place = startLate(Duration{4'000}, Duration{6'000});
+    unhealthyTargets.insert({place});
+    run(Duration{300});
+    drain(place);
+    unhealthyTargets.clear();
+    runUntil([&] { return isAtWork(fleet, id(1)); }, Duration{3'000});
+    unregister(place);
+    run(Duration{100});
+    crash(place);
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{20'000});
+    run(Duration{5'000});
+}
+
 // Guards against running a task twice: a hold of the former instance acknowledges ends in its numbering, in which the new instance counts from 1 again.
 TEST_F(LateOrders, lateHoldDiscardsNoUnreadEndOfTheNextInstance)
 {
--- a/workflow/followtargets.cpp
+++ b/workflow/followtargets.cpp
@@ -24,6 +24,8 @@
         target.formerRunsLapseAt = board.ownership.ownedSince + maxFormerOwnerLease(board.self.limits);
         board.targets.put(id, std::move(target));
         board.isPlanWanted = true;
+        // The row of a target without registration and runs is removed, so this may be the next instance of a target that was there before.
+        requireStopsOfLateStarts(board, id);
         return;
     }
     if (registration == present->registration && present->isRegistered) {
--- a/workflow/targetlease.cpp
+++ b/workflow/targetlease.cpp
@@ -64,6 +64,19 @@
     }
 }
 
+void requireStopsOfLateStarts(WorkflowBoard &board, const TargetId &target)
+{
+    const auto require = [&](LateStart late) {
+        if (late.target == target) {
+            late.isStopWanted = true;
+            late.stop.reset();
+            late.stopRetryAt = board.now;
+        }
+        return late;
+    };
+    std::ranges::transform(board.lateStarts, board.lateStarts.begin(), require);
+}
+
 namespace
 {
 
@@ -125,13 +138,7 @@
     // A hold of the former instance may arrive late. Its deadline is far ahead on the new clock, so it extends the lease by up to the maximum.
     fresh.formerRunsLapseAt = board.now + maxDeliveryDelay + maxFormerOwnerLease(board.self.limits);
     const auto &instance = registration.instance;
-    for (auto &late : board.lateStarts) {
-        if (late.target == instance.target) {
-            late.isStopWanted = true;
-            late.stop.reset();
-            late.stopRetryAt = board.now;
-        }
-    }
+    requireStopsOfLateStarts(board, instance.target);
     board.targets.put(instance.target, std::move(fresh));
     std::vector<TaskRun> runs;
     for (const auto &[task, run] : board.runs.rows()) {
--- a/workflow/targetlease.h
+++ b/workflow/targetlease.h
@@ -26,6 +26,9 @@
 /// Records a start without an answer, because a copy of it may arrive seconds later.
 void noteLateStart(WorkflowBoard &board, const TaskRun &run);
 
+/// Requires that the target's present instance confirms the stop of each start that may still arrive there.
+void requireStopsOfLateStarts(WorkflowBoard &board, const TargetId &target);
+
 /// Moves runs that a former owner recorded on a former instance of a target to the current instance, whose lists show whether they run there.
 void moveRunsOfFormerInstances(WorkflowBoard &board);
 
