Don't count answers of a former instance for the new one

The hold to the former instance was refused as meant for another instance (421), which counted as the end of the new instance's lease, so the run that had been moved there was lost and its task started elsewhere before the late start arrived. An order under way was kept in the same way: the former instance's answer to a stop would count as the new one's.

The row of a target remembers the instance to which its hold was sent, and a failed hold to a former one says nothing about the present one. Moved runs forget the order under way and send it again.

--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -126,6 +126,12 @@
         if (reply.refusal == OrderRefusal::Fenced) {
             handleFencedOrder(board, id);
         }
+        if (target.holdStartTimeMs != target.registration.instance.startTimeMs) {
+            // The former instance has not answered, which says nothing about the present one.
+            target.nextHoldAt = board.now;
+            board.targets.put(id, std::move(target));
+            return;
+        }
         if (target.failures == 1) {
             logDecision(board, "holdTarget", id.value, "", "no answer: " + reply.error, true);
         }
--- a/workflow/holdtargets.cpp
+++ b/workflow/holdtargets.cpp
@@ -92,6 +92,7 @@
     order.request = hold;
     order.keepsConnection = keepsConnection;
     target.hold = order.id;
+    target.holdStartTimeMs = target.registration.instance.startTimeMs;
     target.acknowledgementUnderWay = hold.acknowledgedEnd;
     target.holdSentAt = board.now;
     board.outbox.emplace_back(std::move(order));
--- a/workflow/targetlease.cpp
+++ b/workflow/targetlease.cpp
@@ -104,6 +104,12 @@
 void moveToNextInstance(WorkflowBoard &board, TaskRun run, const TargetInstance &instance)
 {
     const bool needsStop = canStartOrderStillArrive(run);
+    if (run.call && !run.isStopCall) {
+        noteLateStart(board, run);
+    }
+    // The answer to an order under way may come from the former instance, so it says nothing about the new one.
+    run.call.reset();
+    run.retryAt = board.now;
     run.place = instance;
     run.isListed = false;
     run.stoppedAt.reset();
@@ -134,6 +140,7 @@
     fresh.isRegistered = former.isRegistered;
     // The answer to a hold under way comes from the former instance. The lists in this answer name the former instance and are ignored.
     fresh.hold = former.hold;
+    fresh.holdStartTimeMs = former.holdStartTimeMs;
     fresh.holdSentAt = former.holdSentAt;
     // A hold of the former instance may arrive late. Its deadline is far ahead on the new clock, so it extends the lease by up to the maximum.
     fresh.formerRunsLapseAt = board.now + maxDeliveryDelay + maxFormerOwnerLease(board.self.limits);
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -268,6 +268,7 @@
     TargetClock heldUntil{0};                   ///< Latest deadline that was sent to the target, on the target's clock.
     std::optional<TimePoint> formerRunsLapseAt; ///< Time from which no run of a former owner is left on the target, even if it does not answer.
     std::optional<CallId> hold;
+    long long holdStartTimeMs = 0; ///< Start time of the instance to which the hold was sent.
     TimePoint holdSentAt;
     TimePoint nextHoldAt;
     std::optional<TimePoint> answeredAt;
