Let late orders reach the next instance of a soak target

Change: a fault of its own, OrdersAcrossCrash, delays a share of the starts and stops and crashes one target at half of its length; whichever instance is there executes the orders. LateOrders is unchanged.

--- a/soak/faultplan.cpp
+++ b/soak/faultplan.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-constexpr std::array<std::pair<FaultKind, std::string_view>, 40> names{{
+constexpr std::array<std::pair<FaultKind, std::string_view>, 41> names{{
     {FaultKind::KillHost, "killHost"},
     {FaultKind::KillOwner, "killOwner"},
     {FaultKind::KillAllHosts, "killAllHosts"},
@@ -53,6 +53,7 @@
     {FaultKind::ChangeConfiguration, "changeConfiguration"},
     {FaultKind::CancelWave, "cancelWave"},
     {FaultKind::CallerBurst, "callerBurst"},
+    {FaultKind::OrdersAcrossCrash, "ordersAcrossCrash"},
 }};
 
 // Range of the time between the starts of two faults. Faults last up to eight seconds, so several overlap.
@@ -61,10 +62,44 @@
 constexpr int minLengthMs = 300;
 constexpr int maxLengthMs = 8'000;
 
+// Range of the time between the starts of two faults of the kinds from `firstSeparateKind` on.
+constexpr int minSeparateGapMs = 2'000;
+constexpr int maxSeparateGapMs = 9'000;
+
+// Kinds from this one on are drawn from a generator of their own, so that adding kinds leaves the other faults of the recorded seeds as they are.
+constexpr FaultKind firstSeparateKind = FaultKind::OrdersAcrossCrash;
+constexpr unsigned separateSeedOffset = 0x9e3779b9;
+
 // Range of the magnitudes of delays and of shares in percent.
 constexpr int minFigure = 10;
 constexpr int maxFigure = 60;
 
+struct GapRange
+{
+    int minMs = 0;
+    int maxMs = 0;
+};
+
+std::vector<PlannedFault> drawFaults(unsigned seed, Duration length, const std::vector<FaultKind> &kinds, GapRange gaps)
+{
+    std::mt19937 random(seed);
+    const auto draw = [&random](int least, int most) { return least + static_cast<int>(random() % static_cast<unsigned>(most - least + 1)); };
+    std::vector<PlannedFault> plan;
+    if (kinds.empty()) {
+        return plan;
+    }
+    for (Duration at{draw(0, gaps.maxMs)}; at < length; at += Duration{draw(gaps.minMs, gaps.maxMs)}) {
+        PlannedFault fault;
+        fault.kind = kinds.at(static_cast<std::size_t>(draw(0, static_cast<int>(kinds.size()) - 1)));
+        fault.at = at;
+        fault.length = std::min(Duration{draw(minLengthMs, maxLengthMs)}, length - at);
+        fault.subject = draw(0, 1'000);
+        fault.figure = draw(minFigure, maxFigure);
+        plan.push_back(fault);
+    }
+    return plan;
+}
+
 }
 
 std::string_view name(FaultKind kind)
@@ -87,18 +122,14 @@
 
 std::vector<PlannedFault> makeFaultPlan(unsigned seed, Duration length, const std::vector<FaultKind> &kinds)
 {
-    std::mt19937 random(seed);
-    const auto draw = [&random](int least, int most) { return least + static_cast<int>(random() % static_cast<unsigned>(most - least + 1)); };
+    std::vector<FaultKind> jointKinds = kinds;
+    const auto separate = std::ranges::stable_partition(jointKinds, [](FaultKind kind) { return kind < firstSeparateKind; });
+    const std::vector<FaultKind> separateKinds(separate.begin(), separate.end());
+    jointKinds.erase(separate.begin(), separate.end());
+    const auto jointPlan = drawFaults(seed, length, jointKinds, {minGapMs, maxGapMs});
+    const auto separatePlan = drawFaults(seed + separateSeedOffset, length, separateKinds, {minSeparateGapMs, maxSeparateGapMs});
     std::vector<PlannedFault> plan;
-    for (Duration at{draw(0, maxGapMs)}; at < length; at += Duration{draw(minGapMs, maxGapMs)}) {
-        PlannedFault fault;
-        fault.kind = kinds.at(static_cast<std::size_t>(draw(0, static_cast<int>(kinds.size()) - 1)));
-        fault.at = at;
-        fault.length = std::min(Duration{draw(minLengthMs, maxLengthMs)}, length - at);
-        fault.subject = draw(0, 1'000);
-        fault.figure = draw(minFigure, maxFigure);
-        plan.push_back(fault);
-    }
+    std::ranges::merge(jointPlan, separatePlan, std::back_inserter(plan), {}, &PlannedFault::at, &PlannedFault::at);
     return plan;
 }
 
--- a/soak/faultplan.h
+++ b/soak/faultplan.h
@@ -51,6 +51,7 @@
     ChangeConfiguration, ///< Writes several configuration versions in quick succession.
     CancelWave,
     CallerBurst,
+    OrdersAcrossCrash, ///< Delays a share of the orders and crashes a target meanwhile; its new instance executes the orders that are still to come.
 };
 
 std::string_view name(FaultKind kind);
--- a/soak/injection.cpp
+++ b/soak/injection.cpp
@@ -159,6 +159,17 @@
             }};
 }
 
+Effect delayOrdersAcrossCrash(SoakWorld &world, const TargetId &id, const PlannedFault &fault)
+{
+    auto &faults = world.targets.faults;
+    faults.instanceCrossingOrderPercent = fault.figure;
+    runAt(world, EventLoop::now() + fault.length / 2, [&world, id] {
+        crashTarget(world.targets, id);
+        writeRegistration(world, id);
+    });
+    return {{}, true, [&faults] { faults.instanceCrossingOrderPercent = 0; }};
+}
+
 Effect evacuate(SoakWorld &world, int subject)
 {
     const AvailabilityZoneId zone{subject % 2 == 0 ? "a" : "b"};
@@ -306,6 +317,8 @@
     case FaultKind::LateOrders:
         world.targets.faults.lateOrderPercent = fault.figure;
         return Effect{{}, true, [&world] { world.targets.faults.lateOrderPercent = 0; }};
+    case FaultKind::OrdersAcrossCrash:
+        return delayOrdersAcrossCrash(world, id, fault);
     default:
         return std::nullopt;
     }
--- a/tests/testsoakhistory.cpp
+++ b/tests/testsoakhistory.cpp
@@ -210,6 +210,16 @@
     EXPECT_NE(makeFaultPlan(7, Duration{20'000}), makeFaultPlan(8, Duration{20'000}));
 }
 
+TEST_F(FaultPlan, separateKindsLeaveTheOtherFaultsOfASeedUnchanged)
+{
+    // Guards against a new kind that changes the faults of the seeds in soak/regressions.txt.
+    auto earlierKinds = allFaultKinds();
+    std::erase(earlierKinds, FaultKind::OrdersAcrossCrash);
+    auto plan = makeFaultPlan(2007, Duration{20'000});
+    EXPECT_GT(std::erase_if(plan, [](const PlannedFault &fault) { return fault.kind == FaultKind::OrdersAcrossCrash; }), 0U);
+    EXPECT_EQ(plan, makeFaultPlan(2007, Duration{20'000}, earlierKinds));
+}
+
 TEST_F(FaultPlan, faultsEndWithinThePlanAndOverlap)
 {
     const Duration length{20'000};
@@ -227,7 +237,7 @@
     for (unsigned seed = 1; seed <= 50; ++seed) {
         std::ranges::transform(makeFaultPlan(seed, Duration{20'000}), std::inserter(drawn, drawn.end()), &PlannedFault::kind);
     }
-    EXPECT_EQ(drawn.size(), static_cast<std::size_t>(FaultKind::CallerBurst) + 1);
+    EXPECT_EQ(drawn.size(), static_cast<std::size_t>(FaultKind::OrdersAcrossCrash) + 1);
 }
 
 }
