Add entries of another writer to the soak's faults

It does not count as a disturbance: hosts have to stay up and follow the good entries in time. Each of the newer kinds is now drawn from a generator of its own, so the plans of OrdersAcrossCrash do not change either.

Result: a test reads a good registration beside the foreign entries through the product's store client and passes, as do the tests of the fault plan.

--- a/soak/faultplan.cpp
+++ b/soak/faultplan.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <iterator>
 #include <random>
+#include <ranges>
 #include <utility>
 
 namespace sequoiastand
@@ -12,7 +13,7 @@
 namespace
 {
 
-constexpr std::array<std::pair<FaultKind, std::string_view>, 41> names{{
+constexpr std::array<std::pair<FaultKind, std::string_view>, 42> names{{
     {FaultKind::KillHost, "killHost"},
     {FaultKind::KillOwner, "killOwner"},
     {FaultKind::KillAllHosts, "killAllHosts"},
@@ -54,6 +55,7 @@
     {FaultKind::CancelWave, "cancelWave"},
     {FaultKind::CallerBurst, "callerBurst"},
     {FaultKind::OrdersAcrossCrash, "ordersAcrossCrash"},
+    {FaultKind::ForeignEntries, "foreignEntries"},
 }};
 
 // Range of the time between the starts of two faults. Faults last up to eight seconds, so several overlap.
@@ -66,7 +68,7 @@
 constexpr int minSeparateGapMs = 2'000;
 constexpr int maxSeparateGapMs = 9'000;
 
-// Kinds from this one on are drawn from a generator of their own, so that adding kinds leaves the other faults of the recorded seeds as they are.
+// Each kind from this one on is drawn from a generator of its own, so that adding kinds leaves the other faults of the recorded seeds as they are.
 constexpr FaultKind firstSeparateKind = FaultKind::OrdersAcrossCrash;
 constexpr unsigned separateSeedOffset = 0x9e3779b9;
 
@@ -122,14 +124,14 @@
 
 std::vector<PlannedFault> makeFaultPlan(unsigned seed, Duration length, const std::vector<FaultKind> &kinds)
 {
-    std::vector<FaultKind> jointKinds = kinds;
-    const auto separate = std::ranges::stable_partition(jointKinds, [](FaultKind kind) { return kind < firstSeparateKind; });
-    const std::vector<FaultKind> separateKinds(separate.begin(), separate.end());
-    jointKinds.erase(separate.begin(), separate.end());
-    const auto jointPlan = drawFaults(seed, length, jointKinds, {minGapMs, maxGapMs});
-    const auto separatePlan = drawFaults(seed + separateSeedOffset, length, separateKinds, {minSeparateGapMs, maxSeparateGapMs});
-    std::vector<PlannedFault> plan;
-    std::ranges::merge(jointPlan, separatePlan, std::back_inserter(plan), {}, &PlannedFault::at, &PlannedFault::at);
+    std::vector<FaultKind> jointKinds;
+    std::ranges::copy_if(kinds, std::back_inserter(jointKinds), [](FaultKind kind) { return kind < firstSeparateKind; });
+    auto plan = drawFaults(seed, length, jointKinds, {minGapMs, maxGapMs});
+    for (const auto kind : kinds | std::views::filter([](FaultKind each) { return each >= firstSeparateKind; })) {
+        const auto number = static_cast<unsigned>(kind) - static_cast<unsigned>(firstSeparateKind) + 1;
+        std::ranges::copy(drawFaults(seed + number * separateSeedOffset, length, {kind}, {minSeparateGapMs, maxSeparateGapMs}), std::back_inserter(plan));
+    }
+    std::ranges::stable_sort(plan, {}, &PlannedFault::at);
     return plan;
 }
 
--- a/soak/faultplan.h
+++ b/soak/faultplan.h
@@ -52,6 +52,7 @@
     CancelWave,
     CallerBurst,
     OrdersAcrossCrash, ///< Delays a share of the orders and crashes a target meanwhile; its new instance executes the orders that are still to come.
+    ForeignEntries,    ///< Writes unusable entries beside the targets' registrations and removes them when the fault ends.
 };
 
 std::string_view name(FaultKind kind);
--- a/soak/injection.cpp
+++ b/soak/injection.cpp
@@ -203,6 +203,16 @@
             }};
 }
 
+Effect writeForeignEntries(SoakWorld &world, const TargetId &id)
+{
+    std::vector<std::string> names;
+    for (const auto &text : foreignRegistrationTexts(world.targets.fleet.targets.at(id).registration)) {
+        names.push_back(registrationItemName({absl::StrCat("foreign", names.size() + 1)}));
+        putItem(world.store, names.back(), text);
+    }
+    return {{}, false, [&world, names] { std::ranges::for_each(names, [&world](const std::string &name) { removeItem(world.store, name); }); }};
+}
+
 Effect stopInTurn(SoakWorld &world)
 {
     TimePoint when = EventLoop::now();
@@ -319,6 +329,8 @@
         return Effect{{}, true, [&world] { world.targets.faults.lateOrderPercent = 0; }};
     case FaultKind::OrdersAcrossCrash:
         return delayOrdersAcrossCrash(world, id, fault);
+    case FaultKind::ForeignEntries:
+        return writeForeignEntries(world, id);
     default:
         return std::nullopt;
     }
--- a/tests/testsoakhistory.cpp
+++ b/tests/testsoakhistory.cpp
@@ -213,10 +213,11 @@
 TEST_F(FaultPlan, separateKindsLeaveTheOtherFaultsOfASeedUnchanged)
 {
     // Guards against a new kind that changes the faults of the seeds in soak/regressions.txt.
+    const auto isSeparate = [](FaultKind kind) { return kind >= FaultKind::OrdersAcrossCrash; };
     auto earlierKinds = allFaultKinds();
-    std::erase(earlierKinds, FaultKind::OrdersAcrossCrash);
+    std::erase_if(earlierKinds, isSeparate);
     auto plan = makeFaultPlan(2007, Duration{20'000});
-    EXPECT_GT(std::erase_if(plan, [](const PlannedFault &fault) { return fault.kind == FaultKind::OrdersAcrossCrash; }), 0U);
+    EXPECT_GT(std::erase_if(plan, [&](const PlannedFault &fault) { return isSeparate(fault.kind); }), 0U);
     EXPECT_EQ(plan, makeFaultPlan(2007, Duration{20'000}, earlierKinds));
 }
 
@@ -237,7 +238,7 @@
     for (unsigned seed = 1; seed <= 50; ++seed) {
         std::ranges::transform(makeFaultPlan(seed, Duration{20'000}), std::inserter(drawn, drawn.end()), &PlannedFault::kind);
     }
-    EXPECT_EQ(drawn.size(), static_cast<std::size_t>(FaultKind::OrdersAcrossCrash) + 1);
+    EXPECT_EQ(drawn.size(), static_cast<std::size_t>(FaultKind::ForeignEntries) + 1);
 }
 
 }
--- a/tests/testsoakproxy.cpp
+++ b/tests/testsoakproxy.cpp
@@ -4,8 +4,10 @@
 #include "soak/proxy.h"
 #include "tests/loopback.h"
 
+#include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <optional>
 
 namespace sequoiastand
@@ -96,6 +98,29 @@
     EXPECT_EQ(ask(StoreRange{queueConfigurationKey(), false})->entries.front().record, StoreRecord{configuration});
 }
 
+TEST_F(SoakProxy, goodRegistrationIsReadBesideForeignEntries)
+{
+    // Guards against an unusable entry of another writer that makes a page of the store unreadable.
+    TargetRegistration registration;
+    registration.instance = {{"t1"}, 1'700};
+    registration.service = {"press"};
+    registration.address = "127.0.0.1:80";
+    registration.availabilityZone = {"a"};
+    registration.labels = {"kind", "r1"};
+    registration.rack = {"r1"};
+    registration.capacity = {32'000, 131'072, 8};
+    int number = 0;
+    for (const auto &text : foreignRegistrationTexts(registration)) {
+        putItem(store, registrationItemName({absl::StrCat("foreign", ++number)}), text);
+    }
+    EXPECT_GT(number, 10);
+    putItem(store, registrationItemName({"t1"}), registrationText(registration, 1));
+    const auto targets = ask(StoreRange{targetRegistrationKey({""}), true}, Duration{5'000});
+    ASSERT_TRUE(targets);
+    EXPECT_EQ(targets->outcome, StoreOutcome::Applied);
+    EXPECT_TRUE(std::ranges::any_of(targets->entries, [&](const StoreEntry &entry) { return entry.record == StoreRecord{registration}; }));
+}
+
 TEST_F(SoakProxy, silentConnectionIsReplacedByANewOne)
 {
     EXPECT_EQ(create("h1"), StoreOutcome::Applied);
