Delay holds across a target's crash in the soak, and list late orders

Change: OrdersAcrossCrash delays holds as well. At a new instance they extend the lease, but acknowledge nothing: the model takes an acknowledged end for known to the host, which has not seen ends of the new instance. The log of a run lists each late order with its time, its target and the instance that it was sent to.

--- a/soak/soakmain.cpp
+++ b/soak/soakmain.cpp
@@ -4,6 +4,7 @@
 #include "platform/standin/platformwriter.h"
 #include "soakworld.h"
 
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 #include <docopt/docopt.h>
 
@@ -117,6 +118,25 @@
     return history;
 }
 
+std::string describe(const TargetOrderRequest &request)
+{
+    if (const auto *start = std::get_if<StartRun>(&request)) {
+        return absl::StrCat("start ", toString(start->task), " run ", start->run);
+    }
+    if (const auto *stop = std::get_if<StopRun>(&request)) {
+        return absl::StrCat("stop ", toString(stop->task), " run ", stop->run);
+    }
+    return "hold";
+}
+
+void reportLateOrders(const PlatformTargets &targets)
+{
+    for (const auto &late : targets.executedLateOrders) {
+        std::cout << "late order " << late.due.time_since_epoch().count() << " " << late.order.target.value << " " << describe(late.order.request)
+                  << ", sent to the instance of " << late.startTimeMs << '\n';
+    }
+}
+
 void report(const SoakWorld &world, const std::vector<std::string> &faults)
 {
     std::cout << "seed " << world.options.seed << ": " << world.workflows.size() << " workflows, " << world.history.calls.size() << " calls, "
@@ -143,6 +163,7 @@
     runFaultPlan(world);
     endHosts(world);
     const auto faults = checkHistory(finishedHistory(world));
+    reportLateOrders(world.targets);
     report(world, faults);
     return faults.empty() ? 0 : 1;
 }
--- a/tests/testplatformtargetfaults.cpp
+++ b/tests/testplatformtargetfaults.cpp
@@ -94,6 +94,18 @@
     EXPECT_TRUE(targets.starts.front().isLate);
 }
 
+TEST_F(PlatformTargetFaultsAcrossCrash, instanceCrossingHoldExtendsTheLeaseOfTheNewInstance)
+{
+    // Guards against a soak in which the lease of a new instance lasts only as long as its own holds and starts say.
+    targets.faults.instanceCrossingOrderPercent = 100;
+    send(HoldRuns{TargetClock{486'000}, 57, Duration{0}});
+    EXPECT_EQ(reply().outcome, OrderOutcome::Unknown);
+    crashBeforeLateOrders();
+    EXPECT_EQ(instance().fence, token);
+    EXPECT_GT(instance().heldUntil, EventLoop::now());
+    EXPECT_LE(instance().heldUntil, EventLoop::now() + targets.fleet.holdMax);
+}
+
 TEST_F(PlatformTargetFaultsAcrossCrash, instanceCrossingStopLetsTheNewInstanceRefuseTheRun)
 {
     // Guards against a late stop that has no effect on the next instance.
