Skip the stops of late starts while no target has restarted

stopLateStarts copied each late start twice a step, although nearly always none needs a stop. With hundreds of unanswered starts that is thousands of string copies a step. It now returns at once, and expired rows are removed when a row is added. Found by reading the change; not measured.

--- a/workflow/latestarts.cpp
+++ b/workflow/latestarts.cpp
@@ -61,6 +61,10 @@
 
 void stopLateStarts(WorkflowBoard &board)
 {
+    // Many starts may be late while a few targets or none have restarted.
+    if (std::ranges::none_of(board.lateStarts, &LateStart::isStopWanted)) {
+        return;
+    }
     std::erase_if(board.lateStarts, [&](const LateStart &late) { return late.until <= board.now; });
     std::ranges::transform(board.lateStarts, board.lateStarts.begin(), [&](const LateStart &late) { return handleStopReply(board, late); });
     if (hasAuthority(board)) {
--- a/workflow/targetlease.cpp
+++ b/workflow/targetlease.cpp
@@ -58,6 +58,7 @@
 {
     const auto known = std::ranges::find_if(board.lateStarts, [&](const LateStart &late) { return late.task == run.task && late.run == run.number; });
     if (known == board.lateStarts.end()) {
+        std::erase_if(board.lateStarts, [&](const LateStart &late) { return late.until <= board.now; });
         board.lateStarts.push_back({run.task, run.number, run.place.target, board.now + maxDeliveryDelay});
     } else {
         known->until = board.now + maxDeliveryDelay;
