--- a/tests/testlateorders.cpp
+++ b/tests/testlateorders.cpp
@@ -28,6 +28,19 @@
         return std::ranges::find_if(sentOrders, isStart)->target.value;
     }
 
+    /// Starts a task that is given up on its first target and runs elsewhere, and returns the first target, which may execute its start four seconds after it
+    /// was sent.
+    std::string startLateAndElsewhere()
+    {
+        const auto place = startLate(Duration{4'000}, Duration{6'000});
+        unhealthyTargets.insert({place});
+        run(Duration{300});
+        drain(place);
+        unhealthyTargets.clear();
+        runUntil([&] { return isAtWork(fleet, id(1)); }, Duration{3'000});
+        return place;
+    }
+
     /// Restarts a target that reaches neither the store nor the hosts.
     void restartUnseen(const std::string &target)
     {
@@ -87,12 +100,7 @@
 // Guards against running a task twice: a new instance that refuses the stop of a late start as unhealthy still executes this start when it arrives.
 TEST_F(LateOrders, stopThatANewInstanceRefusesIsRepeatedBeforeTheLateStartArrives)
 {
-    const auto place = startLate(Duration{4'000}, Duration{6'000});
-    unhealthyTargets.insert({place});
-    run(Duration{300});
-    drain(place);
-    unhealthyTargets.clear();
-    runUntil([&] { return isAtWork(fleet, id(1)); }, Duration{3'000});
+    const auto place = startLateAndElsewhere();
     unhealthyTargets.insert({place});
     crash(place);
     run(Duration{1'500});
@@ -117,12 +125,7 @@
 // Guards against running a task twice: a target whose entry was removed and that has no runs is forgotten, but its next instance may still execute a start.
 TEST_F(LateOrders, lateStartIsStoppedOnAnInstanceThatRegistersAfterTheTargetWasForgotten)
 {
-    const auto place = startLate(Duration{4'000}, Duration{6'000});
-    unhealthyTargets.insert({place});
-    run(Duration{300});
-    drain(place);
-    unhealthyTargets.clear();
-    runUntil([&] { return isAtWork(fleet, id(1)); }, Duration{3'000});
+    const auto place = startLateAndElsewhere();
     unregister(place);
     run(Duration{100});
     crash(place);
