--- a/tests/testlateorders.cpp
+++ b/tests/testlateorders.cpp
@@ -32,7 +32,7 @@
     /// was sent.
     std::string startLateAndElsewhere()
     {
-        const auto place = startLate(Duration{4'000}, Duration{6'000});
+        auto place = startLate(Duration{4'000}, Duration{6'000});
         unhealthyTargets.insert({place});
         run(Duration{300});
         drain(place);
