--- a/workflow/followstore.cpp
+++ b/workflow/followstore.cpp
@@ -112,8 +112,9 @@
     replaceDeafWatches(board);
     for (auto &[prefix, mirror] : board.mirrors) {
         mirror = handleWatchEvents(board, prefix, handleReadReply(board, prefix, mirror));
-        // While the store does not answer, only proofs are sent to it; the reads follow once it answers again.
-        const bool mayRead = board.view.isStoreReachable || !board.view.isLoaded;
+        // While the store does not answer, only proofs are sent to it; the reads follow once it answers again. A proof needs the configuration and the owner.
+        const bool canProve = board.view.isLoaded && board.ownership.isKnown;
+        const bool mayRead = board.view.isStoreReachable || !canProve;
         if (mirror.step == MirrorStep::Off && mayRead && board.now >= mirror.retryAt) {
             mirror.step = MirrorStep::Reading;
             mirror.read = sendToStore(board, StoreRange{{prefix}, true});
