--- a/tests/domainfixture.h
+++ b/tests/domainfixture.h
@@ -55,6 +55,9 @@
     void registerAgain(const std::string &target);
     void crash(const std::string &target);
 
+    /// Refuses the holds that were sent to former instances of targets and are not answered yet, as other instances do.
+    void refuseHoldsOfFormerInstances();
+
     void run(Duration duration);
 
     /// Advances the time until the condition holds. Fails the test after the limit.
@@ -94,7 +97,8 @@
     std::string callerKey = "key-tailors"; ///< API key of the following calls.
     bool losesStartAnswers = false;        ///< Starts take effect, but their answers are lost.
     Duration startDelay{0};                ///< Delay after which starts are executed; delayed starts are not answered.
-    bool lateStartsSurvive = false;        ///< Delayed starts arrive even if the target has crashed meanwhile, as if the network had delayed them.
+    Duration holdDelay{0};                 ///< Delay after which holds are executed; delayed holds are not answered.
+    bool lateOrdersSurvive = false;        ///< Delayed orders arrive even if the target has crashed meanwhile, as if the network had delayed them.
     std::set<TargetId> unhealthyTargets;   ///< Targets that refuse all orders except holds as unhealthy, without any effect.
     bool isAdviserUnresponsive = false;    ///< The adviser answers no questions.
     std::vector<TargetOrder> sentOrders;
@@ -137,12 +141,14 @@
         TargetOrder order;
         TimePoint answerAt;
         long long knownEnds = 0;
+        long long startTimeMs = 0; ///< Instance of the target when the hold was sent.
     };
 
     void note(const std::string &what);
     void tickOnce();
     void stepHost(const std::string &id, Host &host);
     void deliverOrder(const std::string &host, const TargetOrder &order);
+    Duration delayOf(const TargetOrder &order) const;
     void endStoreCalls(Host &host);
     void deliverLateOrders();
     void answerHolds();
--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -126,6 +126,12 @@
         if (reply.refusal == OrderRefusal::Fenced) {
             handleFencedOrder(board, id);
         }
+        if (target.holdStartTimeMs != target.registration.instance.startTimeMs) {
+            // The former instance has not answered, which says nothing about the present one.
+            target.nextHoldAt = board.now;
+            board.targets.put(id, std::move(target));
+            return;
+        }
         if (target.failures == 1) {
             logDecision(board, "holdTarget", id.value, "", "no answer: " + reply.error, true);
         }
@@ -140,14 +146,16 @@
         return;
     }
     if (reply.lists->startTimeMs != target.registration.instance.startTimeMs) {
-        if (reply.lists->startTimeMs > target.registration.instance.startTimeMs) {
+        if (reply.lists->startTimeMs > target.registration.instance.startTimeMs && isPossibleStart(reply.lists->startTimeMs, board.wallNow)) {
             TargetRegistration registration = target.registration;
             registration.instance.startTimeMs = reply.lists->startTimeMs;
             logDecision(board, "renewTarget", id.value, "", "its lists show that the target has restarted");
             beginNewInstance(board, target, registration);
             return;
         }
-        target.nextHoldAt = board.now;
+        // The first such lists may answer a hold that was sent to the former instance; the next hold is sent at once.
+        target.nextHoldAt = target.failures == 0 ? board.now : board.now + silentRetry;
+        ++target.failures;
         board.targets.put(id, std::move(target));
         return;
     }
@@ -158,6 +166,7 @@
         board.isPlanWanted = true;
     }
     target.failures = 0;
+    target.confirmedEnd = std::max(target.confirmedEnd, target.acknowledgementUnderWay);
     target.orderUnansweredAt.reset();
     target.hasAnsweredOwner = true;
     target.answeredAt = board.now;
--- a/workflow/targetlease.cpp
+++ b/workflow/targetlease.cpp
@@ -19,8 +19,8 @@
 // The platform may deliver an order seconds after its sender has stopped waiting; the longest delay seen is 12 s.
 constexpr Duration maxDeliveryDelay{15'000};
 
-// Time for which a new target instance gets no new work after stop orders have been sent to it. A working target answers the stop orders within this time.
-constexpr Duration newInstancePause{250};
+// The clocks of hosts and targets may jump by seconds. A true start must never be refused, so the limit is well above that.
+constexpr Duration maxClockLead{600'000};
 
 // Margin for timers that fire late on the target.
 constexpr Duration lapseMargin{250};
@@ -56,8 +56,25 @@
 
 void noteLateStart(WorkflowBoard &board, const TaskRun &run)
 {
-    std::erase_if(board.lateStarts, [&](const LateStart &late) { return late.until <= board.now || (late.task == run.task && late.run == run.number); });
-    board.lateStarts.push_back({run.task, run.number, run.place.target, board.now + maxDeliveryDelay});
+    const auto known = std::ranges::find_if(board.lateStarts, [&](const LateStart &late) { return late.task == run.task && late.run == run.number; });
+    if (known == board.lateStarts.end()) {
+        board.lateStarts.push_back({run.task, run.number, run.place.target, board.now + maxDeliveryDelay});
+    } else {
+        known->until = board.now + maxDeliveryDelay;
+    }
+}
+
+void requireStopsOfLateStarts(WorkflowBoard &board, const TargetId &target)
+{
+    const auto require = [&](LateStart late) {
+        if (late.target == target) {
+            late.isStopWanted = true;
+            late.stop.reset();
+            late.stopRetryAt = board.now;
+        }
+        return late;
+    };
+    std::ranges::transform(board.lateStarts, board.lateStarts.begin(), require);
 }
 
 namespace
@@ -87,6 +104,12 @@
 void moveToNextInstance(WorkflowBoard &board, TaskRun run, const TargetInstance &instance)
 {
     const bool needsStop = canStartOrderStillArrive(run);
+    if (run.call && !run.isStopCall) {
+        noteLateStart(board, run);
+    }
+    // The answer to an order under way may come from the former instance, so it says nothing about the new one.
+    run.call.reset();
+    run.retryAt = board.now;
     run.place = instance;
     run.isListed = false;
     run.stoppedAt.reset();
@@ -105,6 +128,11 @@
 
 }
 
+bool isPossibleStart(long long startTimeMs, WallTime now)
+{
+    return startTimeMs <= (now + maxClockLead).time_since_epoch().count();
+}
+
 void beginNewInstance(WorkflowBoard &board, const DomainTarget &former, const TargetRegistration &registration)
 {
     DomainTarget fresh;
@@ -112,15 +140,12 @@
     fresh.isRegistered = former.isRegistered;
     // The answer to a hold under way comes from the former instance. The lists in this answer name the former instance and are ignored.
     fresh.hold = former.hold;
+    fresh.holdStartTimeMs = former.holdStartTimeMs;
     fresh.holdSentAt = former.holdSentAt;
-    fresh.formerRunsLapseAt = board.now + maxFormerOwnerLease(board.self.limits);
+    // A hold of the former instance may arrive late. Its deadline is far ahead on the new clock, so it extends the lease by up to the maximum.
+    fresh.formerRunsLapseAt = board.now + maxDeliveryDelay + maxFormerOwnerLease(board.self.limits);
     const auto &instance = registration.instance;
-    for (const auto &late : board.lateStarts) {
-        if (late.target == instance.target && board.now < late.until) {
-            fresh.avoidUntil = board.now + newInstancePause;
-            sendStrayStop(board, fresh, late.task, late.run);
-        }
-    }
+    requireStopsOfLateStarts(board, instance.target);
     board.targets.put(instance.target, std::move(fresh));
     std::vector<TaskRun> runs;
     for (const auto &[task, run] : board.runs.rows()) {
