--- a/soak/faultplan.cpp
+++ b/soak/faultplan.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <iterator>
 #include <random>
+#include <ranges>
 #include <utility>
 
 namespace sequoiastand
@@ -12,7 +13,7 @@
 namespace
 {
 
-constexpr std::array<std::pair<FaultKind, std::string_view>, 40> names{{
+constexpr std::array<std::pair<FaultKind, std::string_view>, 42> names{{
     {FaultKind::KillHost, "killHost"},
     {FaultKind::KillOwner, "killOwner"},
     {FaultKind::KillAllHosts, "killAllHosts"},
@@ -53,6 +54,8 @@
     {FaultKind::ChangeConfiguration, "changeConfiguration"},
     {FaultKind::CancelWave, "cancelWave"},
     {FaultKind::CallerBurst, "callerBurst"},
+    {FaultKind::OrdersAcrossCrash, "ordersAcrossCrash"},
+    {FaultKind::ForeignEntries, "foreignEntries"},
 }};
 
 // Range of the time between the starts of two faults. Faults last up to eight seconds, so several overlap.
@@ -61,10 +64,44 @@
 constexpr int minLengthMs = 300;
 constexpr int maxLengthMs = 8'000;
 
+// Range of the time between the starts of two faults of the kinds from `firstSeparateKind` on.
+constexpr int minSeparateGapMs = 2'000;
+constexpr int maxSeparateGapMs = 9'000;
+
+// Each kind from this one on is drawn from a generator of its own, so that adding kinds leaves the other faults of the recorded seeds as they are.
+constexpr FaultKind firstSeparateKind = FaultKind::OrdersAcrossCrash;
+constexpr unsigned separateSeedOffset = 0x9e3779b9;
+
 // Range of the magnitudes of delays and of shares in percent.
 constexpr int minFigure = 10;
 constexpr int maxFigure = 60;
 
+struct GapRange
+{
+    int minMs = 0;
+    int maxMs = 0;
+};
+
+std::vector<PlannedFault> drawFaults(unsigned seed, Duration length, const std::vector<FaultKind> &kinds, GapRange gaps)
+{
+    std::mt19937 random(seed);
+    const auto draw = [&random](int least, int most) { return least + static_cast<int>(random() % static_cast<unsigned>(most - least + 1)); };
+    std::vector<PlannedFault> plan;
+    if (kinds.empty()) {
+        return plan;
+    }
+    for (Duration at{draw(0, gaps.maxMs)}; at < length; at += Duration{draw(gaps.minMs, gaps.maxMs)}) {
+        PlannedFault fault;
+        fault.kind = kinds.at(static_cast<std::size_t>(draw(0, static_cast<int>(kinds.size()) - 1)));
+        fault.at = at;
+        fault.length = std::min(Duration{draw(minLengthMs, maxLengthMs)}, length - at);
+        fault.subject = draw(0, 1'000);
+        fault.figure = draw(minFigure, maxFigure);
+        plan.push_back(fault);
+    }
+    return plan;
+}
+
 }
 
 std::string_view name(FaultKind kind)
@@ -85,20 +122,23 @@
     return kinds;
 }
 
+std::vector<FaultKind> defaultFaultKinds()
+{
+    auto kinds = allFaultKinds();
+    std::erase(kinds, FaultKind::OrdersAcrossCrash);
+    return kinds;
+}
+
 std::vector<PlannedFault> makeFaultPlan(unsigned seed, Duration length, const std::vector<FaultKind> &kinds)
 {
-    std::mt19937 random(seed);
-    const auto draw = [&random](int least, int most) { return least + static_cast<int>(random() % static_cast<unsigned>(most - least + 1)); };
-    std::vector<PlannedFault> plan;
-    for (Duration at{draw(0, maxGapMs)}; at < length; at += Duration{draw(minGapMs, maxGapMs)}) {
-        PlannedFault fault;
-        fault.kind = kinds.at(static_cast<std::size_t>(draw(0, static_cast<int>(kinds.size()) - 1)));
-        fault.at = at;
-        fault.length = std::min(Duration{draw(minLengthMs, maxLengthMs)}, length - at);
-        fault.subject = draw(0, 1'000);
-        fault.figure = draw(minFigure, maxFigure);
-        plan.push_back(fault);
+    std::vector<FaultKind> jointKinds;
+    std::ranges::copy_if(kinds, std::back_inserter(jointKinds), [](FaultKind kind) { return kind < firstSeparateKind; });
+    auto plan = drawFaults(seed, length, jointKinds, {minGapMs, maxGapMs});
+    for (const auto kind : kinds | std::views::filter([](FaultKind each) { return each >= firstSeparateKind; })) {
+        const auto number = static_cast<unsigned>(kind) - static_cast<unsigned>(firstSeparateKind) + 1;
+        std::ranges::copy(drawFaults(seed + number * separateSeedOffset, length, {kind}, {minSeparateGapMs, maxSeparateGapMs}), std::back_inserter(plan));
     }
+    std::ranges::stable_sort(plan, {}, &PlannedFault::at);
     return plan;
 }
 
--- a/soak/injection.cpp
+++ b/soak/injection.cpp
@@ -159,6 +159,17 @@
             }};
 }
 
+Effect delayOrdersAcrossCrash(SoakWorld &world, const TargetId &id, const PlannedFault &fault)
+{
+    auto &faults = world.targets.faults;
+    faults.instanceCrossingOrderPercent = fault.figure;
+    runAt(world, EventLoop::now() + fault.length / 2, [&world, id] {
+        crashTarget(world.targets, id);
+        writeRegistration(world, id);
+    });
+    return {{}, true, [&faults] { faults.instanceCrossingOrderPercent = 0; }};
+}
+
 Effect evacuate(SoakWorld &world, int subject)
 {
     const AvailabilityZoneId zone{subject % 2 == 0 ? "a" : "b"};
@@ -192,6 +203,16 @@
             }};
 }
 
+Effect writeForeignEntries(SoakWorld &world, const TargetId &id)
+{
+    std::vector<std::string> names;
+    for (const auto &text : foreignRegistrationTexts(world.targets.fleet.targets.at(id).registration)) {
+        names.push_back(registrationItemName({absl::StrCat("foreign", names.size() + 1)}));
+        putItem(world.store, names.back(), text);
+    }
+    return {{}, false, [&world, names] { std::ranges::for_each(names, [&world](const std::string &name) { removeItem(world.store, name); }); }};
+}
+
 Effect stopInTurn(SoakWorld &world)
 {
     TimePoint when = EventLoop::now();
@@ -306,6 +327,10 @@
     case FaultKind::LateOrders:
         world.targets.faults.lateOrderPercent = fault.figure;
         return Effect{{}, true, [&world] { world.targets.faults.lateOrderPercent = 0; }};
+    case FaultKind::OrdersAcrossCrash:
+        return delayOrdersAcrossCrash(world, id, fault);
+    case FaultKind::ForeignEntries:
+        return writeForeignEntries(world, id);
     default:
         return std::nullopt;
     }
