--- a/tests/placementfixture.cpp
+++ b/tests/placementfixture.cpp
@@ -85,13 +85,13 @@
         occupy(number, acceleratorsPerTask);
         unit.tasks.emplace(task++, target(number).id);
     }
-    input.running.push_back(std::move(unit));
-    return input.running.back();
+    running.push_back(std::move(unit));
+    return running.back();
 }
 
 PlacementPlan PlacementTest::plan() const
 {
-    auto result = planPlacements(input);
+    auto result = planPlacements(input, [this] { return running; });
     expectRoom(result);
     return result;
 }
--- a/tests/placementfixture.h
+++ b/tests/placementfixture.h
@@ -6,6 +6,7 @@
 
 #include <set>
 #include <string>
+#include <vector>
 
 namespace sequoiastand
 {
@@ -42,6 +43,7 @@
     void expectRoom(const PlacementPlan &plan) const;
 
     PlacementInput input;
+    std::vector<RunningUnit> running;
 };
 
 }
--- a/tests/testrunreports.cpp
+++ b/tests/testrunreports.cpp
@@ -36,7 +36,7 @@
         run.place = instance;
         run.step = RunStep::Running;
         run.stepSince = now;
-        board.runs.put(task, run);
+        board.runs.put(run);
     }
 
     void answerHold(const TargetLists &lists)
@@ -58,7 +58,7 @@
         TaskRun run = *board.runs.find(task);
         run.startSentAt = now;
         run.isListed = isListed;
-        board.runs.put(task, run);
+        board.runs.put(run);
         DomainTarget target = *board.targets.find(instance.target);
         target.answeredAt = now + Duration{2};
         TargetRegistration registration = target.registration;
--- a/tests/teststartpacing.cpp
+++ b/tests/teststartpacing.cpp
@@ -46,7 +46,7 @@
             run.number = 1;
             run.place = instance;
             run.stepSince = now;
-            board.runs.put(run.task, run);
+            board.runs.put(run);
         }
     }
 
--- a/tests/testurgentload.cpp
+++ b/tests/testurgentload.cpp
@@ -58,7 +58,7 @@
         freed.free = freed.capacity;
         freed.freeAfterStops = freed.capacity;
     }
-    input.running.erase(input.running.begin(), input.running.begin() + 2);
+    running.erase(running.begin(), running.begin() + 2);
     addGang("second", 0, 2, 8).slack = Duration{-5'000};
     addBatch("patient", 2, 2, 8);
     const auto result = plan();
@@ -78,6 +78,46 @@
     EXPECT_FALSE(plan().stops.empty());
 }
 
+TEST_F(UrgentLoad, runningWorkIsReadOnlyIfUrgentWorkFindsNoRoom)
+{
+    // Guards against a pass that looks at every run of a large fleet although everything fits.
+    int reads = 0;
+    const auto findRunning = [&] {
+        ++reads;
+        return running;
+    };
+    addGang("urgent", 0, 2, 8);
+    addBatch("patient", 2, 64, 8);
+    planPlacements(input, findRunning);
+    EXPECT_EQ(reads, 0);
+    fillWithBatches();
+    addGang("second", 0, 2, 8);
+    EXPECT_EQ(planPlacements(input, findRunning).stops.size(), 4U);
+    EXPECT_EQ(reads, 1) << "read once for both urgent gangs";
+}
+
+TEST_F(UrgentLoad, everyPreemptedTaskIsNeeded)
+{
+    // Guards against a search that preempts work whose room the urgent gang does not need.
+    for (int number = 1; number <= 16; ++number) {
+        addRunning("small" + std::to_string(number), 2, {number}, 3).lostWork = number % 5 + 1;
+        addRunning("large" + std::to_string(number), 2, {number}, 5).lostWork = number % 3 + 2;
+    }
+    addGang("urgent", 0, 6, 6);
+    const auto victims = stopped(plan());
+    for (const auto &spared : victims) {
+        auto room = input.targets;
+        for (const auto &unit : running) {
+            if (victims.contains(unit.step) && unit.step != spared) {
+                auto &freed = *std::ranges::find(room, unit.tasks.at(0), &PlacementTarget::id);
+                freed.freeAfterStops = freed.freeAfterStops + unit.perTask;
+            }
+        }
+        const auto fitting = std::ranges::count_if(room, [](const PlacementTarget &free) { return free.freeAfterStops.accelerators >= 6; });
+        EXPECT_LT(fitting, 6) << spared.workflow.value << " need not have been preempted";
+    }
+}
+
 TEST_F(UrgentLoad, urgentWorkIsNotPreemptedForUrgentWork)
 {
     for (int number = 1; number <= 16; ++number) {
--- a/tests/testworkflowpath.cpp
+++ b/tests/testworkflowpath.cpp
@@ -207,7 +207,7 @@
     orphaned.step = RunStep::Running;
     orphaned.stepSince = now;
     const auto ownerHost = owner();
-    board(ownerHost).runs.put(orphaned.task, orphaned);
+    board(ownerHost).runs.put(orphaned);
     sentOrders.clear();
     run(Duration{400});
     EXPECT_TRUE(std::ranges::any_of(sentOrders, [&](const TargetOrder &order) {
--- a/workflow/advanceworkflows.cpp
+++ b/workflow/advanceworkflows.cpp
@@ -22,9 +22,9 @@
 // maximum value size. An occurrence that has more tasks than this on its own begins only while no other occurrence is open.
 constexpr int maxOpenTasks = 2'000;
 
-// Time per run between two searches for runs of ended workflows. Checking one run takes about 0.1 us, so checking thousands of runs whenever an answer arrives
-// would take up most of a step.
-constexpr std::chrono::microseconds scanPausePerRun{10};
+// Time per run between two searches for runs of ended workflows. Checking one run takes about 0.1 us, so the searches take about a thousandth of a core. The runs
+// of a workflow that ends are stopped at once; the search finds those that a former owner left running.
+constexpr std::chrono::microseconds scanPausePerRun{100};
 
 Duration runScanPause(const WorkflowBoard &board)
 {
@@ -174,14 +174,8 @@
     if (!hasAuthority(board) || !board.load.hasIntake) {
         return;
     }
-    std::vector<RequestId> ids;
-    const bool isOccurrenceDue = isDue(board.timers, "occurrence");
-    const auto &source = board.workflows;
-    if (isOccurrenceDue) {
-        std::ranges::transform(source.rows(), std::back_inserter(ids), [](const auto &row) { return row.first; });
-    } else {
-        ids.assign(source.changes().begin(), source.changes().end());
-    }
+    const auto &source = isDue(board.timers, "occurrence") ? board.workflows.open() : board.workflows.changes();
+    const std::vector<RequestId> ids(source.begin(), source.end());
     std::ranges::for_each(ids, [&](const RequestId &id) { advance(board, id); });
     if (board.now >= board.nextRunScanAt) {
         board.nextRunScanAt = board.now + runScanPause(board);
--- a/workflow/commitprogress.cpp
+++ b/workflow/commitprogress.cpp
@@ -13,10 +13,14 @@
 namespace
 {
 
+// Time after which an unchanged summary is compared again, because a comparison counts all open workflows.
+constexpr Duration summaryCheckPause{100};
+
 DomainSummary summaryOf(const WorkflowBoard &board)
 {
     DomainSummary summary;
-    for (const auto &[id, entry] : board.workflows.rows()) {
+    for (const auto &id : board.workflows.open()) {
+        const auto &entry = *board.workflows.find(id);
         if (entry.progress.state == WorkflowState::Queued && !entry.isCancelRequested) {
             ++summary.waiting[entry.workflow->queue.id];
         }
@@ -137,6 +141,8 @@
             batch.transaction.writes.push_back({domainSummaryKey(), summary, std::nullopt, false});
             batch.isSummary = true;
             chain.storedSummary = std::move(summary);
+        } else {
+            chain.nextSummaryAt = board.now + summaryCheckPause;
         }
     }
     if (batch.transaction.writes.empty()) {
--- a/workflow/driveruns.cpp
+++ b/workflow/driveruns.cpp
@@ -202,13 +202,11 @@
     if (!hasAuthority(board)) {
         return;
     }
-    std::vector<TaskId> waiting;
-    for (const auto &[task, run] : board.runs.rows()) {
-        const bool needsOrder = run.step == RunStep::Recording || run.step == RunStep::Starting || (run.isStopWanted && !run.stoppedAt);
-        if (!run.call && needsOrder) {
-            waiting.push_back(task);
-        }
+    const auto &needingOrders = board.runs.needingOrders();
+    if (needingOrders.empty()) {
+        return;
     }
+    const std::vector<TaskId> waiting(needingOrders.begin(), needingOrders.end());
     for (const auto &task : waiting) {
         const auto *run = board.runs.find(task);
         if (run != nullptr && run->step == RunStep::Recording && !mayStart(board, *run)) {
--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -51,13 +51,7 @@
     for (const auto &row : lists.running) {
         listed.emplace(row.task, &row);
     }
-    std::vector<TaskRun> onTarget;
-    for (const auto &[task, run] : board.runs.rows()) {
-        if (run.place.target == id && run.step != RunStep::Recording) {
-            onTarget.push_back(run);
-        }
-    }
-    for (auto run : onTarget) {
+    for (auto run : startedRunsOn(board, id)) {
         const auto found = listed.find(run.task);
         if (found != listed.end() && found->second->run == run.number) {
             run.isListed = true;
--- a/workflow/followtargets.cpp
+++ b/workflow/followtargets.cpp
@@ -3,6 +3,7 @@
 #include "targetshapes.h"
 
 #include <algorithm>
+#include <ranges>
 #include <set>
 #include <string>
 #include <utility>
@@ -64,22 +65,16 @@
     logDecision(board, "removeTarget", id.value, "", "its registration has ended");
 }
 
-bool hasRuns(const WorkflowBoard &board, const TargetId &id)
-{
-    return std::ranges::any_of(board.runs.rows(), [&](const auto &row) { return row.second.place.target == id; });
-}
-
 /// Adds the targets on which the board has runs but which are not registered. These targets cannot be asked about the runs, so the runs are lost once the
 /// leases of the targets have certainly ended.
 void addUnregisteredTargets(WorkflowBoard &board)
 {
-    std::set<TargetInstance> missing;
-    for (const auto &[task, run] : board.runs.rows()) {
-        if (!board.targets.contains(run.place.target)) {
-            missing.insert(run.place);
+    for (const auto &[id, use] : board.runs.usedTargets()) {
+        if (board.targets.contains(id)) {
+            continue;
         }
-    }
-    for (const auto &instance : missing) {
+        const auto runs = use.tasks | std::views::transform([&](const TaskId &task) { return board.runs.find(task)->place; });
+        const TargetInstance instance = std::ranges::max(runs);
         DomainTarget target;
         target.registration.instance = instance;
         target.isRegistered = false;
@@ -93,7 +88,7 @@
 {
     std::vector<TargetId> unused;
     for (const auto &[id, target] : board.targets.rows()) {
-        if (!target.isRegistered && !hasRuns(board, id)) {
+        if (!target.isRegistered && !board.runs.usedTargets().contains(id)) {
             unused.push_back(id);
         }
     }
@@ -142,21 +137,24 @@
     if (board.ownership.step != OwnershipStep::Owner) {
         return;
     }
-    bool hasUpdate = false;
+    bool hasTargetUpdate = false;
+    bool hasIntakeUpdate = false;
     for (const auto &update : board.updates) {
+        hasIntakeUpdate = hasIntakeUpdate || update.prefix == "intake/";
         if (update.prefix == "targets/") {
             applyUpdate(board, update);
-            hasUpdate = true;
+            hasTargetUpdate = true;
         }
         if (update.isSnapshot && (update.prefix == "targets/" || update.prefix == "intake/")) {
             // Runs that a former owner recorded may be on former instances of their targets.
             moveRunsOfFormerInstances(board);
         }
     }
-    if (board.load.hasTargets && board.load.hasIntake) {
+    // Runs of a former owner come with the intake; all other runs are on targets that are on the board.
+    if (board.load.hasTargets && board.load.hasIntake && (hasTargetUpdate || hasIntakeUpdate)) {
         addUnregisteredTargets(board);
     }
-    if (hasUpdate) {
+    if (hasTargetUpdate) {
         removeUnusedTargets(board);
     }
 }
--- a/workflow/guaranteeshare.cpp
+++ b/workflow/guaranteeshare.cpp
@@ -24,9 +24,10 @@
 std::set<RequestId> guaranteedWorkflows(const WorkflowBoard &board)
 {
     std::vector<const WorkflowEntry *> urgent;
-    for (const auto &[id, entry] : board.workflows.rows()) {
-        if (!hasEnded(entry.progress.state) && queueOf(board, *entry.workflow).priority == 0) {
-            urgent.push_back(&entry);
+    for (const auto &id : board.workflows.open()) {
+        const auto *entry = board.workflows.find(id);
+        if (queueOf(board, *entry->workflow).priority == 0) {
+            urgent.push_back(entry);
         }
     }
     std::ranges::stable_sort(urgent, {}, [](const WorkflowEntry *entry) { return entry->workflow->acceptedAt; });
--- a/workflow/holdtargets.cpp
+++ b/workflow/holdtargets.cpp
@@ -4,9 +4,7 @@
 #include "targetlease.h"
 
 #include <algorithm>
-#include <iterator>
 #include <optional>
-#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -44,13 +42,7 @@
 /// Removes the runs of a target that has not answered and whose lease has certainly ended.
 void loseRuns(WorkflowBoard &board, const TargetId &id)
 {
-    std::vector<TaskRun> lost;
-    for (const auto &[task, run] : board.runs.rows()) {
-        if (run.place.target == id && run.step != RunStep::Recording) {
-            lost.push_back(run);
-        }
-    }
-    for (const auto &run : lost) {
+    for (const auto &run : startedRunsOn(board, id)) {
         logDecision(
             board, "loseRun", id.value, toString(run.task), "run " + std::to_string(run.number) + " has lapsed because the target has not answered", true);
         count(board.counters, "runsEnded", "lapsed");
@@ -58,12 +50,9 @@
     }
 }
 
-/// Targets on which the board has runs.
-std::set<TargetId> targetsWithRuns(const WorkflowBoard &board)
+bool hasRuns(const WorkflowBoard &board, const TargetId &id)
 {
-    std::set<TargetId> targets;
-    std::ranges::transform(board.runs.rows(), std::inserter(targets, targets.end()), [](const auto &row) { return row.second.place.target; });
-    return targets;
+    return board.runs.usedTargets().contains(id);
 }
 
 void sendHold(WorkflowBoard &board, DomainTarget &target, bool keepsConnection)
@@ -130,8 +119,7 @@
     }
     const auto room = static_cast<std::size_t>(std::max(0, probes.empty() ? 0 : holdPace(board).maxConcurrentProbes - probesUnderWay(board)));
     if (probes.size() > room) {
-        const auto withRuns = targetsWithRuns(board);
-        std::ranges::sort(probes, {}, [&](const TargetId &id) { return std::tuple(!withRuns.contains(id), board.targets.find(id)->nextHoldAt, id); });
+        std::ranges::sort(probes, {}, [&](const TargetId &id) { return std::tuple(!hasRuns(board, id), board.targets.find(id)->nextHoldAt, id); });
         probes.resize(room);
     }
     chosen.insert(chosen.end(), probes.begin(), probes.end());
@@ -187,11 +175,10 @@
     }
     const auto pace = holdPace(board);
     board.nextHoldScanAt = board.now + pace.scanInterval;
-    const auto withRuns = pace.keepsIdleConnections ? std::set<TargetId>{} : targetsWithRuns(board);
     for (const auto &id : targetsToHold(board)) {
         auto target = withStoredEnds(board, *board.targets.find(id));
         if (isHoldDue(board, target)) {
-            sendHold(board, target, pace.keepsIdleConnections || withRuns.contains(id));
+            sendHold(board, target, pace.keepsIdleConnections || hasRuns(board, id));
         }
         board.targets.put(id, std::move(target));
     }
--- a/workflow/loaddomain.cpp
+++ b/workflow/loaddomain.cpp
@@ -1,4 +1,5 @@
 #include "controllers.h"
+#include "eligibility.h"
 #include "progresschange.h"
 #include "targetshapes.h"
 
@@ -92,6 +93,16 @@
     }
 }
 
+void noteUrgentArrival(WorkflowBoard &board, const Workflow &workflow)
+{
+    const auto &queue = queueOf(board, workflow);
+    if (queue.priority == 0) {
+        const auto &first = workflow.specification.steps.front();
+        const UrgentArrival arrival{queue.service, workflow.acceptedAt, first.taskCount * first.perTask.accelerators};
+        board.urgentArrivals = withArrival(std::move(board.urgentArrivals), arrival, board.wallNow);
+    }
+}
+
 void addWorkflow(WorkflowBoard &board, const Workflow &workflow)
 {
     if (board.workflows.contains(workflow.id)) {
@@ -104,6 +115,7 @@
         entry.progress = std::move(read.mapped());
     }
     board.workflows.put(workflow.id, entry);
+    noteUrgentArrival(board, workflow);
     adoptRuns(board, entry);
     board.isPlanWanted = true;
 }
--- a/workflow/ownershipchange.cpp
+++ b/workflow/ownershipchange.cpp
@@ -8,6 +8,7 @@
     board.load = {};
     board.chain = {};
     board.workflows = {};
+    board.urgentArrivals.clear();
     board.runs = {};
     board.runCalls.clear();
     board.strayStops.clear();
--- a/workflow/packing.cpp
+++ b/workflow/packing.cpp
@@ -4,9 +4,7 @@
 #include <compare>
 #include <functional>
 #include <limits>
-#include <map>
 #include <numeric>
-#include <ranges>
 #include <utility>
 
 namespace sequoiastand
@@ -23,36 +21,24 @@
     return perTask <= 0 ? std::numeric_limits<int>::max() : room / perTask;
 }
 
-int roomForTasks(const WaitingStep &waiting, const PlacementTarget &target, const Resources &room)
+/// The targets that the step may use, by rack.
+std::vector<RackTargets> usableByRack(PackingFleet &fleet, const WaitingStep &waiting, const PackingLimits &limits)
 {
-    int tasks = tasksThatFit(waiting.specification.perTask, room);
-    if (waiting.specification.maxPerTarget > 0) {
-        const auto found = waiting.tasksOnTarget.find(target.id);
-        tasks = std::min(tasks, std::max(0, waiting.specification.maxPerTarget - (found == waiting.tasksOnTarget.end() ? 0 : found->second)));
-    }
-    return tasks;
-}
-
-/// The targets that the step may use, by rack. Each target is checked only once, because on a large fleet most of the time of a pass goes into these checks.
-std::map<RackId, TargetNumbers> usableByRack(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, const PackingLimits &limits)
-{
-    std::map<RackId, TargetNumbers> racks;
-    auto rack = racks.end();
-    const auto add = [&](std::size_t index) {
-        if (!isAllowed(waiting, targets[index]) || !limits.mayUse(targets[index])) {
-            return;
+    std::vector<RackTargets> usable;
+    for (const auto &[rack, numbers] : eligibleTargets(fleet, waiting)) {
+        if (limits.onlyRack != nullptr && rack != *limits.onlyRack) {
+            continue;
         }
-        if (rack == racks.end() || rack->first != targets[index].rack) {
-            rack = racks.try_emplace(targets[index].rack).first;
+        TargetNumbers inRack;
+        std::ranges::copy_if(numbers, std::back_inserter(inRack), [&](std::size_t number) {
+            const auto &target = fleet.targets[number];
+            return (!waiting.advice || waiting.advice->allowed.contains(target.id)) && limits.mayUse(target);
+        });
+        if (!inRack.empty()) {
+            usable.push_back({rack, std::move(inRack)});
         }
-        rack->second.push_back(index);
-    };
-    if (limits.onlyTargets != nullptr) {
-        std::ranges::for_each(*limits.onlyTargets, add);
-    } else {
-        std::ranges::for_each(std::views::iota(std::size_t{0}, targets.size()), add);
     }
-    return racks;
+    return usable;
 }
 
 int freeAccelerators(const std::vector<PlacementTarget> &targets, const TargetNumbers &numbers, const RoomOf &roomOf)
@@ -126,17 +112,37 @@
     return limits.acceleratorBudget && waiting.specification.perTask.accelerators * count > *limits.acceleratorBudget;
 }
 
-std::optional<TaskCounts> pack(std::size_t targets, const WaitingStep &waiting, std::vector<Candidate> candidates, int count)
+/// The largest number of tasks, up to `count`, that is not over the budget.
+int withinBudget(const WaitingStep &waiting, int count, const PackingLimits &limits)
 {
-    const auto room = std::transform_reduce(
-        candidates.begin(), candidates.end(), 0LL, std::plus{}, [](const Candidate &candidate) { return static_cast<long long>(candidate.room); });
-    if (room < count) {
-        return std::nullopt;
+    const int perTask = waiting.specification.perTask.accelerators;
+    if (!isOverBudget(waiting, count, limits)) {
+        return count;
     }
+    return perTask > 0 ? std::max(0, *limits.acceleratorBudget / perTask) : 0;
+}
+
+long long totalRoom(const std::vector<Candidate> &candidates)
+{
+    return std::transform_reduce(
+        candidates.begin(), candidates.end(), 0LL, std::plus{}, [](const Candidate &candidate) { return static_cast<long long>(candidate.room); });
+}
+
+TaskCounts placeOn(std::size_t targets, const WaitingStep &waiting, std::vector<Candidate> candidates, int count)
+{
     std::ranges::sort(candidates);
     return waiting.specification.isFiller ? spread(targets, candidates, count) : fill(targets, candidates, count);
 }
 
+std::vector<Candidate> findCandidates(PackingFleet &fleet, const WaitingStep &waiting, int count, const PackingLimits &limits)
+{
+    std::vector<Candidate> candidates;
+    for (const auto &[rack, numbers] : usableByRack(fleet, waiting, limits)) {
+        addCandidates(candidates, fleet.targets, waiting, numbers, count, limits);
+    }
+    return candidates;
+}
+
 }
 
 int tasksThatFit(const Resources &perTask, const Resources &room)
@@ -146,6 +152,16 @@
                      tasksInDimension(perTask.accelerators, room.accelerators)});
 }
 
+int roomForTasks(const WaitingStep &waiting, const PlacementTarget &target, const Resources &room)
+{
+    int tasks = tasksThatFit(waiting.specification.perTask, room);
+    if (waiting.specification.maxPerTarget > 0) {
+        const auto found = waiting.tasksOnTarget.find(target.id);
+        tasks = std::min(tasks, std::max(0, waiting.specification.maxPerTarget - (found == waiting.tasksOnTarget.end() ? 0 : found->second)));
+    }
+    return tasks;
+}
+
 bool isEligible(const WaitingStep &waiting, const PlacementTarget &target)
 {
     const auto &label = waiting.specification.requiredLabel;
@@ -158,39 +174,50 @@
     return isEligible(waiting, target) && (!waiting.advice || waiting.advice->allowed.contains(target.id));
 }
 
-std::optional<TaskCounts> packTasks(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, int count, const PackingLimits &limits)
+std::optional<TaskCounts> packTasks(PackingFleet &fleet, const WaitingStep &waiting, int count, const PackingLimits &limits)
 {
     if (isOverBudget(waiting, count, limits)) {
         return std::nullopt;
     }
-    std::vector<Candidate> candidates;
-    for (const auto &[rack, numbers] : usableByRack(targets, waiting, limits)) {
-        addCandidates(candidates, targets, waiting, numbers, count, limits);
+    auto candidates = findCandidates(fleet, waiting, count, limits);
+    if (totalRoom(candidates) < count) {
+        return std::nullopt;
     }
-    return pack(targets.size(), waiting, std::move(candidates), count);
+    return placeOn(fleet.targets.size(), waiting, std::move(candidates), count);
 }
 
-std::optional<TaskCounts> packRack(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, int count, const PackingLimits &limits)
+TaskCounts packAsManyAsFit(PackingFleet &fleet, const WaitingStep &waiting, int count, const PackingLimits &limits)
+{
+    const int allowed = withinBudget(waiting, count, limits);
+    auto candidates = findCandidates(fleet, waiting, allowed, limits);
+    const auto placed = static_cast<int>(std::min<long long>(allowed, totalRoom(candidates)));
+    return placeOn(fleet.targets.size(), waiting, std::move(candidates), placed);
+}
+
+std::optional<TaskCounts> packRack(PackingFleet &fleet, const WaitingStep &waiting, int count, const PackingLimits &limits)
 {
     if (isOverBudget(waiting, count, limits)) {
         return std::nullopt;
     }
-    std::optional<TaskCounts> best;
+    std::vector<Candidate> best;
     int bestFree = std::numeric_limits<int>::max();
-    for (const auto &[rack, numbers] : usableByRack(targets, waiting, limits)) {
+    for (const auto &[rack, numbers] : usableByRack(fleet, waiting, limits)) {
         // The rack of the step's data is preferred to any other rack, however well the step fits there.
-        const int rank = rack == waiting.specification.dataRack ? -1 : freeAccelerators(targets, numbers, limits.roomOf);
+        const int rank = rack == waiting.specification.dataRack ? -1 : freeAccelerators(fleet.targets, numbers, limits.roomOf);
         if (rank >= bestFree) {
             continue;
         }
         std::vector<Candidate> candidates;
-        addCandidates(candidates, targets, waiting, numbers, count, limits);
-        if (auto counts = pack(targets.size(), waiting, std::move(candidates), count)) {
-            best = std::move(counts);
+        addCandidates(candidates, fleet.targets, waiting, numbers, count, limits);
+        if (totalRoom(candidates) >= count) {
+            best = std::move(candidates);
             bestFree = rank;
         }
     }
-    return best;
+    if (best.empty()) {
+        return std::nullopt;
+    }
+    return placeOn(fleet.targets.size(), waiting, std::move(best), count);
 }
 
 }
--- a/workflow/placement.cpp
+++ b/workflow/placement.cpp
@@ -1,6 +1,7 @@
 #include "placement.h"
 
 #include "packing.h"
+#include "placementstate.h"
 #include "reclaim.h"
 
 #include <algorithm>
@@ -47,13 +48,21 @@
     return waiting.waited >= (waiting.priority == 0 ? std::min(longestWait, input.maxLocalityWait) : longestWait);
 }
 
-int freeAccelerators(const PlacementInput &input, const WaitingStep &waiting)
+/// Sum over the targets that the step may use, leaving the adviser's decision aside.
+int sumOverTargets(PlacementState &state, const WaitingStep &waiting, const std::function<int(const PlacementTarget &)> &acceleratorsOf)
 {
-    int free = 0;
-    for (const auto &target : input.targets) {
-        free += isEligible(waiting, target) ? std::max(0, target.free.accelerators) : 0;
+    int sum = 0;
+    for (const auto &rack : eligibleTargets(state.fleet, waiting)) {
+        for (const std::size_t number : rack.targets) {
+            sum += acceleratorsOf(state.fleet.targets[number]);
+        }
     }
-    return free;
+    return sum;
+}
+
+int freeAccelerators(PlacementState &state, const WaitingStep &waiting)
+{
+    return sumOverTargets(state, waiting, [](const PlacementTarget &target) { return std::max(0, target.free.accelerators); });
 }
 
 int reserveOf(const PlacementInput &input, const ServiceId &service)
@@ -65,86 +74,71 @@
 /// The number of accelerators that the step may take without using the reserve for urgent work. Without the reserve, urgent work would have to wait until other
 /// work has been stopped. A step that would not fit beside the reserve even on an empty fleet may use the reserve without limit, because otherwise it could
 /// never start.
-std::optional<int> acceleratorBudget(const PlacementInput &input, const WaitingStep &waiting)
+std::optional<int> acceleratorBudget(PlacementState &state, const WaitingStep &waiting)
 {
     if (waiting.priority == 0) {
         return std::nullopt;
     }
-    int capacity = 0;
-    for (const auto &target : input.targets) {
-        capacity += isEligible(waiting, target) ? target.capacity.accelerators : 0;
-    }
-    const int free = freeAccelerators(input, waiting);
-    const int reserve = reserveOf(input, waiting.service);
+    const int capacity = sumOverTargets(state, waiting, [](const PlacementTarget &target) { return target.capacity.accelerators; });
+    const int free = freeAccelerators(state, waiting);
+    const int reserve = reserveOf(state.input, waiting.service);
     const int atOnce = waiting.specification.isGang ? static_cast<int>(waiting.tasks.size()) : 1;
     const bool isTooLarge = atOnce * waiting.specification.perTask.accelerators > capacity - reserve;
     return isTooLarge ? std::nullopt : std::optional(free - reserve);
 }
 
-PackingLimits limitsFor(const PlacementInput &input, const WaitingStep &waiting, const RoomOf &roomOf)
+PackingLimits limitsFor(PlacementState &state, const WaitingStep &waiting, const RoomOf &roomOf)
 {
     // A step with a failed run has few attempts left, so it is not placed on suspect targets.
     const auto isAcceptable = [&waiting](const PlacementTarget &target) { return !waiting.hasFailed || !target.isSuspect; };
-    return {roomOf, isAcceptable, acceleratorBudget(input, waiting)};
+    return {roomOf, isAcceptable, acceleratorBudget(state, waiting)};
 }
 
-PackingLimits limitedToRack(const RackId &rack, PackingLimits limits)
+/// The limits with the rack of the step's data as the only rack.
+PackingLimits limitedToDataRack(const WaitingStep &waiting, PackingLimits limits)
 {
-    limits.mayUse = [rack, mayUse = limits.mayUse](const PlacementTarget &target) { return target.rack == rack && mayUse(target); };
+    limits.onlyRack = &waiting.specification.dataRack;
     return limits;
 }
 
 /// True if the whole gang would fit into a single empty rack.
-bool couldFitOneRack(const PlacementInput &input, const WaitingStep &waiting, int count)
+bool couldFitOneRack(PlacementState &state, const WaitingStep &waiting, int count)
 {
     const auto whole = [](const PlacementTarget &target) { return target.capacity; };
-    return packRack(input.targets, waiting, count, {whole, isAnyTarget, std::nullopt}).has_value();
+    return packRack(state.fleet, waiting, count, {whole, isAnyTarget, std::nullopt}).has_value();
 }
 
 /// True if the gang may be placed on several racks.
-bool maySpread(const PlacementInput &input, const WaitingStep &waiting)
+bool maySpread(PlacementState &state, const WaitingStep &waiting)
 {
     const int count = static_cast<int>(waiting.tasks.size());
-    return !waiting.specification.needsOneRack || mayLeaveLocality(input, waiting) || !couldFitOneRack(input, waiting, count);
+    return !waiting.specification.needsOneRack || mayLeaveLocality(state.input, waiting) || !couldFitOneRack(state, waiting, count);
 }
 
-std::optional<TaskCounts> placeGang(const PlacementInput &input, const WaitingStep &waiting, const RoomOf &roomOf)
+std::optional<TaskCounts> placeGang(PlacementState &state, const WaitingStep &waiting, const RoomOf &roomOf)
 {
     const int count = static_cast<int>(waiting.tasks.size());
-    const auto limits = limitsFor(input, waiting, roomOf);
+    const auto limits = limitsFor(state, waiting, roomOf);
     const auto &step = waiting.specification;
     if (step.needsOneRack) {
-        auto counts = packRack(input.targets, waiting, count, limits);
-        return counts || !maySpread(input, waiting) ? counts : packTasks(input.targets, waiting, count, limits);
+        auto counts = packRack(state.fleet, waiting, count, limits);
+        return counts || !maySpread(state, waiting) ? counts : packTasks(state.fleet, waiting, count, limits);
     }
     if (!step.dataRack.value.empty()) {
-        auto counts = packTasks(input.targets, waiting, count, limitedToRack(step.dataRack, limits));
-        return counts || !mayLeaveLocality(input, waiting) ? counts : packTasks(input.targets, waiting, count, limits);
+        auto counts = packTasks(state.fleet, waiting, count, limitedToDataRack(waiting, limits));
+        return counts || !mayLeaveLocality(state.input, waiting) ? counts : packTasks(state.fleet, waiting, count, limits);
     }
-    return packTasks(input.targets, waiting, count, limits);
+    return packTasks(state.fleet, waiting, count, limits);
 }
 
 /// Places as many of the tasks as there is room for; the tasks start independently of each other.
-TaskCounts placeIndependentTasks(const PlacementInput &input, const WaitingStep &waiting)
+TaskCounts placeIndependentTasks(PlacementState &state, const WaitingStep &waiting)
 {
     const auto &step = waiting.specification;
-    const bool mustUseDataRack = !step.dataRack.value.empty() && !mayLeaveLocality(input, waiting);
-    const auto limits = limitsFor(input, waiting, freeRoom);
-    const auto packingLimits = mustUseDataRack ? limitedToRack(step.dataRack, limits) : limits;
-    // Binary search for the largest number of tasks that fits; a packing attempt that fails is cheap.
-    int low = 0;
-    int high = static_cast<int>(waiting.tasks.size());
-    TaskCounts best(input.targets.size(), 0);
-    while (low < high) {
-        const int middle = (low + high + 1) / 2;
-        if (auto counts = packTasks(input.targets, waiting, middle, packingLimits)) {
-            best = *std::move(counts);
-            low = middle;
-        } else {
-            high = middle - 1;
-        }
-    }
-    return best;
+    const bool mustUseDataRack = !step.dataRack.value.empty() && !mayLeaveLocality(state.input, waiting);
+    const auto limits = limitsFor(state, waiting, freeRoom);
+    const auto packingLimits = mustUseDataRack ? limitedToDataRack(waiting, limits) : limits;
+    return packAsManyAsFit(state.fleet, waiting, static_cast<int>(waiting.tasks.size()), packingLimits);
 }
 
 void takeRoom(std::vector<PlacementTarget> &targets, const WaitingStep &waiting, const TaskCounts &counts)
@@ -178,19 +172,18 @@
     return places;
 }
 
-/// Converts places to task counts parallel to `targets`. Returns nothing if a target is missing or no longer allowed for the step.
-std::optional<TaskCounts> taskCountsOf(const std::vector<PlacementTarget> &targets, const WaitingStep &waiting, const TaskPlaces &places)
+/// Converts places to task counts parallel to the fleet's targets. Returns nothing if a target is missing or no longer allowed for the step.
+std::optional<TaskCounts> taskCountsOf(const PackingFleet &fleet, const WaitingStep &waiting, const TaskPlaces &places)
 {
-    TaskCounts counts(targets.size(), 0);
-    int found = 0;
-    for (std::size_t index = 0; index < targets.size(); ++index) {
-        const auto place = places.find(targets[index].id);
-        if (place != places.end() && isAllowed(waiting, targets[index])) {
-            counts[index] = place->second;
-            ++found;
+    TaskCounts counts(fleet.targets.size(), 0);
+    for (const auto &[target, count] : places) {
+        const auto number = numberOf(fleet, target);
+        if (!number || !isAllowed(waiting, fleet.targets[*number])) {
+            return std::nullopt;
         }
+        counts[*number] = count;
     }
-    return std::cmp_equal(found, places.size()) ? std::optional(std::move(counts)) : std::nullopt;
+    return counts;
 }
 
 void returnRoom(std::vector<PlacementTarget> &targets, const WaitingStep &waiting, const TaskCounts &counts)
@@ -212,65 +205,65 @@
     return true;
 }
 
-void startTasks(PlacementInput &input, PlacementPlan &plan, const WaitingStep &waiting, const TaskCounts &counts)
+void startTasks(PlacementState &state, PlacementPlan &plan, const WaitingStep &waiting, const TaskCounts &counts)
 {
-    takeRoom(input.targets, waiting, counts);
-    addStarts(plan, input.targets, waiting, counts);
+    takeRoom(state.fleet.targets, waiting, counts);
+    addStarts(plan, state.fleet.targets, waiting, counts);
 }
 
-void holdRoom(PlacementInput &input, PlacementPlan &plan, const WaitingStep &waiting, const TaskCounts &counts)
+void holdRoom(PlacementState &state, PlacementPlan &plan, const WaitingStep &waiting, const TaskCounts &counts)
 {
-    takeRoom(input.targets, waiting, counts);
-    plan.held.insert_or_assign(waiting.step, placesOf(input.targets, counts));
+    takeRoom(state.fleet.targets, waiting, counts);
+    plan.held.insert_or_assign(waiting.step, placesOf(state.fleet.targets, counts));
 }
 
 /// Makes room for an urgent step that does not fit now: the step waits for runs that are already being stopped, or preempts more work. The room is held for the
 /// step, because otherwise later work would take it as it becomes free, and the step would preempt more and more work.
-void makeRoom(PlacementInput &input, PlacementPlan &plan, const WaitingStep &waiting)
+void makeRoom(PlacementState &state, PlacementPlan &plan, const WaitingStep &waiting)
 {
-    if (auto counts = placeGang(input, waiting, roomAfterStops)) {
-        holdRoom(input, plan, waiting, *counts);
+    if (auto counts = placeGang(state, waiting, roomAfterStops)) {
+        holdRoom(state, plan, waiting, *counts);
         return;
     }
-    if (!input.mayPreempt) {
+    if (!state.input.mayPreempt) {
         return;
     }
-    if (auto reclaim = findReclaim(input, waiting, maySpread(input, waiting))) {
+    if (auto reclaim = findReclaim(state, waiting, maySpread(state, waiting))) {
         plan.stops.insert(plan.stops.end(), reclaim->stops.begin(), reclaim->stops.end());
-        holdRoom(input, plan, waiting, reclaim->places);
+        holdRoom(state, plan, waiting, reclaim->places);
     }
 }
 
 /// Ends the hold of an earlier pass for the step and returns the held room to the targets, so that the step itself can use it.
-std::optional<TaskCounts> releaseHeldRoom(PlacementInput &input, const WaitingStep &waiting)
+std::optional<TaskCounts> releaseHeldRoom(PlacementState &state, const WaitingStep &waiting)
 {
-    const auto held = input.held.extract(waiting.step);
-    auto counts = held ? taskCountsOf(input.targets, waiting, held.mapped()) : std::nullopt;
+    const auto held = state.input.held.extract(waiting.step);
+    auto counts = held ? taskCountsOf(state.fleet, waiting, held.mapped()) : std::nullopt;
     if (counts) {
-        returnRoom(input.targets, waiting, *counts);
+        returnRoom(state.fleet.targets, waiting, *counts);
     }
     return counts;
 }
 
-void placeGangStep(PlacementInput &input, PlacementPlan &plan, const WaitingStep &waiting)
+void placeGangStep(PlacementState &state, PlacementPlan &plan, const WaitingStep &waiting)
 {
-    const auto held = releaseHeldRoom(input, waiting);
-    if (held && doAllFit(input.targets, waiting, *held, freeRoom)) {
-        startTasks(input, plan, waiting, *held);
-    } else if (auto counts = placeGang(input, waiting, freeRoom)) {
-        startTasks(input, plan, waiting, *counts);
-    } else if (held && doAllFit(input.targets, waiting, *held, roomAfterStops)) {
-        holdRoom(input, plan, waiting, *held);
+    const auto held = releaseHeldRoom(state, waiting);
+    if (held && doAllFit(state.fleet.targets, waiting, *held, freeRoom)) {
+        startTasks(state, plan, waiting, *held);
+    } else if (auto counts = placeGang(state, waiting, freeRoom)) {
+        startTasks(state, plan, waiting, *counts);
+    } else if (held && doAllFit(state.fleet.targets, waiting, *held, roomAfterStops)) {
+        holdRoom(state, plan, waiting, *held);
     } else if (waiting.priority == 0) {
-        makeRoom(input, plan, waiting);
+        makeRoom(state, plan, waiting);
     }
 }
 
-void placeTasks(PlacementInput &input, PlacementPlan &plan, const WaitingStep &waiting)
+void placeTasks(PlacementState &state, PlacementPlan &plan, const WaitingStep &waiting)
 {
-    releaseHeldRoom(input, waiting);
-    const auto counts = placeIndependentTasks(input, waiting);
-    startTasks(input, plan, waiting, counts);
+    releaseHeldRoom(state, waiting);
+    const auto counts = placeIndependentTasks(state, waiting);
+    startTasks(state, plan, waiting, counts);
     const auto placed = std::accumulate(counts.begin(), counts.end(), 0);
     if (waiting.priority != 0 || std::cmp_equal(placed, waiting.tasks.size())) {
         return;
@@ -278,60 +271,60 @@
     // Preempts work for the urgent tasks that found no room, in the same way as for a gang.
     WaitingStep rest = waiting;
     rest.tasks.erase(rest.tasks.begin(), rest.tasks.begin() + placed);
-    makeRoom(input, plan, rest);
+    makeRoom(state, plan, rest);
 }
 
-WaitReason reasonOf(const PlacementInput &input, const PlacementPlan &plan, const WaitingStep &waiting)
+WaitReason reasonOf(PlacementState &state, const PlacementPlan &plan, const WaitingStep &waiting)
 {
     if (plan.held.contains(waiting.step)) {
         return WaitReason::Preempting;
     }
     const int count = waiting.specification.isGang ? static_cast<int>(waiting.tasks.size()) : 1;
     const PackingLimits anywhere{freeRoom, isAnyTarget, std::nullopt};
-    if (!packTasks(input.targets, waiting, count, anywhere)) {
+    if (!packTasks(state.fleet, waiting, count, anywhere)) {
         WaitingStep withoutAdvice = waiting;
         withoutAdvice.advice.reset();
-        return waiting.advice && packTasks(input.targets, withoutAdvice, count, anywhere) ? WaitReason::NotAdvised : WaitReason::NoRoom;
+        return waiting.advice && packTasks(state.fleet, withoutAdvice, count, anywhere) ? WaitReason::NotAdvised : WaitReason::NoRoom;
     }
-    const bool isReserved = !packTasks(input.targets, waiting, count, limitsFor(input, waiting, freeRoom));
+    const bool isReserved = !packTasks(state.fleet, waiting, count, limitsFor(state, waiting, freeRoom));
     if (isReserved) {
         return WaitReason::Reserve;
     }
     return waiting.specification.needsOneRack ? WaitReason::OneRack : WaitReason::DataRackFull;
 }
 
-void placeStep(PlacementInput &input, PlacementPlan &plan, const WaitingStep &waiting)
+void placeStep(PlacementState &state, PlacementPlan &plan, const WaitingStep &waiting)
 {
     const auto startsBefore = plan.starts.size();
     if (waiting.specification.isGang) {
-        placeGangStep(input, plan, waiting);
+        placeGangStep(state, plan, waiting);
     } else {
-        placeTasks(input, plan, waiting);
+        placeTasks(state, plan, waiting);
     }
     if (waiting.needsExplanation && plan.starts.size() == startsBefore) {
-        const WaitExplanation explanation{reasonOf(input, plan, waiting), freeAccelerators(input, waiting), reserveOf(input, waiting.service)};
+        const WaitExplanation explanation{reasonOf(state, plan, waiting), freeAccelerators(state, waiting), reserveOf(state.input, waiting.service)};
         plan.waits.emplace(waiting.step, explanation);
     }
 }
 
 /// Subtracts the room held for the steps from the targets, so that no other step takes it. Ends holds whose targets no longer have the room.
-void subtractHeldRoom(PlacementInput &input, std::span<const WaitingStep> waiting)
+void subtractHeldRoom(PlacementState &state, std::span<const WaitingStep> waiting)
 {
     for (const auto &step : waiting) {
-        const auto places = input.held.find(step.step);
-        const auto counts = places == input.held.end() ? std::nullopt : taskCountsOf(input.targets, step, places->second);
-        if (counts && doAllFit(input.targets, step, *counts, roomAfterStops)) {
-            takeRoom(input.targets, step, *counts);
+        const auto places = state.input.held.find(step.step);
+        const auto counts = places == state.input.held.end() ? std::nullopt : taskCountsOf(state.fleet, step, places->second);
+        if (counts && doAllFit(state.fleet.targets, step, *counts, roomAfterStops)) {
+            takeRoom(state.fleet.targets, step, *counts);
         } else {
-            input.held.erase(step.step);
+            state.input.held.erase(step.step);
         }
     }
 }
 
-void placeSteps(PlacementInput &input, PlacementPlan &plan, std::span<const WaitingStep> waiting)
+void placeSteps(PlacementState &state, PlacementPlan &plan, std::span<const WaitingStep> waiting)
 {
-    subtractHeldRoom(input, waiting);
-    std::ranges::for_each(waiting, [&](const WaitingStep &step) { placeStep(input, plan, step); });
+    subtractHeldRoom(state, waiting);
+    std::ranges::for_each(waiting, [&](const WaitingStep &step) { placeStep(state, plan, step); });
 }
 
 }
@@ -353,15 +346,19 @@
         waiting, {}, [](const WaitingStep &step) { return std::tuple(step.priority, !step.isGuaranteed, step.slack < Duration{0}, step.slack); });
 }
 
-PlacementPlan planPlacements(PlacementInput input)
+PlacementPlan planPlacements(PlacementInput input, const RunningUnitsSource &findRunning)
 {
     PlacementPlan plan;
     sortWaiting(input.waiting);
     const auto waiting = std::move(input.waiting);
+    PlacementState state;
+    state.fleet = makePackingFleet(std::move(input.targets));
+    state.input = std::move(input);
+    state.findRunning = findRunning;
     const auto firstBorrowed = std::ranges::find(waiting, false, &WaitingStep::isGuaranteed);
     // Room held for work beyond a guarantee must not delay guaranteed work, so guaranteed steps are placed before the room held for such work is subtracted.
-    placeSteps(input, plan, {waiting.begin(), firstBorrowed});
-    placeSteps(input, plan, {firstBorrowed, waiting.end()});
+    placeSteps(state, plan, {waiting.begin(), firstBorrowed});
+    placeSteps(state, plan, {firstBorrowed, waiting.end()});
     return plan;
 }
 
--- a/workflow/placement.h
+++ b/workflow/placement.h
@@ -3,6 +3,7 @@
 #include "core/queueconfiguration.h"
 #include "core/workflowprogress.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -81,7 +82,6 @@
 {
     std::vector<PlacementTarget> targets;
     std::vector<WaitingStep> waiting;
-    std::vector<RunningUnit> running;
     std::map<StepId, TaskPlaces> held;       ///< Room that earlier passes hold for urgent steps until the preempted work there has stopped.
     double remoteFactor = 3;                 ///< Factor by which run time grows for a gang on several racks, or for a task outside the rack of its data.
     Duration maxLocalityWait{1'000};         ///< Longest time that urgent work waits for a single rack or for the rack of its data.
@@ -145,7 +145,11 @@
 /// late too.
 void sortWaiting(std::vector<WaitingStep> &waiting);
 
-/// Decides which waiting steps start now and on which targets, and which work is preempted for urgent steps. A gang starts as a whole or not at all.
-PlacementPlan planPlacements(PlacementInput input);
+/// Returns the running units that may be preempted.
+using RunningUnitsSource = std::function<std::vector<RunningUnit>()>;
+
+/// Decides which waiting steps start now and on which targets, and which work is preempted for urgent steps. A gang starts as a whole or not at all. The running
+/// units are read only if an urgent step finds no room, because most passes need none of them.
+PlacementPlan planPlacements(PlacementInput input, const RunningUnitsSource &findRunning);
 
 }
--- a/workflow/placementinput.cpp
+++ b/workflow/placementinput.cpp
@@ -43,19 +43,6 @@
 
 std::vector<PlacementTarget> targetsOf(const WorkflowBoard &board)
 {
-    struct Use
-    {
-        Resources all;
-        Resources stopping;
-    };
-    std::map<TargetId, Use> useOfTargets;
-    for (const auto &[task, run] : board.runs.rows()) {
-        auto &use = useOfTargets[run.place.target];
-        use.all = use.all + run.occupiedResources;
-        if (run.isStopWanted || run.step == RunStep::Ending) {
-            use.stopping = use.stopping + run.occupiedResources;
-        }
-    }
     const auto unresponsive = unresponsiveZones(board);
     std::vector<PlacementTarget> targets;
     targets.reserve(board.targets.size());
@@ -66,8 +53,8 @@
         target.rack = row.registration.rack;
         target.labels = row.registration.labels;
         target.capacity = row.registration.capacity;
-        const auto &use = useOfTargets[id];
-        target.free = row.registration.capacity - use.all;
+        const auto &use = board.runs.useOf(id);
+        target.free = row.registration.capacity - use.occupied;
         target.freeAfterStops = target.free + use.stopping;
         target.acceptsWork = acceptsWork(board, row) && !unresponsive.contains(row.registration.availabilityZone);
         target.isSuspect = row.recentFailures >= suspectFailures && row.lastFailureAt && board.now - *row.lastFailureAt < suspectTime;
@@ -79,23 +66,14 @@
 /// Accelerators of each service that are reserved for urgent work.
 std::map<ServiceId, int> urgentReserves(const WorkflowBoard &board)
 {
-    std::map<ServiceId, UrgentArrivals> arrivals;
-    for (const auto &[id, entry] : board.workflows.rows()) {
-        const auto &queue = queueOf(board, *entry.workflow);
-        if (queue.priority == 0 && board.wallNow - entry.workflow->acceptedAt <= arrivalWindow) {
-            const auto &first = entry.workflow->specification.steps.front();
-            auto &arrived = arrivals[queue.service];
-            arrived.accelerators += first.taskCount * first.perTask.accelerators;
-            ++arrived.steps;
-        }
-    }
-    std::map<ServiceId, int> capacities;
-    for (const auto &[id, target] : board.targets.rows()) {
-        capacities[target.registration.service] += target.isRegistered ? target.registration.capacity.accelerators : 0;
-    }
+    const auto arrivals = arrivalsByService(board.urgentArrivals, board.wallNow);
     std::map<ServiceId, int> reserves;
     for (const auto &[service, arrived] : arrivals) {
-        reserves.emplace(service, urgentReserve(arrived, capacities[service], board.self.limits.stopGrace));
+        int capacity = 0;
+        for (const auto &[id, target] : board.targets.rows()) {
+            capacity += target.isRegistered && target.registration.service == service ? target.registration.capacity.accelerators : 0;
+        }
+        reserves.emplace(service, urgentReserve(arrived, capacity, board.self.limits.stopGrace));
     }
     return reserves;
 }
@@ -134,14 +112,17 @@
     const auto &specification = entry.workflow->specification.steps.at(static_cast<std::size_t>(id.step));
     WaitingStep waiting;
     waiting.step = id;
+    // The runs of the step follow one another in the table, in the order of its tasks.
+    auto run = board.runs.rows().lower_bound({id, 0});
+    const auto lastRun = board.runs.rows().end();
     for (std::size_t index = 0; index < progress.size(); ++index) {
-        const TaskId task{id, static_cast<int>(index)};
         waiting.hasFailed = waiting.hasFailed || progress[index].failedRuns > 0;
-        if (const auto *run = board.runs.find(task)) {
+        if (run != lastRun && run->first.index == static_cast<int>(index) && run->first.step == id) {
             if (specification.isGang) {
                 return std::nullopt;
             }
-            ++waiting.tasksOnTarget[run->place.target];
+            ++waiting.tasksOnTarget[run->second.place.target];
+            ++run;
         } else if (!progress[index].isFinished) {
             waiting.tasks.push_back(static_cast<int>(index));
         }
@@ -174,8 +155,9 @@
 std::vector<WaitingStep> waitingSteps(const WorkflowBoard &board, const std::set<RequestId> &guaranteed)
 {
     std::vector<WaitingStep> found;
-    for (const auto &[id, entry] : board.workflows.rows()) {
-        if (hasEnded(entry.progress.state) || entry.isCancelRequested) {
+    for (const auto &id : board.workflows.open()) {
+        const auto &entry = *board.workflows.find(id);
+        if (entry.isCancelRequested) {
             continue;
         }
         for (const auto &[occurrence, progress] : entry.progress.occurrences) {
@@ -246,22 +228,34 @@
     return left->second-- > 0;
 }
 
-std::vector<RunningUnit> runningUnits(const WorkflowBoard &board, const std::set<RequestId> &guaranteed)
+}
+
+std::vector<RunningUnit> runningUnits(const WorkflowBoard &board)
 {
+    const auto guaranteed = guaranteedWorkflows(board);
     std::vector<RunningUnit> units;
     std::map<StepId, int> stoppable; ///< Remaining number of tasks of each lasting step that may be stopped.
+    // The runs of a step follow one another, so what the runs have in common is looked up once per step.
+    const StepSpecification *step = nullptr;
+    RunningUnit common;
     for (const auto &[task, run] : board.runs.rows()) {
-        const auto *entry = board.workflows.find(task.step.workflow);
-        const auto *step = findStep(board, task.step);
-        if (entry == nullptr || step == nullptr || run.isStopWanted || run.step == RunStep::Ending || run.step == RunStep::Unconfirmed
-            || !mayBeStopped(board, run, *step, stoppable)) {
+        if (common.step != task.step) {
+            common.step = task.step;
+            step = findStep(board, task.step);
+            if (step != nullptr) {
+                const auto &workflow = *board.workflows.find(task.step.workflow)->workflow;
+                common.priority = queueOf(board, workflow).priority;
+                common.isGuaranteed = guaranteed.contains(workflow.id);
+                common.organisation = workflow.organisation;
+            }
+        }
+        if (step == nullptr || isStopping(run) || run.step == RunStep::Unconfirmed || !mayBeStopped(board, run, *step, stoppable)) {
             continue;
         }
         const bool belongsToLastUnit = step->isGang && !units.empty() && units.back().step == task.step;
         if (!belongsToLastUnit) {
-            const auto &workflow = *entry->workflow;
-            units.push_back(
-                {task.step, queueOf(board, workflow).priority, guaranteed.contains(workflow.id), workflow.organisation, run.occupiedResources, {}, 0});
+            units.push_back(common);
+            units.back().perTask = run.occupiedResources;
         }
         units.back().tasks.emplace(task.index, run.place.target);
         units.back().lostWork += lostWork(board, run, *step);
@@ -269,8 +263,6 @@
     return units;
 }
 
-}
-
 PlacementInput placementInput(const WorkflowBoard &board)
 {
     const auto guaranteed = guaranteedWorkflows(board);
@@ -281,7 +273,6 @@
         return input;
     }
     input.targets = targetsOf(board);
-    input.running = runningUnits(board, guaranteed);
     input.held = board.heldRoom;
     input.remoteFactor = limits.remoteFactor;
     input.maxLocalityWait = limits.reclaimBound - limits.stopGrace - reclaimMargin;
--- a/workflow/placementinput.h
+++ b/workflow/placementinput.h
@@ -3,6 +3,8 @@
 #include "placement.h"
 #include "workflowboard.h"
 
+#include <vector>
+
 namespace sequoiastand
 {
 
@@ -10,7 +12,10 @@
 constexpr Duration firstExplanationAfter{1'000};
 constexpr Duration explanationPeriod{5'000};
 
-/// The part of the board that a placement pass needs: targets with their room, waiting steps, and running work. Everything is empty if no step waits.
+/// The part of the board that a placement pass needs: targets with their room, and waiting steps. Everything is empty if no step waits.
 PlacementInput placementInput(const WorkflowBoard &board);
 
+/// The running work that may be preempted.
+std::vector<RunningUnit> runningUnits(const WorkflowBoard &board);
+
 }
--- a/workflow/planwork.cpp
+++ b/workflow/planwork.cpp
@@ -165,7 +165,7 @@
         std::vector<WaitingStep> unexplained;
         std::ranges::copy_if(input.waiting, std::back_inserter(unexplained), &WaitingStep::needsExplanation);
         askAdviser(board, input);
-        auto plan = planPlacements(std::move(input));
+        auto plan = planPlacements(std::move(input), [&board] { return runningUnits(board); });
         logWaits(board, unexplained, plan);
         stopPlanned(board, plan.stops);
         startPlanned(board, plan.starts);
--- a/workflow/progresschange.cpp
+++ b/workflow/progresschange.cpp
@@ -83,9 +83,21 @@
     return runsBetween(board, {{workflow, 0, 0}, 0}, {{workflow, anyNumber, anyNumber}, anyNumber});
 }
 
+std::vector<TaskRun> startedRunsOn(const WorkflowBoard &board, const TargetId &target)
+{
+    std::vector<TaskRun> started;
+    for (const auto &task : board.runs.useOf(target).tasks) {
+        const auto *run = board.runs.find(task);
+        if (run->step != RunStep::Recording) {
+            started.push_back(*run);
+        }
+    }
+    return started;
+}
+
 void putRun(WorkflowBoard &board, const TaskRun &run)
 {
-    board.runs.put(run.task, run);
+    board.runs.put(run);
 }
 
 void removeRun(WorkflowBoard &board, const TaskRun &run)
--- a/workflow/progresschange.h
+++ b/workflow/progresschange.h
@@ -29,6 +29,9 @@
 /// Runs of the workflow's tasks that are still on the board.
 std::vector<TaskRun> runsOf(const WorkflowBoard &board, const RequestId &workflow);
 
+/// Runs on the target that are no longer waiting for their record to be stored.
+std::vector<TaskRun> startedRunsOn(const WorkflowBoard &board, const TargetId &target);
+
 /// Replaces the row of the run's task.
 void putRun(WorkflowBoard &board, const TaskRun &run);
 
--- a/workflow/reclaim.cpp
+++ b/workflow/reclaim.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 #include <map>
 #include <set>
+#include <span>
 #include <utility>
 
 namespace sequoiastand
@@ -12,133 +13,81 @@
 namespace
 {
 
-/// One way to make room: the units to preempt, and the places that the step gets then.
-struct PreemptionOption
-{
-    std::vector<std::size_t> victims; ///< Indexes into the running units.
-    TaskCounts places;
-    double cost = std::numeric_limits<double>::infinity();
-};
-
-/// The targets of a rack, and the units that run on at least one of them.
-struct RackContent
+/// Running work that may be preempted for a waiting step.
+enum class VictimScope
 {
-    TargetNumbers targets;
-    std::vector<std::size_t> units;
+    LessUrgent,
+    AndBorrowed, ///< Includes equally urgent work beyond its organisation's guarantee.
 };
 
-/// Index of the fleet by rack and unit, built once for each waiting step because the search tries each of the many racks of a large fleet.
-struct FleetIndex
+/// One way to make room: the units to preempt, and the racks on which the step is placed then.
+struct PreemptionOption
 {
-    std::map<RackId, RackContent> racks;
-    std::vector<TargetNumbers> unitTargets; ///< For each running unit the target of each task.
+    std::vector<std::size_t> victims;
+    std::span<const RackTargets> racks;
+    double cost = std::numeric_limits<double>::infinity();
 };
 
-FleetIndex indexFleet(const PlacementInput &input)
-{
-    FleetIndex index;
-    std::map<TargetId, std::size_t> numbers;
-    for (std::size_t number = 0; number < input.targets.size(); ++number) {
-        numbers.emplace(input.targets[number].id, number);
-        index.racks[input.targets[number].rack].targets.push_back(number);
-    }
-    for (std::size_t unit = 0; unit < input.running.size(); ++unit) {
-        auto &targets = index.unitTargets.emplace_back();
-        for (const auto &[task, target] : input.running[unit].tasks) {
-            const auto found = numbers.find(target);
-            if (found == numbers.end()) {
-                continue;
-            }
-            targets.push_back(found->second);
-            auto &units = index.racks[input.targets[found->second].rack].units;
-            if (units.empty() || units.back() != unit) {
-                units.push_back(unit);
+/// The room that a step would have on some targets if units were preempted, and the number of its tasks that would fit. Only the targets of a unit are counted
+/// again when the unit is added or removed, because a search tries all units of a large fleet.
+class StepRoom
+{
+public:
+    StepRoom(PlacementState &state, const WaitingStep &waiting, std::span<const RackTargets> racks)
+        : m_fleet(state.fleet)
+        , m_victims(victimsOf(state))
+        , m_waiting(waiting)
+        , m_count(static_cast<int>(waiting.tasks.size()))
+        , m_isUsable(state.fleet.targets.size(), false)
+    {
+        m_room.reserve(m_fleet.targets.size());
+        std::ranges::transform(m_fleet.targets, std::back_inserter(m_room), &PlacementTarget::freeAfterStops);
+        for (const auto &rack : racks) {
+            for (const std::size_t number : rack.targets) {
+                m_isUsable[number] = !waiting.advice || waiting.advice->allowed.contains(m_fleet.targets[number].id);
+                m_tasks += tasksOn(number);
             }
         }
     }
-    return index;
-}
-
-/// Room of each target: `freeAfterStops` of the input plus the resources of the victims.
-using FleetRoom = std::vector<Resources>;
 
-void addUnit(FleetRoom &room, const PlacementInput &input, const FleetIndex &index, std::size_t unit)
-{
-    for (const std::size_t target : index.unitTargets[unit]) {
-        room[target] = room[target] + input.running[unit].perTask;
+    bool fits() const
+    {
+        return m_tasks >= m_count;
     }
-}
 
-void removeUnit(FleetRoom &room, const PlacementInput &input, const FleetIndex &index, std::size_t unit)
-{
-    for (const std::size_t target : index.unitTargets[unit]) {
-        room[target] = room[target] - input.running[unit].perTask;
+    void add(std::size_t unit)
+    {
+        change(unit, [](const Resources &room, const Resources &used) { return room + used; });
     }
-}
-
-FleetRoom roomWithout(const PlacementInput &input, const FleetIndex &index, const std::vector<std::size_t> &victims)
-{
-    FleetRoom room;
-    room.reserve(input.targets.size());
-    std::ranges::transform(input.targets, std::back_inserter(room), &PlacementTarget::freeAfterStops);
-    std::ranges::for_each(victims, [&](std::size_t victim) { addUnit(room, input, index, victim); });
-    return room;
-}
 
-/// Places the step into the given room; within the rack, if one is given.
-std::optional<TaskCounts> packInto(const PlacementInput &input, const WaitingStep &waiting, const FleetRoom &room, const RackContent *rack)
-{
-    const auto *first = input.targets.data();
-    const auto roomOf = [&](const PlacementTarget &target) { return room[static_cast<std::size_t>(&target - first)]; };
-    const auto anyTarget = [](const PlacementTarget &) { return true; };
-    return packTasks(
-        input.targets, waiting, static_cast<int>(waiting.tasks.size()), {roomOf, anyTarget, std::nullopt, rack == nullptr ? nullptr : &rack->targets});
-}
-
-double costOf(const PlacementInput &input, const std::vector<std::size_t> &victims)
-{
-    double cost = 0;
-    for (const std::size_t victim : victims) {
-        cost += input.running[victim].lostWork;
+    void remove(std::size_t unit)
+    {
+        change(unit, [](const Resources &room, const Resources &used) { return room - used; });
     }
-    return cost;
-}
 
-/// Removes victims that need not be preempted, the one with the most lost work first, as long as the step still fits.
-PreemptionOption withoutNeedlessVictims(const PlacementInput &input,
-                                        const WaitingStep &waiting,
-                                        const FleetIndex &index,
-                                        std::vector<std::size_t> victims,
-                                        const RackContent *rack)
-{
-    PreemptionOption option;
-    auto room = roomWithout(input, index, victims);
-    auto places = packInto(input, waiting, room, rack);
-    if (!places) {
-        return option;
+private:
+    int tasksOn(std::size_t number) const
+    {
+        return m_isUsable[number] ? std::min(m_count, roomForTasks(m_waiting, m_fleet.targets[number], m_room[number])) : 0;
     }
-    std::ranges::sort(victims, std::greater{}, [&](std::size_t victim) { return input.running[victim].lostWork; });
-    std::vector<std::size_t> needed = victims;
-    for (const std::size_t victim : victims) {
-        removeUnit(room, input, index, victim);
-        if (auto fewerPlaces = packInto(input, waiting, room, rack)) {
-            std::erase(needed, victim);
-            places = std::move(fewerPlaces);
-        } else {
-            addUnit(room, input, index, victim);
+
+    template<typename Change>
+    void change(std::size_t unit, Change changed)
+    {
+        for (const std::size_t number : m_victims.unitTargets[unit]) {
+            m_tasks -= tasksOn(number);
+            m_room[number] = changed(m_room[number], m_victims.units[unit].perTask);
+            m_tasks += tasksOn(number);
         }
     }
-    option.cost = costOf(input, needed);
-    option.victims = std::move(needed);
-    option.places = *std::move(places);
-    return option;
-}
 
-/// Running work that may be preempted for a waiting step.
-enum class VictimScope
-{
-    LessUrgent,
-    AndBorrowed, ///< Includes equally urgent work beyond its organisation's guarantee.
+    const PackingFleet &m_fleet;
+    const VictimIndex &m_victims;
+    const WaitingStep &m_waiting;
+    int m_count = 0;
+    std::vector<bool> m_isUsable;
+    std::vector<Resources> m_room;
+    long long m_tasks = 0; ///< Tasks that fit on all usable targets together.
 };
 
 bool isInScope(const RunningUnit &unit, const WaitingStep &waiting, VictimScope scope)
@@ -148,73 +97,144 @@
     return isLessUrgent || (scope == VictimScope::AndBorrowed && isBorrowed);
 }
 
-std::vector<std::size_t> possibleVictims(const PlacementInput &input, const WaitingStep &waiting, VictimScope scope, const std::vector<std::size_t> &units)
+std::vector<std::size_t> possibleVictims(const VictimIndex &index, const WaitingStep &waiting, VictimScope scope, const std::vector<std::size_t> &units)
 {
     std::vector<std::size_t> victims;
-    std::ranges::copy_if(units, std::back_inserter(victims), [&](std::size_t unit) { return isInScope(input.running[unit], waiting, scope); });
+    std::ranges::copy_if(
+        units, std::back_inserter(victims), [&](std::size_t unit) { return !index.isPreempted[unit] && isInScope(index.units[unit], waiting, scope); });
     return victims;
 }
 
-std::vector<std::size_t> allUnits(const FleetIndex &index)
+std::vector<std::size_t> allUnits(const VictimIndex &index)
 {
     std::set<std::size_t> units;
-    for (const auto &[rack, content] : index.racks) {
-        units.insert(content.units.begin(), content.units.end());
+    for (const auto &[rack, inRack] : index.byRack) {
+        units.insert(inRack.begin(), inRack.end());
     }
     return {units.begin(), units.end()};
 }
 
-void applyOption(PlacementInput &input, const WaitingStep &waiting, const FleetIndex &index, const PreemptionOption &option, Reclaim &reclaim)
+double costOf(const VictimIndex &index, const std::vector<std::size_t> &victims)
 {
-    const auto room = roomWithout(input, index, option.victims);
-    for (std::size_t number = 0; number < input.targets.size(); ++number) {
-        input.targets[number].freeAfterStops = room[number];
+    double cost = 0;
+    for (const std::size_t victim : victims) {
+        cost += index.units[victim].lostWork;
     }
-    for (const std::size_t victim : option.victims) {
-        const auto &unit = input.running[victim];
-        for (const auto &[task, target] : unit.tasks) {
-            reclaim.stops.push_back({{unit.step, task}, waiting.step});
-        }
+    return cost;
+}
+
+/// Removes victims that need not be preempted, the one with the most lost work first, as long as the step still fits into the racks.
+PreemptionOption withoutNeedlessVictims(PlacementState &state, const WaitingStep &waiting, std::vector<std::size_t> victims, std::span<const RackTargets> racks)
+{
+    const auto &index = victimsOf(state);
+    StepRoom room(state, waiting, racks);
+    std::ranges::for_each(victims, [&](std::size_t victim) { room.add(victim); });
+    PreemptionOption option;
+    option.racks = racks;
+    if (!room.fits()) {
+        return option;
     }
-    auto victims = option.victims;
-    std::ranges::sort(victims, std::greater{});
+    std::ranges::stable_sort(victims, std::greater{}, [&](std::size_t victim) { return index.units[victim].lostWork; });
     for (const std::size_t victim : victims) {
-        input.running.erase(input.running.begin() + static_cast<std::ptrdiff_t>(victim));
+        room.remove(victim);
+        if (!room.fits()) {
+            room.add(victim);
+            option.victims.push_back(victim);
+        }
     }
-    reclaim.places = option.places;
+    option.cost = costOf(index, option.victims);
+    return option;
 }
 
-PreemptionOption findOption(const PlacementInput &input, const WaitingStep &waiting, VictimScope scope, const FleetIndex &index, bool maySpread)
+PreemptionOption findOption(PlacementState &state, const WaitingStep &waiting, VictimScope scope, bool maySpread)
 {
+    const auto &index = victimsOf(state);
+    const auto &racks = eligibleTargets(state.fleet, waiting);
     PreemptionOption best;
     if (waiting.specification.needsOneRack) {
-        for (const auto &[rack, content] : index.racks) {
-            auto option = withoutNeedlessVictims(input, waiting, index, possibleVictims(input, waiting, scope, content.units), &content);
+        for (const auto &rack : racks) {
+            const auto units = index.byRack.find(rack.rack);
+            const auto victims = units == index.byRack.end() ? std::vector<std::size_t>{} : possibleVictims(index, waiting, scope, units->second);
+            auto option = withoutNeedlessVictims(state, waiting, victims, {&rack, 1});
             if (option.cost < best.cost) {
                 best = std::move(option);
             }
         }
     }
-    if (best.places.empty() && maySpread) {
-        best = withoutNeedlessVictims(input, waiting, index, possibleVictims(input, waiting, scope, allUnits(index)), nullptr);
+    if (best.cost == std::numeric_limits<double>::infinity() && maySpread) {
+        best = withoutNeedlessVictims(state, waiting, possibleVictims(index, waiting, scope, allUnits(index)), racks);
     }
     return best;
 }
 
+/// Places the step into the room that the option has made.
+std::optional<TaskCounts> placesIn(PlacementState &state, const WaitingStep &waiting, const PreemptionOption &option)
+{
+    PackingLimits limits{[](const PlacementTarget &target) { return target.freeAfterStops; }, [](const PlacementTarget &) { return true; }, std::nullopt};
+    limits.onlyRack = option.racks.size() == 1 ? &option.racks.front().rack : nullptr;
+    return packTasks(state.fleet, waiting, static_cast<int>(waiting.tasks.size()), limits);
+}
+
+void applyOption(PlacementState &state, const WaitingStep &waiting, const PreemptionOption &option, Reclaim &reclaim)
+{
+    auto &index = victimsOf(state);
+    for (const std::size_t victim : option.victims) {
+        const auto &unit = index.units[victim];
+        index.isPreempted[victim] = true;
+        for (const std::size_t number : index.unitTargets[victim]) {
+            auto &target = state.fleet.targets[number];
+            target.freeAfterStops = target.freeAfterStops + unit.perTask;
+        }
+        for (const auto &[task, target] : unit.tasks) {
+            reclaim.stops.push_back({{unit.step, task}, waiting.step});
+        }
+    }
+}
+
+VictimIndex makeIndex(const PackingFleet &fleet, std::vector<RunningUnit> units)
+{
+    VictimIndex index;
+    index.units = std::move(units);
+    index.isPreempted.resize(index.units.size(), false);
+    index.unitTargets.resize(index.units.size());
+    for (std::size_t unit = 0; unit < index.units.size(); ++unit) {
+        for (const auto &[task, target] : index.units[unit].tasks) {
+            const auto number = numberOf(fleet, target);
+            if (!number) {
+                continue;
+            }
+            index.unitTargets[unit].push_back(*number);
+            auto &inRack = index.byRack[fleet.targets[*number].rack];
+            if (inRack.empty() || inRack.back() != unit) {
+                inRack.push_back(unit);
+            }
+        }
+    }
+    return index;
+}
+
+}
+
+VictimIndex &victimsOf(PlacementState &state)
+{
+    if (!state.victims) {
+        state.victims = makeIndex(state.fleet, state.findRunning ? state.findRunning() : std::vector<RunningUnit>{});
+    }
+    return *state.victims;
 }
 
-std::optional<Reclaim> findReclaim(PlacementInput &input, const WaitingStep &waiting, bool maySpread)
+std::optional<Reclaim> findReclaim(PlacementState &state, const WaitingStep &waiting, bool maySpread)
 {
-    const auto index = indexFleet(input);
-    auto best = findOption(input, waiting, VictimScope::LessUrgent, index, maySpread);
-    if (best.places.empty() && waiting.isGuaranteed) {
-        best = findOption(input, waiting, VictimScope::AndBorrowed, index, maySpread);
+    auto best = findOption(state, waiting, VictimScope::LessUrgent, maySpread);
+    if (best.cost == std::numeric_limits<double>::infinity() && waiting.isGuaranteed) {
+        best = findOption(state, waiting, VictimScope::AndBorrowed, maySpread);
     }
-    if (best.places.empty()) {
+    if (best.cost == std::numeric_limits<double>::infinity()) {
         return std::nullopt;
     }
     Reclaim reclaim;
-    applyOption(input, waiting, index, best, reclaim);
+    applyOption(state, waiting, best, reclaim);
+    reclaim.places = *placesIn(state, waiting, best);
     return reclaim;
 }
 
--- a/workflow/reclaim.h
+++ b/workflow/reclaim.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "packing.h"
-#include "placement.h"
+#include "placementstate.h"
 
 #include <optional>
 #include <vector>
@@ -12,7 +12,7 @@
 /// The future places of an urgent step, and the tasks that are preempted for it.
 struct Reclaim
 {
-    TaskCounts places; ///< Tasks for each target, parallel to the targets of the input.
+    TaskCounts places; ///< Tasks for each target, parallel to the targets of the fleet.
     std::vector<PreemptedTask> stops;
 
     friend bool operator==(const Reclaim &, const Reclaim &) = default;
@@ -21,7 +21,7 @@
 /// Chooses less urgent units whose preemption makes room for the whole step, with as little lost work as the search finds. Returns nothing if preempting all of
 /// them would not be enough. Equally urgent work on borrowed resources is preempted only for a step within its organisation's guarantee, and only if preempting
 /// less urgent work is not enough. A step that needs a single rack gets one if possible; otherwise it is placed on several racks only if `maySpread` is set.
-/// The room of the chosen units is added to `freeAfterStops` of their targets, and the units are removed from `running`.
-std::optional<Reclaim> findReclaim(PlacementInput &input, const WaitingStep &waiting, bool maySpread);
+/// The room of the chosen units is added to `freeAfterStops` of their targets, and the units are marked as preempted.
+std::optional<Reclaim> findReclaim(PlacementState &state, const WaitingStep &waiting, bool maySpread);
 
 }
--- a/workflow/targetlease.cpp
+++ b/workflow/targetlease.cpp
@@ -148,13 +148,12 @@
     const auto &instance = registration.instance;
     requireStopsOfLateStarts(board, instance.target);
     board.targets.put(instance.target, std::move(fresh));
-    std::vector<TaskRun> runs;
-    for (const auto &[task, run] : board.runs.rows()) {
-        if (run.place.target == instance.target && run.place.startTimeMs < instance.startTimeMs) {
-            runs.push_back(run);
+    const auto tasks = board.runs.useOf(instance.target).tasks;
+    for (const auto &task : tasks) {
+        const TaskRun run = *board.runs.find(task);
+        if (run.place.startTimeMs >= instance.startTimeMs) {
+            continue;
         }
-    }
-    for (const auto &run : runs) {
         if (run.step != RunStep::Recording && (canStartOrderStillArrive(run) || couldBeOnNewInstance(run))) {
             moveToNextInstance(board, run, instance);
         } else {
--- a/workflow/urgentreserve.cpp
+++ b/workflow/urgentreserve.cpp
@@ -21,6 +21,26 @@
 
 }
 
+std::vector<UrgentArrival> withArrival(std::vector<UrgentArrival> arrivals, const UrgentArrival &arrival, WallTime now)
+{
+    std::erase_if(arrivals, [&](const UrgentArrival &earlier) { return now - earlier.acceptedAt > arrivalWindow; });
+    arrivals.push_back(arrival);
+    return arrivals;
+}
+
+std::map<ServiceId, UrgentArrivals> arrivalsByService(const std::vector<UrgentArrival> &arrivals, WallTime now)
+{
+    std::map<ServiceId, UrgentArrivals> byService;
+    for (const auto &arrival : arrivals) {
+        if (now - arrival.acceptedAt <= arrivalWindow) {
+            auto &sum = byService[arrival.service];
+            sum.accelerators += arrival.accelerators;
+            ++sum.steps;
+        }
+    }
+    return byService;
+}
+
 int urgentReserve(const UrgentArrivals &arrivals, int capacity, Duration stopGrace)
 {
     if (arrivals.steps == 0) {
