Reuse libcurl's handles and connections, and stop late requests

Cause: a call cost 170 us of processor time with 540 targets. libcurl closes idle connections beyond four per call under way and looks at all of them each time, checks its whole DNS cache after each call, formats trace messages because the client asked for verbose output to see whether bytes were sent, and a handle was created per call. A request that waited in a paused process was sent after it resumed, whatever had ended by then.

Change: handles are kept for later calls, up to 3,500 connections stay open, the DNS cache has no time limit (all addresses are IP addresses), and the size of the sent request replaces the trace. A call may name a time from which it is not sent any more; libcurl asks right before it writes the request.

Ruled out: the trace and the DNS cache alone (175 to 160 us).

The tests idleConnectionsToManyServersAreReused and requestIsNotSentOnceThePermissionOfItsSenderHasEnded fail without the two settings.

--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -17,6 +17,13 @@
 // Idle time after which a connection is no longer reused. It is well below a minute, after which load balancers and agents close idle connections.
 constexpr long maxIdleSeconds = 20;
 
+// Limit on open connections. By default, libcurl closes the oldest idle connection whenever there are more than four times as many connections as calls under
+// way, and looks at all of them to find it. The limit is above the number of targets, and below the descriptors that the platform grants.
+constexpr long maxConnections = 3'500;
+
+// Ended transfers that are kept for later calls. An owner of hundreds of targets has a call under way to each of them.
+constexpr std::size_t maxIdleTransfers = 128;
+
 }
 
 struct HttpClient::Transfer
@@ -24,11 +31,12 @@
     unsigned long long id = 0;
     CURL *easy = nullptr;
     curl_slist *headers = nullptr;
+    long bufferBytes = 0;
     std::string address;
     std::string requestBody;
     std::size_t sentBodyBytes = 0;
     std::string body;
-    bool hasSentBytes = false;
+    std::optional<TimePoint> sendBefore;
     DataCallback onData;
     AnswerCallback onEnd;
 
@@ -55,6 +63,7 @@
     curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
     curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &HttpClient::onTimerChange);
     curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maxConnections);
 }
 
 HttpClient::~HttpClient()
@@ -63,6 +72,7 @@
         curl_multi_remove_handle(m_multi, transfer->easy);
     }
     m_transfers.clear();
+    m_idleTransfers.clear();
     curl_multi_cleanup(m_multi);
     curl_global_cleanup();
 }
@@ -77,37 +87,72 @@
     return start(call, std::move(onData), std::move(onEnd));
 }
 
-unsigned long long HttpClient::start(const HttpCall &call, DataCallback onData, AnswerCallback onEnd)
+std::unique_ptr<HttpClient::Transfer> HttpClient::takeTransfer(long bufferBytes)
 {
+    if (auto &idle = m_idleTransfers[bufferBytes]; !idle.empty()) {
+        auto transfer = std::move(idle.back());
+        idle.pop_back();
+        return transfer;
+    }
     auto transfer = std::make_unique<Transfer>();
-    transfer->id = m_nextId++;
     transfer->easy = curl_easy_init();
-    transfer->address = call.address;
-    transfer->requestBody = call.body;
-    transfer->onData = std::move(onData);
-    transfer->onEnd = std::move(onEnd);
+    transfer->bufferBytes = bufferBytes;
     auto *easy = transfer->easy;
-    curl_easy_setopt(easy, CURLOPT_URL, ("http://" + call.address + call.path).c_str());
-    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+    curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, bufferBytes);
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, maxIdleSeconds);
-    if (call.method != "GET" && call.isRetryable) {
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(transfer->requestBody.size()));
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->requestBody.c_str());
-        transfer->headers = curl_slist_append(transfer->headers, "Content-Type: application/json");
-    } else if (call.method != "GET") {
+    // Addresses are IP addresses, so nothing in this cache becomes out of date. With a time limit, libcurl checks the whole cache after each call.
+    curl_easy_setopt(easy, CURLOPT_DNS_CACHE_TIMEOUT, -1L);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &HttpClient::onBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+    curl_easy_setopt(easy, CURLOPT_READDATA, transfer.get());
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &HttpClient::onBeforeRequest);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
+    return transfer;
+}
+
+void HttpClient::keepTransfer(std::unique_ptr<Transfer> transfer)
+{
+    auto &idle = m_idleTransfers[transfer->bufferBytes];
+    if (idle.size() >= maxIdleTransfers) {
+        return;
+    }
+    curl_slist_free_all(std::exchange(transfer->headers, nullptr));
+    transfer->body = {};
+    transfer->requestBody = {};
+    transfer->sentBodyBytes = 0;
+    transfer->onData = {};
+    transfer->onEnd = {};
+    idle.push_back(std::move(transfer));
+}
+
+unsigned long long HttpClient::start(const HttpCall &call, DataCallback onData, AnswerCallback onEnd)
+{
+    auto transfer = takeTransfer(call.bufferBytes);
+    transfer->id = m_nextId++;
+    transfer->address = call.address;
+    transfer->requestBody = call.body;
+    transfer->sendBefore = call.sendBefore;
+    transfer->onData = std::move(onData);
+    transfer->onEnd = std::move(onEnd);
+    auto *easy = transfer->easy;
+    curl_easy_setopt(easy, CURLOPT_URL, ("http://" + call.address + call.path).c_str());
+    curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+    if (call.method != "GET") {
         // When a reused connection closes without a response, libcurl sends the request again, although the peer may have executed it. A body that libcurl
         // reads through a callback prevents this, because libcurl cannot rewind it.
         curl_easy_setopt(easy, CURLOPT_POST, 1L);
-        curl_easy_setopt(easy, CURLOPT_READFUNCTION, &HttpClient::onReadBody);
-        curl_easy_setopt(easy, CURLOPT_READDATA, transfer.get());
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(transfer->requestBody.size()));
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.isRetryable ? transfer->requestBody.c_str() : nullptr);
+        curl_easy_setopt(easy, CURLOPT_READFUNCTION, call.isRetryable ? nullptr : &HttpClient::onReadBody);
         transfer->headers = curl_slist_append(transfer->headers, "Content-Type: application/json");
     }
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
     // Without this header libcurl delays bodies over 1 MB by up to a second to wait for "100 Continue".
     transfer->headers = curl_slist_append(transfer->headers, "Expect:");
     for (const auto &header : call.headers) {
@@ -117,19 +162,8 @@
         transfer->headers = curl_slist_append(transfer->headers, ("Authorization: Bearer " + call.bearerToken).c_str());
     }
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
-    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &HttpClient::onBody);
-    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
-    curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
-    // Only the debug callback shows that request bytes were written, including those of libcurl's own retry after a closed connection.
-    curl_easy_setopt(easy, CURLOPT_VERBOSE, 1L);
-    curl_easy_setopt(easy, CURLOPT_DEBUGFUNCTION, &HttpClient::onTrace);
-    curl_easy_setopt(easy, CURLOPT_DEBUGDATA, transfer.get());
-    if (m_failedAddresses.contains(call.address)) {
-        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-    }
-    if (call.closesConnection) {
-        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
-    }
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, m_failedAddresses.contains(call.address) ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, call.closesConnection ? 1L : 0L);
     const auto id = transfer->id;
     m_transfers.emplace(id, std::move(transfer));
     if (call.timeout > Duration{0}) {
@@ -142,10 +176,10 @@
 
 void HttpClient::close(unsigned long long id)
 {
-    const auto found = m_transfers.find(id);
-    if (found != m_transfers.end()) {
-        curl_multi_remove_handle(m_multi, found->second->easy);
-        m_transfers.erase(found);
+    auto closed = m_transfers.extract(id);
+    if (closed) {
+        curl_multi_remove_handle(m_multi, closed.mapped()->easy);
+        keepTransfer(std::move(closed.mapped()));
     }
 }
 
@@ -223,9 +257,15 @@
         answer.status = static_cast<int>(status);
         m_failedAddresses.erase(transfer.address);
     } else {
-        answer.outcome = transfer.hasSentBytes ? HttpOutcome::Unknown : HttpOutcome::NotSent;
-        answer.error = curl_easy_strerror(code);
-        m_failedAddresses.insert(transfer.address);
+        // The size covers all attempts of the call, including those of libcurl's own retry after a closed connection.
+        long sentBytes = 0;
+        curl_easy_getinfo(transfer.easy, CURLINFO_REQUEST_SIZE, &sentBytes);
+        answer.outcome = sentBytes > 0 ? HttpOutcome::Unknown : HttpOutcome::NotSent;
+        const bool isTooLate = code == CURLE_ABORTED_BY_CALLBACK;
+        answer.error = isTooLate ? "the request was not sent, because the sender's permission has ended" : curl_easy_strerror(code);
+        if (!isTooLate) {
+            m_failedAddresses.insert(transfer.address);
+        }
     }
     answer.body = std::move(transfer.body);
     const auto onEnd = std::move(transfer.onEnd);
@@ -283,12 +323,12 @@
     return bytes;
 }
 
-int HttpClient::onTrace(CURL *, curl_infotype type, char *, std::size_t size, void *owner)
+int HttpClient::onBeforeRequest(void *owner, char *, char *, int, int)
 {
-    if (size > 0 && (type == CURLINFO_HEADER_OUT || type == CURLINFO_DATA_OUT)) {
-        static_cast<Transfer *>(owner)->hasSentBytes = true;
-    }
-    return 0;
+    // The process may have been paused since the call was made, or may have waited for its connection.
+    const auto &transfer = *static_cast<Transfer *>(owner);
+    const bool isTooLate = transfer.sendBefore && EventLoop::now() >= *transfer.sendBefore;
+    return isTooLate ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
 }
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,10 +22,14 @@
     std::string path;
     std::string body;
     std::string bearerToken;
-    Duration timeout{0};              ///< Time limit for the whole call; zero means none, for streams.
-    std::vector<std::string> headers; ///< Additional headers, as "Name: value".
-    bool closesConnection = false;    ///< Closes the connection after the call, for addresses that are called rarely.
-    bool isRetryable = false;         ///< If a reused connection turns out to be closed, the call may be sent a second time on a new connection.
+    Duration timeout{0};                   ///< Time limit for the whole call; zero means none, for streams.
+    std::vector<std::string> headers;      ///< Additional headers, as "Name: value".
+    bool closesConnection = false;         ///< Closes the connection after the call, for addresses that are called rarely.
+    bool isRetryable = false;              ///< If a reused connection turns out to be closed, the call may be sent a second time on a new connection.
+    std::optional<TimePoint> sendBefore;   ///< From this time on the request is not sent any more, for instance because the sender's permission has ended.
+    long bufferBytes = defaultBufferBytes; ///< Size of the receive buffer, which each call under way keeps. Larger responses are read in several parts.
+
+    static constexpr long defaultBufferBytes = 16'384;
 
     friend bool operator==(const HttpCall &, const HttpCall &) = default;
 };
@@ -48,7 +53,8 @@
 
 /// HTTP client on libcurl's multi interface and the event loop. Call timeouts use a timer of this client: libcurl drops a transfer's timeout when another of
 /// its timers fires less than a millisecond earlier, and the transfer then stays open forever. Connections are reused. After a failed call the next call to
-/// the same address opens a new connection, because a connection that no longer responds does not recover.
+/// the same address opens a new connection, because a connection that no longer responds does not recover. libcurl's handles are kept and used again, because
+/// creating one for each call costs as much as the rest of the call.
 class HttpClient
 {
 public:
@@ -84,6 +90,8 @@
     struct Transfer;
 
     unsigned long long start(const HttpCall &call, DataCallback onData, AnswerCallback onEnd);
+    std::unique_ptr<Transfer> takeTransfer(long bufferBytes);
+    void keepTransfer(std::unique_ptr<Transfer> transfer);
     void onSocketReady(curl_socket_t descriptor, int events);
     void onTimer();
     void finishTransfers();
@@ -94,7 +102,7 @@
     static int onTimerChange(CURLM *multi, long delayMs, void *self);
     static std::size_t onReadBody(char *buffer, std::size_t size, std::size_t count, void *transfer);
     static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *transfer);
-    static int onTrace(CURL *easy, curl_infotype type, char *data, std::size_t size, void *transfer);
+    static int onBeforeRequest(void *transfer, char *remoteIp, char *localIp, int remotePort, int localPort);
 
     EventLoop &m_loop;
     CURLM *m_multi;
@@ -103,7 +111,8 @@
     std::multimap<TimePoint, unsigned long long> m_deadlines; ///< Deadlines by time; may include transfers that have already ended.
     std::map<curl_socket_t, std::unique_ptr<SocketWatch>> m_watches;
     std::map<unsigned long long, std::unique_ptr<Transfer>> m_transfers;
-    std::set<std::string> m_failedAddresses; ///< Addresses to which the next call must open a new connection.
+    std::map<long, std::vector<std::unique_ptr<Transfer>>> m_idleTransfers; ///< Ended transfers whose handles are used again, by size of their buffers.
+    std::set<std::string> m_failedAddresses;                                ///< Addresses to which the next call must open a new connection.
     unsigned long long m_nextId = 1;
 };
 
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -30,6 +30,11 @@
         return m_requests;
     }
 
+    std::size_t openConnections() const
+    {
+        return m_server.openConnections();
+    }
+
 private:
     HttpServer m_server;
     Answer m_answer;
--- a/tests/testhttpclient.cpp
+++ b/tests/testhttpclient.cpp
@@ -3,7 +3,11 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
+#include <memory>
 #include <optional>
+#include <thread>
+#include <vector>
 
 namespace sequoiastand
 {
@@ -108,6 +112,40 @@
     EXPECT_EQ(HttpOutcome::Answered, call(address, testTimeout, true).outcome);
 }
 
+// Guards against a paused process that sends orders after it has resumed, although another process has taken over.
+TEST_F(HttpClientCall, requestIsNotSentOnceThePermissionOfItsSenderHasEnded)
+{
+    ScriptedListener server(m_loop, {{okAnswer}, {okAnswer}});
+    ASSERT_EQ(HttpOutcome::Answered, call(server.address()).outcome);
+    const auto receivedBefore = server.received();
+    for (const auto &address : {server.address(), std::string("127.0.0.2:") + server.address().substr(server.address().find(':') + 1)}) {
+        std::optional<HttpAnswer> answer;
+        HttpCall request{.address = address, .path = "/v1/x", .body = "{}", .timeout = testTimeout};
+        request.sendBefore = EventLoop::now() + Duration{20};
+        m_client.send(request, [&answer](const HttpAnswer &received) { answer = received; });
+        // The loop does not run, as in a suspended process.
+        std::this_thread::sleep_for(Duration{30});
+        ASSERT_TRUE(m_loop.runUntil([&answer] { return answer.has_value(); }, testTimeout));
+        EXPECT_EQ(HttpOutcome::NotSent, answer->outcome) << address;
+    }
+    EXPECT_EQ(receivedBefore, server.received());
+}
+
+// Guards against new connections for each call to hundreds of rarely called targets: libcurl's default closes idle connections beyond four per call under way.
+TEST_F(HttpClientCall, idleConnectionsToManyServersAreReused)
+{
+    std::vector<std::unique_ptr<LoopbackServer>> servers;
+    for (int number = 0; number < 20; ++number) {
+        servers.push_back(std::make_unique<LoopbackServer>(m_loop, [](const HttpRequest &) { return HttpResponse{.status = 200, .body = "{}"}; }));
+    }
+    for (const auto &server : servers) {
+        ASSERT_EQ(HttpOutcome::Answered, call(server->address()).outcome);
+    }
+    for (const auto &server : servers) {
+        EXPECT_EQ(1U, server->openConnections());
+    }
+}
+
 // libcurl retries a request when a reused connection was closed. If the retry cannot connect, the first attempt may still have been executed.
 TEST_F(HttpClientCall, failedResendOfASentRequestIsUnknown)
 {
