Bind each order to the owner's authority when it is written

Cause: the owner checked its authority when it decided on an order. A process that was paused between the decision and the write, or whose order waited for a connection, sent it after its authority had ended, and the successor's orders could already be under way. Targets in touch with the successor refuse such an order; others carry it out.

Change: each order names the end of the authority, and the client checks it right before it writes the request. makeOrder() replaces four places that built orders.

--- a/tests/testtargetport.cpp
+++ b/tests/testtargetport.cpp
@@ -56,6 +56,22 @@
     unsigned long long m_nextCall = 1;
 };
 
+// Guards against orders of a former owner that a pause of its process has delayed until another host owns the domain.
+TEST_F(TargetPortOrders, orderIsNotSentOnceTheAuthorityOfItsSenderHasEnded)
+{
+    TargetOrder order;
+    order.id = CallId{100};
+    order.target = {"t1"};
+    order.address = target.address();
+    order.request = StopRun{task, 1};
+    order.timeout = testTimeout;
+    order.sendBefore = EventLoop::now();
+    port.send(order);
+    ASSERT_TRUE(loop.runUntil([&] { return !replies.empty(); }, testTimeout));
+    EXPECT_EQ(replies.back().outcome, OrderOutcome::NotSent);
+    EXPECT_EQ(received("/sequoiastand/run-stop"), 0);
+}
+
 // Guards against taking a start for one that was never carried out: if the client sent it again by itself, the refusal of the second copy would hide the first.
 TEST_F(TargetPortOrders, startOnAConnectionThatClosesIsSentOnceAndItsOutcomeIsUnknown)
 {
--- a/workflow/driveruns.cpp
+++ b/workflow/driveruns.cpp
@@ -3,6 +3,7 @@
 #include "progresschange.h"
 #include "runends.h"
 #include "targetlease.h"
+#include "targetorders.h"
 
 #include <algorithm>
 #include <optional>
@@ -22,14 +23,8 @@
 
 void sendOrder(WorkflowBoard &board, TaskRun &run, const DomainTarget &target, TargetOrderRequest request)
 {
-    TargetOrder order;
-    order.id = takeCallId(board);
-    order.target = run.place.target;
-    order.address = target.registration.address;
-    order.token = board.ownership.token;
-    order.timeout = timeoutWithLag(board, board.self.limits.startTimeout);
     run.isStopCall = std::holds_alternative<StopRun>(request);
-    order.request = std::move(request);
+    auto order = makeOrder(board, target, std::move(request), board.self.limits.startTimeout);
     run.call = order.id;
     board.runCalls.insert_or_assign(order.id, run.task);
     board.outbox.emplace_back(std::move(order));
--- a/workflow/holdtargets.cpp
+++ b/workflow/holdtargets.cpp
@@ -2,6 +2,7 @@
 #include "holdpacing.h"
 #include "progresschange.h"
 #include "targetlease.h"
+#include "targetorders.h"
 
 #include <algorithm>
 #include <optional>
@@ -72,13 +73,7 @@
         hold.wait = target.pendingEnds.empty() ? longest / 2 + takeJitter(board, longest / 2) : Duration{0};
         target.heldUntil = std::max(target.heldUntil, *hold.deadline);
     }
-    TargetOrder order;
-    order.id = takeCallId(board);
-    order.target = target.registration.instance.target;
-    order.address = target.registration.address;
-    order.token = board.ownership.token;
-    order.timeout = hold.wait + timeoutWithLag(board, limits.orderTimeout);
-    order.request = hold;
+    auto order = makeOrder(board, target, hold, hold.wait + limits.orderTimeout);
     order.keepsConnection = keepsConnection;
     target.hold = order.id;
     target.holdStartTimeMs = target.registration.instance.startTimeMs;
--- a/workflow/pacefillers.cpp
+++ b/workflow/pacefillers.cpp
@@ -1,5 +1,6 @@
 #include "controllers.h"
 #include "progresschange.h"
+#include "targetorders.h"
 
 #include <algorithm>
 #include <map>
@@ -69,13 +70,7 @@
     if (target == nullptr || run.orderedPercent == percent || run.paceCall || run.isStopWanted || board.now < run.paceRetryAt) {
         return;
     }
-    TargetOrder order;
-    order.id = takeCallId(board);
-    order.target = run.place.target;
-    order.address = target->registration.address;
-    order.token = board.ownership.token;
-    order.timeout = timeoutWithLag(board, board.self.limits.startTimeout);
-    order.request = PaceRun{run.task, run.number, percent};
+    auto order = makeOrder(board, *target, PaceRun{run.task, run.number, percent}, board.self.limits.startTimeout);
     run.paceCall = order.id;
     run.orderedPercent = percent;
     board.runCalls.insert_or_assign(order.id, run.task);
--- a/workflow/runends.cpp
+++ b/workflow/runends.cpp
@@ -1,6 +1,7 @@
 #include "runends.h"
 
 #include "progresschange.h"
+#include "targetorders.h"
 
 #include <algorithm>
 #include <iterator>
@@ -230,13 +231,7 @@
 
 CallId sendStrayStop(WorkflowBoard &board, const DomainTarget &target, const TaskId &task, int run)
 {
-    TargetOrder order;
-    order.id = takeCallId(board);
-    order.target = target.registration.instance.target;
-    order.address = target.registration.address;
-    order.token = board.ownership.token;
-    order.timeout = timeoutWithLag(board, board.self.limits.orderTimeout);
-    order.request = StopRun{task, run};
+    auto order = makeOrder(board, target, StopRun{task, run}, board.self.limits.orderTimeout);
     const auto call = order.id;
     board.outbox.emplace_back(std::move(order));
     return call;
--- a/workflow/targetorder.h
+++ b/workflow/targetorder.h
@@ -66,7 +66,8 @@
     Revision token = 0; ///< Fencing token of the sender; a target refuses an order with a lower token than it has accepted before.
     TargetOrderRequest request;
     Duration timeout{0};
-    bool keepsConnection = true; ///< False if the next order to the target is so far off that an open connection would only cost processor time.
+    std::optional<TimePoint> sendBefore; ///< The order is not sent from this time on, because the sender may no longer be the owner.
+    bool keepsConnection = true;         ///< False if the next order to the target is so far off that an open connection would only cost processor time.
 
     friend bool operator==(const TargetOrder &, const TargetOrder &) = default;
 };
