Spread the targets over several HTTP clients

Cause: once a second libcurl checks the idle connections of a client and begins again at the first one for each connection that its peer has closed.

Change: targets are spread over 32 clients by address, apart from the client of the store. A host that loses the domain closes them all.

Ruled out: a step of the board, deliveries and finished transfers (a trial with probes on a scratch copy showed only libcurl's timer action).

--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -17,12 +17,12 @@
 // Idle time after which a connection is no longer reused. It is well below a minute, after which load balancers and agents close idle connections.
 constexpr long maxIdleSeconds = 20;
 
-// Limit on open connections. By default, libcurl closes the oldest idle connection whenever there are more than four times as many connections as calls under
-// way, and looks at all of them to find it. The limit is above the number of targets, and below the descriptors that the platform grants.
-constexpr long maxConnections = 3'500;
+// Limit on open connections of one client. By default, libcurl closes the oldest idle connection whenever there are more than four times as many connections as
+// calls under way, and the next call to that peer has to open a new one.
+constexpr long maxConnections = 100;
 
-// Ended transfers that are kept for later calls. An owner of hundreds of targets has a call under way to each of them.
-constexpr std::size_t maxIdleTransfers = 128;
+// Ended transfers that are kept for later calls.
+constexpr std::size_t maxIdleTransfers = 32;
 
 }
 
--- /dev/null
+++ b/net/httpclientpool.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "httpclient.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sequoiastand
+{
+
+/// Distributes the calls to many peers over several clients, by address. Once a second libcurl checks the idle connections of a client, and begins again whenever
+/// it has found one that its peer has closed, so with hundreds of peers on one client the check takes seconds.
+class HttpClientPool
+{
+public:
+    explicit HttpClientPool(EventLoop &loop);
+
+    /// The client for the address; always the same one until closeAll().
+    HttpClient &clientFor(const std::string &address);
+
+    /// Closes all connections and drops the calls under way; their callbacks are not run.
+    void closeAll();
+
+    /// Number of calls under way.
+    std::size_t openCalls() const;
+
+private:
+    EventLoop &m_loop;
+    std::vector<std::unique_ptr<HttpClient>> m_clients; ///< Created when first used.
+};
+
+}
--- a/tests/testplatformtargetfaults.cpp
+++ b/tests/testplatformtargetfaults.cpp
@@ -58,7 +58,7 @@
     const TaskId task{{{"00000000000000aa"}, 0, 0}, 0};
     const Revision token = 7;
     EventLoop loop;
-    HttpClient http{loop};
+    HttpClientPool http{loop};
     PlatformTargets targets{loop, 1};
     std::vector<WorkflowEvent> events;
     TargetPort port{http,
--- a/tests/testtargetport.cpp
+++ b/tests/testtargetport.cpp
@@ -42,7 +42,7 @@
     }
 
     EventLoop loop;
-    HttpClient http{loop};
+    HttpClientPool http{loop};
     std::vector<TargetOrderReply> replies;
     TargetPort port{http,
                     [this](WorkflowEvent event) { replies.push_back(std::get<TargetOrderReply>(std::move(event))); },
