Let a slow owner find a ready successor within a second

Every two seconds it asked the same two hosts, the first by id among equals, while a third of the hosts was cut off from the store. Cancellations waited for almost 5 s meanwhile.

Change: an owner whose timers lag asks five hosts every 400 ms, drawn at random among equals, and also takes answers to earlier rounds.

The test fixture dropped the store's answers to a slowed host, so that the host lost its lease instead of handing over, and ownerThatHasBecomeSlowHandsOverToAnEqualHost passed for that reason. An answer now counts if it arrives before the timeout of its call. The test passes with both versions of the product.

--- a/tests/domainfixture.cpp
+++ b/tests/domainfixture.cpp
@@ -293,6 +293,11 @@
 void DomainTest::stepHost(const std::string &id, Host &host)
 {
     for (auto &event : takeStoreEvents(store, {id}, now)) {
+        // The store client drops answers to calls that have timed out.
+        const auto *answer = std::get_if<StoreReply>(&event);
+        if (answer != nullptr && host.storeCalls.erase(answer->id) == 0) {
+            continue;
+        }
         std::visit(
             [&](auto &alternative) {
                 if constexpr (std::is_constructible_v<WorkflowEvent, decltype(std::move(alternative))>) {
@@ -301,7 +306,7 @@
             },
             event);
     }
-    endStoreCalls(host);
+    reportTimeouts(host);
     const auto due = nextDue(host.board.timers);
     if ((host.inbox.empty() && (!due || *due > now)) || now < host.nextStepAt) {
         return;
@@ -332,13 +337,9 @@
     host.board.counters.samples.clear();
 }
 
-/// Drops answers to calls that have timed out, and reports calls that time out now, as the store client does.
-void DomainTest::endStoreCalls(Host &host)
+/// Reports calls that time out now, as the store client does.
+void DomainTest::reportTimeouts(Host &host)
 {
-    std::erase_if(host.inbox, [&](const WorkflowEvent &event) {
-        const auto *answer = std::get_if<StoreReply>(&event);
-        return answer != nullptr && host.storeCalls.erase(answer->id) == 0;
-    });
     std::erase_if(host.storeCalls, [&](const auto &row) {
         if (row.second > now) {
             return false;
--- a/tests/domainfixture.h
+++ b/tests/domainfixture.h
@@ -149,7 +149,7 @@
     void stepHost(const std::string &id, Host &host);
     void deliverOrder(const std::string &host, const TargetOrder &order);
     Duration delayOf(const TargetOrder &order) const;
-    void endStoreCalls(Host &host);
+    void reportTimeouts(Host &host);
     void deliverLateOrders();
     void answerHolds();
     void answerQuestions();
--- a/tests/testdomainownership.cpp
+++ b/tests/testdomainownership.cpp
@@ -254,6 +254,27 @@
     runUntil([&] { return !owner().empty() && owner() != first; }, Duration{10'000});
     EXPECT_TRUE(isStrong(owner()));
 }
+
+TEST_F(UnevenHosts, slowOwnerFindsAReadyHostAmongManyThatDoNotAnswer)
+{
+    // Guards against an owner that asks the same two unreachable hosts again and again while its work stands still: a slow machine kept the domain for 5 s.
+    settings.processorShare = 0.5;
+    for (int number = 10; number < 20; ++number) {
+        addHost("h" + std::to_string(number));
+    }
+    run(Duration{7'000}); // Long enough for the owner to read the others' records.
+    const auto first = owner();
+    for (int number = 10; number < 17; ++number) {
+        const auto host = "h" + std::to_string(number);
+        if (host != first) {
+            store.faults.cutOff.insert({host});
+        }
+    }
+    run(Duration{2'000});
+    slowDown(first, Duration{300});
+    runUntil([&] { return !owner().empty() && owner() != first; }, Duration{3'000});
+}
+
 TEST_F(UnevenHosts, laggingOwnerHandsOverToAnEqualHost)
 {
     const auto first = owner();
--- a/workflow/handover.cpp
+++ b/workflow/handover.cpp
@@ -2,7 +2,9 @@
 #include "ownershipchange.h"
 
 #include <algorithm>
+#include <iterator>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sequoiastand
@@ -14,8 +16,9 @@
 // A new owner does not hand the domain over for this time, so that it is not interrupted while it loads the domain if other hosts return in the meantime.
 constexpr Duration minOwnershipTime{3'000};
 
-// Time between two rounds of readiness checks of possible successors.
+// Time between two rounds of readiness checks of possible successors. An owner that lacks processor time does hardly any work, so it asks more often.
 constexpr Duration checkPeriod{2'000};
+constexpr Duration urgentCheckPeriod{400};
 
 // Time after a handover in which the former owner does not claim the domain.
 constexpr Duration noClaimTime{800};
@@ -31,14 +34,24 @@
 // does not help, and each change costs the time of a takeover.
 constexpr long maxRecentChanges = 2;
 
+// Hosts that are asked in one round. What makes the owner slow often affects a part of the other hosts too, so an owner that lacks processor time asks several.
 constexpr std::size_t maxSuccessorChecks = 2;
+constexpr std::size_t maxUrgentSuccessorChecks = 5;
+
+// Limit on unanswered checks that are remembered. A slow owner reads the answers to a round after it has begun the next ones.
+constexpr std::size_t maxOpenChecks = 20;
+
+/// True if this host lacks processor time and a change of owner is likely to help.
+bool lacksProcessorTime(const WorkflowBoard &board)
+{
+    const auto recent = std::ranges::count_if(board.ownership.recentOwnerChanges, [&](TimePoint at) { return board.now - at <= recentChangeWindow; });
+    return board.lag.mean > maxHealthyLag && recent <= maxRecentChanges;
+}
 
 /// Hosts that are better suited to own the domain, the one with the most processor time first.
 std::vector<HostRecord> betterHosts(const WorkflowBoard &board)
 {
-    const auto recent = std::ranges::count_if(board.ownership.recentOwnerChanges, [&](TimePoint at) { return board.now - at <= recentChangeWindow; });
-    const bool isTooLate = board.lag.mean > maxHealthyLag && recent <= maxRecentChanges;
-    const double wanted = board.self.processorShare * (isTooLate ? 1 : strongerFactor);
+    const double wanted = board.self.processorShare * (lacksProcessorTime(board) ? 1 : strongerFactor);
     std::vector<HostRecord> better;
     for (const auto &[id, record] : board.directory.hosts) {
         if (record.processorShare > 0 && record.processorShare >= wanted) {
@@ -49,15 +62,28 @@
     return better;
 }
 
+/// Puts the hosts with equal processor time into random order, so that hosts that do not answer are not asked in every round.
+std::vector<HostRecord> inRandomOrderOfEquals(WorkflowBoard &board, std::vector<HostRecord> hosts)
+{
+    constexpr Duration drawRange{1'000'000};
+    std::vector<std::pair<Duration, HostRecord>> drawn;
+    std::ranges::transform(hosts, std::back_inserter(drawn), [&](HostRecord &record) { return std::pair(takeJitter(board, drawRange), std::move(record)); });
+    std::ranges::stable_sort(drawn, {}, [](const auto &row) { return std::pair(-row.second.processorShare, row.first); });
+    hosts.clear();
+    std::ranges::transform(drawn, std::back_inserter(hosts), [](auto &row) { return std::move(row.second); });
+    return hosts;
+}
+
 void checkSuccessors(WorkflowBoard &board)
 {
     auto &ownership = board.ownership;
-    ownership.nextSuccessorCheckAt = board.now + checkPeriod;
-    ownership.successorChecks.clear();
-    auto better = betterHosts(board);
-    if (better.size() > maxSuccessorChecks) {
-        better.resize(maxSuccessorChecks);
+    const bool isUrgent = lacksProcessorTime(board);
+    ownership.nextSuccessorCheckAt = board.now + (isUrgent ? urgentCheckPeriod : checkPeriod);
+    if (ownership.successorChecks.size() >= maxOpenChecks) {
+        ownership.successorChecks.clear();
     }
+    auto better = inRandomOrderOfEquals(board, betterHosts(board));
+    better.resize(std::min(better.size(), isUrgent ? maxUrgentSuccessorChecks : maxSuccessorChecks));
     for (const auto &record : better) {
         ReadinessCheck check{takeCallId(board), record.host, record.peerAddress, timeoutWithLag(board, board.self.limits.readinessTimeout)};
         ownership.successorChecks.emplace(check.id, record.host);
@@ -93,6 +119,9 @@
                           + " of a core and its timers are " + std::to_string(std::chrono::duration_cast<Duration>(board.lag.mean).count()) + " ms late");
         return;
     }
+    if (lacksProcessorTime(board)) {
+        ownership.nextSuccessorCheckAt = std::min(ownership.nextSuccessorCheckAt, board.now + urgentCheckPeriod);
+    }
     if (board.now >= ownership.nextSuccessorCheckAt) {
         checkSuccessors(board);
     }
