Don't preempt work that ends as soon as a stop would

An urgent gang on a full fleet had work stopped at once, although a stop takes as long as hundreds of tasks of a large fleet need to end by themselves.

Change: the time that a run still needs is estimated from the progress in its target's lists. Work that ends within the time of a stop counts as room that becomes free, and urgent gangs hold places there. If it does not end, the next pass preempts other work. The log and the counter coreSecondsDiscarded state what each stop discards, by cause.

--- a/tests/testurgentload.cpp
+++ b/tests/testurgentload.cpp
@@ -118,6 +118,42 @@
     }
 }
 
+TEST_F(UrgentLoad, gangWaitsForWorkThatEndsAsSoonAsAStopWould)
+{
+    // Guards against discarding work although other work on the fleet is about to end.
+    fillWithBatches();
+    input.stopTime = Duration{500};
+    running.at(6).remaining = Duration{300};
+    running.at(9).remaining = Duration{500};
+    running.at(12).remaining = Duration{501};
+    addGang("urgent", 0, 2, 8);
+    const auto result = plan();
+    EXPECT_TRUE(result.stops.empty());
+    EXPECT_EQ(startsOf(result, "urgent"), 0);
+    EXPECT_EQ(result.held.at(step("urgent")), (TaskPlaces{{target(7).id, 1}, {target(10).id, 1}}));
+
+    // The places are kept for the gang in the next pass, and go to no other one.
+    input.held = result.held;
+    addGang("second", 0, 2, 8);
+    const auto next = plan();
+    EXPECT_EQ(next.held.at(step("urgent")), result.held.at(step("urgent")));
+    EXPECT_EQ(next.stops.size(), 2U) << "for the second gang";
+    EXPECT_FALSE(stopped(next).contains(step("batch7")));
+}
+
+TEST_F(UrgentLoad, gangThatWaitsForWorkPreemptsOtherWorkIfItDoesNotEnd)
+{
+    // Guards against an urgent gang that waits without end for tasks that have come to a standstill.
+    fillWithBatches();
+    addGang("urgent", 0, 2, 8);
+    running.at(6).remaining = Duration{300};
+    running.at(9).remaining = Duration{300};
+    input.held = plan().held;
+    running.at(6).remaining = Duration{9'000};
+    running.at(9).remaining = Duration{9'000};
+    EXPECT_EQ(stopped(plan()), (std::set<StepId>{step("batch1"), step("batch2")}));
+}
+
 TEST_F(UrgentLoad, urgentWorkIsNotPreemptedForUrgentWork)
 {
     for (int number = 1; number <= 16; ++number) {
--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -58,7 +58,11 @@
             run.percent = found->second->percent;
             run.load = found->second->load;
             run.checkpoint = found->second->checkpoint.empty() ? run.checkpoint : found->second->checkpoint;
-            run.firstListedAt = run.firstListedAt.value_or(board.now);
+            run.listedAt = board.now;
+            if (!run.firstListedAt) {
+                run.firstListedAt = board.now;
+                run.firstPercent = run.percent;
+            }
             if (run.step == RunStep::Starting || run.step == RunStep::Unconfirmed) {
                 run.step = RunStep::Running;
                 run.stepSince = board.now;
--- a/workflow/placement.cpp
+++ b/workflow/placement.cpp
@@ -217,10 +217,11 @@
     plan.held.insert_or_assign(waiting.step, placesOf(state.fleet.targets, counts));
 }
 
-/// Makes room for an urgent step that does not fit now: the step waits for runs that are already being stopped, or preempts more work. The room is held for the
+/// Makes room for an urgent step that does not fit now: the step waits for runs that are being stopped or end soon, or preempts more work. The room is held for the
 /// step, because otherwise later work would take it as it becomes free, and the step would preempt more and more work.
 void makeRoom(PlacementState &state, PlacementPlan &plan, const WaitingStep &waiting)
 {
+    victimsOf(state);
     if (auto counts = placeGang(state, waiting, roomAfterStops)) {
         holdRoom(state, plan, waiting, *counts);
         return;
@@ -355,6 +356,9 @@
     state.fleet = makePackingFleet(std::move(input.targets));
     state.input = std::move(input);
     state.findRunning = findRunning;
+    if (!state.input.held.empty()) {
+        victimsOf(state); // Places are held on targets whose work ends soon, too.
+    }
     const auto firstBorrowed = std::ranges::find(waiting, false, &WaitingStep::isGuaranteed);
     // Room held for work beyond a guarantee must not delay guaranteed work, so guaranteed steps are placed before the room held for such work is subtracted.
     placeSteps(state, plan, {waiting.begin(), firstBorrowed});
--- a/workflow/placement.h
+++ b/workflow/placement.h
@@ -69,8 +69,9 @@
     bool isGuaranteed = false; ///< Work of the most urgent priority within its organisation's guarantee; it is never preempted.
     OrganisationId organisation;
     Resources perTask;
-    std::map<int, TargetId> tasks; ///< Target of each task, by task index.
-    double lostWork = 0;           ///< Core-seconds of work that a stop discards.
+    std::map<int, TargetId> tasks;        ///< Target of each task, by task index.
+    double lostWork = 0;                  ///< Core-seconds of work that a stop discards.
+    Duration remaining = Duration::max(); ///< Estimated time until the unit ends by itself, from its progress; the maximum if that is unknown.
 
     friend bool operator==(const RunningUnit &, const RunningUnit &) = default;
 };
@@ -83,6 +84,7 @@
     std::vector<PlacementTarget> targets;
     std::vector<WaitingStep> waiting;
     std::map<StepId, TaskPlaces> held;       ///< Room that earlier passes hold for urgent steps until the preempted work there has stopped.
+    Duration stopTime{500};                  ///< Time from the decision to stop a run until its room is known to be free.
     double remoteFactor = 3;                 ///< Factor by which run time grows for a gang on several racks, or for a task outside the rack of its data.
     Duration maxLocalityWait{1'000};         ///< Longest time that urgent work waits for a single rack or for the rack of its data.
     bool mayPreempt = true;                  ///< Work may be preempted for urgent steps; false while the state of much of the fleet is unknown.
--- a/workflow/placementinput.cpp
+++ b/workflow/placementinput.cpp
@@ -3,6 +3,7 @@
 #include "eligibility.h"
 #include "guaranteeshare.h"
 #include "progresschange.h"
+#include "runprogress.h"
 #include "urgentreserve.h"
 
 #include <algorithm>
@@ -32,15 +33,6 @@
 constexpr double unknownShare = 0.1;
 constexpr Duration fleetContactTimeout{1'500};
 
-// Time for which a stopped lasting task is unavailable until it runs on another target. The task loses no work, so this time alone counts as the cost of the
-// stop.
-constexpr Duration restartTime{3'000};
-
-// Number of cores that count as much as one accelerator in the cost of a stop.
-constexpr double coresPerAccelerator = 8;
-
-constexpr double milliPerCore = 1'000;
-
 std::vector<PlacementTarget> targetsOf(const WorkflowBoard &board)
 {
     const auto unresponsive = unresponsiveZones(board);
@@ -185,23 +177,6 @@
            || static_cast<double>(unknown) <= unknownShare * static_cast<double>(board.targets.size());
 }
 
-double cores(const Resources &resources)
-{
-    return resources.milliCpu / milliPerCore + coresPerAccelerator * resources.accelerators;
-}
-
-/// Core-seconds that a stop of the run discards. Without checkpoints, this is the whole run; with checkpoints, it is the work since the last one plus the time
-/// to restore it.
-double lostWork(const WorkflowBoard &board, const TaskRun &run, const StepSpecification &step)
-{
-    if (step.isLasting) {
-        return cores(run.occupiedResources) * std::chrono::duration<double>(restartTime).count();
-    }
-    const Duration ran = run.firstListedAt ? board.now - *run.firstListedAt : Duration{0};
-    const Duration lost = step.isCheckpointable ? std::min(ran, board.self.limits.checkpointPeriod + board.self.limits.restoreTime) : ran;
-    return cores(run.occupiedResources) * std::chrono::duration<double>(lost).count();
-}
-
 /// Number of tasks of a lasting step that may be stopped now. All unavailable tasks count against `maxUnavailable`, including those that are being stopped.
 int stoppableTasks(const WorkflowBoard &board, const StepId &id, const StepSpecification &step)
 {
@@ -257,8 +232,12 @@
             units.push_back(common);
             units.back().perTask = run.occupiedResources;
         }
-        units.back().tasks.emplace(task.index, run.place.target);
-        units.back().lostWork += lostWork(board, run, *step);
+        auto &unit = units.back();
+        // A gang ends when its last member does. A lasting task never ends by itself.
+        const auto remaining = step->isLasting ? Duration::max() : remainingTime(run, board.now);
+        unit.remaining = unit.tasks.empty() ? remaining : std::max(unit.remaining, remaining);
+        unit.tasks.emplace(task.index, run.place.target);
+        unit.lostWork += lostWork(board, run, *step);
     }
     return units;
 }
@@ -274,6 +253,7 @@
     }
     input.targets = targetsOf(board);
     input.held = board.heldRoom;
+    input.stopTime = limits.stopGrace + stopOverhead;
     input.remoteFactor = limits.remoteFactor;
     input.maxLocalityWait = limits.reclaimBound - limits.stopGrace - reclaimMargin;
     input.mayPreempt = isFleetKnown(board);
--- a/workflow/progresschange.cpp
+++ b/workflow/progresschange.cpp
@@ -1,5 +1,7 @@
 #include "progresschange.h"
 
+#include "runprogress.h"
+
 #include <algorithm>
 #include <array>
 #include <iterator>
@@ -125,12 +127,20 @@
         return;
     }
     const auto &first = stopped.front();
+    const auto *step = findStep(board, first.task.step);
+    double discarded = 0;
+    for (const auto &run : stopped) {
+        discarded += step == nullptr ? 0 : lostWork(board, run, *step);
+    }
+    const auto coreSeconds = static_cast<long long>(discarded);
     logDecision(board,
                 "stopRuns",
                 first.place.target.value,
                 stopped.size() == 1 ? toString(first.task) : toString(first.task.step),
-                std::string(name(cause)) + ", run " + std::to_string(first.number) + ", " + std::to_string(stopped.size()) + " tasks: " + detail);
+                std::string(name(cause)) + ", run " + std::to_string(first.number) + ", " + std::to_string(stopped.size()) + " tasks, discards "
+                    + std::to_string(coreSeconds) + " core-seconds: " + detail);
     count(board.counters, "runsStopped", std::string(name(cause)), static_cast<long long>(stopped.size()));
+    count(board.counters, "coreSecondsDiscarded", std::string(name(cause)), coreSeconds);
     for (auto &run : stopped) {
         if (run.step == RunStep::Recording) {
             removeRun(board, run);
--- a/workflow/reclaim.cpp
+++ b/workflow/reclaim.cpp
@@ -101,7 +101,7 @@
 {
     std::vector<std::size_t> victims;
     std::ranges::copy_if(
-        units, std::back_inserter(victims), [&](std::size_t unit) { return !index.isPreempted[unit] && isInScope(index.units[unit], waiting, scope); });
+        units, std::back_inserter(victims), [&](std::size_t unit) { return !index.isLeaving[unit] && isInScope(index.units[unit], waiting, scope); });
     return victims;
 }
 
@@ -175,16 +175,21 @@
     return packTasks(state.fleet, waiting, static_cast<int>(waiting.tasks.size()), limits);
 }
 
+void addRoomAfterStop(PackingFleet &fleet, VictimIndex &index, std::size_t unit)
+{
+    index.isLeaving[unit] = true;
+    for (const std::size_t number : index.unitTargets[unit]) {
+        auto &target = fleet.targets[number];
+        target.freeAfterStops = target.freeAfterStops + index.units[unit].perTask;
+    }
+}
+
 void applyOption(PlacementState &state, const WaitingStep &waiting, const PreemptionOption &option, Reclaim &reclaim)
 {
     auto &index = victimsOf(state);
     for (const std::size_t victim : option.victims) {
         const auto &unit = index.units[victim];
-        index.isPreempted[victim] = true;
-        for (const std::size_t number : index.unitTargets[victim]) {
-            auto &target = state.fleet.targets[number];
-            target.freeAfterStops = target.freeAfterStops + unit.perTask;
-        }
+        addRoomAfterStop(state.fleet, index, victim);
         for (const auto &[task, target] : unit.tasks) {
             reclaim.stops.push_back({{unit.step, task}, waiting.step});
         }
@@ -195,7 +200,7 @@
 {
     VictimIndex index;
     index.units = std::move(units);
-    index.isPreempted.resize(index.units.size(), false);
+    index.isLeaving.resize(index.units.size(), false);
     index.unitTargets.resize(index.units.size());
     for (std::size_t unit = 0; unit < index.units.size(); ++unit) {
         for (const auto &[task, target] : index.units[unit].tasks) {
@@ -217,8 +222,14 @@
 
 VictimIndex &victimsOf(PlacementState &state)
 {
-    if (!state.victims) {
-        state.victims = makeIndex(state.fleet, state.findRunning ? state.findRunning() : std::vector<RunningUnit>{});
+    if (state.victims) {
+        return *state.victims;
+    }
+    state.victims = makeIndex(state.fleet, state.findRunning ? state.findRunning() : std::vector<RunningUnit>{});
+    for (std::size_t unit = 0; unit < state.victims->units.size(); ++unit) {
+        if (state.victims->units[unit].remaining <= state.input.stopTime) {
+            addRoomAfterStop(state.fleet, *state.victims, unit);
+        }
     }
     return *state.victims;
 }
--- a/workflow/taskrun.h
+++ b/workflow/taskrun.h
@@ -46,6 +46,8 @@
     std::string checkpoint;
     int percent = 0;
     std::optional<TimePoint> firstListedAt;
+    int firstPercent = 0;              ///< Progress at `firstListedAt`.
+    TimePoint listedAt;                ///< When the target last listed the run.
     bool isListed = false;             ///< This instance of the target has listed the run.
     bool isFiller = false;             ///< The task uses what other work leaves free, and is slowed down where it disturbs serving tasks.
     Duration responseTimeTarget{0};    ///< Upper bound for the tail of the task's response times; zero if it is not a serving task.
--- a/workflow/urgentreserve.cpp
+++ b/workflow/urgentreserve.cpp
@@ -8,10 +8,6 @@
 namespace
 {
 
-// Time from the decision to stop a run until its room is known to be free, not counting the stop grace. It covers the stop order, the answer to it and the
-// target's next lists.
-constexpr Duration stopOverhead{300};
-
 // Urgent work arrives in bursts, so the reserve is the mean demand that arrives during a stop, multiplied by this factor, plus room for two typical steps.
 constexpr double arrivalSpread = 1.5;
 constexpr double reservedSteps = 2;
--- a/workflow/urgentreserve.h
+++ b/workflow/urgentreserve.h
@@ -28,6 +28,10 @@
     friend bool operator==(const UrgentArrivals &, const UrgentArrivals &) = default;
 };
 
+/// Time from the decision to stop a run until its room is known to be free, not counting the stop grace. It covers the stop order, the answer to it and the
+/// target's next lists.
+constexpr Duration stopOverhead{300};
+
 /// Urgent workflows accepted within this time are the measure of how much urgent work arrives.
 constexpr Duration arrivalWindow{10'000};
 
