--- a/tools/ownerload.cpp
+++ b/tools/ownerload.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 #include <utility>
 
 namespace sequoiastand
@@ -146,7 +147,8 @@
             board.runs.put(run);
         }
         entry.progress.occurrences.emplace(0, std::move(occurrence));
-        board.workflows.put(entry.workflow->id, std::move(entry));
+        const auto id = entry.workflow->id;
+        board.workflows.put(id, std::move(entry));
     }
 }
 
@@ -223,9 +225,8 @@
     gang.estimate = Duration{2'500};
     gang.isGang = true;
     std::vector<WorkflowEvent> submissions;
-    for (int number = 0; number < size.waitingSteps; ++number) {
-        submissions.push_back(submission(load, 1'000'000 + number, gang, 1));
-    }
+    std::ranges::transform(
+        std::views::iota(0, size.waitingSteps), std::back_inserter(submissions), [&](int number) { return submission(load, 1'000'000 + number, gang, 1); });
     runStep(load, std::move(submissions));
     return load;
 }
--- a/tools/placementload.cpp
+++ b/tools/placementload.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <deque>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <numeric>
 #include <optional>
@@ -404,9 +405,7 @@
         }
         result.earnedShare = earned / owed;
         std::vector<double> shares;
-        for (const auto &[second, sums] : seconds) {
-            shares.push_back(sums.second / sums.first);
-        }
+        std::ranges::transform(seconds, std::back_inserter(shares), [](const auto &row) { return row.second.second / row.second.first; });
         std::ranges::sort(shares);
         result.worstWindowShare = shares.size() < 2 ? 0 : (shares[0] + shares[1]) / 2;
         return result;
