Keep the runs of targets that answer late

Cause: every hold and probe waited 0.5 s for its answer. A target that took longer never counted as answering, its lease was not extended, and after holdMax its running work lapsed and was started elsewhere.

Change: every third probe of a silent target with runs waits 1.5 s. In between, probes stay short, so a target that is reachable again after a cut is found as soon as before.

Measured: TargetLifecycle.workOfATargetThatAnswersLateIsNeitherGivenUpNorStartedElsewhere (answers 1.2 s late for 15 s) fails without the change and passes with it.

--- a/tests/domainfixture.cpp
+++ b/tests/domainfixture.cpp
@@ -281,6 +281,7 @@
     advance(fleet, now);
     writeHeartbeats();
     deliverLateOrders();
+    deliverDelayedReplies();
     answerHolds();
     answerQuestions();
     for (auto &[id, host] : m_hosts) {
@@ -404,6 +405,10 @@
         reply(host, unknown);
         return;
     }
+    if (slowTargets.contains(order.target)) {
+        answerLate(host, order, answer);
+        return;
+    }
     const auto *hold = std::get_if<HoldRuns>(&order.request);
     if (hold != nullptr && hold->wait > Duration{0} && answer.outcome == OrderOutcome::Accepted && answer.lists->ended.empty()) {
         const auto &target = fleet.targets.at(order.target);
@@ -413,6 +418,29 @@
     reply(host, answer);
 }
 
+/// Delivers the answer of a slow target, or the timeout of the call if that comes first.
+void DomainTest::answerLate(const std::string &host, const TargetOrder &order, const TargetOrderReply &answer)
+{
+    const auto *hold = std::get_if<HoldRuns>(&order.request);
+    const auto needed = slowTargets.at(order.target) + (hold == nullptr ? Duration{0} : hold->wait);
+    TargetOrderReply timeout;
+    timeout.id = order.id;
+    timeout.target = order.target;
+    timeout.error = "timeout";
+    m_delayedReplies.push_back({host, needed < order.timeout ? answer : timeout, now + std::min(needed, order.timeout)});
+}
+
+void DomainTest::deliverDelayedReplies()
+{
+    for (const auto &delayed : std::exchange(m_delayedReplies, {})) {
+        if (now >= delayed.due) {
+            reply(delayed.host, delayed.reply);
+        } else {
+            m_delayedReplies.push_back(delayed);
+        }
+    }
+}
+
 void DomainTest::ask(const std::string &host, const AdviceRequest &request)
 {
     const auto &terms = *fleet.workflows.at(request.step.workflow).queue.advice;
--- a/tests/domainfixture.h
+++ b/tests/domainfixture.h
@@ -94,13 +94,14 @@
     QueueConfiguration configuration;
     TimePoint now{Duration{1'000'000}};
     WallTime wallNow{Duration{1'700'000'000'000}};
-    std::string callerKey = "key-tailors"; ///< API key of the following calls.
-    bool losesStartAnswers = false;        ///< Starts take effect, but their answers are lost.
-    Duration startDelay{0};                ///< Delay after which starts are executed; delayed starts are not answered.
-    Duration holdDelay{0};                 ///< Delay after which holds are executed; delayed holds are not answered.
-    bool lateOrdersSurvive = false;        ///< Delayed orders arrive even if the target has crashed meanwhile, as if the network had delayed them.
-    std::set<TargetId> unhealthyTargets;   ///< Targets that refuse all orders except holds as unhealthy, without any effect.
-    bool isAdviserUnresponsive = false;    ///< The adviser answers no questions.
+    std::string callerKey = "key-tailors";    ///< API key of the following calls.
+    bool losesStartAnswers = false;           ///< Starts take effect, but their answers are lost.
+    Duration startDelay{0};                   ///< Delay after which starts are executed; delayed starts are not answered.
+    Duration holdDelay{0};                    ///< Delay after which holds are executed; delayed holds are not answered.
+    bool lateOrdersSurvive = false;           ///< Delayed orders arrive even if the target has crashed meanwhile, as if the network had delayed them.
+    std::set<TargetId> unhealthyTargets;      ///< Targets that refuse all orders except holds as unhealthy, without any effect.
+    std::map<TargetId, Duration> slowTargets; ///< Targets that execute orders at once and answer them after this delay.
+    bool isAdviserUnresponsive = false;       ///< The adviser answers no questions.
     std::vector<TargetOrder> sentOrders;
     std::vector<std::string> history; ///< Log lines of the hosts and actions of the test, in order. Printed for tasks that break a rule of the model.
 
@@ -128,6 +129,13 @@
         long long startTimeMs = 0; ///< Instance of the target when the order was sent.
     };
 
+    struct DelayedReply
+    {
+        std::string host;
+        TargetOrderReply reply;
+        TimePoint due;
+    };
+
     struct OpenQuestion
     {
         std::string host;
@@ -151,6 +159,8 @@
     Duration delayOf(const TargetOrder &order) const;
     void reportTimeouts(Host &host);
     void deliverLateOrders();
+    void answerLate(const std::string &host, const TargetOrder &order, const TargetOrderReply &answer);
+    void deliverDelayedReplies();
     void answerHolds();
     void answerQuestions();
     void ask(const std::string &host, const AdviceRequest &request);
@@ -165,6 +175,7 @@
     std::set<TargetId> m_unregistered;
     std::vector<LateOrder> m_lateOrders;
     std::vector<WaitingHold> m_holds;
+    std::vector<DelayedReply> m_delayedReplies;
     std::vector<OpenQuestion> m_questions;
     TimePoint m_nextHeartbeat;
     unsigned long long m_nextCall = 1'000'000;
--- a/tests/testtargetlifecycle.cpp
+++ b/tests/testtargetlifecycle.cpp
@@ -97,6 +97,18 @@
     EXPECT_EQ(fleet.starts[id(1)], 1);
 }
 
+// Guards against giving up the work of an overloaded target: each of its answers arrives after the timeout of an ordinary hold.
+TEST_F(TargetLifecycle, workOfATargetThatAnswersLateIsNeitherGivenUpNorStartedElsewhere)
+{
+    const auto place = startLongTask(1, Duration{20'000});
+    slowTargets[{place}] = Duration{1'200};
+    run(Duration{15'000});
+    EXPECT_EQ(placeOf(id(1)), place);
+    slowTargets.clear();
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{8'000});
+    EXPECT_EQ(fleet.starts[id(1)], 1);
+}
+
 TEST_F(TargetLifecycle, registrationThatLapsedIsNoReasonToRunATaskTwice)
 {
     const auto place = startLongTask(1, Duration{6'000});
--- a/workflow/holdtargets.cpp
+++ b/workflow/holdtargets.cpp
@@ -24,6 +24,10 @@
 // harm these tasks.
 constexpr int reportsPerHarmBound = 10;
 
+// Of the probes of a silent target with runs, every third one waits longer for its answer, so that a target that answers late keeps its runs.
+constexpr int patientProbePeriod = 3;
+constexpr Duration patientProbeTimeout{1'500};
+
 bool hasStoredEnd(const WorkflowBoard &board, const DomainTarget &target)
 {
     return !target.pendingEnds.empty() && isStored(board, target.pendingEnds.front().workflow, target.pendingEnds.front().version);
@@ -56,6 +60,14 @@
     return board.runs.usedTargets().contains(id);
 }
 
+/// Time for the answer to a hold, in addition to the hold's wait.
+Duration answerTimeout(const WorkflowBoard &board, const DomainTarget &target)
+{
+    const bool isPatient =
+        target.hasAnsweredOwner && target.failures > 0 && target.failures % patientProbePeriod == 0 && hasRuns(board, target.registration.instance.target);
+    return isPatient ? std::max(patientProbeTimeout, board.self.limits.orderTimeout) : board.self.limits.orderTimeout;
+}
+
 void sendHold(WorkflowBoard &board, DomainTarget &target, bool keepsConnection)
 {
     const auto &limits = board.self.limits;
@@ -73,7 +85,7 @@
         hold.wait = target.pendingEnds.empty() ? longest / 2 + takeJitter(board, longest / 2) : Duration{0};
         target.heldUntil = std::max(target.heldUntil, *hold.deadline);
     }
-    auto order = makeOrder(board, target, hold, hold.wait + limits.orderTimeout);
+    auto order = makeOrder(board, target, hold, hold.wait + answerTimeout(board, target));
     order.keepsConnection = keepsConnection;
     target.hold = order.id;
     target.holdStartTimeMs = target.registration.instance.startTimeMs;
