--- a/tests/testdomainownership.cpp
+++ b/tests/testdomainownership.cpp
@@ -101,6 +101,27 @@
     EXPECT_EQ(ownerCount(), 1);
 }
 
+// Guards against a paused process that sends a start seconds after it has decided on it, although the start's zone has been evacuated meanwhile.
+TEST_F(DomainOwnership, startIsNotSentOnceItsProofOfTheConfigurationHasExpired)
+{
+    settings.limits.minStoreLease = Duration{10'000};
+    for (const char *host : {"h1", "h2", "h3"}) {
+        kill(host);
+    }
+    start("h3");
+    runUntil([&] { return owner() == "h3"; }, Duration{15'000});
+    run(Duration{3'000});
+    sentOrders.clear();
+    answerTo(submit(id(1), batch(4, {1'000, 1'000, 1}), {}, "h3"));
+    run(Duration{300});
+    const auto isStart = [](const TargetOrder &order) { return std::holds_alternative<StartRun>(order.request); };
+    ASSERT_TRUE(std::ranges::any_of(sentOrders, isStart));
+    for (const auto &order : sentOrders) {
+        EXPECT_TRUE(!isStart(order) || order.sendBefore <= now + settings.limits.maxProofAge);
+    }
+    ASSERT_GT(board("h3").ownership.authorityUntil, now + settings.limits.maxProofAge);
+}
+
 TEST_F(DomainOwnership, workContinuesUnderTheNextOwner)
 {
     answerTo(submit(id(1), gang(4, {4'000, 8'000, 4}), {Duration{6'000}, {}}));
