Repeat an unanswered start only while its target takes starts

Change: a run whose target drains, has left or is in an evacuated zone is stopped instead of started again; without a recent proof the host waits.

Measured: two new tests of TargetLifecycle (unansweredStart...) fail without the change and pass with it.

--- a/tests/testtargetlifecycle.cpp
+++ b/tests/testtargetlifecycle.cpp
@@ -59,6 +59,36 @@
     }
 }
 
+// Guards against a start on a leaving target: the repetition of an unanswered start was sent for seconds after the target had begun to drain.
+TEST_F(TargetLifecycle, unansweredStartIsNotRepeatedOnceItsTargetDrains)
+{
+    startDelay = Duration{20'000};
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1})));
+    const auto isStart = [](const TargetOrder &order) { return std::holds_alternative<StartRun>(order.request); };
+    runUntil([&] { return std::ranges::any_of(sentOrders, isStart); }, Duration{500});
+    const auto place = std::ranges::find_if(sentOrders, isStart)->target;
+    drain(place.value);
+    run(Duration{200});
+    sentOrders.clear();
+    run(Duration{2'500});
+    EXPECT_TRUE(std::ranges::none_of(sentOrders, [&](const TargetOrder &order) { return isStart(order) && order.target == place; }));
+}
+
+// Guards against a start in a zone that may have been evacuated meanwhile: the repetition of an unanswered start needs no new record, but a new proof.
+TEST_F(TargetLifecycle, unansweredStartIsNotRepeatedWithoutARecentProof)
+{
+    startDelay = Duration{20'000};
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1})));
+    const auto isStart = [](const TargetOrder &order) { return std::holds_alternative<StartRun>(order.request); };
+    runUntil([&] { return std::ranges::any_of(sentOrders, isStart); }, Duration{500});
+    board(owner()).view.proof.reset();
+    board(owner()).view.provenAt = now - settings.limits.maxProofAge;
+    board(owner()).view.nextProofAt = now + Duration{2'000};
+    sentOrders.clear();
+    run(Duration{900});
+    EXPECT_TRUE(std::ranges::none_of(sentOrders, isStart));
+}
+
 TEST_F(TargetLifecycle, evacuatedZoneGetsNoNewWorkUntilItIsBack)
 {
     evacuate("a");
--- a/workflow/driveruns.cpp
+++ b/workflow/driveruns.cpp
@@ -107,6 +107,13 @@
     }
 }
 
+/// True unless the target drains, has left, or is in an evacuated zone, so that a repeated start would begin too late.
+bool isOpenForStarts(const WorkflowBoard &board, const TaskRun &run)
+{
+    const auto *target = board.targets.find(run.place.target);
+    return target != nullptr && isInService(board, *target);
+}
+
 void driveStarting(WorkflowBoard &board, const TaskRun &run)
 {
     const auto *step = findStep(board, run.task.step);
@@ -118,12 +125,21 @@
         failGangOf(board, run, GangBreakCause::MemberNotStarted, "a member's start was not answered in time");
         return;
     }
-    if (board.now >= run.retryAt) {
+    if (board.now < run.retryAt) {
+        subscribeNoLaterThan(board.timers, "orders", run.retryAt);
+        return;
+    }
+    if (!isOpenForStarts(board, run)) {
+        stopRuns(board, {run}, RunStopCause::StartUnanswered, "its target takes no more starts, and none was answered");
+        failGangOf(board, run, GangBreakCause::MemberNotStarted, "a member's target takes no more starts");
+        return;
+    }
+    subscribeNoLaterThan(board.timers, "orders", run.stepSince + longestWait);
+    // Without a recent proof the zone may have been evacuated since the first order. A new proof wakes the host.
+    if (isProofFresh(board)) {
         count(board.counters, "startsRepeated", "");
         sendStart(board, run);
-        return;
     }
-    subscribeNoLaterThan(board.timers, "orders", run.retryAt);
 }
 
 void driveStop(WorkflowBoard &board, const TaskRun &run)
--- a/workflow/eligibility.cpp
+++ b/workflow/eligibility.cpp
@@ -45,16 +45,21 @@
     return unresponsive;
 }
 
+bool isInService(const WorkflowBoard &board, const DomainTarget &target)
+{
+    const auto &registration = target.registration;
+    return target.isRegistered && !registration.isDraining && !board.view.evacuated.contains(registration.availabilityZone);
+}
+
 bool acceptsWork(const WorkflowBoard &board, const DomainTarget &target)
 {
     const auto &registration = target.registration;
-    const bool isInService = target.isRegistered && !registration.isDraining && !board.view.evacuated.contains(registration.availabilityZone);
     const bool isInContact = target.hasAnsweredOwner && target.failures == 0 && !target.orderUnansweredAt && target.answeredAt
                              && board.now - *target.answeredAt <= holdPace(board).contactAge;
     const bool isAvoided = target.avoidUntil && board.now < *target.avoidUntil;
     const bool mayExecuteLateStart =
         std::ranges::any_of(board.lateStarts, [&](const LateStart &late) { return late.isStopWanted && late.target == registration.instance.target; });
-    return isInService && isInContact && !isAvoided && !mayExecuteLateStart && !target.hasStrays;
+    return isInService(board, target) && isInContact && !isAvoided && !mayExecuteLateStart && !target.hasStrays;
 }
 
 Duration objectiveOf(const Workflow &workflow, const Queue &queue)
