Ignore jumps of the time of day that don't last

Cause: decisions read the system's time of day in each step. While it jumped ahead, occurrences started early and ended workflows were forgotten before their retention; after a jump back they were kept for as long as the jump.

Change: the board's time of day advances with the monotonic clock. Slewing is adopted at once, a jump once it has lasted a minute, with a line in the log. The retention of an ended workflow is measured on the monotonic clock from when the owner learned of the end, so a new owner keeps it for the whole time again.

--- a/workflow/advanceworkflows.cpp
+++ b/workflow/advanceworkflows.cpp
@@ -43,7 +43,10 @@
         progress.state = state;
         progress.endedAt = board.wallNow;
     });
-    const auto &workflow = *board.workflows.find(id)->workflow;
+    auto ended = *board.workflows.find(id);
+    ended.endKnownAt = board.now;
+    board.workflows.put(id, ended);
+    const auto &workflow = *ended.workflow;
     const auto &queue = queueOf(board, workflow);
     logDecision(board,
                 "endWorkflow",
@@ -159,9 +162,8 @@
 void removeOldWorkflows(WorkflowBoard &board)
 {
     for (const auto &[id, entry] : board.workflows.rows()) {
-        const auto &progress = entry.progress;
         const auto retention = board.self.limits.statusRetention + retentionMargin;
-        if (progress.endedAt && board.wallNow - *progress.endedAt > retention && entry.storedVersion == entry.version && runsOf(board, id).empty()) {
+        if (entry.endKnownAt && board.now - *entry.endKnownAt > retention && entry.storedVersion == entry.version && runsOf(board, id).empty()) {
             board.chain.forgotten.insert(id);
         }
     }
--- a/workflow/loaddomain.cpp
+++ b/workflow/loaddomain.cpp
@@ -114,6 +114,10 @@
     if (auto read = board.load.progress.extract(workflow.id)) {
         entry.progress = std::move(read.mapped());
     }
+    if (hasEnded(entry.progress.state)) {
+        // The stored time of the end comes from another host's time of day, so the state is kept for the whole time again.
+        entry.endKnownAt = board.now;
+    }
     board.workflows.put(workflow.id, entry);
     noteUrgentArrival(board, workflow);
     adoptRuns(board, entry);
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -2,6 +2,7 @@
 
 #include "advice.h"
 #include "callermessage.h"
+#include "core/civilclock.h"
 #include "core/counters.h"
 #include "core/event.h"
 #include "core/logentry.h"
@@ -334,8 +335,9 @@
 struct WorkflowBoard
 {
     DomainSettings self;
-    TimePoint now; ///< Time on a clock that continues while the host is suspended.
-    WallTime wallNow;
+    TimePoint now;                    ///< Time on a clock that continues while the host is suspended.
+    CivilClock civilClock;            ///< Written by step.
+    WallTime wallNow;                 ///< Time of day by `civilClock`.
     std::vector<WorkflowEvent> inbox; ///< Events of the current step.
     std::vector<WorkflowMessage> outbox;
     std::map<std::string, StoreMirror> mirrors; ///< Mirrors by prefix. Written by followStore.
--- a/workflow/workflowstep.cpp
+++ b/workflow/workflowstep.cpp
@@ -46,6 +46,21 @@
     return lag;
 }
 
+void readTimeOfDay(WorkflowBoard &board, WallTime systemTime)
+{
+    const auto former = board.civilClock;
+    board.civilClock = withReading(former, board.now, systemTime);
+    board.wallNow = timeOfDay(board.civilClock, board.now);
+    if (board.civilClock.jumpedAt != former.jumpedAt) {
+        const auto jump = board.civilClock.latestOffset - former.latestOffset;
+        logDecision(
+            board, "readClock", "", "", "the system's time of day has jumped by " + std::to_string(jump.count()) + " ms; ignored unless it lasts", true);
+    } else if (std::chrono::abs(board.civilClock.offset - former.offset) > std::chrono::abs(board.civilClock.latestOffset - former.latestOffset)) {
+        const auto change = board.civilClock.offset - former.offset;
+        logDecision(board, "readClock", "", "", "adopted a jump of the time of day by " + std::to_string(change.count()) + " ms");
+    }
+}
+
 }
 
 WorkflowBoard makeWorkflowBoard(const DomainSettings &settings, TimePoint now, WallTime wallNow)
@@ -53,6 +68,7 @@
     WorkflowBoard board;
     board.self = settings;
     board.now = now;
+    board.civilClock = makeCivilClock(now, wallNow);
     board.wallNow = wallNow;
     board.randomState = settings.randomSeed;
     board.lag.measuredAt = now;
@@ -64,7 +80,7 @@
 {
     board.lag = measured(board.lag, board.timers, board.now, now);
     board.now = now;
-    board.wallNow = wallNow;
+    readTimeOfDay(board, wallNow);
     board.inbox = std::move(events);
     fireTimers(board.timers, now);
     applyProcessEvents(board);
--- a/workflow/workflowtable.h
+++ b/workflow/workflowtable.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "core/table.h"
+#include "core/time.h"
 #include "core/workflow.h"
 #include "core/workflowprogress.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace sequoiastand
@@ -16,6 +18,7 @@
     std::shared_ptr<const Workflow> workflow;
     WorkflowProgress progress;
     bool isCancelRequested = false;
+    std::optional<TimePoint> endKnownAt;  ///< When this owner learned of the end, from which its state is kept for queries.
     unsigned long long version = 0;       ///< Version of `progress`; increases with every change.
     unsigned long long storedVersion = 0; ///< Newest version that is in the store.
 
