Guard hand-overs and restarts against former orders, keys and targets

Cause: operators of similar systems reported orders of two owners around a hand-over, and keys and servers in use again after a restart. No test looked at the order of tokens around a hand-over, or at what a host knows after a restart.

--- a/tests/testcallerproof.cpp
+++ b/tests/testcallerproof.cpp
@@ -44,6 +44,20 @@
     EXPECT_TRUE(refusalOf(query(id(1), "h2")));
 }
 
+// Guards against a host that serves with the configuration it knew before its restart.
+TEST_F(CallerProof, keyThatWasRemovedWhileAHostWasDownIsRefusedAfterItsRestart)
+{
+    kill("h2");
+    run(Duration{500});
+    removeKey("key-tailors");
+    run(settings.limits.revokeBound);
+    store.faults.watchLatency = Duration{2'000};
+    start("h2");
+    for (int number = 1; number <= 20; ++number) {
+        EXPECT_TRUE(refusalOf(submit(id(number), batch(1, {1'000, 1'000, 1}), {}, "h2"))) << number;
+    }
+}
+
 TEST_F(CallerProof, removedKeyCannotSubmitEvenRightAfterItsRemoval)
 {
     // The watch has not reported the change yet, but the condition of the submission fails.
--- a/tests/testdomainownership.cpp
+++ b/tests/testdomainownership.cpp
@@ -71,6 +71,18 @@
     runUntil([&] { return !owner().empty() && owner() != first; }, Duration{500});
 }
 
+// Guards against a handover in which both hosts act for a moment: the former owner sends orders after the first order of the next one.
+TEST_F(DomainOwnership, formerOwnerSendsNoOrderAfterTheFirstOneOfTheNextOwner)
+{
+    answerTo(submit(id(1), batch(30, {1'000, 1'000, 1}), {Duration{200}, {}}));
+    const auto first = owner();
+    requestStop(first);
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{10'000});
+    EXPECT_NE(sentOrders.front().token, sentOrders.back().token);
+    EXPECT_TRUE(std::ranges::is_sorted(sentOrders, {}, &TargetOrder::token));
+    EXPECT_EQ(fleet.starts[id(1)], 30);
+}
+
 TEST_F(DomainOwnership, lateClaimDoesNotReplaceTheNewOwner)
 {
     // Guards against a claim conditioned on the revision of a new owner that appeared after the lease for the claim was requested.
--- a/tests/testtargetlifecycle.cpp
+++ b/tests/testtargetlifecycle.cpp
@@ -59,6 +59,22 @@
     }
 }
 
+// Guards against a restarted owner that uses a target which has left while no host was up.
+TEST_F(TargetLifecycle, targetThatLeftWhileAllHostsWereDownGetsNoOrderAfterTheirRestart)
+{
+    kill("h1");
+    kill("h2");
+    unregister("t1");
+    run(Duration{3'000});
+    start("h1");
+    start("h2");
+    sentOrders.clear();
+    runUntil([&] { return !owner().empty(); }, Duration{5'000});
+    answerTo(submit(id(1), batch(64, {1'000, 1'000, 1})));
+    run(Duration{3'000});
+    EXPECT_TRUE(std::ranges::none_of(sentOrders, [](const TargetOrder &order) { return order.target.value == "t1"; }));
+}
+
 // Guards against a start on a leaving target: the repetition of an unanswered start was sent for seconds after the target had begun to drain.
 TEST_F(TargetLifecycle, unansweredStartIsNotRepeatedOnceItsTargetDrains)
 {
