Say that a request has not run if it was never sent to the store

Cause: a call whose time ended while it waited for a proof or a read was answered as unknown (504), although nothing had been written. The caller then had to find out what became of its request.

Measured: CallerProof.submissionWhoseTimeEndsBeforeItIsSentIsAnsweredAsNotRun fails without the change and passes with it.

--- a/tests/testcallerproof.cpp
+++ b/tests/testcallerproof.cpp
@@ -127,6 +127,27 @@
     EXPECT_EQ(fleet.starts[id(1)], 1);
 }
 
+// Guards against telling a caller that its request may have run although nothing has been sent to the store, which costs the caller a retry.
+TEST_F(CallerProof, submissionWhoseTimeEndsBeforeItIsSentIsAnsweredAsNotRun)
+{
+    auto &own = board("h1");
+    own.view.provenAt.reset();
+    own.view.proof.reset();
+    own.view.nextProofAt = now + Duration{2'000};
+    const auto call = submit(id(1), batch(1, {1'000, 1'000, 1}));
+    run(tick);
+    ASSERT_EQ(own.calls.rows().size(), 1U);
+    auto open = own.calls.rows().begin()->second;
+    open.answerBy = now + Duration{50};
+    own.calls.put(open.request.id, open);
+    const auto answer = answerTo(call);
+    ASSERT_TRUE(answer.refusal);
+    EXPECT_EQ(answer.refusal->reason, RefusalReason::StoreUnavailable);
+    EXPECT_EQ(answer.refusal->run, RequestEffect::NotRun);
+    run(Duration{3'000});
+    EXPECT_FALSE(storedState(id(1)));
+}
+
 TEST_F(CallerProof, submissionThatMayStillBeStoredIsAnsweredAsUnknown)
 {
     // The store executes the first transaction two seconds late, and is down when the host repeats the transaction.
--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -356,7 +356,8 @@
         return;
     }
     if (board.now >= call.answerBy) {
-        refuse(board, call, RefusalReason::Timeout, "the store has not answered in time");
+        const bool isWriteUnderWay = call.step == CallerStep::Writing && call.call;
+        refuse(board, call, isWriteUnderWay ? RefusalReason::Timeout : RefusalReason::StoreUnavailable, "the store has not answered in time");
     } else if (call.step == CallerStep::Proving && !board.view.isStoreReachable) {
         // The call is refused even if the proof is still fresh: a request sent now would most likely be lost, and the caller could not tell whether it was
         // accepted.
