--- a/tests/testcivilclock.cpp
+++ b/tests/testcivilclock.cpp
@@ -12,22 +12,22 @@
     void run(Duration duration)
     {
         constexpr Duration period{1'000};
-        for (const auto end = m_now + duration; m_now < end;) {
-            m_now += period;
-            m_systemTime += period;
-            m_clock = withReading(m_clock, m_now, m_systemTime);
+        for (const auto end = now + duration; now < end;) {
+            now += period;
+            systemTime += period;
+            clock = withReading(clock, now, systemTime);
         }
     }
 
     Duration elapsed() const
     {
-        return timeOfDay(m_clock, m_now) - m_start;
+        return timeOfDay(clock, now) - start;
     }
 
-    const WallTime m_start{Duration{1'700'000'000'000}};
-    TimePoint m_now{Duration{1'000}};
-    WallTime m_systemTime = m_start;
-    CivilClock m_clock = makeCivilClock(m_now, m_start);
+    const WallTime start{Duration{1'700'000'000'000}};
+    TimePoint now{Duration{1'000}};
+    WallTime systemTime = start;
+    CivilClock clock = makeCivilClock(now, start);
 };
 
 // Guards against occurrences that start early, and states that are forgotten early, because the time of day has jumped ahead for some seconds.
@@ -35,10 +35,10 @@
 {
     for (const Duration jump : {Duration{2'000}, Duration{-2'000}, Duration{7'200'000}, Duration{-7'200'000}}) {
         const auto before = elapsed();
-        m_systemTime += jump;
+        systemTime += jump;
         run(Duration{30'000});
         EXPECT_EQ(elapsed(), before + Duration{30'000}) << jump.count();
-        m_systemTime -= jump;
+        systemTime -= jump;
         run(Duration{90'000});
         EXPECT_EQ(elapsed(), before + Duration{120'000}) << jump.count();
     }
@@ -46,7 +46,7 @@
 
 TEST_F(CivilClockReadings, jumpThatLastsIsAdopted)
 {
-    m_systemTime += Duration{7'200'000};
+    systemTime += Duration{7'200'000};
     run(Duration{90'000});
     EXPECT_EQ(elapsed(), Duration{7'290'000});
 }
@@ -55,7 +55,7 @@
 TEST_F(CivilClockReadings, clockThatKeepsJumpingIsNotAdopted)
 {
     for (int jump = 1; jump <= 20; ++jump) {
-        m_systemTime += Duration{5'000};
+        systemTime += Duration{5'000};
         run(Duration{10'000});
     }
     EXPECT_EQ(elapsed(), Duration{200'000});
@@ -64,7 +64,7 @@
 TEST_F(CivilClockReadings, slewingIsFollowed)
 {
     for (int second = 0; second < 100; ++second) {
-        m_systemTime += Duration{10};
+        systemTime += Duration{10};
         run(Duration{1'000});
     }
     EXPECT_EQ(elapsed(), Duration{101'000});
