--- a/tests/testtimeofday.cpp
+++ b/tests/testtimeofday.cpp
@@ -1,5 +1,8 @@
 #include "tests/domainfixture.h"
 
+#include <algorithm>
+#include <string_view>
+
 namespace sequoiastand
 {
 
@@ -73,6 +76,20 @@
     EXPECT_EQ(fleet.starts[id(1)], 2);
 }
 
+// Guards against lines of different hosts that nobody can put in order because a jump is not logged, or is logged as lasting once it has ended.
+TEST_F(TimeOfDay, jumpAndItsEndAreLogged)
+{
+    wallNow += hours;
+    run(Duration{2'000});
+    wallNow -= hours;
+    run(Duration{2'000});
+    const auto count = [&](std::string_view text) {
+        return std::ranges::count_if(history, [&](const std::string &line) { return line.find(text) != std::string::npos; });
+    };
+    EXPECT_EQ(count("jumped by 7200000 ms, ignored unless it lasts"), 2);
+    EXPECT_EQ(count("jumped by -7200000 ms, back to the time in use"), 2);
+}
+
 TEST_F(TimeOfDay, workIsServedThroughJumpsBothWays)
 {
     for (int jump = 1; jump <= 4; ++jump) {
--- a/workflow/workflowstep.cpp
+++ b/workflow/workflowstep.cpp
@@ -53,8 +53,9 @@
     board.wallNow = timeOfDay(board.civilClock, board.now);
     if (board.civilClock.jumpedAt != former.jumpedAt) {
         const auto jump = board.civilClock.latestOffset - former.latestOffset;
-        logDecision(
-            board, "readClock", "", "", "the system's time of day has jumped by " + std::to_string(jump.count()) + " ms; ignored unless it lasts", true);
+        const bool isBack = board.civilClock.latestOffset == board.civilClock.offset;
+        const std::string effect = isBack ? "back to the time in use" : "ignored unless it lasts";
+        logDecision(board, "readClock", "", "", "the system's time of day has jumped by " + std::to_string(jump.count()) + " ms, " + effect, !isBack);
     } else if (std::chrono::abs(board.civilClock.offset - former.offset) > std::chrono::abs(board.civilClock.latestOffset - former.latestOffset)) {
         const auto change = board.civilClock.offset - former.offset;
         logDecision(board, "readClock", "", "", "adopted a jump of the time of day by " + std::to_string(change.count()) + " ms");
