--- a/review/standin.py
+++ b/review/standin.py
@@ -129,6 +129,8 @@
         self.next_lease = 1
         self.changed = asyncio.Event()
         self.latency = 0.004
+        self.late_share = 0.0  # This share of the writes is done 1 to 6 s later, if their conditions still hold, and not answered.
+        self.random = random.Random(1)
         self.service = HttpService(self.handle)
 
     def _emit(self, key, event):
@@ -195,6 +197,10 @@
             self.remove(key, self.revision)
         return 200, {"revision": self.revision}
 
+    def _do_late(self, value):
+        status, _ = self._transaction(value)
+        self.record("a late write of %s is done: %d" % (", ".join(row["key"] for row in value.get("setKeys", []))[:120], status))
+
     async def handle(self, method, path, query, headers, body):
         name = path.rsplit("/sequoiastand/", 1)[-1]
         if name == "kv-watch":
@@ -208,7 +214,11 @@
             page = [dict(self.items[key]) for key in keys[:500]]
             answer = 200, {"items": page, "hasMore": len(keys) > 500, "currentRev": self.revision}
         elif name == "kv-txn":
-            answer = self._transaction(json.loads(body))
+            value = json.loads(body)
+            if (value.get("setKeys") or value.get("remove")) and self.random.random() < self.late_share:
+                asyncio.get_running_loop().call_later(self.random.uniform(1.0, 6.0), self._do_late, value)
+                return None
+            answer = self._transaction(value)
         elif name == "kv-lease":
             ttl = max(1000, json.loads(body)["ttlMs"])
             lease, self.next_lease = self.next_lease, self.next_lease + 1
