--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,7 +4,7 @@
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
-from standin import call, has_trouble, job, monotonic_ms, new_id, route, run_case, tenant, with_key
+from standin import call, find_twice, has_trouble, job, monotonic_ms, new_id, route, run_case, tenant, with_key
 
 TASKS = 700
 WORK_MS = 4000
@@ -38,26 +38,9 @@
     await asyncio.sleep(10)
     answer = await call(world.hosts[1].front, "GET", "/batches/" + ident, None, with_key("key-shop"))
     record("GET /batches/%s: %s" % (ident, answer))
-    return not started_twice(world, record)
-
-
-def started_twice(world, record):
-    """Starts after a run of the task has ended `done`, if that end is taken note of and the minion's lease did not lapse between the two."""
-    done = {}
-    for at, task, run, minion, how, number in world.ends:
-        noted = [when for when, who, seen in world.noted if who == minion and seen >= number]
-        if how != "done" or not noted:
-            continue
-        if any(who == minion and at <= when <= noted[0] for when, who in world.lapses):
-            continue
-        done.setdefault(task, (at, run, noted[0]))
-    twice = [(at, task, run) for at, task, run, _ in world.starts if task in done and at > done[task][0]]
-    for at, task, run in twice[:10]:
-        ended, first, noted = done[task]
-        record("TWICE: run %d of %s begins %.0f ms after run %d has ended done; that end is taken note of %.0f ms after it"
-               % (run, task, at - ended, first, noted - ended))
-    record("%d of %d tasks were started again after they were done" % (len({task for _, task, _ in twice}), TASKS))
-    return twice
+    twice = find_twice(world, record)
+    record("%d of %d tasks were started again after they were done" % (len(twice), TASKS))
+    return not twice
 
 
 run_case(play, __file__)
--- a/review/standin.py
+++ b/review/standin.py
@@ -270,10 +270,13 @@
         self.label = "a"
         self.is_cut = False         # Nothing passes between this minion and the system; what it runs goes on.
         self.refuses_starts = False  # It is unhealthy: it answers starts with 503 and does nothing.
+        self.late_share = 0.0       # This share of the starts and stops is carried out 2 to 12 s later and not answered.
+        self.random = random.Random(ident)
         self.begin_life()
 
     def begin_life(self):
         self.born = int(time.time() * 1000)
+        self.life = "%s/%d" % (self.id, self.born)
         self.life_begin = monotonic_ms()
         self.fence = 0
         self.runs = {}
@@ -285,6 +288,27 @@
         self.seq = 0
         self.changed = asyncio.Event()
 
+    async def lose_power(self, seconds):
+        """Ends this life with all that it runs, and begins another one under the same id and address after some time."""
+        self.world.record("%s loses power with %d runs" % (self.id, len(self.runs)))
+        for task in list(self.runs):
+            self.world.note_crash(self, task, self.runs.pop(task)["run"])
+        port = self.service.port
+        await self.service.stop()
+        await asyncio.sleep(seconds)
+        self.begin_life()
+        self.service = HttpService(self.handle)
+        await self.service.start(port)
+        self.register()
+        self.world.record("%s is back with a new life" % self.id)
+
+    def _do_late(self, name, body):
+        if self.service.server is None:
+            return
+        status, answer = self.execute_start(body) if name == "run-start" else self.execute_stop(body)
+        if status == 200 and name == "run-start":
+            self.world.record("%s carries out late the start of run %d of %s" % (self.id, body["run"], body["task"]))
+
     def clock(self):
         return int(monotonic_ms() - self.life_begin) + 1000
 
@@ -388,6 +412,9 @@
         name = path.rsplit("/", 1)[-1]
         if name == "hold":
             return await self.execute_hold(body)
+        if name in ("run-start", "run-stop") and self.random.random() < self.late_share:
+            asyncio.get_running_loop().call_later(self.random.uniform(2.0, 12.0), self._do_late, name, body)
+            return None
         if name == "run-start":
             if self.refuses_starts:
                 self.world.record("%s refuses the start of run %d of %s with 503" % (self.id, body["run"], body["task"]))
@@ -451,6 +478,9 @@
         self.ends = []    # (time, task, run, minion, how, number)
         self.noted = []   # (time, minion, lastSeen)
         self.lapses = []  # (time, minion)
+        self.begun = []   # (time, task, run, life of the minion)
+        self.over = []    # (time, task, run, life of the minion, how, number)
+        self.seen = []    # (time, life of the minion, lastSeen)
         self.background = []
 
     def free_port(self):
@@ -468,13 +498,19 @@
 
     def note_start(self, minion, task, run, body):
         self.starts.append((monotonic_ms(), task, run, minion.id))
+        self.begun.append((monotonic_ms(), task, run, minion.life))
         self.record("%s begins run %d of %s, fence %d" % (minion.id, run, task, body.get("fenceToken", 0)))
 
     def note_end(self, minion, task, run, how, number):
         self.ends.append((monotonic_ms(), task, run, minion.id, how, number))
+        self.over.append((monotonic_ms(), task, run, minion.life, how, number))
         self.record("%s ends run %d of %s: %s, end number %d" % (minion.id, run, task, how, number))
 
+    def note_crash(self, minion, task, run):
+        self.over.append((monotonic_ms(), task, run, minion.life, "crashed", 0))
+
     def note_last_seen(self, minion, number):
+        self.seen.append((monotonic_ms(), minion.life, number))
         self.noted.append((monotonic_ms(), minion.id, number))
         self.record("%s is told that ends up to %d are taken note of" % (minion.id, number))
 
@@ -547,6 +583,35 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def find_twice(world, record):
+    """The starts that break TWICE: after a run of the task has ended `done`, if that end is taken note of and the minion's lease did not lapse between
+    the two; or while another run of the task is at work."""
+    done = {}
+    noted_at = {}
+    for when, life, number in world.seen:
+        noted_at.setdefault(life, []).append((when, number))
+    for at, task, run, life, how, number in world.over:
+        noted = [when for when, seen in noted_at.get(life, []) if seen >= number]
+        if how != "done" or not noted or any(who == life.split("/")[0] and at <= when <= noted[0] for when, who in world.lapses):
+            continue
+        done.setdefault(task, (at, run, noted[0]))
+    ended = {(task, run, life): at for at, task, run, life, _, _ in world.over}
+    runs = {}
+    for at, task, run, life in world.begun:
+        runs.setdefault(task, []).append((at, ended.get((task, run, life), float("inf")), run, life))
+    twice = []
+    for at, task, run, life in world.begun:
+        if task in done and at > done[task][0]:
+            twice.append(task)
+            record("TWICE: run %d of %s begins on %s %.0f ms after run %d has ended done, which was taken note of %.0f ms after that end"
+                   % (run, task, life, at - done[task][0], done[task][1], done[task][2] - done[task][0]))
+        for begin, end, other, place in runs[task]:
+            if begin < at < end and (other, place) != (run, life):
+                twice.append(task)
+                record("TWICE: run %d of %s begins on %s while run %d is at work on %s" % (run, task, life, other, place))
+    return sorted(set(twice))
+
+
 async def call(port, method, path, body=None, headers=None, timeout=3.0, half_close_after=None):
     """One call of a client on its own connection. Gives (status, object); status 0 means that no whole answer came.
 
