Keep runs that a full list of ends does not name

Cause: a target lists at most 500 ends in one answer. compareRuns took a run that was in neither list for gone, although its end could follow in a later list, and its task was started again. A new owner made the same comparison with its first lists.

Change: the adapter marks a list of ends that is full, and isCertainlyAbsent, the only place that concludes absence from lists, concludes nothing from such a list. That covers running, stopped, expired and adopted runs and members of gangs, because all of them are dropped there. While a list was full, holds don't wait, so that the next part is read at once.

Ruled out: lapsed leases (the cut is shorter than the lease) and the stored order of ends; every second start follows a log line "is not listed by the target".

Evidence: the target model lists ends in parts now.

--- a/standins/fleetmodel.cpp
+++ b/standins/fleetmodel.cpp
@@ -6,6 +6,8 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <iterator>
+#include <ranges>
 #include <utility>
 
 namespace sequoiastand
@@ -174,7 +176,8 @@
         listed.load = static_cast<int>(tailOf(fleet, target, task).count());
         lists.running.push_back(std::move(listed));
     }
-    lists.ended.assign(target.ended.begin(), target.ended.end());
+    std::ranges::copy(target.ended | std::views::take(fleet.maxListedEnds), std::back_inserter(lists.ended));
+    lists.isEndListFull = lists.ended.size() >= fleet.maxListedEnds;
     reply.lists = std::move(lists);
     return reply;
 }
--- a/standins/fleetmodel.h
+++ b/standins/fleetmodel.h
@@ -80,6 +80,7 @@
     Duration harmBound{4'000};
     Duration gangBreak{200}; ///< Time from the end of one member until the others end as broken, unless they are stopped before.
     Duration checkpointPeriod{500};
+    std::size_t maxListedEnds = 500; ///< Largest number of ends in one answer to a hold; the others are listed once these have been acknowledged.
     std::map<TargetId, ModelTarget> targets;
     std::map<RequestId, Workflow> workflows;
     std::map<RequestId, TaskBehaviour> behaviours;
--- a/tests/testplatformtargets.cpp
+++ b/tests/testplatformtargets.cpp
@@ -92,6 +92,21 @@
     EXPECT_EQ(reply.lists->ended.back().checkpoint, "c9");
 }
 
+// Guards against taking 500 ends, of which a target lists no more in one answer, for all ends of the target.
+TEST_F(PlatformTargetCodec, listOfEndsIsFullFromFiveHundredOn)
+{
+    const auto listsWith = [](int ends) {
+        std::string rows;
+        for (int number = 1; number <= ends; ++number) {
+            const auto text = std::to_string(number);
+            rows += (rows.empty() ? "" : ",") + ("[" + text + R"(,"5c0e7a21d94b36f8.0.0.)" + text + R"(",1,"done",""])");
+        }
+        return lists("", rows);
+    };
+    EXPECT_FALSE(decodeTargetReply(holdOrder(), 200, listsWith(499)).lists->isEndListFull);
+    EXPECT_TRUE(decodeTargetReply(holdOrder(), 200, listsWith(500)).lists->isEndListFull);
+}
+
 TEST_F(PlatformTargetCodec, reasonOfARefusalIsKept)
 {
     const auto refusalFor = [&](int status, const std::string &body) { return decodeTargetReply(holdOrder(), status, body).refusal; };
--- a/tests/testrunreports.cpp
+++ b/tests/testrunreports.cpp
@@ -51,6 +51,26 @@
         followRuns(board);
     }
 
+    void setHoldSentAt(TimePoint at)
+    {
+        DomainTarget target = *board.targets.find(instance.target);
+        target.holdSentAt = at;
+        board.targets.put(instance.target, target);
+    }
+
+    /// The target has answered a stop of the run before the hold was sent.
+    void stopRun()
+    {
+        board.now = now + Duration{10};
+        TaskRun run = *board.runs.find(task);
+        run.isStopWanted = true;
+        run.step = RunStep::Ending;
+        run.stepSince = now + Duration{1};
+        run.stoppedAt = now + Duration{1};
+        board.runs.put(run);
+        setHoldSentAt(now + Duration{2});
+    }
+
     /// Restarts the target, whose former instance has answered the start 2 ms after it was sent.
     void restartTarget(bool isListed)
     {
@@ -82,9 +102,31 @@
 TEST_F(RunReports, listRequestedAfterTheStartsAnswerRemovesARunThatItLacks)
 {
     board.now = now + Duration{10};
-    DomainTarget target = *board.targets.find(instance.target);
-    target.holdSentAt = now + Duration{1};
-    board.targets.put(instance.target, target);
+    setHoldSentAt(now + Duration{1});
+    answerHold({});
+    EXPECT_FALSE(board.runs.contains(task));
+}
+
+// Guards against running a task twice: a list of ends that is full does not name all ends, so a run that neither list names may have finished.
+TEST_F(RunReports, fullListOfEndsRemovesNoRunThatItLacks)
+{
+    board.now = now + Duration{10};
+    setHoldSentAt(now + Duration{1});
+    answerHold({0, {}, {}, true});
+    EXPECT_TRUE(board.runs.contains(task));
+}
+
+// Guards against running a task twice: the target confirms the stop of a run that had finished before.
+TEST_F(RunReports, fullListOfEndsRemovesNoStoppedRunThatItLacks)
+{
+    stopRun();
+    answerHold({0, {}, {}, true});
+    EXPECT_TRUE(board.runs.contains(task));
+}
+
+TEST_F(RunReports, listThatIsNotFullRemovesAStoppedRunThatItLacks)
+{
+    stopRun();
     answerHold({});
     EXPECT_FALSE(board.runs.contains(task));
 }
--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -43,41 +43,49 @@
     return !isStartUnderWay && clock && run.startDeadline && *clock - (board.now - holdSentAt) > *run.startDeadline;
 }
 
+/// True if the lists show that the run is neither on the target nor has an end there that is still to be read.
+bool isCertainlyAbsent(const WorkflowBoard &board, const TaskRun &run, const TargetOrderReply &reply, TimePoint holdSentAt)
+{
+    if (reply.lists->isEndListFull) {
+        return false; // The run may have ended, and its end follows in a later list.
+    }
+    // The list may be older than an order that arrived in the meantime, so a run that is missing in the list counts as absent only if the hold was sent after
+    // the run's last change. Times are in whole milliseconds, so at equal times it is unknown which came first, and the run does not count as absent.
+    const bool wasRunning = run.step == RunStep::Unconfirmed || run.step == RunStep::Running;
+    const bool hasBeenStopped = (run.stoppedAt && holdSentAt > *run.stoppedAt) || (run.isStopWanted && hasStartExpired(board, run, reply.clock, holdSentAt));
+    return (wasRunning && holdSentAt > run.stepSince) || hasBeenStopped;
+}
+
+void updateListedRun(WorkflowBoard &board, TaskRun run, const ListedRun &row)
+{
+    run.isListed = true;
+    run.percent = row.percent;
+    run.load = row.load;
+    run.checkpoint = row.checkpoint.empty() ? run.checkpoint : row.checkpoint;
+    run.listedAt = board.now;
+    if (!run.firstListedAt) {
+        run.firstListedAt = board.now;
+        run.firstPercent = run.percent;
+    }
+    if (run.step == RunStep::Starting || run.step == RunStep::Unconfirmed) {
+        run.step = RunStep::Running;
+        run.stepSince = board.now;
+    }
+    putRun(board, run);
+}
+
 /// Compares the board's runs on the target with the target's list of running runs.
 void compareRuns(WorkflowBoard &board, const TargetId &id, const TargetOrderReply &reply, TimePoint holdSentAt)
 {
-    const auto &lists = *reply.lists;
     std::map<TaskId, const ListedRun *> listed;
-    for (const auto &row : lists.running) {
+    for (const auto &row : reply.lists->running) {
         listed.emplace(row.task, &row);
     }
-    for (auto run : startedRunsOn(board, id)) {
+    for (const auto &run : startedRunsOn(board, id)) {
         const auto found = listed.find(run.task);
         if (found != listed.end() && found->second->run == run.number) {
-            run.isListed = true;
-            run.percent = found->second->percent;
-            run.load = found->second->load;
-            run.checkpoint = found->second->checkpoint.empty() ? run.checkpoint : found->second->checkpoint;
-            run.listedAt = board.now;
-            if (!run.firstListedAt) {
-                run.firstListedAt = board.now;
-                run.firstPercent = run.percent;
-            }
-            if (run.step == RunStep::Starting || run.step == RunStep::Unconfirmed) {
-                run.step = RunStep::Running;
-                run.stepSince = board.now;
-            }
-            putRun(board, run);
-            continue;
-        }
-        // The list may be older than an order that arrived in the meantime, so a run that is missing in the list counts as unlisted only if the hold was sent
-        // after the run's last change. Times are in whole milliseconds, so at equal times it is unknown which came first, and the run does not count as
-        // unlisted.
-        const bool wasRunning = run.step == RunStep::Unconfirmed || run.step == RunStep::Running;
-        const bool hasBeenStopped =
-            (run.stoppedAt && holdSentAt > *run.stoppedAt) || (run.isStopWanted && hasStartExpired(board, run, reply.clock, holdSentAt));
-        const bool isCertainlyAbsent = (wasRunning && holdSentAt > run.stepSince) || hasBeenStopped;
-        if (isCertainlyAbsent && board.runs.contains(run.task)) {
+            updateListedRun(board, run, *found->second);
+        } else if (board.runs.contains(run.task) && isCertainlyAbsent(board, run, reply, holdSentAt)) {
             dropUnlistedRun(board, run);
         }
     }
@@ -169,6 +177,7 @@
     target.hasAnsweredOwner = true;
     target.answeredAt = board.now;
     target.hasStrays = false;
+    target.hasMoreEnds = reply.lists->isEndListFull;
     if (reply.clock) {
         target.clock = ClockSample{*reply.clock, board.now};
     }
--- a/workflow/holdtargets.cpp
+++ b/workflow/holdtargets.cpp
@@ -82,7 +82,8 @@
         // Waits are randomised to spread the answers, so that some target of each zone answers at any time.
         const bool isShared = board.fillerPaces.contains(target.registration.instance.target);
         const auto longest = isShared ? std::min(limits.holdWait, limits.harmBound / reportsPerHarmBound) : limits.holdWait;
-        hold.wait = target.pendingEnds.empty() ? longest / 2 + takeJitter(board, longest / 2) : Duration{0};
+        const bool hasUnreadEnds = target.hasMoreEnds || !target.pendingEnds.empty();
+        hold.wait = hasUnreadEnds ? Duration{0} : longest / 2 + takeJitter(board, longest / 2);
         target.heldUntil = std::max(target.heldUntil, *hold.deadline);
     }
     auto order = makeOrder(board, target, hold, hold.wait + answerTimeout(board, target));
--- a/workflow/targetorder.h
+++ b/workflow/targetorder.h
@@ -137,6 +137,7 @@
     long long startTimeMs = 0;
     std::vector<ListedRun> running;
     std::vector<EndedRun> ended;
+    bool isEndListFull = false; ///< The target may have more ends to list, which it lists once those in `ended` have been acknowledged.
 
     friend bool operator==(const TargetLists &, const TargetLists &) = default;
 };
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -225,6 +225,7 @@
     long long confirmedEnd = 0;                 ///< Newest end that an answered hold has acknowledged, so the target has discarded it.
     long long newestEnd = 0;
     std::deque<PendingEnd> pendingEnds;
+    bool hasMoreEnds = false;            ///< The newest list of ends was full, so the target lists further ends once these have been acknowledged.
     bool hasStrays = false;              ///< The target runs stray tasks, whose resources are not accounted for.
     std::optional<TimePoint> avoidUntil; ///< Time until which the target gets no work: its own state made it refuse a start.
     int recentFailures = 0;              ///< Runs that have failed on the target since the last one that finished.
