Keep lines about the host when lines about jobs flood the log

Cause: the limit of 400 lines a second counted all lines alike, so the ends of 10,000 tasks suppressed the only line that said why the owner had released the domain (1,381 lines were suppressed in one second).

Change: 100 of the 400 lines are kept for lines that name no job. The total is the same.

The test floodOfLinesAboutJobsLeavesRoomForOthers needs the limit by kind and did not compile before.

--- a/app/log.cpp
+++ b/app/log.cpp
@@ -107,11 +107,12 @@
             {{"log",
               "",
               "",
-              std::to_string(suppressed) + " lines were suppressed because more than " + std::to_string(m_rate.linesPerSecond) + " arrived within one second",
+              std::to_string(suppressed) + " lines were suppressed because more than " + std::to_string(m_rate.jobLinesPerSecond) + " about jobs or "
+                  + std::to_string(m_rate.linesPerSecond) + " in total arrived within one second",
               true},
              0});
     }
-    if (allowLine(m_rate, now)) {
+    if (allowLine(m_rate, !line->entry.job.empty(), now)) {
         writeLine(*line);
     }
 }
--- a/app/logratelimit.cpp
+++ b/app/logratelimit.cpp
@@ -6,14 +6,14 @@
 namespace sequoiastand
 {
 
-bool allowLine(LogRateLimit &rate, TimePoint now)
+bool allowLine(LogRateLimit &rate, bool namesJob, TimePoint now)
 {
     const auto currentSecond = std::chrono::floor<std::chrono::seconds>(now);
     if (rate.currentSecond != currentSecond) {
         rate.currentSecond = currentSecond;
         rate.writtenInSecond = 0;
     }
-    if (rate.writtenInSecond >= rate.linesPerSecond) {
+    if (rate.writtenInSecond >= (namesJob ? rate.jobLinesPerSecond : rate.linesPerSecond)) {
         ++rate.suppressed;
         return false;
     }
--- a/tests/testsettings.cpp
+++ b/tests/testsettings.cpp
@@ -5,6 +5,9 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <ranges>
+
 namespace sequoiastand
 {
 
@@ -101,6 +104,18 @@
     EXPECT_LE(m_filter.recentEntries.size(), 1'000U);
 }
 
+// Guards against losing the reason of a change of owner among the ends of thousands of tasks.
+TEST_F(RepeatedLogEntries, floodOfLinesAboutJobsLeavesRoomForOthers)
+{
+    LogRateLimit rate;
+    const int written = static_cast<int>(std::ranges::count_if(std::views::iota(0, 2'000), [&](int) { return allowLine(rate, true, start); }));
+    EXPECT_EQ(rate.jobLinesPerSecond, written);
+    EXPECT_TRUE(allowLine(rate, false, start));
+    const int others = static_cast<int>(std::ranges::count_if(std::views::iota(0, 2'000), [&](int) { return allowLine(rate, false, start); }));
+    EXPECT_EQ(rate.linesPerSecond, written + 1 + others);
+    EXPECT_EQ(2'000 - written + 2'000 - others, takeSuppressed(rate, start + Duration{1'000}));
+}
+
 TEST_F(RepeatedLogEntries, lineIsOneJsonObject)
 {
     const auto text = logText({{"callStore", "127.0.0.1:1", "", "line\nbreak \"quoted\" \xff", true}, 3}, "a1", WallTime{Duration{1'700'000'000'123}});
