--- a/app/log.cpp
+++ b/app/log.cpp
@@ -103,14 +103,13 @@
         return;
     }
     if (const auto suppressed = takeSuppressed(m_rate, now); suppressed > 0) {
-        writeLine(
-            {{"log",
-              "",
-              "",
-              std::to_string(suppressed) + " lines were suppressed because more than " + std::to_string(m_rate.jobLinesPerSecond) + " about jobs or "
-                  + std::to_string(m_rate.linesPerSecond) + " in total arrived within one second",
-              true},
-             0});
+        writeLine({{"log",
+                    "",
+                    "",
+                    std::to_string(suppressed) + " lines were suppressed because more than " + std::to_string(m_rate.jobLinesPerSecond) + " about jobs or "
+                        + std::to_string(m_rate.linesPerSecond) + " in total arrived within one second",
+                    true},
+                   0});
     }
     if (allowLine(m_rate, !line->entry.job.empty(), now)) {
         writeLine(*line);
