Exclude late submissions when an unknown workflow is cancelled

Cause: a submission whose write the store had not answered was answered 504. The DELETE found no record, wrote nothing and was answered "no such workflow". Seconds later the store carried out the submission's write, whose conditions still held.

Change: cancelling a workflow that does not exist writes a tombstone, on the condition that the workflow does not exist, and is answered only once that write has been applied. Each submission is conditional on the tombstone's revision, so that every copy sent before fails. A submission that meets a tombstone is sent again under its revision if it has just arrived and has no unanswered copy; otherwise it is refused as cancelled.

Ruled out: the owner's own writes, which are chained by the commit mark; a late cancelling, which concerns a workflow that exists; GET, which still answers 410 and promises nothing (docs/platform.md says so).

--- a/core/refusal.cpp
+++ b/core/refusal.cpp
@@ -7,7 +7,7 @@
 
 std::string_view name(RefusalReason reason)
 {
-    static constexpr std::array<std::string_view, 17> names{
+    static constexpr std::array<std::string_view, 18> names{
         "badRequest",
         "bodyTooLarge",
         "unauthorised",
@@ -24,6 +24,7 @@
         "versionConflict",
         "timeout",
         "unknownQueue",
+        "cancelled",
         "internal",
     };
     return names.at(static_cast<std::size_t>(reason));
--- a/core/refusal.h
+++ b/core/refusal.h
@@ -27,6 +27,7 @@
     VersionConflict,
     Timeout,
     UnknownQueue, ///< No queue serves that host and path.
+    Cancelled,    ///< The caller has cancelled the workflow while its submission was under way.
     Internal,
 };
 
--- a/core/storerecord.cpp
+++ b/core/storerecord.cpp
@@ -75,6 +75,11 @@
     return {"intake/cancellation/" + id.value};
 }
 
+StoreKey workflowTombstoneKey(const RequestId &id)
+{
+    return {"tombstone/" + id.value};
+}
+
 StoreKey workflowProgressKey(const RequestId &id)
 {
     return {"progress/" + id.value};
--- a/core/storerecord.h
+++ b/core/storerecord.h
@@ -91,6 +91,16 @@
     friend bool operator==(const WorkflowCancellation &, const WorkflowCancellation &) = default;
 };
 
+/// Left behind by the cancelling of a workflow that does not exist, bound to a store lease. Each such cancelling changes the key's revision, on which the writes
+/// of submissions are conditional, so that a submission that was sent before and is still on its way does not take effect after the caller was told that the
+/// workflow does not exist.
+struct WorkflowTombstone
+{
+    WallTime requestedAt;
+
+    friend bool operator==(const WorkflowTombstone &, const WorkflowTombstone &) = default;
+};
+
 /// The host that places the work of a service domain, bound to its store lease. The revision at which the key was created is its fencing token.
 struct DomainOwner
 {
@@ -145,6 +155,7 @@
                                  Workflow,
                                  WorkflowProgress,
                                  WorkflowCancellation,
+                                 WorkflowTombstone,
                                  DomainOwner,
                                  CommitMark,
                                  DomainSummary,
@@ -270,6 +281,7 @@
 // Keys of a service domain.
 StoreKey workflowKey(const RequestId &id);
 StoreKey workflowCancellationKey(const RequestId &id);
+StoreKey workflowTombstoneKey(const RequestId &id);
 StoreKey workflowProgressKey(const RequestId &id);
 StoreKey domainOwnerKey();
 StoreKey commitMarkKey();
--- a/net/callerapi.cpp
+++ b/net/callerapi.cpp
@@ -80,6 +80,7 @@
     case RefusalReason::StoreUnavailable:
     case RefusalReason::ShuttingDown:
     case RefusalReason::TooManyConnections:
+    case RefusalReason::Cancelled:
         return 503;
     case RefusalReason::Timeout:
         return 504;
--- a/wire/recordjson.cpp
+++ b/wire/recordjson.cpp
@@ -230,6 +230,9 @@
     if (path.starts_with("intake/cancellation/")) {
         return workflowCancellationFromJson(json);
     }
+    if (path.starts_with("tombstone/")) {
+        return workflowTombstoneFromJson(json);
+    }
     if (path.starts_with("progress/")) {
         return workflowProgressFromJson(json);
     }
--- a/wire/workflowjson.cpp
+++ b/wire/workflowjson.cpp
@@ -282,6 +282,16 @@
     return {wallTimeOf(json.at("requestedAtMs"))};
 }
 
+nlohmann::json toJson(const WorkflowTombstone &record)
+{
+    return {{"requestedAtMs", millisecondsOf(record.requestedAt)}};
+}
+
+WorkflowTombstone workflowTombstoneFromJson(const nlohmann::json &json)
+{
+    return {wallTimeOf(json.at("requestedAtMs"))};
+}
+
 nlohmann::json toJson(const DomainOwner &record)
 {
     return {{"host", record.host.value}, {"incarnation", record.incarnation}};
--- a/wire/workflowjson.h
+++ b/wire/workflowjson.h
@@ -13,6 +13,7 @@
 nlohmann::json toJson(const Workflow &record);
 nlohmann::json toJson(const WorkflowProgress &record);
 nlohmann::json toJson(const WorkflowCancellation &record);
+nlohmann::json toJson(const WorkflowTombstone &record);
 nlohmann::json toJson(const DomainOwner &record);
 nlohmann::json toJson(const CommitMark &record);
 nlohmann::json toJson(const DomainSummary &record);
@@ -23,6 +24,7 @@
 Workflow workflowFromJson(const nlohmann::json &json);
 WorkflowProgress workflowProgressFromJson(const nlohmann::json &json);
 WorkflowCancellation workflowCancellationFromJson(const nlohmann::json &json);
+WorkflowTombstone workflowTombstoneFromJson(const nlohmann::json &json);
 DomainOwner domainOwnerFromJson(const nlohmann::json &json);
 CommitMark commitMarkFromJson(const nlohmann::json &json);
 DomainSummary domainSummaryFromJson(const nlohmann::json &json);
--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -1,5 +1,6 @@
 #include "callerchecks.h"
 #include "controllers.h"
+#include "tombstones.h"
 
 #include <algorithm>
 #include <string>
@@ -117,6 +118,7 @@
     workflow.specification = *call.request.specification;
     StoreTransaction transaction;
     transaction.conditions = configurationCondition(board);
+    transaction.conditions.push_back({workflowTombstoneKey(workflow.id), call.tombstone});
     transaction.writes.push_back({workflowKey(workflow.id), workflow, 0, false});
     WorkflowProgress progress;
     progress.organisation = routed.organisation;
@@ -132,6 +134,29 @@
     write(board, call, std::move(transaction));
 }
 
+void writeTombstone(WorkflowBoard &board, OpenCallerCall call, const RoutedCall &routed)
+{
+    call.step = CallerStep::WritingTombstone;
+    call.call.reset();
+    if (hasTombstoneLease(board)) {
+        call.call = sendToStore(board, tombstoneTransaction(board, {routed.rest}), board.tombstones.lease);
+    }
+    putCall(board, std::move(call));
+}
+
+/// Handles the cancelling of a workflow that does not exist. A submission of it may still be on its way to the store, so the caller is answered once a tombstone
+/// keeps that submission from taking effect.
+void excludeSubmission(WorkflowBoard &board, const OpenCallerCall &call, const RoutedCall &routed)
+{
+    if (const auto wait = takeTombstone(board); wait > Duration{0}) {
+        const auto retryAfter = wait + takeJitter(board, board.self.limits.retryAfter);
+        answer(board, call, {{}, Refusal{RefusalReason::QuotaExceeded, RequestEffect::NotRun, retryAfter, "too many unknown workflows are cancelled"}, {}, {}});
+        return;
+    }
+    requestTombstoneLease(board);
+    writeTombstone(board, call, routed);
+}
+
 void readProgress(WorkflowBoard &board, OpenCallerCall call, const RoutedCall &routed)
 {
     call.step = CallerStep::Reading;
@@ -246,6 +271,10 @@
         return;
     }
     const auto *progress = reply.entries.empty() ? nullptr : std::get_if<WorkflowProgress>(&reply.entries.front().record);
+    if (progress == nullptr && call.request.action == CallerAction::Cancel) {
+        excludeSubmission(board, call, *routed);
+        return;
+    }
     if (progress == nullptr || !mayAccess(*routed, progress->organisation)) {
         refuse(board, call, RefusalReason::NotFound, "no workflow has this id");
         return;
@@ -265,7 +294,43 @@
     cancel(board, call, *routed);
 }
 
-/// A condition failed: the workflow or cancellation exists already, or the configuration has changed.
+/// Decides what becomes of a submission whose workflow has another tombstone than it expected. No copy of the submission that was sent before can take effect any
+/// more. A caller may submit a workflow that it has cancelled before, but a submission that has been under way for a while may itself be what was cancelled.
+void handleTombstone(WorkflowBoard &board, OpenCallerCall call, Revision tombstone)
+{
+    const bool mayHaveBeenCancelled = call.mayBeStored || board.now - call.receivedAt > board.self.limits.storeTimeout;
+    call.mayBeStored = false;
+    if (mayHaveBeenCancelled) {
+        answer(board, call, {{}, Refusal{RefusalReason::Cancelled, RequestEffect::NotRun, retryAtOnce, "the workflow was cancelled"}, {}, {}});
+        return;
+    }
+    call.tombstone = tombstone;
+    if (const auto routed = route(board, call)) {
+        submit(board, call, *routed);
+    }
+}
+
+/// The revision of the tombstone among the entries of the store's answer; zero if there is none.
+Revision tombstoneRevision(const StoreReply &reply)
+{
+    const auto found = std::ranges::find_if(reply.entries, [](const StoreEntry &entry) { return std::holds_alternative<WorkflowTombstone>(entry.record); });
+    return found == reply.entries.end() ? 0 : found->revision;
+}
+
+/// Proves the configuration again before the call is handled again, because a condition failed that nothing else explains.
+void proveAgain(WorkflowBoard &board, OpenCallerCall call)
+{
+    // Nothing was written, and no earlier copy can take effect any more, because it had the same conditions.
+    call.mayBeStored = false;
+    call.step = CallerStep::Proving;
+    call.call.reset();
+    board.view.nextProofAt = board.now;
+    board.view.invalidatedAt = board.now;
+    subscribeNoLaterThan(board.timers, "proof", board.now);
+    putCall(board, std::move(call));
+}
+
+/// A condition failed: the workflow or cancellation exists already, its tombstone is not the expected one, or the configuration has changed.
 void handleConflict(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
 {
     for (const auto &entry : reply.entries) {
@@ -284,26 +349,52 @@
             return;
         }
     }
-    // Nothing was written, and no earlier copy can take effect any more, because it had the same conditions.
+    if (const auto tombstone = tombstoneRevision(reply); call.request.action == CallerAction::Submit && tombstone != call.tombstone) {
+        handleTombstone(board, std::move(call), tombstone);
+        return;
+    }
+    proveAgain(board, std::move(call));
+}
+
+/// A condition of the tombstone failed: the workflow has been stored meanwhile, or the configuration has changed.
+void handleTombstoneConflict(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
+{
+    const bool exists = std::ranges::any_of(reply.entries, [](const StoreEntry &entry) {
+        return std::holds_alternative<Workflow>(entry.record) || std::holds_alternative<WorkflowProgress>(entry.record);
+    });
+    if (!exists) {
+        proveAgain(board, std::move(call));
+        return;
+    }
     call.mayBeStored = false;
-    call.step = CallerStep::Proving;
-    call.call.reset();
-    board.view.nextProofAt = board.now;
-    board.view.invalidatedAt = board.now;
-    subscribeNoLaterThan(board.timers, "proof", board.now);
-    putCall(board, std::move(call));
+    if (const auto routed = route(board, call)) {
+        readProgress(board, std::move(call), *routed);
+    }
 }
 
 void handleWriteReply(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
 {
+    const bool isTombstone = call.step == CallerStep::WritingTombstone;
     switch (reply.outcome) {
     case StoreOutcome::Applied:
-        answer(board, call, {});
+        call.mayBeStored = false;
+        if (isTombstone) {
+            refuse(board, call, RefusalReason::NotFound, "no workflow has this id");
+        } else {
+            answer(board, call, {});
+        }
         return;
     case StoreOutcome::Conflict:
-        handleConflict(board, std::move(call), reply);
+        if (isTombstone) {
+            handleTombstoneConflict(board, std::move(call), reply);
+        } else {
+            handleConflict(board, std::move(call), reply);
+        }
         return;
     case StoreOutcome::NotSent:
+        if (isTombstone) {
+            dropTombstoneLease(board); // The store refuses the write if the lease has ended.
+        }
         if (!call.mayBeStored) {
             refuse(board, call, RefusalReason::StoreUnavailable, "the store did not receive the request");
             return;
@@ -332,6 +423,8 @@
     }
     if (call.step == CallerStep::Reading) {
         readProgress(board, call, *routed);
+    } else if (call.step == CallerStep::WritingTombstone) {
+        writeTombstone(board, call, *routed);
     } else if (call.request.action == CallerAction::Submit) {
         submit(board, call, *routed);
     } else {
@@ -339,6 +432,11 @@
     }
 }
 
+bool isWriting(const OpenCallerCall &call)
+{
+    return call.step == CallerStep::Writing || call.step == CallerStep::WritingTombstone;
+}
+
 void continueCall(WorkflowBoard &board, const OpenCallerCall &call)
 {
     if (call.step == CallerStep::Refusing) {
@@ -350,13 +448,13 @@
     if (const auto *reply = findReply(board, call.call)) {
         if (call.step == CallerStep::Reading) {
             handleReadReply(board, call, *reply);
-        } else if (call.step == CallerStep::Writing) {
+        } else if (isWriting(call)) {
             handleWriteReply(board, call, *reply);
         }
         return;
     }
     if (board.now >= call.answerBy) {
-        const bool isWriteUnderWay = call.step == CallerStep::Writing && call.call;
+        const bool isWriteUnderWay = isWriting(call) && call.call;
         refuse(board, call, isWriteUnderWay ? RefusalReason::Timeout : RefusalReason::StoreUnavailable, "the store has not answered in time");
     } else if (call.step == CallerStep::Proving && !board.view.isStoreReachable) {
         // The call is refused even if the proof is still fresh: a request sent now would most likely be lost, and the caller could not tell whether it was
@@ -364,6 +462,10 @@
         refuse(board, call, RefusalReason::StoreUnavailable, board.view.isLoaded ? "the store does not answer" : "the host has no configuration yet");
     } else if (call.step == CallerStep::Proving && isProofFresh(board)) {
         handle(board, call);
+    } else if (call.step == CallerStep::WritingTombstone && !call.call && !hasTombstoneLease(board)) {
+        if (!board.tombstones.grant) {
+            refuse(board, call, RefusalReason::StoreUnavailable, "the store has granted no lease");
+        }
     } else if (call.step != CallerStep::Proving && !call.call && board.now >= call.retryAt) {
         resend(board, call);
     }
@@ -390,6 +492,7 @@
 void answerCallers(WorkflowBoard &board)
 {
     openCalls(board);
+    followTombstoneLease(board);
     refreshSummary(board);
     handleSummaryReply(board);
     std::vector<OpenCallerCall> open;
@@ -400,7 +503,9 @@
         }
     }
     for (const auto &[id, call] : board.calls.rows()) {
-        const bool waitsForRetry = !call.call && (call.step == CallerStep::Reading || call.step == CallerStep::Writing);
+        const bool waitsForRetry = !call.call
+                                   && (call.step == CallerStep::Reading || call.step == CallerStep::Writing
+                                       || (call.step == CallerStep::WritingTombstone && hasTombstoneLease(board)));
         subscribeNoLaterThan(board.timers, "calls", waitsForRetry ? std::min(call.retryAt, call.answerBy) : call.answerBy);
     }
 }
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -265,10 +265,11 @@
 
 enum class CallerStep
 {
-    Proving,  ///< The call waits for a fresh proof of the configuration.
-    Reading,  ///< The record that the answer needs is being read.
-    Writing,  ///< The workflow or the cancellation is being written.
-    Refusing, ///< The call waits for other hosts' answers on whether they could serve the caller.
+    Proving,          ///< The call waits for a fresh proof of the configuration.
+    Reading,          ///< The record that the answer needs is being read.
+    Writing,          ///< The workflow or the cancellation is being written.
+    WritingTombstone, ///< The workflow to cancel does not exist, and a tombstone is being written, or waits for its lease.
+    Refusing,         ///< The call waits for other hosts' answers on whether they could serve the caller.
 };
 
 /// A caller's request that has not been answered yet.
@@ -284,10 +285,23 @@
     bool mayBeStored = false;       ///< A write with an unknown outcome was sent.
     int unansweredWrites = 0;       ///< Number of times that the write was sent and not answered.
     bool hasRereadState = false;    ///< The state has been scheduled to be read a second time.
+    Revision tombstone = 0;         ///< Revision of the workflow's tombstone on which the submission is conditional; zero if there is none.
 
     friend bool operator==(const OpenCallerCall &, const OpenCallerCall &) = default;
 };
 
+/// This host's store lease for tombstones, and its limit on their number.
+struct TombstoneWriter
+{
+    long long lease = 0;
+    TimePoint useUntil; ///< Time from which tombstones are bound to a new lease.
+    std::optional<CallId> grant;
+    TimePoint grantSentAt;
+    TimePoint nextAt; ///< Time at which the next tombstone would be due if they were written at equal intervals.
+
+    friend bool operator==(const TombstoneWriter &, const TombstoneWriter &) = default;
+};
+
 /// An accepting host's copy of the owner's summary.
 struct SummaryCopy
 {
@@ -357,6 +371,7 @@
     CommitChain chain;
     Table<CallId, OpenCallerCall> calls;
     SummaryCopy summary;
+    TombstoneWriter tombstones; ///< Written by answerCallers.
     HostDirectory directory;
     AdviceState advice;                         ///< Written by followAdvice, followRuns and planWork.
     std::map<TargetId, FillerPace> fillerPaces; ///< Paces on targets that fillers share with serving tasks. Written by paceFillers.
