Start lasting tasks again after runs that finished

Cause: applyRunEnd treated every end as finished alike, so the task of a lasting step was marked as finished. The same happened to all members of a gang at the first member's end (finishGang), to ends that were listed after the run had been presumed lost (applyUnknownEnd), and for good, because the next owner read the mark from the store.

Change: an end finishes no task of a lasting step, and a new owner ignores marks that former versions have stored. A task whose runs end by themselves within 2 s of their starts waits before its next run: not at all the first time, then 250 ms, doubling to 4 s, which leaves time for the start within the nine seconds of LOST.

--- a/standins/fleetchecks.h
+++ b/standins/fleetchecks.h
@@ -11,6 +11,9 @@
 /// The step's specification, or null if the step was never submitted.
 const StepSpecification *stepOf(const FleetModel &fleet, const StepId &step);
 
+/// True if the task belongs to a step whose tasks last until the workflow is cancelled.
+bool isLasting(const FleetModel &fleet, const TaskId &task);
+
 /// The task under which a failed run is counted: the first task of a gang, otherwise the task itself.
 TaskId countedTask(const FleetModel &fleet, const TaskId &task);
 
--- a/standins/fleetmodel.h
+++ b/standins/fleetmodel.h
@@ -19,10 +19,11 @@
 /// How the tasks of a workflow behave.
 struct TaskBehaviour
 {
-    Duration work{1'000};       ///< Work of each task, as run time on a target without faults.
-    std::set<int> failingTasks; ///< Indexes of the tasks that always fail at the end of their work.
-    Duration tail{0};           ///< Tail latency of a serving task without fillers beside it.
-    Duration disturbance{0};    ///< Increase of the tail latencies on a target by one filler at full speed.
+    Duration work{1'000};             ///< Work of each task, as run time on a target without faults.
+    std::set<int> failingTasks;       ///< Indexes of the tasks that always fail at the end of their work.
+    Duration tail{0};                 ///< Tail latency of a serving task without fillers beside it.
+    Duration disturbance{0};          ///< Increase of the tail latencies on a target by one filler at full speed.
+    std::optional<RunEnd> lastingEnd; ///< How runs of lasting tasks end at the end of their work; without a value they do not end.
 
     friend bool operator==(const TaskBehaviour &, const TaskBehaviour &) = default;
 };
--- a/workflow/advanceworkflows.cpp
+++ b/workflow/advanceworkflows.cpp
@@ -1,6 +1,7 @@
 #include "controllers.h"
 #include "eligibility.h"
 #include "progresschange.h"
+#include "restartpause.h"
 
 #include <algorithm>
 #include <numeric>
@@ -55,6 +56,7 @@
                     + std::to_string(queue.priority));
     count(board.counters, "workflowsEnded", std::string(name(state)));
     stopRuns(board, runsOf(board, id), RunStopCause::WorkflowEnded, std::string(name(state)));
+    forgetRestartPauses(board, id);
 }
 
 /// Adds the occurrences that are due. They are not stored at this point, because the next owner can derive them again.
--- a/workflow/loaddomain.cpp
+++ b/workflow/loaddomain.cpp
@@ -103,6 +103,19 @@
     }
 }
 
+/// The progress without finished tasks in lasting steps. Former versions stored a lasting task as finished once one of its runs had ended as finished.
+WorkflowProgress withoutFinishedLastingTasks(WorkflowProgress progress, const WorkflowSpecification &specification)
+{
+    for (auto &[number, occurrence] : progress.occurrences) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (specification.steps.at(step).isLasting) {
+                std::ranges::for_each(occurrence.steps[step], [](TaskProgress &task) { task.isFinished = false; });
+            }
+        }
+    }
+    return progress;
+}
+
 void addWorkflow(WorkflowBoard &board, const Workflow &workflow)
 {
     if (board.workflows.contains(workflow.id)) {
@@ -112,7 +125,7 @@
     entry.workflow = std::make_shared<const Workflow>(workflow);
     entry.progress.organisation = workflow.organisation;
     if (auto read = board.load.progress.extract(workflow.id)) {
-        entry.progress = std::move(read.mapped());
+        entry.progress = withoutFinishedLastingTasks(std::move(read.mapped()), workflow.specification);
     }
     if (hasEnded(entry.progress.state)) {
         // The stored time of the end comes from another host's time of day, so the state is kept for the whole time again.
--- a/workflow/ownershipchange.cpp
+++ b/workflow/ownershipchange.cpp
@@ -13,6 +13,7 @@
     board.runCalls.clear();
     board.strayStops.clear();
     board.lateStarts.clear();
+    board.restartPauses.clear();
     board.advice = {};
     board.fillerPaces.clear();
     board.heldRoom.clear();
--- a/workflow/placementinput.cpp
+++ b/workflow/placementinput.cpp
@@ -3,6 +3,7 @@
 #include "eligibility.h"
 #include "guaranteeshare.h"
 #include "progresschange.h"
+#include "restartpause.h"
 #include "runprogress.h"
 #include "urgentreserve.h"
 
@@ -115,7 +116,7 @@
             }
             ++waiting.tasksOnTarget[run->second.place.target];
             ++run;
-        } else if (!progress[index].isFinished) {
+        } else if (!progress[index].isFinished && !isRestartPaused(board, {id, static_cast<int>(index)}, specification.isGang)) {
             waiting.tasks.push_back(static_cast<int>(index));
         }
     }
--- a/workflow/planwork.cpp
+++ b/workflow/planwork.cpp
@@ -4,6 +4,7 @@
 #include "placement.h"
 #include "placementinput.h"
 #include "progresschange.h"
+#include "restartpause.h"
 
 #include <algorithm>
 #include <map>
@@ -159,6 +160,9 @@
     }
     board.isPlanWanted = false;
     board.nextPlanAt = board.now + board.self.limits.planPeriod + planPause(board);
+    if (const auto restart = nextRestart(board)) {
+        subscribeNoLaterThan(board.timers, "plan", *restart);
+    }
     auto input = placementInput(board);
     board.heldRoom.clear();
     if (!input.waiting.empty()) {
--- a/workflow/runends.cpp
+++ b/workflow/runends.cpp
@@ -1,6 +1,7 @@
 #include "runends.h"
 
 #include "progresschange.h"
+#include "restartpause.h"
 #include "targetorders.h"
 
 #include <algorithm>
@@ -144,7 +145,10 @@
     const auto *entry = board.workflows.find(ended.task.step.workflow);
     const auto *task = entry == nullptr ? nullptr : findTask(entry->progress, ended.task);
     // A run that was presumed lost because its target was cut off may have finished on that target, even while a later run of the task is running elsewhere.
-    const bool isStillWanted = ended.end == RunEnd::Finished && task != nullptr && !task->isFinished && ended.run <= task->lastRun;
+    // A lasting task is never finished.
+    const auto *step = findStep(board, ended.task.step);
+    const bool canFinish = step != nullptr && !step->isLasting;
+    const bool isStillWanted = ended.end == RunEnd::Finished && canFinish && task != nullptr && !task->isFinished && ended.run <= task->lastRun;
     logDecision(board,
                 "endRun",
                 target.value,
@@ -155,8 +159,7 @@
         TaskRun run;
         run.task = ended.task;
         run.number = ended.run;
-        const auto *step = findStep(board, ended.task.step);
-        finishTask(board, run, step != nullptr && step->isGang);
+        finishTask(board, run, step->isGang);
     }
 }
 
@@ -190,13 +193,15 @@
     const TaskRun run = *present;
     const auto *step = findStep(board, run.task.step);
     const bool isGang = step != nullptr && step->isGang;
-    const bool hasGangFinished = isGang && ended.end == RunEnd::Finished && run.step == RunStep::Ending;
+    const bool isLasting = step != nullptr && step->isLasting;
+    const bool hasFinished = ended.end == RunEnd::Finished && !isLasting; // A lasting task is restarted however its runs end.
+    const bool hasGangFinished = isGang && hasFinished && run.step == RunStep::Ending;
     if (!hasGangFinished) { // A gang that finishes is logged only once, for its first member.
         logDecision(board, "endRun", target.value, toString(run.task), runText(run.number) + " ended as " + std::string(name(ended.end)));
     }
     count(board.counters, "runsEnded", std::string(name(ended.end)));
     recordOutcomeOnTarget(board, target, ended.end);
-    if (ended.end == RunEnd::Finished) {
+    if (hasFinished) {
         finishTask(board, run, isGang);
     } else {
         keepCheckpoint(board, run, ended.checkpoint, isGang);
@@ -204,8 +209,11 @@
     if (ended.end == RunEnd::Failed) {
         countFailure(board, run, isGang);
     }
+    if (isLasting && (ended.end == RunEnd::Finished || ended.end == RunEnd::Failed)) {
+        noteLastingEnd(board, run, isGang);
+    }
     removeRun(board, run);
-    if (ended.end != RunEnd::Finished) {
+    if (!hasFinished) {
         failGangOf(board,
                    run,
                    ended.end == RunEnd::Failed ? GangBreakCause::MemberFailed : GangBreakCause::MemberEnded,
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -195,6 +195,16 @@
     friend bool operator==(const LateStart &, const LateStart &) = default;
 };
 
+/// Runs of a lasting task that have ended by themselves soon after their starts.
+struct RestartPause
+{
+    int quickEnds = 0; ///< Number of consecutive runs that ended soon.
+    int lastRun = 0;   ///< Number of the last of these runs.
+    TimePoint until;   ///< Time before which the task is not started again.
+
+    friend bool operator==(const RestartPause &, const RestartPause &) = default;
+};
+
 /// The time on a target's clock when an answer arrived.
 struct ClockSample
 {
@@ -366,6 +376,7 @@
     std::map<CallId, TaskId> runCalls;      ///< Tasks with a start, stop or pace order under way, by call.
     std::map<TaskId, TimePoint> strayStops; ///< When a stray run of the task was last ordered to stop.
     std::vector<LateStart> lateStarts;
+    std::map<TaskId, RestartPause> restartPauses; ///< Lasting tasks whose runs end soon. Written by followRuns and advanceWorkflows.
     Table<TargetId, DomainTarget> targets;
     std::vector<TargetShape> shapes; ///< Distinct shapes of targets, including targets that left a while ago.
     CommitChain chain;
