--- a/tests/testplatformstore.cpp
+++ b/tests/testplatformstore.cpp
@@ -137,6 +137,24 @@
     EXPECT_EQ(page->changes.deleted, std::vector<StoreKey>{targetRegistrationKey({"i-2"})});
 }
 
+// Guards against a host that takes an owner key that was removed, or replaced, for the present one until its next proof.
+TEST_F(PlatformStoreCodec, watchLeavesOutStatesOfAKeyThatWereReplaced)
+{
+    const auto owner = [](const std::string &host, int revision) {
+        return item("sequoiastand/domain/owner", R"({"host":")" + host + R"(","incarnation":4})", revision);
+    };
+    const std::string removal = R"({"key":"sequoiastand/domain/owner","revision":9,"tombstone":true})";
+    const auto removed = decodeWatchPage(R"({"events":[)" + owner("h1", 8) + "," + removal + R"(],"currentRev":9})");
+    ASSERT_TRUE(removed.ok());
+    EXPECT_TRUE(removed->changes.put.empty());
+    EXPECT_EQ(removed->changes.deleted, std::vector<StoreKey>{domainOwnerKey()});
+    const auto replaced = decodeWatchPage(R"({"events":[)" + owner("h1", 8) + "," + removal + "," + owner("h2", 10) + R"(],"currentRev":10})");
+    ASSERT_TRUE(replaced.ok());
+    ASSERT_EQ(replaced->changes.put.size(), 1U);
+    EXPECT_EQ(replaced->changes.put.front().revision, 10);
+    EXPECT_TRUE(replaced->changes.deleted.empty());
+}
+
 TEST_F(PlatformStoreCodec, pathsPercentEncodeReservedCharacters)
 {
     EXPECT_EQ(encodeRangePage(targetRegistrationKey({""}), "servers/a b&c").path, "/sequoiastand/kv-range?prefix=servers/&after=servers/a%20b%26c");
