Let lasting tasks use targets on which runs have failed

Cause: a step with a failed run is not placed on a suspect target, because it has few attempts left. A lasting step has any number of attempts, keeps its failed runs for good, and never ends a run as finished, which would clear the target; each failure began the 8 s anew.

Change: lasting steps don't avoid suspect targets. They still prefer others, because packing takes suspect targets last, and the pauses before restarts bound the loop.

Ruled out: want of room (seven of eight accelerators were free), the restart pauses (runs last 5 s there).

--- a/standins/fleetmodel.cpp
+++ b/standins/fleetmodel.cpp
@@ -245,7 +245,8 @@
     }
     if (step != nullptr && step->isLasting) {
         const auto behaviour = fleet.behaviours.find(task.step.workflow);
-        return behaviour == fleet.behaviours.end() ? std::nullopt : behaviour->second.lastingEnd;
+        const auto end = behaviour == fleet.behaviours.end() ? std::nullopt : behaviour->second.lastingEnd;
+        return target.faults.failsEverything ? RunEnd::Failed : end;
     }
     return alwaysFails(fleet, task) || target.faults.failsEverything ? RunEnd::Failed : RunEnd::Finished;
 }
--- a/tests/testgangplacement.cpp
+++ b/tests/testgangplacement.cpp
@@ -128,9 +128,9 @@
         target(number).isSuspect = true;
     }
     auto &batch = addBatch("failed", 1, 2, 8);
-    batch.hasFailed = true;
+    batch.avoidsSuspects = true;
     EXPECT_EQ(startsOf(plan(), "failed"), 1);
-    batch.hasFailed = false;
+    batch.avoidsSuspects = false;
     EXPECT_EQ(startsOf(plan(), "failed"), 2) << "first attempts may use any target";
 }
 
--- a/tests/testlastingtasks.cpp
+++ b/tests/testlastingtasks.cpp
@@ -110,6 +110,30 @@
     runUntil([&] { return fleet.starts[workflow] == 3; }, Duration{5'000});
 }
 
+// Guards against losing tasks: failed runs kept all tasks of the step away from the only target that they may use, for 8 s after each failure.
+TEST_F(LastingTasks, taskThatMayUseOneTargetOnlyIsStartedAgainThereAfterFailures)
+{
+    addTargets(5);
+    auto specification = batch(4, {1'000, 1'000, 1});
+    specification.steps.front().isLasting = true;
+    specification.steps.front().requiredLabel = "r2"; // Only the fifth target has this label.
+    workflow = id(number);
+    run(Duration{1'500});
+    answerTo(submit(workflow, specification, {.work = Duration{5'000}, .lastingEnd = RunEnd::Failed}));
+    runUntil([&] { return runningTasks() == 4; }, Duration{1'000});
+    EXPECT_LT(longestGap(Duration{40'000}, 4), Duration{1'000});
+}
+
+// Guards against runs on a faulty target while another one has room.
+TEST_F(LastingTasks, taskLeavesATargetThatFailsEverything)
+{
+    fleet.targets.at({"t1"}).faults.failsEverything = true;
+    submitLasting(1, {.work = Duration{300}});
+    run(Duration{10'000});
+    EXPECT_EQ(runningTasks(), 1);
+    EXPECT_LE(fleet.starts[workflow], 4);
+}
+
 // Guards against a loop of starts, which cost orders and writes, while the task is still started in time.
 TEST_F(LastingTasks, taskThatEndsAtOnceIsStartedAgainAfterGrowingPauses)
 {
--- a/workflow/placement.cpp
+++ b/workflow/placement.cpp
@@ -89,8 +89,7 @@
 
 PackingLimits limitsFor(PlacementState &state, const WaitingStep &waiting, const RoomOf &roomOf)
 {
-    // A step with a failed run has few attempts left, so it is not placed on suspect targets.
-    const auto isAcceptable = [&waiting](const PlacementTarget &target) { return !waiting.hasFailed || !target.isSuspect; };
+    const auto isAcceptable = [&waiting](const PlacementTarget &target) { return !waiting.avoidsSuspects || !target.isSuspect; };
     return {roomOf, isAcceptable, acceleratorBudget(state, waiting)};
 }
 
--- a/workflow/placement.h
+++ b/workflow/placement.h
@@ -50,7 +50,7 @@
     int priority = 0;
     bool isGuaranteed = false; ///< Work of the most urgent priority within its organisation's guarantee; it may reclaim resources that others have borrowed.
     std::vector<int> tasks;
-    bool hasFailed = false;                ///< A run of the step has failed, so the step avoids suspect targets.
+    bool avoidsSuspects = false;           ///< A run of the step has failed, so the step has few attempts left and does not use suspect targets.
     Duration waited{0};                    ///< Time since the step could first have started.
     Duration remaining{0};                 ///< Estimated remaining run time.
     Duration slack{0};                     ///< Time until the step must start to meet its objective; negative if it is late.
--- a/workflow/placementinput.cpp
+++ b/workflow/placementinput.cpp
@@ -109,7 +109,8 @@
     auto run = board.runs.rows().lower_bound({id, 0});
     const auto lastRun = board.runs.rows().end();
     for (std::size_t index = 0; index < progress.size(); ++index) {
-        waiting.hasFailed = waiting.hasFailed || progress[index].failedRuns > 0;
+        // Lasting tasks have any number of attempts. They use a suspect target if no other one has room, because it may be the only one that they may use.
+        waiting.avoidsSuspects = waiting.avoidsSuspects || (!specification.isLasting && progress[index].failedRuns > 0);
         if (run != lastRun && run->first.index == static_cast<int>(index) && run->first.step == id) {
             if (specification.isGang) {
                 return std::nullopt;
