Split the answers and the writes of callers from their controller

The answers (answer, refuse, route) and the writes with the handling of their replies move to files of their own; no line of logic changes.

--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -1,4 +1,5 @@
-#include "callerchecks.h"
+#include "calleranswers.h"
+#include "callerwrites.h"
 #include "controllers.h"
 #include "tombstones.h"
 
@@ -23,147 +24,9 @@
 // of the end elsewhere query at once, and would query again only much later.
 constexpr Duration rereadDelay{25};
 
-// Number of unanswered sendings of a write after which this host is probably cut off from the store. The caller is then better served by another host, which
-// can find out whether the write took effect.
-constexpr int maxUnansweredWrites = 2;
-
 // Time between two reads of the summary for the shapes of targets, which change only when machines of another kind join.
 constexpr Duration summaryRefresh{30'000};
 
-// Retry delay for callers that another host can serve. Zero is reserved for refusals where a retry cannot succeed.
-constexpr Duration retryAtOnce{1};
-
-void putCall(WorkflowBoard &board, OpenCallerCall call)
-{
-    const CallId id = call.request.id;
-    board.calls.put(id, std::move(call));
-}
-
-void answer(WorkflowBoard &board, const OpenCallerCall &call, CallerAnswer result)
-{
-    result.id = call.request.id;
-    const std::string outcome = result.refusal ? std::string(name(result.refusal->reason)) : result.state ? std::string(name(*result.state)) : "done";
-    count(board.counters, result.refusal ? "callsRefused" : "callsAnswered", outcome);
-    addSample(board.counters, "answerMs", static_cast<double>((board.now - call.receivedAt).count()));
-    const auto age = board.view.provenAt ? std::to_string((board.now - *board.view.provenAt).count()) : "unknown";
-    logDecision(board,
-                "answerCall",
-                call.request.host,
-                call.request.path,
-                std::string(name(call.request.action)) + ": " + outcome + " after " + std::to_string((board.now - call.receivedAt).count())
-                    + " ms, configuration " + std::to_string(board.view.configuration.version) + " proven " + age + " ms ago"
-                    + (result.refusal ? ": " + result.refusal->message : ""));
-    board.outbox.emplace_back(std::move(result));
-    board.calls.erase(call.request.id);
-}
-
-/// Refuses a call that this host cannot serve now. If another host is ready, the caller is told to retry at once, otherwise after a delay. If it is not known
-/// whether another host is ready, the other hosts are asked first.
-void refuseUnavailable(WorkflowBoard &board, OpenCallerCall call, Refusal refusal)
-{
-    askOtherHosts(board);
-    if (!areReadinessAnswersFresh(board)) {
-        call.refusal = std::move(refusal);
-        call.step = CallerStep::Refusing;
-        call.call.reset();
-        putCall(board, std::move(call));
-        return;
-    }
-    refusal.retryAfter = isAnotherHostReady(board) ? retryAtOnce : board.self.limits.retryAfter;
-    answer(board, call, {{}, std::move(refusal), {}, {}});
-}
-
-void refuse(WorkflowBoard &board, const OpenCallerCall &call, RefusalReason reason, const std::string &message)
-{
-    // After a write with an unknown outcome the answer must not claim that the workflow will not run.
-    if (call.mayBeStored || reason == RefusalReason::Timeout) {
-        refuseUnavailable(board, call, {RefusalReason::Timeout, RequestEffect::Unknown, Duration{0}, "the store may have accepted the request: " + message});
-    } else if (reason == RefusalReason::StoreUnavailable) {
-        refuseUnavailable(board, call, {reason, RequestEffect::NotRun, Duration{0}, message});
-    } else {
-        answer(board, call, {{}, Refusal{reason, RequestEffect::NotRun, Duration{0}, message}, {}, {}});
-    }
-}
-
-/// The call's queue and organisation; refuses the call if the configuration does not allow it.
-std::optional<RoutedCall> route(WorkflowBoard &board, const OpenCallerCall &call)
-{
-    auto routing = routeCall(board.view.configuration, call.request);
-    if (const auto *refusal = std::get_if<Refusal>(&routing)) {
-        refuse(board, call, refusal->reason, refusal->message);
-        return std::nullopt;
-    }
-    return std::get<RoutedCall>(std::move(routing));
-}
-
-std::vector<StoreCondition> configurationCondition(const WorkflowBoard &board)
-{
-    return {{queueConfigurationKey(), board.view.revision}};
-}
-
-void write(WorkflowBoard &board, OpenCallerCall call, StoreTransaction transaction)
-{
-    call.step = CallerStep::Writing;
-    call.call = sendToStore(board, std::move(transaction));
-    putCall(board, std::move(call));
-}
-
-void submit(WorkflowBoard &board, const OpenCallerCall &call, const RoutedCall &routed)
-{
-    Workflow workflow;
-    workflow.id = {routed.rest};
-    workflow.queue = *routed.queue;
-    workflow.organisation = routed.organisation;
-    workflow.acceptedAt = board.wallNow;
-    workflow.specification = *call.request.specification;
-    StoreTransaction transaction;
-    transaction.conditions = configurationCondition(board);
-    transaction.conditions.push_back({workflowTombstoneKey(workflow.id), call.tombstone});
-    transaction.writes.push_back({workflowKey(workflow.id), workflow, 0, false});
-    WorkflowProgress progress;
-    progress.organisation = routed.organisation;
-    transaction.writes.push_back({workflowProgressKey(workflow.id), std::move(progress), 0, false});
-    write(board, call, std::move(transaction));
-}
-
-void cancel(WorkflowBoard &board, const OpenCallerCall &call, const RoutedCall &routed)
-{
-    StoreTransaction transaction;
-    transaction.conditions = configurationCondition(board);
-    transaction.writes.push_back({workflowCancellationKey({routed.rest}), WorkflowCancellation{board.wallNow}, 0, false});
-    write(board, call, std::move(transaction));
-}
-
-void writeTombstone(WorkflowBoard &board, OpenCallerCall call, const RoutedCall &routed)
-{
-    call.step = CallerStep::WritingTombstone;
-    call.call.reset();
-    if (hasTombstoneLease(board)) {
-        call.call = sendToStore(board, tombstoneTransaction(board, {routed.rest}), board.tombstones.lease);
-    }
-    putCall(board, std::move(call));
-}
-
-/// Handles the cancelling of a workflow that does not exist. A submission of it may still be on its way to the store, so the caller is answered once a tombstone
-/// keeps that submission from taking effect.
-void excludeSubmission(WorkflowBoard &board, const OpenCallerCall &call, const RoutedCall &routed)
-{
-    if (const auto wait = takeTombstone(board); wait > Duration{0}) {
-        const auto retryAfter = wait + takeJitter(board, board.self.limits.retryAfter);
-        answer(board, call, {{}, Refusal{RefusalReason::QuotaExceeded, RequestEffect::NotRun, retryAfter, "too many unknown workflows are cancelled"}, {}, {}});
-        return;
-    }
-    requestTombstoneLease(board);
-    writeTombstone(board, call, routed);
-}
-
-void readProgress(WorkflowBoard &board, OpenCallerCall call, const RoutedCall &routed)
-{
-    call.step = CallerStep::Reading;
-    call.call = sendToStore(board, StoreRange{workflowProgressKey({routed.rest}), false});
-    putCall(board, std::move(call));
-}
-
 void answerWaiting(WorkflowBoard &board, OpenCallerCall call, const RoutedCall &routed)
 {
     auto &copy = board.summary;
@@ -294,127 +157,6 @@
     cancel(board, call, *routed);
 }
 
-/// Decides what becomes of a submission whose workflow has another tombstone than it expected. No copy of the submission that was sent before can take effect any
-/// more. A caller may submit a workflow that it has cancelled before, but a submission that has been under way for a while may itself be what was cancelled.
-void handleTombstone(WorkflowBoard &board, OpenCallerCall call, Revision tombstone)
-{
-    const bool mayHaveBeenCancelled = call.mayBeStored || board.now - call.receivedAt > board.self.limits.storeTimeout;
-    call.mayBeStored = false;
-    if (mayHaveBeenCancelled) {
-        answer(board, call, {{}, Refusal{RefusalReason::Cancelled, RequestEffect::NotRun, retryAtOnce, "the workflow was cancelled"}, {}, {}});
-        return;
-    }
-    call.tombstone = tombstone;
-    if (const auto routed = route(board, call)) {
-        submit(board, call, *routed);
-    }
-}
-
-/// The revision of the tombstone among the entries of the store's answer; zero if there is none.
-Revision tombstoneRevision(const StoreReply &reply)
-{
-    const auto found = std::ranges::find_if(reply.entries, [](const StoreEntry &entry) { return std::holds_alternative<WorkflowTombstone>(entry.record); });
-    return found == reply.entries.end() ? 0 : found->revision;
-}
-
-/// Proves the configuration again before the call is handled again, because a condition failed that nothing else explains.
-void proveAgain(WorkflowBoard &board, OpenCallerCall call)
-{
-    // Nothing was written, and no earlier copy can take effect any more, because it had the same conditions.
-    call.mayBeStored = false;
-    call.step = CallerStep::Proving;
-    call.call.reset();
-    board.view.nextProofAt = board.now;
-    board.view.invalidatedAt = board.now;
-    subscribeNoLaterThan(board.timers, "proof", board.now);
-    putCall(board, std::move(call));
-}
-
-/// A condition failed: the workflow or cancellation exists already, its tombstone is not the expected one, or the configuration has changed.
-void handleConflict(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
-{
-    for (const auto &entry : reply.entries) {
-        const auto *workflow = std::get_if<Workflow>(&entry.record);
-        const auto routed = workflow == nullptr ? std::nullopt : route(board, call);
-        if (workflow != nullptr && !routed) {
-            return;
-        }
-        if (routed && !mayAccess(*routed, workflow->organisation)) {
-            call.mayBeStored = false; // An earlier copy of this write would have failed with the same conflict.
-            refuse(board, call, RefusalReason::RequestIdReused, "another organisation has used this id");
-            return;
-        }
-        if (workflow != nullptr || std::holds_alternative<WorkflowCancellation>(entry.record)) {
-            answer(board, call, {});
-            return;
-        }
-    }
-    if (const auto tombstone = tombstoneRevision(reply); call.request.action == CallerAction::Submit && tombstone != call.tombstone) {
-        handleTombstone(board, std::move(call), tombstone);
-        return;
-    }
-    proveAgain(board, std::move(call));
-}
-
-/// A condition of the tombstone failed: the workflow has been stored meanwhile, or the configuration has changed.
-void handleTombstoneConflict(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
-{
-    const bool exists = std::ranges::any_of(reply.entries, [](const StoreEntry &entry) {
-        return std::holds_alternative<Workflow>(entry.record) || std::holds_alternative<WorkflowProgress>(entry.record);
-    });
-    if (!exists) {
-        proveAgain(board, std::move(call));
-        return;
-    }
-    call.mayBeStored = false;
-    if (const auto routed = route(board, call)) {
-        readProgress(board, std::move(call), *routed);
-    }
-}
-
-void handleWriteReply(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
-{
-    const bool isTombstone = call.step == CallerStep::WritingTombstone;
-    switch (reply.outcome) {
-    case StoreOutcome::Applied:
-        call.mayBeStored = false;
-        if (isTombstone) {
-            refuse(board, call, RefusalReason::NotFound, "no workflow has this id");
-        } else {
-            answer(board, call, {});
-        }
-        return;
-    case StoreOutcome::Conflict:
-        if (isTombstone) {
-            handleTombstoneConflict(board, std::move(call), reply);
-        } else {
-            handleConflict(board, std::move(call), reply);
-        }
-        return;
-    case StoreOutcome::NotSent:
-        if (isTombstone) {
-            dropTombstoneLease(board); // The store refuses the write if the lease has ended.
-        }
-        if (!call.mayBeStored) {
-            refuse(board, call, RefusalReason::StoreUnavailable, "the store did not receive the request");
-            return;
-        }
-        call.retryAt = board.now + board.self.limits.storeRetry;
-        break;
-    case StoreOutcome::Unknown:
-        call.mayBeStored = true;
-        call.retryAt = board.now;
-        if (++call.unansweredWrites >= maxUnansweredWrites) {
-            refuse(board, call, RefusalReason::Timeout, "the store has not answered twice");
-            return;
-        }
-        break;
-    }
-    // Sending the write again with the same conditions shows whether an earlier copy took effect.
-    call.call.reset();
-    putCall(board, std::move(call));
-}
-
 void resend(WorkflowBoard &board, const OpenCallerCall &call)
 {
     const auto routed = route(board, call);
@@ -432,11 +174,6 @@
     }
 }
 
-bool isWriting(const OpenCallerCall &call)
-{
-    return call.step == CallerStep::Writing || call.step == CallerStep::WritingTombstone;
-}
-
 void continueCall(WorkflowBoard &board, const OpenCallerCall &call)
 {
     if (call.step == CallerStep::Refusing) {
--- /dev/null
+++ b/workflow/calleranswers.cpp
@@ -0,0 +1,69 @@
+#include "calleranswers.h"
+
+#include <utility>
+#include <variant>
+
+namespace sequoiastand
+{
+
+void putCall(WorkflowBoard &board, OpenCallerCall call)
+{
+    const CallId id = call.request.id;
+    board.calls.put(id, std::move(call));
+}
+
+void answer(WorkflowBoard &board, const OpenCallerCall &call, CallerAnswer result)
+{
+    result.id = call.request.id;
+    const std::string outcome = result.refusal ? std::string(name(result.refusal->reason)) : result.state ? std::string(name(*result.state)) : "done";
+    count(board.counters, result.refusal ? "callsRefused" : "callsAnswered", outcome);
+    addSample(board.counters, "answerMs", static_cast<double>((board.now - call.receivedAt).count()));
+    const auto age = board.view.provenAt ? std::to_string((board.now - *board.view.provenAt).count()) : "unknown";
+    logDecision(board,
+                "answerCall",
+                call.request.host,
+                call.request.path,
+                std::string(name(call.request.action)) + ": " + outcome + " after " + std::to_string((board.now - call.receivedAt).count())
+                    + " ms, configuration " + std::to_string(board.view.configuration.version) + " proven " + age + " ms ago"
+                    + (result.refusal ? ": " + result.refusal->message : ""));
+    board.outbox.emplace_back(std::move(result));
+    board.calls.erase(call.request.id);
+}
+
+void refuseUnavailable(WorkflowBoard &board, OpenCallerCall call, Refusal refusal)
+{
+    askOtherHosts(board);
+    if (!areReadinessAnswersFresh(board)) {
+        call.refusal = std::move(refusal);
+        call.step = CallerStep::Refusing;
+        call.call.reset();
+        putCall(board, std::move(call));
+        return;
+    }
+    refusal.retryAfter = isAnotherHostReady(board) ? retryAtOnce : board.self.limits.retryAfter;
+    answer(board, call, {{}, std::move(refusal), {}, {}});
+}
+
+void refuse(WorkflowBoard &board, const OpenCallerCall &call, RefusalReason reason, const std::string &message)
+{
+    // After a write with an unknown outcome the answer must not claim that the workflow will not run.
+    if (call.mayBeStored || reason == RefusalReason::Timeout) {
+        refuseUnavailable(board, call, {RefusalReason::Timeout, RequestEffect::Unknown, Duration{0}, "the store may have accepted the request: " + message});
+    } else if (reason == RefusalReason::StoreUnavailable) {
+        refuseUnavailable(board, call, {reason, RequestEffect::NotRun, Duration{0}, message});
+    } else {
+        answer(board, call, {{}, Refusal{reason, RequestEffect::NotRun, Duration{0}, message}, {}, {}});
+    }
+}
+
+std::optional<RoutedCall> route(WorkflowBoard &board, const OpenCallerCall &call)
+{
+    auto routing = routeCall(board.view.configuration, call.request);
+    if (const auto *refusal = std::get_if<Refusal>(&routing)) {
+        refuse(board, call, refusal->reason, refusal->message);
+        return std::nullopt;
+    }
+    return std::get<RoutedCall>(std::move(routing));
+}
+
+}
--- /dev/null
+++ b/workflow/calleranswers.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "callerchecks.h"
+#include "workflowboard.h"
+
+#include <optional>
+#include <string>
+
+namespace sequoiastand
+{
+
+/// Retry delay for callers that another host can serve, or that may send the request again at once. Zero is reserved for refusals where a retry cannot succeed.
+constexpr Duration retryAtOnce{1};
+
+/// Inserts or replaces the row of the call.
+void putCall(WorkflowBoard &board, OpenCallerCall call);
+
+/// Answers the call, which ends it.
+void answer(WorkflowBoard &board, const OpenCallerCall &call, CallerAnswer result);
+
+/// Refuses a call that this host cannot serve now. If another host is ready, the caller is told to retry at once, otherwise after a delay. If it is not known
+/// whether another host is ready, the other hosts are asked first.
+void refuseUnavailable(WorkflowBoard &board, OpenCallerCall call, Refusal refusal);
+
+/// Refuses the call for the reason. If a write of the call may have taken effect, or the reason is a timeout, the answer says that the outcome is unknown.
+void refuse(WorkflowBoard &board, const OpenCallerCall &call, RefusalReason reason, const std::string &message);
+
+/// The call's queue and organisation; refuses the call and gives no value if the configuration does not allow it.
+std::optional<RoutedCall> route(WorkflowBoard &board, const OpenCallerCall &call);
+
+}
--- /dev/null
+++ b/workflow/callerwrites.cpp
@@ -0,0 +1,220 @@
+#include "callerwrites.h"
+
+#include "calleranswers.h"
+#include "tombstones.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+// Number of unanswered sendings of a write after which this host is probably cut off from the store. The caller is then better served by another host, which
+// can find out whether the write took effect.
+constexpr int maxUnansweredWrites = 2;
+
+std::vector<StoreCondition> configurationCondition(const WorkflowBoard &board)
+{
+    return {{queueConfigurationKey(), board.view.revision}};
+}
+
+void write(WorkflowBoard &board, OpenCallerCall call, StoreTransaction transaction)
+{
+    call.step = CallerStep::Writing;
+    call.call = sendToStore(board, std::move(transaction));
+    putCall(board, std::move(call));
+}
+
+}
+
+void submit(WorkflowBoard &board, const OpenCallerCall &call, const RoutedCall &routed)
+{
+    Workflow workflow;
+    workflow.id = {routed.rest};
+    workflow.queue = *routed.queue;
+    workflow.organisation = routed.organisation;
+    workflow.acceptedAt = board.wallNow;
+    workflow.specification = *call.request.specification;
+    StoreTransaction transaction;
+    transaction.conditions = configurationCondition(board);
+    transaction.conditions.push_back({workflowTombstoneKey(workflow.id), call.tombstone});
+    transaction.writes.push_back({workflowKey(workflow.id), workflow, 0, false});
+    WorkflowProgress progress;
+    progress.organisation = routed.organisation;
+    transaction.writes.push_back({workflowProgressKey(workflow.id), std::move(progress), 0, false});
+    write(board, call, std::move(transaction));
+}
+
+void cancel(WorkflowBoard &board, const OpenCallerCall &call, const RoutedCall &routed)
+{
+    StoreTransaction transaction;
+    transaction.conditions = configurationCondition(board);
+    transaction.writes.push_back({workflowCancellationKey({routed.rest}), WorkflowCancellation{board.wallNow}, 0, false});
+    write(board, call, std::move(transaction));
+}
+
+void writeTombstone(WorkflowBoard &board, OpenCallerCall call, const RoutedCall &routed)
+{
+    call.step = CallerStep::WritingTombstone;
+    call.call.reset();
+    if (hasTombstoneLease(board)) {
+        call.call = sendToStore(board, tombstoneTransaction(board, {routed.rest}), board.tombstones.lease);
+    }
+    putCall(board, std::move(call));
+}
+
+void excludeSubmission(WorkflowBoard &board, const OpenCallerCall &call, const RoutedCall &routed)
+{
+    if (const auto wait = takeTombstone(board); wait > Duration{0}) {
+        const auto retryAfter = wait + takeJitter(board, board.self.limits.retryAfter);
+        answer(board, call, {{}, Refusal{RefusalReason::QuotaExceeded, RequestEffect::NotRun, retryAfter, "too many unknown workflows are cancelled"}, {}, {}});
+        return;
+    }
+    requestTombstoneLease(board);
+    writeTombstone(board, call, routed);
+}
+
+void readProgress(WorkflowBoard &board, OpenCallerCall call, const RoutedCall &routed)
+{
+    call.step = CallerStep::Reading;
+    call.call = sendToStore(board, StoreRange{workflowProgressKey({routed.rest}), false});
+    putCall(board, std::move(call));
+}
+
+bool isWriting(const OpenCallerCall &call)
+{
+    return call.step == CallerStep::Writing || call.step == CallerStep::WritingTombstone;
+}
+
+namespace
+{
+
+/// Decides what becomes of a submission whose workflow has another tombstone than it expected. No copy of the submission that was sent before can take effect any
+/// more. A caller may submit a workflow that it has cancelled before, but a submission that has been under way for a while may itself be what was cancelled.
+void handleTombstone(WorkflowBoard &board, OpenCallerCall call, Revision tombstone)
+{
+    const bool mayHaveBeenCancelled = call.mayBeStored || board.now - call.receivedAt > board.self.limits.storeTimeout;
+    call.mayBeStored = false;
+    if (mayHaveBeenCancelled) {
+        answer(board, call, {{}, Refusal{RefusalReason::Cancelled, RequestEffect::NotRun, retryAtOnce, "the workflow was cancelled"}, {}, {}});
+        return;
+    }
+    call.tombstone = tombstone;
+    if (const auto routed = route(board, call)) {
+        submit(board, call, *routed);
+    }
+}
+
+/// The revision of the tombstone among the entries of the store's answer; zero if there is none.
+Revision tombstoneRevision(const StoreReply &reply)
+{
+    const auto found = std::ranges::find_if(reply.entries, [](const StoreEntry &entry) { return std::holds_alternative<WorkflowTombstone>(entry.record); });
+    return found == reply.entries.end() ? 0 : found->revision;
+}
+
+/// Proves the configuration again before the call is handled again, because a condition failed that nothing else explains.
+void proveAgain(WorkflowBoard &board, OpenCallerCall call)
+{
+    // Nothing was written, and no earlier copy can take effect any more, because it had the same conditions.
+    call.mayBeStored = false;
+    call.step = CallerStep::Proving;
+    call.call.reset();
+    board.view.nextProofAt = board.now;
+    board.view.invalidatedAt = board.now;
+    subscribeNoLaterThan(board.timers, "proof", board.now);
+    putCall(board, std::move(call));
+}
+
+/// A condition failed: the workflow or cancellation exists already, its tombstone is not the expected one, or the configuration has changed.
+void handleConflict(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
+{
+    for (const auto &entry : reply.entries) {
+        const auto *workflow = std::get_if<Workflow>(&entry.record);
+        const auto routed = workflow == nullptr ? std::nullopt : route(board, call);
+        if (workflow != nullptr && !routed) {
+            return;
+        }
+        if (routed && !mayAccess(*routed, workflow->organisation)) {
+            call.mayBeStored = false; // An earlier copy of this write would have failed with the same conflict.
+            refuse(board, call, RefusalReason::RequestIdReused, "another organisation has used this id");
+            return;
+        }
+        if (workflow != nullptr || std::holds_alternative<WorkflowCancellation>(entry.record)) {
+            answer(board, call, {});
+            return;
+        }
+    }
+    if (const auto tombstone = tombstoneRevision(reply); call.request.action == CallerAction::Submit && tombstone != call.tombstone) {
+        handleTombstone(board, std::move(call), tombstone);
+        return;
+    }
+    proveAgain(board, std::move(call));
+}
+
+/// A condition of the tombstone failed: the workflow has been stored meanwhile, or the configuration has changed.
+void handleTombstoneConflict(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
+{
+    const bool exists = std::ranges::any_of(reply.entries, [](const StoreEntry &entry) {
+        return std::holds_alternative<Workflow>(entry.record) || std::holds_alternative<WorkflowProgress>(entry.record);
+    });
+    if (!exists) {
+        proveAgain(board, std::move(call));
+        return;
+    }
+    call.mayBeStored = false;
+    if (const auto routed = route(board, call)) {
+        readProgress(board, std::move(call), *routed);
+    }
+}
+
+}
+
+void handleWriteReply(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
+{
+    const bool isTombstone = call.step == CallerStep::WritingTombstone;
+    switch (reply.outcome) {
+    case StoreOutcome::Applied:
+        call.mayBeStored = false;
+        if (isTombstone) {
+            refuse(board, call, RefusalReason::NotFound, "no workflow has this id");
+        } else {
+            answer(board, call, {});
+        }
+        return;
+    case StoreOutcome::Conflict:
+        if (isTombstone) {
+            handleTombstoneConflict(board, std::move(call), reply);
+        } else {
+            handleConflict(board, std::move(call), reply);
+        }
+        return;
+    case StoreOutcome::NotSent:
+        if (isTombstone) {
+            dropTombstoneLease(board); // The store refuses the write if the lease has ended.
+        }
+        if (!call.mayBeStored) {
+            refuse(board, call, RefusalReason::StoreUnavailable, "the store did not receive the request");
+            return;
+        }
+        call.retryAt = board.now + board.self.limits.storeRetry;
+        break;
+    case StoreOutcome::Unknown:
+        call.mayBeStored = true;
+        call.retryAt = board.now;
+        if (++call.unansweredWrites >= maxUnansweredWrites) {
+            refuse(board, call, RefusalReason::Timeout, "the store has not answered twice");
+            return;
+        }
+        break;
+    }
+    // Sending the write again with the same conditions shows whether an earlier copy took effect.
+    call.call.reset();
+    putCall(board, std::move(call));
+}
+
+}
