Let calls reach only workflows of their own queue

Two jobs of one organisation with the same id on two queues counted as one: the second POST was answered 200 and stored nowhere.

Cause: mayAccess allowed everything on an anonymous queue and never compared queues; the answer to a submission whose id exists compared only the organisation.

So a call reaches only workflows of its queue: on an anonymous queue all of them, on others those of its organisation. The progress record names the queue, so that a query needs no other record; a queue that has been removed may return under another name, so any queue counts as its successor.

Ruled out: asking for the key with which a job was handed in on an anonymous queue, because the key may be withdrawn and the job would be lost to its caller.

--- a/core/workflowprogress.h
+++ b/core/workflowprogress.h
@@ -63,7 +63,8 @@
 struct WorkflowProgress
 {
     WorkflowState state = WorkflowState::Queued;
-    OrganisationId organisation;                   ///< Organisation of the workflow, so that a query needs no other record; empty for an anonymous queue.
+    OrganisationId organisation; ///< Organisation of the workflow, so that a query needs no other record; empty if it was submitted without a key.
+    QueueId queue;               ///< Queue of the workflow, for the same reason; empty in records of former versions.
     std::map<int, OccurrenceProgress> occurrences; ///< Occurrences that have begun and not finished.
     int finishedOccurrences = 0;                   ///< All occurrences below this number have finished.
     std::vector<int> finishedOutOfOrder;           ///< Finished occurrences with a number of at least `finishedOccurrences`, in ascending order.
--- a/tests/testplatformfront.cpp
+++ b/tests/testplatformfront.cpp
@@ -48,6 +48,27 @@
     EXPECT_EQ(read->schedule, (OccurrenceSchedule{3, WallTime{Duration{1'700'000'000'000}}, Duration{2'000}}));
 }
 
+// Guards against refusing a submission that is sent again as one with another specification: the stored record must be equal to the decoded body.
+TEST_F(PlatformFront, storedSpecificationEqualsTheSubmittedOne)
+{
+    for (const std::string body :
+         {R"({"spec":"p \u00e9 \"q\"","steps":[{"count":4,"cpu":500,"memMb":256,"gpu":2,"estimateMs":900,"affinity":"r1-3","gang":true,"sameRack":true},
+              {"count":20,"after":[0],"savesProgress":true,"requiredLabel":"b","maxPerServer":3,"longRunning":true,"image":"i","targetMs":50,"fills":true,
+              "maxUnavailable":2,"speculative":true}],"times":3,"startAtMs":1700000000000,"intervalMs":2000})",
+          R"({"spec":"","steps":[{}]})",
+          R"({"spec":"p","steps":[{"count":1}],"times":0,"startAtMs":1700000000000,"intervalMs":2000})"}) {
+        SCOPED_TRACE(body);
+        const auto read = readSubmission(body);
+        ASSERT_TRUE(read.ok()) << read.status();
+        Workflow workflow;
+        workflow.id = {"0000000000000001"};
+        workflow.specification = *read;
+        const auto stored = readPlatformRecord(workflowKey(workflow.id), writePlatformRecord(workflow));
+        ASSERT_TRUE(stored.ok()) << stored.status();
+        EXPECT_EQ(std::get<Workflow>(*stored).specification, *read);
+    }
+}
+
 TEST_F(PlatformFront, invalidSubmissionsNameTheField)
 {
     EXPECT_NE(errorOf(R"({"steps":[{"count":1}]})").find("spec"), std::string::npos);
--- a/wire/workflowjson.cpp
+++ b/wire/workflowjson.cpp
@@ -241,6 +241,7 @@
         json["occurrences"] = std::move(occurrences);
     }
     putUnlessDefault(json, "organisation", record.organisation.value, std::string{});
+    putUnlessDefault(json, "queue", record.queue.value, std::string{});
     putUnlessDefault(json, "finished", record.finishedOccurrences, 0);
     putUnlessDefault(json, "finishedLater", record.finishedOutOfOrder, std::vector<int>{});
     if (record.endedAt) {
@@ -259,6 +260,7 @@
     }
     record.state = *known;
     record.organisation = {json.value("organisation", std::string{})};
+    record.queue = {json.value("queue", std::string{})};
     if (json.contains("occurrences")) {
         for (const auto &row : json.at("occurrences")) {
             record.occurrences.emplace(row.at(0).get<int>(), occurrenceFromJson(row.at(1)));
--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -138,7 +138,7 @@
         excludeSubmission(board, call, *routed);
         return;
     }
-    if (progress == nullptr || !mayAccess(*routed, progress->organisation)) {
+    if (progress == nullptr || !mayAccess(board.view.configuration, *routed, {progress->organisation, progress->queue})) {
         refuse(board, call, RefusalReason::NotFound, "no workflow has this id");
         return;
     }
--- a/workflow/callerchecks.cpp
+++ b/workflow/callerchecks.cpp
@@ -70,9 +70,16 @@
     return routed;
 }
 
-bool mayAccess(const RoutedCall &routed, const OrganisationId &owner)
+bool isSameQueue(const QueueConfiguration &configuration, const RoutedCall &routed, const QueueId &queue)
 {
-    return routed.queue->isAnonymous || owner.value.empty() || owner == routed.organisation;
+    return queue.value.empty() || queue == routed.queue->id || !configuration.queues.contains(queue);
+}
+
+bool mayAccess(const QueueConfiguration &configuration, const RoutedCall &routed, const WorkflowOwner &owner)
+{
+    const bool isOpenToAll = routed.queue->isAnonymous && owner.queue == routed.queue->id;
+    const bool isOwn = owner.organisation.value.empty() || owner.organisation == routed.organisation;
+    return isSameQueue(configuration, routed, owner.queue) && (isOwn || isOpenToAll);
 }
 
 std::optional<Refusal> checkSubmission(const WorkflowBoard &board, const CallerRequest &request, const RoutedCall &routed)
--- a/workflow/callerchecks.h
+++ b/workflow/callerchecks.h
@@ -27,9 +27,21 @@
 /// The call's queue and organisation, or the refusal if the configuration does not allow the call.
 std::variant<RoutedCall, Refusal> routeCall(const QueueConfiguration &configuration, const CallerRequest &request);
 
-/// True if the call may query or cancel a workflow of the organisation `owner`. Organisations may access only their own workflows; everybody may access the
-/// workflows of anonymous queues.
-bool mayAccess(const RoutedCall &routed, const OrganisationId &owner);
+/// The organisation and the queue of a workflow.
+struct WorkflowOwner
+{
+    OrganisationId organisation; ///< Empty if the workflow was submitted without a key.
+    QueueId queue;               ///< Empty if it is not known.
+
+    friend bool operator==(const WorkflowOwner &, const WorkflowOwner &) = default;
+};
+
+/// True if the call is to the workflow's queue. A queue that has been removed may have been added again under another name, so any queue counts as its successor.
+bool isSameQueue(const QueueConfiguration &configuration, const RoutedCall &routed, const QueueId &queue);
+
+/// True if the call may query or cancel the workflow. A call reaches only workflows of its queue: on an anonymous queue all of them, because its callers carry no
+/// keys, on other queues those of the caller's organisation.
+bool mayAccess(const QueueConfiguration &configuration, const RoutedCall &routed, const WorkflowOwner &owner);
 
 /// The refusal of a submission that can never be accepted, or nothing. If this host does not know any target's shape, every task counts as small enough.
 std::optional<Refusal> checkSubmission(const WorkflowBoard &board, const CallerRequest &request, const RoutedCall &routed);
--- a/workflow/callerwrites.cpp
+++ b/workflow/callerwrites.cpp
@@ -46,6 +46,7 @@
     transaction.writes.push_back({workflowKey(workflow.id), workflow, 0, false});
     WorkflowProgress progress;
     progress.organisation = routed.organisation;
+    progress.queue = routed.queue->id;
     transaction.writes.push_back({workflowProgressKey(workflow.id), std::move(progress), 0, false});
     write(board, call, std::move(transaction));
 }
@@ -130,21 +131,34 @@
     putCall(board, std::move(call));
 }
 
+/// Answers a submission whose id belongs to a stored workflow. Only the same submission is accepted; any other one would be told of success and never run.
+void handleStoredWorkflow(WorkflowBoard &board, OpenCallerCall call, const Workflow &stored)
+{
+    const auto routed = route(board, call);
+    if (!routed) {
+        return;
+    }
+    const bool isAccessible = mayAccess(board.view.configuration, *routed, {stored.organisation, stored.queue.id});
+    if (isAccessible && stored.specification == *call.request.specification) {
+        answer(board, call, {});
+        return;
+    }
+    call.mayBeStored = false; // An earlier copy of this write would have failed with the same conflict.
+    refuse(board,
+           call,
+           RefusalReason::RequestIdReused,
+           isAccessible ? "the id belongs to a workflow with another specification" : "the id belongs to a workflow of another organisation or queue");
+}
+
 /// A condition failed: the workflow or cancellation exists already, its tombstone is not the expected one, or the configuration has changed.
 void handleConflict(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
 {
     for (const auto &entry : reply.entries) {
-        const auto *workflow = std::get_if<Workflow>(&entry.record);
-        const auto routed = workflow == nullptr ? std::nullopt : route(board, call);
-        if (workflow != nullptr && !routed) {
-            return;
-        }
-        if (routed && !mayAccess(*routed, workflow->organisation)) {
-            call.mayBeStored = false; // An earlier copy of this write would have failed with the same conflict.
-            refuse(board, call, RefusalReason::RequestIdReused, "another organisation has used this id");
+        if (const auto *workflow = std::get_if<Workflow>(&entry.record)) {
+            handleStoredWorkflow(board, std::move(call), *workflow);
             return;
         }
-        if (workflow != nullptr || std::holds_alternative<WorkflowCancellation>(entry.record)) {
+        if (std::holds_alternative<WorkflowCancellation>(entry.record)) {
             answer(board, call, {});
             return;
         }
--- a/workflow/loaddomain.cpp
+++ b/workflow/loaddomain.cpp
@@ -124,6 +124,7 @@
     WorkflowEntry entry;
     entry.workflow = std::make_shared<const Workflow>(workflow);
     entry.progress.organisation = workflow.organisation;
+    entry.progress.queue = workflow.queue.id;
     if (auto read = board.load.progress.extract(workflow.id)) {
         entry.progress = withoutFinishedLastingTasks(std::move(read.mapped()), workflow.specification);
     }
