Answer clients that have ended their sending side

Cause: the server took the end of the client's stream for a connection that nobody reads, told the domain that the call was abandoned and answered 503 by itself, although the write of the job was under way.

Change: only a reset abandons a request. After the end of the stream the request waits for its real answer; the end stays readable, so the socket is no longer watched. A reset connection is ended with 502, which promises nothing, and nobody reads it.

A client that closes its connection in order looks the same to the server as one that half closes, so its request is handled to the end too.

Other places that answer by themselves were read: limits on size, connections and headers answer before a request reaches the handler; timeouts and shutdown close connections without an answer.

--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -302,7 +302,7 @@
 
 void HttpServer::watchForDisconnect(Request &request)
 {
-    // libmicrohttpd does not poll the socket of a suspended connection, so the end of the stream is detected here.
+    // libmicrohttpd does not poll the socket of a suspended connection, so a reset is detected here.
     const auto id = request.id;
     const int descriptor = MHD_get_connection_info(request.connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
     request.disconnectWatch = std::make_unique<SocketWatch>(m_loop, [this, id, descriptor](int) {
@@ -316,16 +316,17 @@
         if (isWaiting) {
             return;
         }
-        if (count > 0) {
-            // The client has already sent its next request. The request's bytes stay in the socket's buffer and would trigger the watch again, so the watch is
-            // removed.
+        if (count >= 0) {
+            // The client has sent its next request, or has ended its sending side. A client may do the latter while it still reads, so it gets its answer like
+            // any other. The bytes and the end of the stream stay in the socket's buffer and would trigger the watch again, so the watch is removed.
             found->second->disconnectWatch.reset();
             return;
         }
+        // The client has reset the connection and reads no answer, so this response only ends the connection.
         if (m_disconnectHandler) {
             m_disconnectHandler(id);
         }
-        respond(id, HttpResponse{.status = 503, .closesConnection = true});
+        respond(id, HttpResponse{.status = 502, .closesConnection = true});
     });
     request.disconnectWatch->watch(descriptor, EV_READ);
 }
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -77,7 +77,8 @@
     /// Sets the names of the request headers that are passed to the handler.
     void setReadHeaders(std::vector<std::string> names);
 
-    /// Sets the handler that is called when a client closes its connection before its request is answered.
+    /// Sets the handler that is called when a client resets its connection before its request is answered. A client that closes its connection in order, or ends
+    /// only its sending side, gets its answer; the server cannot tell the two apart.
     void setDisconnectHandler(DisconnectHandler handler);
 
     /// Sets the function that returns the response to a request that exceeds a limit.
--- a/tests/loopback.cpp
+++ b/tests/loopback.cpp
@@ -161,6 +161,18 @@
     EXPECT_EQ(static_cast<ssize_t>(bytes.size()), ::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL));
 }
 
+void RawClient::endSending()
+{
+    EXPECT_EQ(0, ::shutdown(m_descriptor, SHUT_WR));
+}
+
+void RawClient::reset()
+{
+    const linger noLinger{1, 0};
+    EXPECT_EQ(0, ::setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &noLinger, sizeof noLinger));
+    close();
+}
+
 void RawClient::close()
 {
     m_watch.stop();
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -106,6 +106,12 @@
     void send(const std::string &bytes);
     void close();
 
+    /// Ends the sending side; the client goes on reading.
+    void endSending();
+
+    /// Closes the connection with a reset.
+    void reset();
+
     const std::string &received() const
     {
         return m_received;
