Decide that unanswered starts are not stored

Decision, from a table of who knows what at each moment: once the next owner has reached an instance, its fencing token keeps the former owner's starts out; before that, nobody is in touch who could use what had been stored. So storing costs two writes for each unanswered start and buys nothing.

The code is unchanged. LateOrders.startOfAFormerOwnerIsRefusedByAnInstance- ThatTheNextOwnerHasReached guards the row of the table on which the decision rests; it passes without a change.

--- a/tests/testlateorders.cpp
+++ b/tests/testlateorders.cpp
@@ -97,6 +97,20 @@
     runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{60'000});
 }
 
+// Guards against storing unanswered starts without need: the next owner does not know of them, but the token of its first hold keeps a start of the former owner
+// from being executed, also by an instance that knows nothing of before.
+TEST_F(LateOrders, startOfAFormerOwnerIsRefusedByAnInstanceThatTheNextOwnerHasReached)
+{
+    const auto place = startLate(Duration{8'000}, Duration{10'000});
+    kill(owner());
+    crash(place);
+    runUntil([&] { return !owner().empty() && fleet.targets.at({place}).fence > 0; }, Duration{4'000});
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{30'000});
+    run(Duration{5'000});
+    EXPECT_EQ(fleet.starts[id(1)], 1);
+    EXPECT_TRUE(std::ranges::any_of(history, [](const std::string &line) { return line.ends_with("fenced") && line.find("late start") != std::string::npos; }));
+}
+
 // Guards against running a task twice: a new instance that refuses the stop of a late start as unhealthy still executes this start when it arrives.
 TEST_F(LateOrders, stopThatANewInstanceRefusesIsRepeatedBeforeTheLateStartArrives)
 {
