--- a/tests/testplatformtargets.cpp
+++ b/tests/testplatformtargets.cpp
@@ -99,7 +99,7 @@
         std::string rows;
         for (int number = 1; number <= ends; ++number) {
             const auto text = std::to_string(number);
-            rows += (rows.empty() ? "" : ",") + ("[" + text + R"(,"5c0e7a21d94b36f8.0.0.)" + text + R"(",1,"done",""])");
+            rows.append(rows.empty() ? "[" : ",[").append(text).append(R"(,"5c0e7a21d94b36f8.0.0.)").append(text).append(R"(",1,"done",""])");
         }
         return lists("", rows);
     };
