Show workflows as running only once a target has taken a run

Cause: startPlanned set the workflow's state when it planned the first start, and a refused start left it so.

Change: the state is set when a target accepts or lists a run, or lists its end (noteBegun). That would be one more write for each workflow, so the change joins the next batch that is written for another reason, and has a batch of its own only after 50 ms.

Ruled out: setting the state back when a start is refused, because until then it would be shown as running without being known to be, and a start that is never answered would leave it so.

Related paths: a new owner learns it from the first lists; an end of a run that is not on the board counts too. In RunReports the fixture's workflow has a run at work, so its state is running now; the version that the test endOfATaskCopiesNoOtherTask expects is unchanged.

Evidence: RefusedOrders.workflowIsShownAsWaitingUntilATargetTakesAStart fails with the former line (state running, 0 waiting).

--- a/tests/testrefusedorders.cpp
+++ b/tests/testrefusedorders.cpp
@@ -75,6 +75,23 @@
     runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, settings.limits.startValidity + settings.limits.holdWait + Duration{1'500});
 }
 
+// Guards against showing a workflow as running because its start was planned, although every target has refused it.
+TEST_F(RefusedOrders, workflowIsShownAsWaitingUntilATargetTakesAStart)
+{
+    for (int number = 1; number <= 8; ++number) {
+        unhealthyTargets.insert({"t" + std::to_string(number)});
+    }
+    answerTo(submit(id(1), batch(2, {1'000, 1'000, 1}), {Duration{60'000}, {}}, "h1", "/patient/"));
+    run(Duration{5'000});
+    EXPECT_TRUE(latestPlace(1).has_value()) << "no start was sent";
+    EXPECT_EQ(answerTo(query(id(1), "h1", "/patient/")).state, WorkflowState::Queued);
+    EXPECT_EQ(answerTo(countWaiting("/patient/")).waiting, 1);
+    unhealthyTargets.clear();
+    run(Duration{4'000});
+    EXPECT_EQ(answerTo(query(id(1), "h1", "/patient/")).state, WorkflowState::Running);
+    EXPECT_EQ(answerTo(countWaiting("/patient/")).waiting, 0);
+}
+
 // Guards against leaving a task of a cancelled job at work: a stop that was refused is sent again, also for a run that its target lists.
 TEST_F(RefusedOrders, cancelledTaskIsStoppedOnceItsTargetTakesOrdersAgain)
 {
--- a/tests/testrunreports.cpp
+++ b/tests/testrunreports.cpp
@@ -21,6 +21,7 @@
         workflow.specification.steps.resize(1);
         WorkflowEntry entry;
         entry.workflow = std::make_shared<const Workflow>(workflow);
+        entry.progress.state = WorkflowState::Running;
         entry.progress.occurrences.emplace(0, newOccurrence(workflow.specification));
         entry.progress.occurrences.at(0).steps.at(0).at(0) = {false, 1, 0, "", instance};
         board.workflows.put(workflow.id, entry);
--- a/workflow/commitprogress.cpp
+++ b/workflow/commitprogress.cpp
@@ -3,6 +3,9 @@
 #include "progresschange.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <iterator>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -16,6 +19,10 @@
 // Time after which an unchanged summary is compared again, because a comparison counts all open workflows.
 constexpr Duration summaryCheckPause{100};
 
+// Longest time that the begin of workflows waits for a batch that is written for another reason. A batch of its own for each begin would add a third to the
+// writes of a workflow of one task.
+constexpr Duration maxBegunDelay{50};
+
 DomainSummary summaryOf(const WorkflowBoard &board)
 {
     DomainSummary summary;
@@ -111,23 +118,41 @@
     }
 }
 
-std::optional<CommitBatch> makeBatch(WorkflowBoard &board)
+/// Adds the progress of the workflows, as far as the batch has room, and removes them from the set.
+void addProgress(CommitBatch &batch, const WorkflowBoard &board, std::set<RequestId> &workflows, int room)
 {
-    auto &chain = board.chain;
-    const int room = board.self.limits.maxRecordsPerBatch;
-    CommitBatch batch;
-    std::vector<RequestId> written;
-    for (const auto &id : chain.dirty) {
-        if (static_cast<int>(batch.transaction.writes.size()) >= room) {
-            break;
-        }
-        written.push_back(id);
+    const auto count = std::min(workflows.size(), static_cast<std::size_t>(std::max<int>(0, room - static_cast<int>(batch.transaction.writes.size()))));
+    const auto end = std::next(workflows.begin(), static_cast<std::ptrdiff_t>(count));
+    std::for_each(workflows.begin(), end, [&](const RequestId &id) {
         if (const auto *entry = board.workflows.find(id)) {
             batch.transaction.writes.push_back({workflowProgressKey(id), entry->progress, std::nullopt, false});
             batch.versions.emplace(id, entry->version);
         }
+    });
+    workflows.erase(workflows.begin(), end);
+}
+
+/// Adds the workflows that have only begun, if the batch is written anyway or they have waited long enough.
+void addBegun(CommitBatch &batch, WorkflowBoard &board, int room)
+{
+    auto &chain = board.chain;
+    std::erase_if(chain.begun, [&](const RequestId &id) { return batch.versions.contains(id); });
+    if (chain.begun.empty()) {
+        return;
+    }
+    if (batch.transaction.writes.empty() && board.now < chain.begunSince + maxBegunDelay) {
+        subscribeNoLaterThan(board.timers, "commit", chain.begunSince + maxBegunDelay);
+        return;
     }
-    std::ranges::for_each(written, [&](const RequestId &id) { chain.dirty.erase(id); });
+    addProgress(batch, board, chain.begun, room);
+}
+
+std::optional<CommitBatch> makeBatch(WorkflowBoard &board)
+{
+    auto &chain = board.chain;
+    const int room = board.self.limits.maxRecordsPerBatch;
+    CommitBatch batch;
+    addProgress(batch, board, chain.dirty, room);
     addRemovals(batch, chain, room);
     if (board.load.hasTargets && board.now >= chain.nextSummaryAt && static_cast<int>(batch.transaction.writes.size()) < room) {
         auto summary = summaryOf(board);
@@ -139,6 +164,7 @@
             chain.nextSummaryAt = board.now + summaryCheckPause;
         }
     }
+    addBegun(batch, board, room);
     if (batch.transaction.writes.empty()) {
         return std::nullopt;
     }
--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -70,6 +70,7 @@
     if (run.step == RunStep::Starting || run.step == RunStep::Unconfirmed) {
         run.step = RunStep::Running;
         run.stepSince = board.now;
+        noteBegun(board, run.task.step.workflow);
     }
     putRun(board, run);
 }
@@ -272,8 +273,9 @@
         if (wasStop) {
             run.stoppedAt = board.now;
             run.step = RunStep::Ending;
-        } else if (run.step == RunStep::Starting) {
-            run.step = RunStep::Running;
+        } else {
+            run.step = run.step == RunStep::Starting ? RunStep::Running : run.step;
+            noteBegun(board, run.task.step.workflow);
         }
         run.stepSince = board.now;
         putRun(board, run);
--- a/workflow/planwork.cpp
+++ b/workflow/planwork.cpp
@@ -49,7 +49,6 @@
     for (const auto &[step, tasks] : bySteps) {
         const auto *specification = findStep(board, step);
         changeProgress(board, step.workflow, [&](WorkflowProgress &progress) {
-            progress.state = WorkflowState::Running;
             auto &rows = progress.occurrences.at(step.occurrence).steps.at(static_cast<std::size_t>(step.step));
             // The members of a gang share one run number, which must be new for each of them.
             const int newest = std::ranges::max(rows, {}, &TaskProgress::lastRun).lastRun;
--- a/workflow/progresschange.cpp
+++ b/workflow/progresschange.cpp
@@ -87,6 +87,21 @@
     }
 }
 
+void noteBegun(WorkflowBoard &board, const RequestId &workflow)
+{
+    const auto *entry = board.workflows.find(workflow);
+    if (entry == nullptr || entry->progress.state != WorkflowState::Queued) {
+        return;
+    }
+    board.workflows.update(workflow, [](WorkflowEntry &changed) {
+        changed.progress.state = WorkflowState::Running;
+        ++changed.version;
+    });
+    auto &chain = board.chain;
+    chain.begunSince = chain.begun.empty() ? board.now : chain.begunSince;
+    chain.begun.insert(workflow);
+}
+
 unsigned long long progressVersion(const WorkflowBoard &board, const RequestId &workflow)
 {
     const auto *entry = board.workflows.find(workflow);
--- a/workflow/runends.cpp
+++ b/workflow/runends.cpp
@@ -185,6 +185,7 @@
 
 void applyRunEnd(WorkflowBoard &board, const TargetId &target, const EndedRun &ended)
 {
+    noteBegun(board, ended.task.step.workflow);
     const auto *present = board.runs.find(ended.task);
     if (present == nullptr || present->number != ended.run || present->place.target != target) {
         applyUnknownEnd(board, target, ended);
