Wait for the rack of the data only if it can come free

Cause: mayLeaveLocality bounds the wait by time only, and never asks whether the rack has a target that may be given work again.

Change: a step waits for the rack of its data only if the targets there that are in service and meet its requirements could take it once they are empty: the whole gang, or one independent task. A target that merely does not answer for a moment is in service, so work still waits for it.

Related path: the wait for a single rack was checked and held already, because it counts only targets that accept work; it has a test now.

Evidence: GangPlacement.workDoesNotWaitForARackOfItsDataThatIsOutOfService and gangDoesNotWaitForARackOfItsDataThatIsTooSmall start nothing with the former rule.

--- a/tests/placementfixture.cpp
+++ b/tests/placementfixture.cpp
@@ -28,6 +28,7 @@
             target.capacity = room(acceleratorsPerTarget);
             target.free = target.capacity;
             target.freeAfterStops = target.capacity;
+            target.isInService = true;
             target.acceptsWork = true;
             input.targets.push_back(std::move(target));
         }
--- a/tests/testgangplacement.cpp
+++ b/tests/testgangplacement.cpp
@@ -122,6 +122,58 @@
     EXPECT_EQ(startsOf(plan(), "near"), 2);
 }
 
+// Guards against waiting for the rack of the data although nothing can start there: its zone is evacuated, or its targets drain or have left.
+TEST_F(GangPlacement, workDoesNotWaitForARackOfItsDataThatIsOutOfService)
+{
+    for (int number = 1; number <= 4; ++number) {
+        target(number).isInService = false;
+        target(number).acceptsWork = false;
+    }
+    addBatch("tasks", 2, 2, 4).specification.dataRack = {"r1"};
+    addGang("gang", 2, 3, 4).specification.dataRack = {"r1"};
+    addBatch("gone", 2, 1, 4).specification.dataRack = {"rack that no target names"};
+    EXPECT_EQ(startsOf(plan(), "tasks"), 2);
+    EXPECT_EQ(startsOf(plan(), "gang"), 3);
+    EXPECT_EQ(startsOf(plan(), "gone"), 1);
+}
+
+// Guards against giving up the rack of the data while its targets only fail to answer for a moment.
+TEST_F(GangPlacement, workWaitsForARackOfItsDataThatIsOutOfContact)
+{
+    for (int number = 1; number <= 4; ++number) {
+        target(number).acceptsWork = false;
+    }
+    addBatch("tasks", 2, 2, 4).specification.dataRack = {"r1"};
+    addGang("gang", 2, 3, 4).specification.dataRack = {"r1"};
+    EXPECT_EQ(startsOf(plan(), "tasks"), 0);
+    EXPECT_EQ(startsOf(plan(), "gang"), 0);
+}
+
+// Guards against the wait of a gang for the rack of its data that is too small for it even if nothing else runs there.
+TEST_F(GangPlacement, gangDoesNotWaitForARackOfItsDataThatIsTooSmall)
+{
+    addGang("large", 2, 10, 4).specification.dataRack = {"r1"};
+    EXPECT_EQ(startsOf(plan(), "large"), 10);
+}
+
+// Guards against waiting for a single rack that is out of service.
+TEST_F(GangPlacement, gangDoesNotWaitForASingleRackThatIsOutOfService)
+{
+    for (int number = 5; number <= static_cast<int>(input.targets.size()); ++number) {
+        occupy(number, 4);
+    }
+    for (int number = 1; number <= 4; ++number) {
+        target(number).isInService = false;
+        target(number).acceptsWork = false;
+    }
+    addGang("near", 2, 5, 4).specification.needsOneRack = true;
+    EXPECT_EQ(startsOf(plan(), "near"), 0) << "another rack could hold the whole gang";
+    for (int number = 5; number <= static_cast<int>(input.targets.size()); ++number) {
+        target(number).capacity.accelerators = 4;
+    }
+    EXPECT_EQ(startsOf(plan(), "near"), 5);
+}
+
 TEST_F(GangPlacement, workThatFailedAvoidsSuspectTargets)
 {
     for (int number = 1; number <= 15; ++number) {
--- a/workflow/packing.cpp
+++ b/workflow/packing.cpp
@@ -162,11 +162,16 @@
     return tasks;
 }
 
-bool isEligible(const WaitingStep &waiting, const PlacementTarget &target)
+bool meetsRequirements(const WaitingStep &waiting, const PlacementTarget &target)
 {
     const auto &label = waiting.specification.requiredLabel;
     const bool hasLabel = label.empty() || std::ranges::find(target.labels, label) != target.labels.end();
-    return target.acceptsWork && target.service == waiting.service && hasLabel;
+    return target.service == waiting.service && hasLabel;
+}
+
+bool isEligible(const WaitingStep &waiting, const PlacementTarget &target)
+{
+    return target.acceptsWork && meetsRequirements(waiting, target);
 }
 
 bool isAllowed(const WaitingStep &waiting, const PlacementTarget &target)
--- a/workflow/packing.h
+++ b/workflow/packing.h
@@ -19,6 +19,9 @@
 /// The number of the step's tasks that may be placed on the target: as many as fit into the room, but no more than the step allows on one target.
 int roomForTasks(const WaitingStep &waiting, const PlacementTarget &target, const Resources &room);
 
+/// True if the target offers the step's service and has the label that the step requires.
+bool meetsRequirements(const WaitingStep &waiting, const PlacementTarget &target);
+
 /// True if the target accepts work and meets the step's own requirements. Leaves the adviser's decision aside.
 bool isEligible(const WaitingStep &waiting, const PlacementTarget &target);
 
--- a/workflow/placement.cpp
+++ b/workflow/placement.cpp
@@ -100,6 +100,27 @@
     return limits;
 }
 
+/// True if the rack of the step's data could take the whole gang, or one of the independent tasks, once its targets are empty and answer. Targets that are
+/// out of service do not count.
+bool canDataRackComeFree(const PlacementState &state, const WaitingStep &waiting)
+{
+    const auto &step = waiting.specification;
+    const int needed = step.isGang ? static_cast<int>(waiting.tasks.size()) : 1;
+    int room = 0;
+    for (const auto &target : state.fleet.targets) {
+        if (target.rack == step.dataRack && target.isInService && meetsRequirements(waiting, target)) {
+            room += std::min(needed, roomForTasks(waiting, target, target.capacity));
+        }
+    }
+    return room >= needed;
+}
+
+/// True if the step may be placed outside the rack of its data: it has waited long enough, or its rack will not have room.
+bool mayLeaveDataRack(const PlacementState &state, const WaitingStep &waiting)
+{
+    return mayLeaveLocality(state.input, waiting) || !canDataRackComeFree(state, waiting);
+}
+
 /// True if the whole gang would fit into a single empty rack.
 bool couldFitOneRack(PlacementState &state, const WaitingStep &waiting, int count)
 {
@@ -125,7 +146,7 @@
     }
     if (!step.dataRack.value.empty()) {
         auto counts = packTasks(state.fleet, waiting, count, limitedToDataRack(waiting, limits));
-        return counts || !mayLeaveLocality(state.input, waiting) ? counts : packTasks(state.fleet, waiting, count, limits);
+        return counts || !mayLeaveDataRack(state, waiting) ? counts : packTasks(state.fleet, waiting, count, limits);
     }
     return packTasks(state.fleet, waiting, count, limits);
 }
@@ -134,7 +155,7 @@
 TaskCounts placeIndependentTasks(PlacementState &state, const WaitingStep &waiting)
 {
     const auto &step = waiting.specification;
-    const bool mustUseDataRack = !step.dataRack.value.empty() && !mayLeaveLocality(state.input, waiting);
+    const bool mustUseDataRack = !step.dataRack.value.empty() && !mayLeaveDataRack(state, waiting);
     const auto limits = limitsFor(state, waiting, freeRoom);
     const auto packingLimits = mustUseDataRack ? limitedToDataRack(waiting, limits) : limits;
     return packAsManyAsFit(state.fleet, waiting, static_cast<int>(waiting.tasks.size()), packingLimits);
--- a/workflow/placement.h
+++ b/workflow/placement.h
@@ -24,6 +24,7 @@
     Resources capacity;
     Resources free;           ///< Resources that nothing occupies now.
     Resources freeAfterStops; ///< `free` plus the resources of runs that are being stopped.
+    bool isInService = false; ///< The target is registered, does not drain, and its zone is not evacuated.
     bool acceptsWork = false; ///< The target may be given new work now.
     bool isSuspect = false;   ///< Enough runs have failed on the target, with none finished since, that it may be faulty.
 
--- a/workflow/placementinput.cpp
+++ b/workflow/placementinput.cpp
@@ -49,6 +49,7 @@
         const auto &use = board.runs.useOf(id);
         target.free = row.registration.capacity - use.occupied;
         target.freeAfterStops = target.free + use.stopping;
+        target.isInService = isInService(board, row);
         target.acceptsWork = acceptsWork(board, row) && !unresponsive.contains(row.registration.availabilityZone);
         target.isSuspect = row.recentFailures >= suspectFailures && row.lastFailureAt && board.now - *row.lastFailureAt < suspectTime;
         targets.push_back(std::move(target));
