Answer refused calls when the time for asking other hosts is over

A call that waits for the other hosts' readiness could stay open for ever: it was looked at only while their answers were younger than 300 ms, so a host that read them later never answered it. Its timer was in the past from `answerBy` on, so the host ran without a pause meanwhile.

Change: such a call is answered at the latest when all readiness checks have ended. The same was found for calls that wait for the summary to be read: they were looked at only when that read had ended, and their timer could be in the past as well.

Evidence, each failing with the former condition: CallerProof.refusalIsAnsweredByAHostThatReadsReadinessAnswersLate and CallerProof.countIsRefusedInTimeWhileTheSummaryIsBeingRead.

--- a/tests/testcallerproof.cpp
+++ b/tests/testcallerproof.cpp
@@ -161,6 +161,33 @@
     EXPECT_EQ(answer.refusal->reason, RefusalReason::Timeout);
 }
 
+// Guards against a call that is never answered, because its host reads the other hosts' answers too late to use them.
+TEST_F(CallerProof, refusalIsAnsweredByAHostThatReadsReadinessAnswersLate)
+{
+    store.faults.cutOff.insert({"h2"});
+    run(Duration{2'500});
+    slowDown("h2", settings.limits.readinessAge + Duration{100});
+    const auto call = query(id(1), "h2");
+    run(Duration{2'000});
+    EXPECT_TRUE(isAnswered(call));
+}
+
+// Guards against a count that is answered after the caller's deadline, and against a host that runs without a pause until then.
+TEST_F(CallerProof, countIsRefusedInTimeWhileTheSummaryIsBeingRead)
+{
+    board("h2").summary.readAt.reset();
+    store.faults.answersToDrop = 1'000;
+    const auto call = countWaiting("/urgent/", "h2");
+    run(tick);
+    ASSERT_EQ(board("h2").calls.rows().size(), 1U);
+    auto open = board("h2").calls.rows().begin()->second;
+    ASSERT_EQ(open.step, CallerStep::Reading);
+    open.answerBy = now + Duration{50};
+    board("h2").calls.put(open.request.id, open);
+    run(Duration{300});
+    EXPECT_TRUE(isAnswered(call));
+}
+
 TEST_F(CallerProof, configurationReceivedByTheWatchIsEnoughToServe)
 {
     // A host may start before the operators have written a configuration.
--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -177,8 +177,8 @@
 void continueCall(WorkflowBoard &board, const OpenCallerCall &call)
 {
     if (call.step == CallerStep::Refusing) {
-        if (areReadinessAnswersFresh(board)) {
-            refuseUnavailable(board, call, *call.refusal);
+        if (areReadinessAnswersFresh(board) || board.now >= call.answerBy) {
+            answerRefusal(board, call);
         }
         return;
     }
@@ -235,7 +235,8 @@
     std::vector<OpenCallerCall> open;
     std::ranges::transform(board.calls.rows(), std::back_inserter(open), [](const auto &row) { return row.second; });
     for (const auto &call : open) {
-        if (!isSummaryRead(board, call) && board.calls.contains(call.request.id)) {
+        const bool waitsForSummary = isSummaryRead(board, call) && board.now < call.answerBy;
+        if (!waitsForSummary && board.calls.contains(call.request.id)) {
             continueCall(board, call);
         }
     }
--- a/workflow/calleranswers.cpp
+++ b/workflow/calleranswers.cpp
@@ -37,9 +37,18 @@
         call.refusal = std::move(refusal);
         call.step = CallerStep::Refusing;
         call.call.reset();
+        // All readiness checks have ended by then, even if this host reads the answers too late to use them.
+        call.answerBy = board.now + timeoutWithLag(board, board.self.limits.readinessTimeout);
         putCall(board, std::move(call));
         return;
     }
+    call.refusal = std::move(refusal);
+    answerRefusal(board, call);
+}
+
+void answerRefusal(WorkflowBoard &board, const OpenCallerCall &call)
+{
+    Refusal refusal = *call.refusal;
     refusal.retryAfter = isAnotherHostReady(board) ? retryAtOnce : board.self.limits.retryAfter;
     answer(board, call, {{}, std::move(refusal), {}, {}});
 }
--- a/workflow/calleranswers.h
+++ b/workflow/calleranswers.h
@@ -19,9 +19,12 @@
 void answer(WorkflowBoard &board, const OpenCallerCall &call, CallerAnswer result);
 
 /// Refuses a call that this host cannot serve now. If another host is ready, the caller is told to retry at once, otherwise after a delay. If it is not known
-/// whether another host is ready, the other hosts are asked first.
+/// whether another host is ready, the other hosts are asked first, and the call waits in step `Refusing` until they have answered or `answerBy` has passed.
 void refuseUnavailable(WorkflowBoard &board, OpenCallerCall call, Refusal refusal);
 
+/// Answers a call in step `Refusing` from what is known of the other hosts.
+void answerRefusal(WorkflowBoard &board, const OpenCallerCall &call);
+
 /// Refuses the call for the reason. If a write of the call may have taken effect, or the reason is a timeout, the answer says that the outcome is unknown.
 void refuse(WorkflowBoard &board, const OpenCallerCall &call, RefusalReason reason, const std::string &message);
 
