Count no proof that fails on an entry that cannot be decoded

A configuration that a host could not decode left the former one in force, with keys that the new one may have withdrawn: the failed proof named the entry as unreadable, changed nothing and counted as a proof.

Change: such an answer proves nothing. Once the last proof is too old, the host is not ready, refuses calls at once with the reason, and begins no runs. Runs go on and their ends are stored. A line of the log says when this begins and ends.

Going on with the former configuration was weighed: a withdrawn key would be served for as long as the state lasts.

--- a/tests/fakestore.cpp
+++ b/tests/fakestore.cpp
@@ -74,6 +74,16 @@
     return conditions;
 }
 
+/// Adds the entry to the reply, or an error if it cannot be decoded.
+void addEntry(const FakeStore &store, StoreReply &reply, const StoreEntry &entry)
+{
+    if (store.faults.undecodable.contains(entry.key)) {
+        reply.error = entry.key.path + " cannot be decoded";
+    } else {
+        reply.entries.push_back(entry);
+    }
+}
+
 StoreReply execute(FakeStore &store, const StoreTransaction &transaction, const StoreCall &call)
 {
     StoreReply reply;
@@ -94,7 +104,7 @@
     reply.outcome = StoreOutcome::Conflict;
     for (const auto &condition : conditions) {
         if (const auto row = store.rows.find(condition.key); row != store.rows.end()) {
-            reply.entries.push_back(row->second);
+            addEntry(store, reply, row->second);
         }
     }
     return reply;
@@ -106,7 +116,7 @@
     reply.outcome = StoreOutcome::Applied;
     for (const auto &[key, entry] : store.rows) {
         if (key == range.key || (range.isPrefix && key.path.starts_with(range.key.path))) {
-            reply.entries.push_back(entry);
+            addEntry(store, reply, entry);
         }
     }
     return reply;
@@ -187,7 +197,14 @@
             continue;
         }
         watch.reported = change.revision;
-        const auto part = filterByPrefix(change, prefix);
+        auto part = filterByPrefix(change, prefix);
+        std::erase_if(part.put, [&](const StoreEntry &entry) {
+            const bool isUndecodable = store.faults.undecodable.contains(entry.key);
+            if (isUndecodable) {
+                part.deleted.push_back(entry.key);
+            }
+            return isUndecodable;
+        });
         if (!store.faults.areWatchesSilent && (prefix.empty() || !part.put.empty() || !part.deleted.empty())) {
             deliver(store, host, now + store.faults.watchLatency, part);
         }
--- a/tests/fakestore.h
+++ b/tests/fakestore.h
@@ -29,6 +29,7 @@
     int answersToDrop = 0;         ///< Number of next calls that take effect and are never answered.
     int writesToDelay = 0;         ///< Number of next transactions with writes that are answered as Unknown and take effect after `delay`.
     Duration delay{2'000};
+    std::set<StoreKey> undecodable; ///< Keys whose values no host can decode: answers leave them out with an error, and watches report them as removed.
 };
 
 /// A host's watch on one prefix.
--- a/tests/testcallerproof.cpp
+++ b/tests/testcallerproof.cpp
@@ -188,6 +188,36 @@
     EXPECT_TRUE(isAnswered(call));
 }
 
+// Guards against serving with a key that was withdrawn by a configuration that cannot be decoded: the answer to the proof doesn't show the present keys.
+TEST_F(CallerProof, hostThatCannotDecodeTheNewestConfigurationServesNobody)
+{
+    store.faults.undecodable.insert(queueConfigurationKey());
+    removeKey("key-tailors");
+    run(settings.limits.revokeBound);
+    EXPECT_FALSE(isReady(board("h1")));
+    const auto before = now;
+    const auto answer = answerTo(submit(id(1), batch(1, {1'000, 1'000, 1})));
+    ASSERT_TRUE(answer.refusal);
+    EXPECT_EQ(answer.refusal->reason, RefusalReason::StoreUnavailable);
+    EXPECT_LT(now - before, Duration{500}) << "the refusal is known at once";
+    store.faults.undecodable.clear();
+    setKey("key-tailors", "tailors");
+    run(Duration{1'000});
+    EXPECT_TRUE(isReady(board("h1")));
+    EXPECT_EQ(refusalOf(submit(id(2), batch(1, {1'000, 1'000, 1}))), std::nullopt);
+}
+
+// Guards against stopping the work of a domain whose newest configuration cannot be decoded.
+TEST_F(CallerProof, workGoesOnWhileTheNewestConfigurationCannotBeDecoded)
+{
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{8'000}, {}}));
+    run(Duration{1'000});
+    store.faults.undecodable.insert(queueConfigurationKey());
+    setKey("key-late", "hotels");
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{9'000});
+    EXPECT_EQ(fleet.starts[id(1)], 1);
+}
+
 TEST_F(CallerProof, configurationReceivedByTheWatchIsEnoughToServe)
 {
     // A host may start before the operators have written a configuration.
--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -197,6 +197,8 @@
         // The call is refused even if the proof is still fresh: a request sent now would most likely be lost, and the caller could not tell whether it was
         // accepted.
         refuse(board, call, RefusalReason::StoreUnavailable, board.view.isLoaded ? "the store does not answer" : "the host has no configuration yet");
+    } else if (call.step == CallerStep::Proving && board.view.isUnreadable) {
+        refuse(board, call, RefusalReason::StoreUnavailable, "the newest configuration cannot be decoded");
     } else if (call.step == CallerStep::Proving && isProofFresh(board)) {
         handle(board, call);
     } else if (call.step == CallerStep::WritingTombstone && !call.call && !hasTombstoneLease(board)) {
--- a/workflow/proveconfiguration.cpp
+++ b/workflow/proveconfiguration.cpp
@@ -130,6 +130,20 @@
                 !isStoreReachable);
 }
 
+void setUnreadable(WorkflowBoard &board, bool isUnreadable, const std::string &error)
+{
+    if (board.view.isUnreadable == isUnreadable) {
+        return;
+    }
+    board.view.isUnreadable = isUnreadable;
+    logDecision(board,
+                "proveConfiguration",
+                "",
+                "",
+                isUnreadable ? "the store's newest entries cannot be decoded, so no call is served: " + error : "the store's newest entries can be decoded",
+                isUnreadable);
+}
+
 void handleProofReply(WorkflowBoard &board)
 {
     auto &view = board.view;
@@ -146,10 +160,19 @@
         }
         return;
     }
-    view.failedProofs = 0;
+    // The error of a conflict names an entry that cannot be decoded. The known configuration may then hold a key that has been withdrawn.
+    const bool isUnreadable = reply->outcome == StoreOutcome::Conflict && !reply->error.empty();
+    setUnreadable(board, isUnreadable, reply->error);
     if (reply->outcome == StoreOutcome::Conflict) {
         applyConflict(board, *reply);
     }
+    if (isUnreadable) {
+        count(board.counters, "proofFailures", "unreadable");
+        ++view.failedProofs;
+        view.nextProofAt = board.now + board.self.limits.storeRetry;
+        return;
+    }
+    view.failedProofs = 0;
     view.provenAt = view.proofSentAt;
     const bool isInvalidated = view.invalidatedAt && view.provenAt < view.invalidatedAt;
     view.nextProofAt = isInvalidated ? board.now : view.proofSentAt + board.self.limits.proofPeriod;
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -117,6 +117,7 @@
     std::optional<TimePoint> invalidatedAt; ///< When the store last showed that something has changed; proofs sent before this time are no longer valid.
     int failedProofs = 0;                   ///< Number of consecutive proofs without an answer.
     bool isStoreReachable = false;          ///< The store answers proofs; a single missing answer does not change this.
+    bool isUnreadable = false;              ///< The newest proof failed on an entry that cannot be decoded, so what this host knows may be out of date.
 
     friend bool operator==(const ConfigurationView &, const ConfigurationView &) = default;
 };
