Correct paces that are carried out late

A pace order without an answer may be carried out seconds later and replace a newer one. The owner took its newest order for the present pace, so fillers that had been paused went on at the old pace and kept serving tasks above their latency targets: at a pace of zero the control has no further step, so it sent no order that would have corrected it.

Change: while an order without an answer may still arrive (15 s), the pace is ordered again each quarter of the harm bound. The repetition does not delay orders of a new pace.

--- a/tests/domainfixture.cpp
+++ b/tests/domainfixture.cpp
@@ -363,6 +363,9 @@
     if (std::holds_alternative<StartRun>(order.request)) {
         return startDelay;
     }
+    if (std::holds_alternative<PaceRun>(order.request)) {
+        return paceDelay;
+    }
     return std::holds_alternative<HoldRuns>(order.request) ? holdDelay : Duration{0};
 }
 
--- a/tests/domainfixture.h
+++ b/tests/domainfixture.h
@@ -97,6 +97,7 @@
     std::string callerKey = "key-tailors";    ///< API key of the following calls.
     bool losesStartAnswers = false;           ///< Starts take effect, but their answers are lost.
     Duration startDelay{0};                   ///< Delay after which starts are executed; delayed starts are not answered.
+    Duration paceDelay{0};                    ///< Delay after which pace orders are executed; delayed pace orders are not answered.
     Duration holdDelay{0};                    ///< Delay after which holds are executed; delayed holds are not answered.
     bool lateOrdersSurvive = false;           ///< Delayed orders arrive even if the target has crashed meanwhile, as if the network had delayed them.
     std::set<TargetId> unhealthyTargets;      ///< Targets that refuse all orders except holds as unhealthy, without any effect.
--- a/tests/testsharedtargets.cpp
+++ b/tests/testsharedtargets.cpp
@@ -142,6 +142,28 @@
     EXPECT_LE(paceOf(2), 45);
 }
 
+// Guards against fillers that keep the pace of an old order, which the platform carried out after the newer ones.
+TEST_F(SharedTargets, paceOfAnOrderThatIsCarriedOutLateIsCorrected)
+{
+    serve(1, Duration{100}, Duration{40});
+    fill(2, 4, Duration{600}, Duration{60'000});
+    paceDelay = Duration{11'000};
+    const auto isPace = [](const TargetOrder &order) { return std::holds_alternative<PaceRun>(order.request); };
+    runUntil([&] { return std::ranges::any_of(sentOrders, isPace); }, Duration{6'000});
+    const auto late = *std::ranges::find_if(sentOrders, isPace);
+    const auto task = std::get<PaceRun>(late.request).task;
+    paceDelay = Duration{0};
+    TimePoint correctAt = now + Duration{10'500};
+    run(Duration{10'500});
+    for (int number = 0; number < 60; ++number) {
+        run(Duration{100});
+        const int ordered = board("h1").fillerPaces.at(late.target).percent;
+        const int pace = fleet.targets.at(late.target).running.at(task).pace;
+        correctAt = pace == ordered ? now : correctAt;
+        EXPECT_LE(now - correctAt, Duration{1'200}) << "works at " << pace << " instead of " << ordered << " percent";
+    }
+}
+
 TEST_F(SharedTargets, urgentWorkPreemptsNoMoreLastingTasksThanTheirStepAllows)
 {
     // Guards against a guarantee that can never be met beside lasting work, and against one that preempts all lasting tasks at once.
--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -296,11 +296,22 @@
     putRun(board, run);
 }
 
-/// Handles the answer to a pace order. Without an answer the order may or may not have taken effect, so it is sent again.
+/// Time between two pace orders while an earlier one may still take effect. A target works at the wrong pace for no longer than this, in which fillers
+/// cannot do harm.
+Duration paceRepetition(const WorkflowBoard &board)
+{
+    return board.self.limits.harmBound / 4;
+}
+
+/// Handles the answer to a pace order. An order without an answer may take effect at once, never, or seconds later, when it replaces a newer one; so the pace
+/// is ordered again at once, and repeatedly as long as the former order may still arrive.
 void handlePaceReply(WorkflowBoard &board, TaskRun run, const TargetOrderReply &reply)
 {
     run.paceCall.reset();
-    if (reply.outcome != OrderOutcome::Accepted) {
+    if (reply.outcome == OrderOutcome::Accepted && board.now < run.paceUncertainUntil) {
+        run.paceRepeatAt = board.now + paceRepetition(board);
+    } else if (reply.outcome != OrderOutcome::Accepted) {
+        run.paceUncertainUntil = reply.outcome == OrderOutcome::Unknown ? board.now + maxDeliveryDelay : run.paceUncertainUntil;
         run.orderedPercent.reset();
         run.paceRetryAt = board.now + board.self.limits.orderRetry;
         subscribeNoLaterThan(board.timers, "orders", run.paceRetryAt);
--- a/workflow/pacefillers.cpp
+++ b/workflow/pacefillers.cpp
@@ -67,12 +67,15 @@
 void sendPace(WorkflowBoard &board, TaskRun run, int percent)
 {
     const auto *target = board.targets.find(run.place.target);
-    if (target == nullptr || run.orderedPercent == percent || run.paceCall || run.isStopWanted || board.now < run.paceRetryAt) {
+    const bool isRepetitionDue = run.paceRepeatAt && board.now >= *run.paceRepeatAt;
+    const bool isOrdered = run.orderedPercent == percent && !isRepetitionDue;
+    if (target == nullptr || isOrdered || run.paceCall || run.isStopWanted || board.now < run.paceRetryAt) {
         return;
     }
     auto order = makeOrder(board, *target, PaceRun{run.task, run.number, percent}, board.self.limits.startTimeout);
     run.paceCall = order.id;
     run.orderedPercent = percent;
+    run.paceRepeatAt.reset();
     board.runCalls.insert_or_assign(order.id, run.task);
     board.outbox.emplace_back(std::move(order));
     putRun(board, run);
--- a/workflow/targetlease.cpp
+++ b/workflow/targetlease.cpp
@@ -16,9 +16,6 @@
 // Slowest rate of a target's clock that the platform allows: 2 % slow.
 constexpr double slowestClockRate = 0.98;
 
-// The platform may deliver an order seconds after its sender has stopped waiting; the longest delay seen is 12 s.
-constexpr Duration maxDeliveryDelay{15'000};
-
 // The clocks of hosts and targets may jump by seconds. A true start must never be refused, so the limit is well above that.
 constexpr Duration maxClockLead{600'000};
 
--- a/workflow/targetlease.h
+++ b/workflow/targetlease.h
@@ -5,6 +5,9 @@
 namespace sequoiastand
 {
 
+// The platform may deliver an order seconds after its sender has stopped waiting; the longest delay seen is 12 s.
+constexpr Duration maxDeliveryDelay{15'000};
+
 /// Estimate of the time on the target's clock, from the newest answer and the time passed since; none before the first answer.
 std::optional<TargetClock> estimatedClock(const DomainTarget &target, TimePoint now);
 
--- a/workflow/taskrun.h
+++ b/workflow/taskrun.h
@@ -55,6 +55,8 @@
     std::optional<int> orderedPercent; ///< Pace in percent that was ordered last; no value if this owner does not know it.
     std::optional<CallId> paceCall;
     TimePoint paceRetryAt;
+    TimePoint paceUncertainUntil;          ///< Until then, a pace order that was not answered may still take effect and replace a newer one.
+    std::optional<TimePoint> paceRepeatAt; ///< When the ordered pace is ordered again because of that.
 
     friend bool operator==(const TaskRun &, const TaskRun &) = default;
 };
