--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -69,10 +69,27 @@
     return Duration{drawNumber(world, least, most)};
 }
 
+/// True if the caller cannot tell from the answer whether the workflow was accepted.
+bool isUncertain(const ObservedCall &call)
+{
+    constexpr int statusBadGateway = 502;
+    constexpr int statusGatewayTimeout = 504;
+    return !call.isNotSent && (call.status == 0 || call.status == statusBadGateway || call.status == statusGatewayTimeout);
+}
+
+/// Ends the caller's attempts to submit the workflow, and cancels it in case it was accepted.
+void giveUp(SoakWorld &world, SoakWorkflow &workflow)
+{
+    workflow.isAbandoned = true;
+    workflow.isCancelWanted = true;
+    world.history.workflows.at(workflow.workflow.id).cancelledAt = EventLoop::now();
+}
+
 void takeAnswer(SoakWorld &world, SoakWorkflow &workflow, ObservedCall &call, const HttpAnswer &answer)
 {
     constexpr int statusUnauthorised = 401;
     constexpr int statusTooMany = 429;
+    constexpr int statusUnavailable = 503;
     const bool isAnswered = answer.outcome == HttpOutcome::Answered;
     call.endedAt = EventLoop::now();
     call.status = isAnswered ? answer.status : 0;
@@ -82,9 +99,18 @@
         workflow.isCallOpen = false;
         workflow.isAccepted = workflow.isAccepted || isSuccess;
         // A caller does not retry an invalid request. It retries after an unauthorised one, since a removed key may be restored.
-        const bool isFinal = call.status >= 400 && call.status < 500 && call.status != statusTooMany && call.status != statusUnauthorised;
+        const bool isInvalid = call.status >= 400 && call.status < 500 && call.status != statusTooMany && call.status != statusUnauthorised;
+        const bool isFinal = isInvalid || (world.acceptsRefusals && call.status == statusUnavailable);
         workflow.isAbandoned = !workflow.isAccepted && (workflow.attemptCount >= maxAttempts || isFinal);
         workflow.nextCallAt = EventLoop::now() + drawDuration(world, minRetryMs, maxRetryMs);
+        if (world.cancelsUnanswered && isUncertain(call) && !workflow.isAccepted) {
+            giveUp(world, workflow);
+        }
+    } else if (call.action == CallerAction::Cancel && workflow.isCancelWanted) {
+        constexpr int statusGone = 410;
+        workflow.isCallOpen = false;
+        workflow.isCancelWanted = !isSuccess && call.status != statusGone;
+        workflow.nextCallAt = EventLoop::now() + drawDuration(world, minRetryMs, maxRetryMs);
     } else if (call.action == CallerAction::Query) {
         workflow.isCallOpen = false;
         workflow.nextCallAt = EventLoop::now() + drawDuration(world, minQueryGapMs, maxQueryGapMs);
@@ -107,7 +133,7 @@
     observed.key = workflow.key;
     observed.sentAt = EventLoop::now();
     world.history.calls.push_back(observed);
-    if (action != CallerAction::Cancel) {
+    if (action != CallerAction::Cancel || workflow.isCancelWanted) {
         workflow.isCallOpen = true;
     }
     workflow.attemptCount += action == CallerAction::Submit ? 1 : 0;
@@ -166,7 +192,12 @@
         sendRandomWorkflow(world);
     }
     for (auto &[id, workflow] : world.workflows) {
-        if (!workflow.isCallOpen && isOpen(workflow) && now >= workflow.nextCallAt) {
+        if (workflow.isCallOpen || now < workflow.nextCallAt) {
+            continue;
+        }
+        if (workflow.isCancelWanted) {
+            send(world, workflow, CallerAction::Cancel);
+        } else if (isOpen(workflow)) {
             send(world, workflow, workflow.isAccepted ? CallerAction::Query : CallerAction::Submit);
         }
     }
@@ -209,9 +240,67 @@
     }
 }
 
+void sendLastingWork(SoakWorld &world)
+{
+    StepSpecification step;
+    step.taskCount = 1;
+    step.perTask = {1'000, 2'000, 1};
+    step.estimate = Duration{1'000};
+    step.isLasting = true;
+    WorkflowSpecification specification;
+    specification.payload = "soak";
+    specification.steps.push_back(step);
+    auto &workflow = addWorkflow(world, "ordinary", "hotels", std::move(specification));
+    const auto &id = workflow.workflow.id;
+    workflow.isLasting = true;
+    world.history.workflows.at(id).isLasting = true;
+    world.targets.fleet.behaviours.at(id) = {.work = Duration{1'500}, .lastingEnd = RunEnd::Finished};
+    send(world, workflow, CallerAction::Submit);
+}
+
+RequestId sendManyTasks(SoakWorld &world)
+{
+    StepSpecification step;
+    step.taskCount = 1'200;
+    step.perTask = {10, 10, 0};
+    step.estimate = Duration{3'000};
+    WorkflowSpecification specification;
+    specification.payload = "soak";
+    specification.steps.push_back(step);
+    auto &workflow = addWorkflow(world, "urgent", "tailors", std::move(specification));
+    world.targets.fleet.behaviours.at(workflow.workflow.id) = {.work = Duration{3'000}};
+    send(world, workflow, CallerAction::Submit);
+    return workflow.workflow.id;
+}
+
+bool noteLastingWork(SoakWorld &world)
+{
+    bool areAllNoted = true;
+    for (const auto &[id, workflow] : world.workflows) {
+        if (workflow.isLasting && workflow.isAccepted && isOpen(workflow)) {
+            auto &sent = world.history.workflows.at(id);
+            sent.wasAtWorkAtEnd = sent.wasAtWorkAtEnd || isAtWork(world.targets.fleet, id);
+            areAllNoted = areAllNoted && sent.wasAtWorkAtEnd;
+        }
+    }
+    return areAllNoted;
+}
+
+void cancelLastingWork(SoakWorld &world)
+{
+    for (auto &[id, workflow] : world.workflows) {
+        if (std::exchange(workflow.isLasting, false) && workflow.isAccepted) {
+            workflow.isCancelWanted = true;
+        }
+    }
+}
+
 bool haveAllEnded(const SoakWorld &world)
 {
-    return std::ranges::all_of(world.workflows, [](const auto &row) { return !isOpen(row.second) && !row.second.isCallOpen; });
+    return std::ranges::all_of(world.workflows, [](const auto &row) {
+        const auto &workflow = row.second;
+        return (workflow.isLasting && workflow.isAccepted) || (!isOpen(workflow) && !workflow.isCallOpen && !workflow.isCancelWanted);
+    });
 }
 
 }
--- /dev/null
+++ b/soak/faulteffects.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "proxy.h"
+#include "soakworld.h"
+
+#include <functional>
+
+namespace sequoiastand
+{
+
+constexpr Duration slowStoreLatency{250}; // Fifty times the platform's usual latency of a few milliseconds.
+
+/// A fault in progress, the host that it affects, and the action that ends it. An empty host means all hosts.
+struct Effect
+{
+    HostId host;
+    bool isDisturbance = true; ///< False for actions of operators, to which hosts must react in time.
+    std::function<void()> end;
+};
+
+/// The effect of a fault without an end.
+Effect momentaryEffect(const HostId &host, bool isDisturbance = true);
+
+Effect cutTarget(SoakWorld &world, const TargetId &id, const ProxyFaults &faults);
+
+/// Ends the callers' sending side of the host's connections after each request, while the store is slow, so that calls are under way at that moment. Callers
+/// take a refusal as final meanwhile.
+Effect halfCloseCallers(SoakWorld &world, SoakHost &host);
+
+/// Carries out most of the writes that create workflows late. The other writes are not affected, so no host counts as disturbed.
+Effect delaySubmissions(SoakWorld &world, const PlannedFault &fault);
+
+/// Submits more short tasks than one list of ends holds, once in a run, and cuts off the target that has most of them until they have ended.
+Effect sendManyEnds(SoakWorld &world);
+
+}
--- a/soak/faultplan.cpp
+++ b/soak/faultplan.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-constexpr std::array<std::pair<FaultKind, std::string_view>, 42> names{{
+constexpr std::array<std::pair<FaultKind, std::string_view>, 46> names{{
     {FaultKind::KillHost, "killHost"},
     {FaultKind::KillOwner, "killOwner"},
     {FaultKind::KillAllHosts, "killAllHosts"},
@@ -56,6 +56,10 @@
     {FaultKind::CallerBurst, "callerBurst"},
     {FaultKind::OrdersAcrossCrash, "ordersAcrossCrash"},
     {FaultKind::ForeignEntries, "foreignEntries"},
+    {FaultKind::CancelUnanswered, "cancelUnanswered"},
+    {FaultKind::LastingWork, "lastingWork"},
+    {FaultKind::HalfCloseCallers, "halfCloseCallers"},
+    {FaultKind::ManyEnds, "manyEnds"},
 }};
 
 // Range of the time between the starts of two faults. Faults last up to eight seconds, so several overlap.
--- a/soak/injection.cpp
+++ b/soak/injection.cpp
@@ -1,6 +1,7 @@
 #include "injection.h"
 
 #include "callers.h"
+#include "faulteffects.h"
 #include "platform/standin/platformwriter.h"
 
 #include <absl/strings/str_cat.h>
@@ -34,16 +35,7 @@
 // Maps a plan's figure of 10 to 60 to a delay of 50 to 300 ms, so that some calls time out and others do not.
 constexpr int delayPerFigure = 5;
 
-constexpr Duration slowStoreLatency{250}; // Fifty times the platform's usual latency of a few milliseconds.
-constexpr double slowTarget = 4;          // Factor by which tasks take longer.
-
-/// A fault in progress, the host that it affects, and the action that ends it. An empty host means all hosts.
-struct Effect
-{
-    HostId host;
-    bool isDisturbance = true; ///< False for actions of operators, to which hosts must react in time.
-    std::function<void()> end;
-};
+constexpr double slowTarget = 4; // Factor by which tasks take longer.
 
 SoakHost &hostOf(SoakWorld &world, int subject)
 {
@@ -112,11 +104,6 @@
     return {host, true, [&proxy] { proxy.setFaults({}); }};
 }
 
-Effect momentaryEffect(const HostId &host, bool isDisturbance = true)
-{
-    return {host, isDisturbance, [] {}};
-}
-
 Effect targetEffect(SoakWorld &world, const TargetId &id, const ModelTargetFaults &faults)
 {
     auto &fleet = world.targets.fleet;
@@ -124,18 +111,6 @@
     return {{}, true, [&fleet, id] { fleet.targets.at(id).faults = {}; }};
 }
 
-Effect cutTarget(SoakWorld &world, const TargetId &id, const ProxyFaults &faults)
-{
-    auto &target = world.targetStates.at(id);
-    target.link->setFaults(faults);
-    target.cutSince = target.cutSince.value_or(EventLoop::now());
-    return {{}, true, [&world, &target, id] {
-                target.link->setFaults({});
-                target.cutSince.reset();
-                writeRegistration(world, id);
-            }};
-}
-
 /// True if the subject is withdrawn now. Callers then begin no second withdrawal, because the end of the first withdrawal would also end the second.
 bool isWithdrawn(const std::vector<Withdrawal> &withdrawals, const std::string &subject)
 {
@@ -287,6 +262,8 @@
         return momentaryEffect(host.place.id);
     case FaultKind::DelayCallers:
         return proxyEffect(host.place.id, *host.callerLink, {delay, false, false});
+    case FaultKind::HalfCloseCallers:
+        return halfCloseCallers(world, host);
     default:
         return std::nullopt;
     }
@@ -368,6 +345,13 @@
         return removeKey(world, fault.subject);
     case FaultKind::ChangeConfiguration:
         return changeConfiguration(world);
+    case FaultKind::CancelUnanswered:
+        return delaySubmissions(world, fault);
+    case FaultKind::LastingWork:
+        sendLastingWork(world);
+        return momentaryEffect({}, false);
+    case FaultKind::ManyEnds:
+        return sendManyEnds(world);
     case FaultKind::CancelWave:
         cancelSome(world, cancelPercent);
         return momentaryEffect({}, false);
@@ -405,6 +389,8 @@
     }
     world.store.faults = {};
     world.targets.faults = {};
+    world.cancelsUnanswered = false;
+    world.acceptsRefusals = false;
     for (auto &host : world.hosts) {
         host.storeLink->setFaults({});
         host.callerLink->setFaults({});
--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -190,11 +190,29 @@
         return;
     }
     from.hasEnded = count == 0;
-    if (!link.isSilent) {
-        to.toSend.push_back({EventLoop::now() + m_faults.delay, std::string{buffer.data(), static_cast<std::size_t>(count)}});
+    if (link.isSilent) {
+        return;
+    }
+    forward(to, std::string{buffer.data(), static_cast<std::size_t>(count)});
+    if (m_faults.halfCloses && &from == &link.client && count > 0) {
+        closeAfterRequest(link.server);
     }
 }
 
+void Proxy::forward(End &to, std::string bytes)
+{
+    to.toSend.push_back({EventLoop::now() + m_faults.delay, std::move(bytes)});
+}
+
+void Proxy::closeAfterRequest(End &server)
+{
+    // A request that arrives in several parts follows within this time.
+    constexpr Duration requestTime{5};
+    const auto isEnd = [](const Chunk &chunk) { return chunk.bytes.empty(); };
+    std::erase_if(server.toSend, isEnd);
+    server.toSend.push_back({EventLoop::now() + m_faults.delay + requestTime, std::string{}});
+}
+
 bool Proxy::flush(Link &link, End &end)
 {
     while (!end.isConnecting && !isHeld(link, end) && !end.toSend.empty() && end.toSend.front().due <= EventLoop::now()) {
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -19,6 +19,7 @@
     Duration delay{0};         ///< Delay before bytes are forwarded, in each direction.
     bool cutsToServer = false; ///< Bytes to the server are held back until the cut ends.
     bool cutsToClient = false; ///< Bytes to the client are held back until the cut ends.
+    bool halfCloses = false;   ///< The sending side to the server is closed after a request, as by a client that sends no more but still reads.
 
     friend bool operator==(const ProxyFaults &, const ProxyFaults &) = default;
 };
@@ -77,6 +78,8 @@
     };
 
     void accept();
+    void forward(End &to, std::string bytes);
+    void closeAfterRequest(End &server);
     void onReady(Link &link, End &from, End &to, int events);
     void receive(Link &link, End &from, End &to);
     bool flush(Link &link, End &end);
--- a/soak/soakhistory.cpp
+++ b/soak/soakhistory.cpp
@@ -72,12 +72,30 @@
             faults.push_back(absl::StrCat("LOST: ", id.value, ": was accepted but is unknown at the end"));
         } else if (!hasEnded(*workflow.endState)) {
             faults.push_back(absl::StrCat("LOST: ", id.value, ": is still ", std::string(name(*workflow.endState)), " at the end"));
-        } else if (!workflow.mayFail && !workflow.cancelledAt && *workflow.endState != WorkflowState::Completed) {
+        } else if (!workflow.isLasting && !workflow.mayFail && !workflow.cancelledAt && *workflow.endState != WorkflowState::Completed) {
             faults.push_back(absl::StrCat("LOST: ", id.value, ": was feasible but is shown as ", std::string(name(*workflow.endState))));
         }
     }
 }
 
+/// Reports lasting work that has ended although nobody has cancelled it, or whose task was not started again after a run had ended.
+void checkLastingWork(const SoakHistory &history, Faults &faults)
+{
+    for (const auto &[id, workflow] : history.workflows) {
+        const bool isAccepted = std::ranges::any_of(
+            history.calls, [&](const ObservedCall &call) { return call.action == CallerAction::Submit && call.workflow == id && isSuccess(call); });
+        if (!workflow.isLasting || !isAccepted) {
+            continue;
+        }
+        const bool hasEndedByItself = workflow.endState == WorkflowState::Completed || workflow.endState == WorkflowState::Failed;
+        if (hasEndedByItself) {
+            faults.push_back(absl::StrCat("LOST: ", id.value, ": is shown as ", std::string(name(*workflow.endState)), " although its task lasts"));
+        } else if (!workflow.cancelledAt && !workflow.wasAtWorkAtEnd) {
+            faults.push_back(absl::StrCat("LOST: ", id.value, ": its task, which lasts, was not at work at the end"));
+        }
+    }
+}
+
 void checkStates(const SoakHistory &history, Faults &faults)
 {
     for (const auto &call : history.calls) {
@@ -134,7 +152,9 @@
 void checkCancellations(const SoakHistory &history, const SoakBounds &bounds, Faults &faults)
 {
     for (const auto &call : history.calls) {
-        if (call.action != CallerAction::Cancel || !isSuccess(call)) {
+        // A host answers 410 only if the workflow has ended, or if it is unknown and will never be accepted.
+        constexpr int statusGone = 410;
+        if (call.action != CallerAction::Cancel || !(isSuccess(call) || call.status == statusGone)) {
             continue;
         }
         for (const auto &start : history.starts) {
@@ -193,6 +213,7 @@
     Faults faults = history.targetViolations;
     checkRejections(history, faults);
     checkAccepted(history, faults);
+    checkLastingWork(history, faults);
     checkStates(history, faults);
     checkKeys(history, bounds, faults);
     const auto zoneOf = [](const ObservedStart &start) { return start.availabilityZone.value; };
--- a/soak/soakhistory.h
+++ b/soak/soakhistory.h
@@ -39,6 +39,8 @@
     std::optional<TimePoint> cancelledAt;  ///< When a cancellation was first sent.
     bool isUrgent = false;                 ///< True for priority 0 within the organisation's guarantee.
     std::optional<WorkflowState> endState; ///< State that hosts reported to callers at the end; empty if they did not know the workflow.
+    bool isLasting = false;                ///< True if its tasks last until the workflow is cancelled at the end of the soak, however often their runs end.
+    bool wasAtWorkAtEnd = false;           ///< True if, once all faults had ended, its tasks were at work within the time allowed for a restart.
 
     friend bool operator==(const SentWorkflow &, const SentWorkflow &) = default;
 };
--- a/soak/soakmain.cpp
+++ b/soak/soakmain.cpp
@@ -43,6 +43,9 @@
 // Longest time from the last fault until all workflows have ended: a lease of ten seconds and a few seconds of work.
 constexpr Duration settleLimit{60'000};
 
+// Time after which a task that lasts must be at work again: the platform counts it as lost 6 s after its last run, if the 3 s before are calm.
+constexpr Duration lastingRestart{9'000};
+
 // Time without faults before the final check of guarantees that hold only without disturbances.
 constexpr Duration quietPeriod{4'000};
 
@@ -98,6 +101,9 @@
     runFor(world, quietPeriod);
     sendUrgentGangs(world);
     runFor(world, settleLimit, [&world] { return haveAllEnded(world); });
+    runFor(world, lastingRestart, [&world] { return noteLastingWork(world); });
+    cancelLastingWork(world);
+    runFor(world, settleLimit, [&world] { return haveAllEnded(world); });
     askReadiness(world);
 }
 
--- a/soak/soakworld.h
+++ b/soak/soakworld.h
@@ -60,6 +60,8 @@
     bool isAccepted = false;
     bool isAbandoned = false; ///< True if the caller has used all its attempts or was told that the workflow cannot run.
     bool isCallOpen = false;
+    bool isLasting = false;      ///< Its task lasts; false from the time when the caller cancels it at the end of the soak.
+    bool isCancelWanted = false; ///< The caller sends cancellations until one is answered with success or 410.
     int attemptCount = 0;
     TimePoint nextCallAt;
     std::optional<WorkflowState> state;
@@ -100,6 +102,8 @@
     TimePoint nextHeartbeatAt;
     int settingsRevision = 0;
     bool sendsWork = true;
+    bool acceptsRefusals = false;   ///< Callers do not repeat submissions that were refused.
+    bool cancelsUnanswered = false; ///< Callers cancel submissions that are not answered, and do not repeat them.
     TimePoint nextWorkAt;
 };
 
--- a/tests/testsoakhistory.cpp
+++ b/tests/testsoakhistory.cpp
@@ -129,6 +129,34 @@
     EXPECT_THAT(checkHistory(history), testing::IsEmpty());
 }
 
+// Guards against a check that counts only cancellations of known workflows: 410 says as well that the workflow will not start.
+TEST_F(SoakHistoryCheck, startAfterACancellationThatWasAnsweredAsGoneIsFound)
+{
+    history.calls.push_back(call(CallerAction::Cancel, 1'200, 1'210, 410));
+    history.workflows.at(workflow).cancelledAt = at(1'200);
+    history.starts.push_back({at(4'300), task(0), {"t1"}, {"a"}, false});
+    expectViolation("UNASKED", true);
+}
+
+// Guards against a check that takes the end of a task's run for the end of a task that lasts.
+TEST_F(SoakHistoryCheck, lastingWorkThatIsShownAsCompletedIsFound)
+{
+    history.workflows.at(workflow) = {.endState = WorkflowState::Completed, .isLasting = true, .wasAtWorkAtEnd = true};
+    expectViolation("LOST", false);
+}
+
+TEST_F(SoakHistoryCheck, lastingWorkThatIsNotStartedAgainIsFound)
+{
+    history.workflows.at(workflow) = {.endState = WorkflowState::Cancelled, .isLasting = true};
+    expectViolation("LOST", false);
+}
+
+TEST_F(SoakHistoryCheck, lastingWorkThatCallersHaveCancelledNeedNotBeAtWork)
+{
+    history.workflows.at(workflow) = {.cancelledAt = at(1'200), .endState = WorkflowState::Cancelled, .isLasting = true};
+    EXPECT_THAT(checkHistory(history), testing::IsEmpty());
+}
+
 TEST_F(SoakHistoryCheck, startInAZoneThatIsOutIsFound)
 {
     history.zonesOut.push_back({"a", at(1'000), std::nullopt});
@@ -238,7 +266,7 @@
     for (unsigned seed = 1; seed <= 50; ++seed) {
         std::ranges::transform(makeFaultPlan(seed, Duration{20'000}), std::inserter(drawn, drawn.end()), &PlannedFault::kind);
     }
-    EXPECT_EQ(drawn.size(), static_cast<std::size_t>(FaultKind::ForeignEntries) + 1);
+    EXPECT_EQ(drawn.size(), static_cast<std::size_t>(FaultKind::ManyEnds) + 1);
 }
 
 }
--- a/tests/testsoakproxy.cpp
+++ b/tests/testsoakproxy.cpp
@@ -152,6 +152,16 @@
     EXPECT_GE(EventLoop::now() - begin, Duration{200});
 }
 
+// Guards against a fault that loses the request, or the answer, of a client that has ended only its sending side.
+TEST_F(SoakProxy, halfClosedConnectionIsAnswered)
+{
+    proxy->setFaults({.halfCloses = true});
+    EXPECT_EQ(create("h1"), StoreOutcome::Applied);
+    loop.runUntil([this] { return proxy->connectionCount() == 0; }, testTimeout);
+    EXPECT_EQ(proxy->connectionCount(), 0U);
+    EXPECT_EQ(create("h2"), StoreOutcome::Conflict) << "the next request needs a new connection";
+}
+
 TEST_F(SoakProxy, silentAndBusyStoreHaveNoEffect)
 {
     store.faults.isSilent = true;
