--- a/workflow/commitprogress.cpp
+++ b/workflow/commitprogress.cpp
@@ -19,8 +19,8 @@
 // Time after which an unchanged summary is compared again, because a comparison counts all open workflows.
 constexpr Duration summaryCheckPause{100};
 
-// Longest time that the begin of workflows waits for a batch that is written for another reason. A batch of its own for each begin would add a third to the
-// writes of a workflow of one task.
+// Longest time that the begin of workflows waits for a batch that is written for another reason. Written at once, it would be one more write for each
+// workflow.
 constexpr Duration maxBegunDelay{50};
 
 DomainSummary summaryOf(const WorkflowBoard &board)
--- a/workflow/progresschange.h
+++ b/workflow/progresschange.h
@@ -20,8 +20,8 @@
 /// because thousands of them may end within a second.
 void changeTask(WorkflowBoard &board, const TaskId &task, const std::function<void(TaskProgress &)> &change);
 
-/// Shows the workflow as running, because a target has accepted or listed a run of it. The change is stored with the next batch, at the latest after
-/// `maxBegunDelay`. Does nothing if the workflow is not queued.
+/// Shows the workflow as running, because a target has accepted or listed a run of it. The change is stored with the next batch that is written for another
+/// reason, or in a batch of its own soon after. Does nothing if the workflow is not queued.
 void noteBegun(WorkflowBoard &board, const RequestId &workflow);
 
 /// The version of the workflow's current progress, which must be stored before the progress may be acted on; zero if the workflow is not on the board.
