Keep the soak's new faults from excusing other checks

halfCloseCallers made the store slow for all hosts and manyEnds cut a target off; both counted as disturbances of all hosts.

Change: halfCloseCallers delays only its host's link to the store by 30 ms and manyEnds holds back only a target's answers, so that no order is late; neither counts as a disturbance, and hosts must keep all bounds. manyEnds begins once 900 of 1,000 starts have been answered, because only such runs can be taken for lost.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -69,14 +69,6 @@
     return Duration{drawNumber(world, least, most)};
 }
 
-/// True if the caller cannot tell from the answer whether the workflow was accepted.
-bool isUncertain(const ObservedCall &call)
-{
-    constexpr int statusBadGateway = 502;
-    constexpr int statusGatewayTimeout = 504;
-    return !call.isNotSent && (call.status == 0 || call.status == statusBadGateway || call.status == statusGatewayTimeout);
-}
-
 /// Ends the caller's attempts to submit the workflow, and cancels it in case it was accepted.
 void giveUp(SoakWorld &world, SoakWorkflow &workflow)
 {
@@ -107,9 +99,8 @@
             giveUp(world, workflow);
         }
     } else if (call.action == CallerAction::Cancel && workflow.isCancelWanted) {
-        constexpr int statusGone = 410;
         workflow.isCallOpen = false;
-        workflow.isCancelWanted = !isSuccess && call.status != statusGone;
+        workflow.isCancelWanted = !isCancelConfirmed(call);
         workflow.nextCallAt = EventLoop::now() + drawDuration(world, minRetryMs, maxRetryMs);
     } else if (call.action == CallerAction::Query) {
         workflow.isCallOpen = false;
@@ -160,6 +151,14 @@
     return row;
 }
 
+WorkflowSpecification specificationOf(const StepSpecification &step)
+{
+    WorkflowSpecification specification;
+    specification.payload = "soak";
+    specification.steps.push_back(step);
+    return specification;
+}
+
 void sendRandomWorkflow(SoakWorld &world)
 {
     constexpr std::array<const char *, 3> queues{"urgent", "ordinary", "patient"};
@@ -171,9 +170,7 @@
     step.estimate = Duration{1'000};
     step.isGang = drawNumber(world, 0, 1) == 0;
     step.isCheckpointable = drawNumber(world, 0, 1) == 0;
-    WorkflowSpecification specification;
-    specification.payload = "soak";
-    specification.steps.push_back(step);
+    auto specification = specificationOf(step);
     if (drawNumber(world, 0, 3) == 0) {
         step.after = {0};
         step.isGang = false;
@@ -231,8 +228,7 @@
         step.isGang = true;
         Workflow candidate;
         candidate.organisation = organisation;
-        candidate.specification.payload = "soak";
-        candidate.specification.steps.push_back(step);
+        candidate.specification = specificationOf(step);
         const bool isGuaranteed = isWithinGuarantee(world, candidate);
         auto &workflow = addWorkflow(world, "urgent", organisation.value, candidate.specification);
         world.history.workflows.at(workflow.workflow.id).isUrgent = isGuaranteed;
@@ -247,10 +243,7 @@
     step.perTask = {1'000, 2'000, 1};
     step.estimate = Duration{1'000};
     step.isLasting = true;
-    WorkflowSpecification specification;
-    specification.payload = "soak";
-    specification.steps.push_back(step);
-    auto &workflow = addWorkflow(world, "ordinary", "hotels", std::move(specification));
+    auto &workflow = addWorkflow(world, "ordinary", "hotels", specificationOf(step));
     const auto &id = workflow.workflow.id;
     workflow.isLasting = true;
     world.history.workflows.at(id).isLasting = true;
@@ -261,14 +254,11 @@
 RequestId sendManyTasks(SoakWorld &world)
 {
     StepSpecification step;
-    step.taskCount = 1'200;
+    step.taskCount = 1'000;
     step.perTask = {10, 10, 0};
-    step.estimate = Duration{3'000};
-    WorkflowSpecification specification;
-    specification.payload = "soak";
-    specification.steps.push_back(step);
-    auto &workflow = addWorkflow(world, "urgent", "tailors", std::move(specification));
-    world.targets.fleet.behaviours.at(workflow.workflow.id) = {.work = Duration{3'000}};
+    step.estimate = Duration{4'000};
+    auto &workflow = addWorkflow(world, "urgent", "tailors", specificationOf(step));
+    world.targets.fleet.behaviours.at(workflow.workflow.id) = {.work = Duration{4'000}};
     send(world, workflow, CallerAction::Submit);
     return workflow.workflow.id;
 }
--- a/soak/faulteffects.cpp
+++ b/soak/faulteffects.cpp
@@ -13,23 +13,23 @@
 namespace
 {
 
-/// Cuts off the target with the most tasks of the workflow once most of them run there, so that their ends fill more than one list. Tries until the time.
-void cutOffBusiest(SoakWorld &world, const RequestId &workflow, TimePoint until)
+/// Holds back the answers of the target with the most tasks of the workflow once most of them run there, so that their ends fill more than one list. Orders
+/// still arrive at once, so no start is late and no host counts as disturbed. Tries until the time.
+void silenceBusiest(SoakWorld &world, const RequestId &workflow, TimePoint until)
 {
-    constexpr std::ptrdiff_t minTasks = 600;
+    constexpr std::ptrdiff_t minTasks = 900; // Only runs whose start has been answered can be taken for lost.
     constexpr Duration retryPause{50};
-    constexpr Duration cutLength{4'000}; // Longer than the tasks run, and shorter than a target stays registered without heartbeats.
+    constexpr Duration cutLength{4'200}; // Longer than the tasks run, and shorter than a target stays registered without heartbeats.
     const auto tasksOn = [&](const ModelTarget &target) {
         return std::ranges::count(target.running, workflow, [](const auto &row) { return row.first.step.workflow; });
     };
     const auto now = EventLoop::now();
     const auto busiest = std::ranges::max_element(world.targets.fleet.targets, {}, [&](const auto &row) { return tasksOn(row.second); });
     if (tasksOn(busiest->second) >= minTasks) {
-        auto effect = cutTarget(world, busiest->first, {Duration{0}, true, true});
-        world.history.disturbances.push_back({{}, now, now + cutLength});
+        auto effect = cutTarget(world, busiest->first, {.cutsToClient = true});
         runAt(world, now + cutLength, std::move(effect.end));
     } else if (now < until) {
-        runAt(world, now + retryPause, [&world, workflow, until] { cutOffBusiest(world, workflow, until); });
+        runAt(world, now + retryPause, [&world, workflow, until] { silenceBusiest(world, workflow, until); });
     }
 }
 
@@ -54,12 +54,13 @@
 
 Effect halfCloseCallers(SoakWorld &world, SoakHost &host)
 {
+    constexpr Duration storeDelay{30}; // Longer than the proxy needs to end the sending side, so that the call is still under way.
     host.callerLink->setFaults({.halfCloses = true});
-    world.store.faults.latency = slowStoreLatency;
+    host.storeLink->setFaults({.delay = storeDelay});
     world.acceptsRefusals = true;
-    return {{}, true, [&world, &host] {
+    return {host.place.id, false, [&world, &host] {
                 host.callerLink->setFaults({});
-                world.store.faults.latency = PlatformStoreFaults{}.latency;
+                host.storeLink->setFaults({});
                 world.acceptsRefusals = false;
             }};
 }
@@ -81,7 +82,7 @@
 {
     constexpr Duration longestStart{5'000};
     if (world.injected[FaultKind::ManyEnds] == 1) {
-        cutOffBusiest(world, sendManyTasks(world), EventLoop::now() + longestStart);
+        silenceBusiest(world, sendManyTasks(world), EventLoop::now() + longestStart);
     }
     return momentaryEffect({}, false);
 }
--- a/soak/faulteffects.h
+++ b/soak/faulteffects.h
@@ -8,8 +8,6 @@
 namespace sequoiastand
 {
 
-constexpr Duration slowStoreLatency{250}; // Fifty times the platform's usual latency of a few milliseconds.
-
 /// A fault in progress, the host that it affects, and the action that ends it. An empty host means all hosts.
 struct Effect
 {
@@ -23,14 +21,14 @@
 
 Effect cutTarget(SoakWorld &world, const TargetId &id, const ProxyFaults &faults);
 
-/// Ends the callers' sending side of the host's connections after each request, while the store is slow, so that calls are under way at that moment. Callers
-/// take a refusal as final meanwhile.
+/// Ends the callers' sending side of the host's connections after each request, with a short delay on the host's link to the store, so that calls are under
+/// way at that moment. Callers take a refusal as final meanwhile. The host must keep all bounds.
 Effect halfCloseCallers(SoakWorld &world, SoakHost &host);
 
 /// Carries out most of the writes that create workflows late. The other writes are not affected, so no host counts as disturbed.
 Effect delaySubmissions(SoakWorld &world, const PlannedFault &fault);
 
-/// Submits more short tasks than one list of ends holds, once in a run, and cuts off the target that has most of them until they have ended.
+/// Submits more short tasks than one list of ends holds, once in a run, and holds back the answers of the target that has most of them until they have ended.
 Effect sendManyEnds(SoakWorld &world);
 
 }
--- a/soak/faultplan.h
+++ b/soak/faultplan.h
@@ -56,7 +56,7 @@
     CancelUnanswered,  ///< Carries out a share of the writes that create workflows late, while callers cancel the submissions that are not answered.
     LastingWork,       ///< Submits a task that lasts and whose runs end by themselves; callers cancel it at the end of the soak.
     HalfCloseCallers,  ///< Ends the callers' sending side of a host's connections after each request, while the callers still read.
-    ManyEnds,          ///< Submits more short tasks than one list of ends holds, and cuts off a target of theirs until they have ended.
+    ManyEnds,          ///< Submits more short tasks than one list of ends holds, and holds back the answers of a target of theirs until they have ended.
 };
 
 std::string_view name(FaultKind kind);
--- a/soak/injection.cpp
+++ b/soak/injection.cpp
@@ -35,7 +35,8 @@
 // Maps a plan's figure of 10 to 60 to a delay of 50 to 300 ms, so that some calls time out and others do not.
 constexpr int delayPerFigure = 5;
 
-constexpr double slowTarget = 4; // Factor by which tasks take longer.
+constexpr Duration slowStoreLatency{250}; // Fifty times the platform's usual latency of a few milliseconds.
+constexpr double slowTarget = 4;          // Factor by which tasks take longer.
 
 SoakHost &hostOf(SoakWorld &world, int subject)
 {
--- a/soak/soakhistory.cpp
+++ b/soak/soakhistory.cpp
@@ -10,9 +10,6 @@
 namespace
 {
 
-constexpr int statusBadGateway = 502;
-constexpr int statusGatewayTimeout = 504;
-
 using Faults = std::vector<std::string>;
 
 long long millis(TimePoint time)
@@ -28,8 +25,13 @@
 /// True if the answer says that the workflow was not accepted and will never run.
 bool isRejection(const ObservedCall &call)
 {
-    const bool isUncertain = call.status == 0 || call.status == statusBadGateway || call.status == statusGatewayTimeout;
-    return call.isNotSent || (!isUncertain && !isSuccess(call));
+    return !isUncertain(call) && !isSuccess(call);
+}
+
+bool isAccepted(const SoakHistory &history, const RequestId &workflow)
+{
+    return std::ranges::any_of(history.calls,
+                               [&](const ObservedCall &call) { return call.action == CallerAction::Submit && call.workflow == workflow && isSuccess(call); });
 }
 
 /// True if no disturbance of the host or of all hosts overlaps the period.
@@ -63,9 +65,7 @@
 void checkAccepted(const SoakHistory &history, Faults &faults)
 {
     for (const auto &[id, workflow] : history.workflows) {
-        const bool isAccepted = std::ranges::any_of(
-            history.calls, [&](const ObservedCall &call) { return call.action == CallerAction::Submit && call.workflow == id && isSuccess(call); });
-        if (!isAccepted) {
+        if (!isAccepted(history, id)) {
             continue;
         }
         if (!workflow.endState) {
@@ -82,9 +82,7 @@
 void checkLastingWork(const SoakHistory &history, Faults &faults)
 {
     for (const auto &[id, workflow] : history.workflows) {
-        const bool isAccepted = std::ranges::any_of(
-            history.calls, [&](const ObservedCall &call) { return call.action == CallerAction::Submit && call.workflow == id && isSuccess(call); });
-        if (!workflow.isLasting || !isAccepted) {
+        if (!workflow.isLasting || !isAccepted(history, id)) {
             continue;
         }
         const bool hasEndedByItself = workflow.endState == WorkflowState::Completed || workflow.endState == WorkflowState::Failed;
@@ -152,9 +150,7 @@
 void checkCancellations(const SoakHistory &history, const SoakBounds &bounds, Faults &faults)
 {
     for (const auto &call : history.calls) {
-        // A host answers 410 only if the workflow has ended, or if it is unknown and will never be accepted.
-        constexpr int statusGone = 410;
-        if (call.action != CallerAction::Cancel || !(isSuccess(call) || call.status == statusGone)) {
+        if (call.action != CallerAction::Cancel || !isCancelConfirmed(call)) {
             continue;
         }
         for (const auto &start : history.starts) {
@@ -208,6 +204,19 @@
 
 }
 
+bool isUncertain(const ObservedCall &call)
+{
+    constexpr int statusBadGateway = 502;
+    constexpr int statusGatewayTimeout = 504;
+    return !call.isNotSent && (call.status == 0 || call.status == statusBadGateway || call.status == statusGatewayTimeout);
+}
+
+bool isCancelConfirmed(const ObservedCall &call)
+{
+    constexpr int statusGone = 410;
+    return isSuccess(call) || call.status == statusGone;
+}
+
 std::vector<std::string> checkHistory(const SoakHistory &history, const SoakBounds &bounds)
 {
     Faults faults = history.targetViolations;
--- a/soak/soakhistory.h
+++ b/soak/soakhistory.h
@@ -32,6 +32,13 @@
     friend bool operator==(const ObservedCall &, const ObservedCall &) = default;
 };
 
+/// True if the caller cannot tell from the answer, or from its absence, whether the request took effect.
+bool isUncertain(const ObservedCall &call);
+
+/// True if the answer to a cancellation says that the workflow will not start any more. A host answers 410 only if the workflow has ended, or if it is
+/// unknown and will never be accepted.
+bool isCancelConfirmed(const ObservedCall &call);
+
 /// A workflow that a caller has submitted.
 struct SentWorkflow
 {
