Refuse submissions that are read after their cancelling

Cause: a submission that met a tombstone was written again under the tombstone's revision if its host had received it less than a store timeout ago. A host that was suspended, or cut off from callers, counts from the time at which it reads the request, so it accepted a submission that another host had cancelled meanwhile with 410.

Change: submissions are conditional on the absence of the tombstone, and one that meets it is refused (cancelled, 409 without a retry time). The tombstone's key names the organisation and the queue of the cancelling, so cancellings by others exclude nothing and do not replace it. On an anonymous queue the organisation is left out. The soak prints all calls for the workflows that its faults name.

--- a/core/refusal.h
+++ b/core/refusal.h
@@ -27,7 +27,7 @@
     VersionConflict,
     Timeout,
     UnknownQueue, ///< No queue serves that host and path.
-    Cancelled,    ///< The caller has cancelled the workflow while its submission was under way.
+    Cancelled,    ///< The caller has cancelled the workflow before its submission was accepted.
     Internal,
 };
 
--- a/core/storerecord.cpp
+++ b/core/storerecord.cpp
@@ -75,9 +75,9 @@
     return {"intake/cancellation/" + id.value};
 }
 
-StoreKey workflowTombstoneKey(const RequestId &id)
+StoreKey workflowTombstoneKey(const RequestId &id, const OrganisationId &organisation, const QueueId &queue)
 {
-    return {"tombstone/" + id.value};
+    return {"tombstone/" + id.value + "/" + organisation.value + "/" + queue.value};
 }
 
 StoreKey workflowProgressKey(const RequestId &id)
--- a/core/storerecord.h
+++ b/core/storerecord.h
@@ -91,9 +91,8 @@
     friend bool operator==(const WorkflowCancellation &, const WorkflowCancellation &) = default;
 };
 
-/// Left behind by the cancelling of a workflow that does not exist, bound to a store lease. Each such cancelling changes the key's revision, on which the writes
-/// of submissions are conditional, so that a submission that was sent before and is still on its way does not take effect after the caller was told that the
-/// workflow does not exist.
+/// Left behind by the cancelling of a workflow that does not exist, bound to a store lease. The writes of submissions are conditional on the key's absence, so
+/// that a submission that was sent before and is still on its way does not take effect after the caller was told that the workflow does not exist.
 struct WorkflowTombstone
 {
     WallTime requestedAt;
@@ -281,7 +280,9 @@
 // Keys of a service domain.
 StoreKey workflowKey(const RequestId &id);
 StoreKey workflowCancellationKey(const RequestId &id);
-StoreKey workflowTombstoneKey(const RequestId &id);
+
+/// Key of the tombstone that a cancelling on the queue leaves behind; the organisation is empty if the queue is anonymous.
+StoreKey workflowTombstoneKey(const RequestId &id, const OrganisationId &organisation, const QueueId &queue);
 StoreKey workflowProgressKey(const RequestId &id);
 StoreKey domainOwnerKey();
 StoreKey commitMarkKey();
--- a/net/callerapi.cpp
+++ b/net/callerapi.cpp
@@ -69,6 +69,7 @@
         return 404;
     case RefusalReason::RequestIdReused:
     case RefusalReason::VersionConflict:
+    case RefusalReason::Cancelled:
         return 409;
     case RefusalReason::QuotaExceeded:
     case RefusalReason::QueueFull:
@@ -80,7 +81,6 @@
     case RefusalReason::StoreUnavailable:
     case RefusalReason::ShuttingDown:
     case RefusalReason::TooManyConnections:
-    case RefusalReason::Cancelled:
         return 503;
     case RefusalReason::Timeout:
         return 504;
--- a/soak/soakmain.cpp
+++ b/soak/soakmain.cpp
@@ -4,6 +4,7 @@
 #include "platform/standin/platformwriter.h"
 #include "soakworld.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 #include <docopt/docopt.h>
@@ -143,6 +144,19 @@
     }
 }
 
+/// Prints all calls for the workflows that the faults name, so that the order of the callers' actions can be compared with the hosts' logs.
+void reportCalls(const SoakHistory &history, const std::vector<std::string> &faults)
+{
+    for (const auto &call : history.calls) {
+        const bool isNamed = std::ranges::any_of(faults, [&](const std::string &fault) { return absl::StrContains(fault, call.workflow.value); });
+        if (isNamed) {
+            std::cout << "call " << call.sentAt.time_since_epoch().count() << " to "
+                      << (call.endedAt ? absl::StrCat(call.endedAt->time_since_epoch().count()) : "the end") << " " << name(call.action) << " "
+                      << call.workflow.value << " at " << call.host.value << ": status " << call.status << (call.isNotSent ? ", not sent" : "") << '\n';
+        }
+    }
+}
+
 void report(const SoakWorld &world, const std::vector<std::string> &faults)
 {
     std::cout << "seed " << world.options.seed << ": " << world.workflows.size() << " workflows, " << world.history.calls.size() << " calls, "
@@ -170,6 +184,7 @@
     endHosts(world);
     const auto faults = checkHistory(finishedHistory(world));
     reportLateOrders(world.targets);
+    reportCalls(world.history, faults);
     report(world, faults);
     return faults.empty() ? 0 : 1;
 }
--- a/tests/testcalleraccess.cpp
+++ b/tests/testcalleraccess.cpp
@@ -79,6 +79,15 @@
     EXPECT_EQ(refusalOf(query(id(1), "h2", "/open/")), std::nullopt);
 }
 
+// Guards against running work unasked: a caller of an anonymous queue may carry a key with its submission and none with its cancelling.
+TEST_F(CallerAccess, submissionWithAKeyIsRefusedAfterItsCancellingWithoutAKey)
+{
+    callerKey = noKey;
+    EXPECT_EQ(refusalOf(cancel(id(1), "h1", "/open/")), RefusalReason::NotFound);
+    callerKey = "key-tailors";
+    EXPECT_EQ(refusalOf(submit(id(1), work(), {}, "h2", "/open/")), RefusalReason::Cancelled);
+}
+
 TEST_F(CallerAccess, workOfAnAnonymousQueueIsNotReachedThroughAnotherQueue)
 {
     callerKey = noKey;
--- a/workflow/callerwrites.cpp
+++ b/workflow/callerwrites.cpp
@@ -42,7 +42,7 @@
     workflow.specification = *call.request.specification;
     StoreTransaction transaction;
     transaction.conditions = configurationCondition(board);
-    transaction.conditions.push_back({workflowTombstoneKey(workflow.id), call.tombstone});
+    transaction.conditions.push_back({tombstoneKey(routed), 0});
     transaction.writes.push_back({workflowKey(workflow.id), workflow, 0, false});
     WorkflowProgress progress;
     progress.organisation = routed.organisation;
@@ -64,7 +64,7 @@
     call.step = CallerStep::WritingTombstone;
     call.call.reset();
     if (hasTombstoneLease(board)) {
-        call.call = sendToStore(board, tombstoneTransaction(board, {routed.rest}), board.tombstones.lease);
+        call.call = sendToStore(board, tombstoneTransaction(board, routed), board.tombstones.lease);
     }
     putCall(board, std::move(call));
 }
@@ -95,27 +95,9 @@
 namespace
 {
 
-/// Decides what becomes of a submission whose workflow has another tombstone than it expected. No copy of the submission that was sent before can take effect any
-/// more. A caller may submit a workflow that it has cancelled before, but a submission that has been under way for a while may itself be what was cancelled.
-void handleTombstone(WorkflowBoard &board, OpenCallerCall call, Revision tombstone)
+bool containsTombstone(const StoreReply &reply)
 {
-    const bool mayHaveBeenCancelled = call.mayBeStored || board.now - call.receivedAt > board.self.limits.storeTimeout;
-    call.mayBeStored = false;
-    if (mayHaveBeenCancelled) {
-        answer(board, call, {{}, Refusal{RefusalReason::Cancelled, RequestEffect::NotRun, retryAtOnce, "the workflow was cancelled"}, {}, {}});
-        return;
-    }
-    call.tombstone = tombstone;
-    if (const auto routed = route(board, call)) {
-        submit(board, call, *routed);
-    }
-}
-
-/// The revision of the tombstone among the entries of the store's answer; zero if there is none.
-Revision tombstoneRevision(const StoreReply &reply)
-{
-    const auto found = std::ranges::find_if(reply.entries, [](const StoreEntry &entry) { return std::holds_alternative<WorkflowTombstone>(entry.record); });
-    return found == reply.entries.end() ? 0 : found->revision;
+    return std::ranges::any_of(reply.entries, [](const StoreEntry &entry) { return std::holds_alternative<WorkflowTombstone>(entry.record); });
 }
 
 /// Proves the configuration again before the call is handled again, because a condition failed that nothing else explains.
@@ -150,7 +132,7 @@
            isAccessible ? "the id belongs to a workflow with another specification" : "the id belongs to a workflow of another organisation or queue");
 }
 
-/// A condition failed: the workflow or cancellation exists already, its tombstone is not the expected one, or the configuration has changed.
+/// A condition failed: the workflow, its cancellation or its tombstone exists already, or the configuration has changed.
 void handleConflict(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
 {
     for (const auto &entry : reply.entries) {
@@ -163,8 +145,9 @@
             return;
         }
     }
-    if (const auto tombstone = tombstoneRevision(reply); call.request.action == CallerAction::Submit && tombstone != call.tombstone) {
-        handleTombstone(board, std::move(call), tombstone);
+    if (containsTombstone(reply)) {
+        call.mayBeStored = false; // No copy of the submission takes effect while the tombstone exists.
+        refuse(board, call, RefusalReason::Cancelled, "the workflow was cancelled");
         return;
     }
     proveAgain(board, std::move(call));
--- a/workflow/callerwrites.h
+++ b/workflow/callerwrites.h
@@ -6,7 +6,7 @@
 namespace sequoiastand
 {
 
-/// Sends the write of the call's workflow, on the condition that the workflow does not exist and that its tombstone is the one that the call knows.
+/// Sends the write of the call's workflow, on the condition that neither the workflow nor a tombstone of it exists.
 void submit(WorkflowBoard &board, const OpenCallerCall &call, const RoutedCall &routed);
 
 /// Sends the write of the call's cancellation.
--- a/workflow/tombstones.cpp
+++ b/workflow/tombstones.cpp
@@ -52,11 +52,17 @@
     return Duration{0};
 }
 
-StoreTransaction tombstoneTransaction(const WorkflowBoard &board, const RequestId &id)
+StoreKey tombstoneKey(const RoutedCall &routed)
 {
+    return workflowTombstoneKey({routed.rest}, routed.queue->isAnonymous ? OrganisationId{} : routed.organisation, routed.queue->id);
+}
+
+StoreTransaction tombstoneTransaction(const WorkflowBoard &board, const RoutedCall &routed)
+{
+    const RequestId id{routed.rest};
     StoreTransaction transaction;
     transaction.conditions = {{queueConfigurationKey(), board.view.revision}, {workflowKey(id), 0}, {workflowProgressKey(id), 0}};
-    transaction.writes.push_back({workflowTombstoneKey(id), WorkflowTombstone{board.wallNow}, std::nullopt, true});
+    transaction.writes.push_back({tombstoneKey(routed), WorkflowTombstone{board.wallNow}, std::nullopt, true});
     return transaction;
 }
 
--- a/workflow/tombstones.h
+++ b/workflow/tombstones.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "callerchecks.h"
 #include "workflowboard.h"
 
 namespace sequoiastand
@@ -21,7 +22,11 @@
 /// Time after which this host may write another tombstone; zero if it may write one now, which counts against its limit.
 Duration takeTombstone(WorkflowBoard &board);
 
-/// The write of the workflow's tombstone, which takes effect only if the workflow does not exist.
-StoreTransaction tombstoneTransaction(const WorkflowBoard &board, const RequestId &id);
+/// Key of the tombstone of the call's workflow. A submission and a cancelling have the same key if the cancelling may reach the workflow of the submission, so that
+/// one organisation's cancelling does not exclude another's submission.
+StoreKey tombstoneKey(const RoutedCall &routed);
+
+/// The write of the tombstone of the call's workflow, which takes effect only if the workflow does not exist.
+StoreTransaction tombstoneTransaction(const WorkflowBoard &board, const RoutedCall &routed);
 
 }
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -298,7 +298,6 @@
     bool mayBeStored = false;       ///< A write with an unknown outcome was sent.
     int unansweredWrites = 0;       ///< Number of times that the write was sent and not answered.
     bool hasRereadState = false;    ///< The state has been scheduled to be read a second time.
-    Revision tombstone = 0;         ///< Revision of the workflow's tombstone on which the submission is conditional; zero if there is none.
 
     friend bool operator==(const OpenCallerCall &, const OpenCallerCall &) = default;
 };
