--- a/tests/testtargetlifecycle.cpp
+++ b/tests/testtargetlifecycle.cpp
@@ -303,6 +303,22 @@
     EXPECT_FALSE(isAtWork(fleet, id(1))) << "the second run was not stopped";
 }
 
+// Guards against more attempts than the queue allows: the first run fails on a target that is cut off, and its end is listed only after the run was presumed lost.
+TEST_F(TargetLifecycle, failureOfARunPresumedLostCountsAsAnAttempt)
+{
+    constexpr int firstTask = 0;
+    const int attempts = configuration.queues.at({"urgent"}).maxAttempts;
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{6'000}, {firstTask}}));
+    runUntil([&] { return fleet.starts[id(1)] == 1; }, Duration{1'000});
+    const auto cut = std::ranges::find_if(fleet.targets, [](const auto &row) { return !row.second.running.empty(); })->first;
+    cutOff(cut.value);
+    runUntil([&] { return fleet.starts[id(1)] == 2; }, Duration{14'000});
+    run(Duration{500});
+    reconnect(cut.value);
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Failed; }, Duration{20'000});
+    EXPECT_EQ(fleet.starts[id(1)], attempts);
+}
+
 TEST_F(TargetLifecycle, finishOfALostGangCountsThoughTheGangRunsAgain)
 {
     answerTo(submit(id(1), gang(3, {1'000, 1'000, 8}), {Duration{6'000}, {}}));
