Report the duties that a domain's owner fails at

The logs could not tell an owner that has stopped working from one that does not know the job: a refused batch, a proof after the second one, failing requests of a watch and failing reads at take-over wrote no line.

Change: checkDuties notes when the owner has not proved the configuration, read the domain, committed progress or heard of any target for a second, and reports the begin, every 5 s and the end, with the last error and the number of workflows that wait. Watches report when their requests begin to fail and are answered again. A query's line names the owner that the host knows and for how long. waitStep counts targets that are out of service, do not answer or are avoided. No decision changes.

--- a/tests/fakestore.cpp
+++ b/tests/fakestore.cpp
@@ -15,6 +15,13 @@
     return !store.faults.isDown && !store.faults.cutOff.contains(host);
 }
 
+bool isRefused(const FakeStore &store, const HostId &host, const StoreRequest &request)
+{
+    const auto &faults = store.faults;
+    return (std::holds_alternative<StoreTransaction>(request) && faults.refusedTransactions.contains(host))
+           || (std::holds_alternative<StoreRange>(request) && faults.refusedReads.contains(host));
+}
+
 bool consumeOne(int &counter)
 {
     if (counter <= 0) {
@@ -205,7 +212,8 @@
             }
             return isUndecodable;
         });
-        if (!store.faults.areWatchesSilent && (prefix.empty() || !part.put.empty() || !part.deleted.empty())) {
+        if (!store.faults.areWatchesSilent && !store.faults.silentWatches.contains({host, prefix})
+            && (prefix.empty() || !part.put.empty() || !part.deleted.empty())) {
             deliver(store, host, now + store.faults.watchLatency, part);
         }
     }
@@ -244,6 +252,9 @@
     if (!isReachable(store, host)) {
         reply.outcome = StoreOutcome::NotSent;
         reply.error = "connection refused";
+    } else if (isRefused(store, host, call.request)) {
+        reply.outcome = StoreOutcome::NotSent;
+        reply.error = "status 503";
     } else if (isTransaction && consumeOne(store.faults.callsToLose)) {
         reply.outcome = StoreOutcome::Unknown;
         reply.error = "connection reset";
--- a/tests/fakestore.h
+++ b/tests/fakestore.h
@@ -19,15 +19,18 @@
 /// Faults of the fake store. The fields may be changed at any time.
 struct FakeStoreFaults
 {
-    bool isDown = false;           ///< Calls fail at once with NotSent, and watches are lost.
-    std::set<HostId> cutOff;       ///< Hosts for which the store behaves as if it were down.
-    Duration latency{1};           ///< Time from call to answer; the call takes effect when it is made.
-    Duration watchLatency{1};      ///< Time from a change to its watch event.
-    bool areWatchesSilent = false; ///< Watch events are dropped without an error.
-    int answersToLose = 0;         ///< Number of next transactions that take effect and are answered as Unknown.
-    int callsToLose = 0;           ///< Number of next transactions that take no effect and are answered as Unknown.
-    int answersToDrop = 0;         ///< Number of next calls that take effect and are never answered.
-    int writesToDelay = 0;         ///< Number of next transactions with writes that are answered as Unknown and take effect after `delay`.
+    bool isDown = false;                  ///< Calls fail at once with NotSent, and watches are lost.
+    std::set<HostId> cutOff;              ///< Hosts for which the store behaves as if it were down.
+    std::set<HostId> refusedTransactions; ///< Hosts whose transactions are refused as if the store were busy; it serves their other calls and watches.
+    std::set<HostId> refusedReads;        ///< Hosts whose reads are refused as if the store were busy; it serves their other calls and watches.
+    std::set<std::pair<HostId, std::string>> silentWatches; ///< Watches, by host and prefix, whose events are dropped without an error.
+    Duration latency{1};                                    ///< Time from call to answer; the call takes effect when it is made.
+    Duration watchLatency{1};                               ///< Time from a change to its watch event.
+    bool areWatchesSilent = false;                          ///< Watch events are dropped without an error.
+    int answersToLose = 0;                                  ///< Number of next transactions that take effect and are answered as Unknown.
+    int callsToLose = 0;                                    ///< Number of next transactions that take no effect and are answered as Unknown.
+    int answersToDrop = 0;                                  ///< Number of next calls that take effect and are never answered.
+    int writesToDelay = 0; ///< Number of next transactions with writes that are answered as Unknown and take effect after `delay`.
     Duration delay{2'000};
     std::set<StoreKey> undecodable; ///< Keys whose values no host can decode: answers leave them out with an error, and watches report them as removed.
 };
--- a/tests/teststoreport.cpp
+++ b/tests/teststoreport.cpp
@@ -41,6 +41,51 @@
     unsigned long long m_nextCall = 1;
 };
 
+/// A watch of a store on loopback that refuses the first two requests, answers the third, and does not answer the fourth.
+struct StorePortWatch : testing::Test
+{
+    static std::string answer(const std::string &status, const std::string &body)
+    {
+        return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    std::vector<StoreWatchCondition> conditions() const
+    {
+        std::vector<StoreWatchCondition> found;
+        for (const auto &event : events) {
+            if (const auto *condition = std::get_if<StoreWatchCondition>(&event)) {
+                found.push_back(*condition);
+            }
+        }
+        return found;
+    }
+
+    EventLoop loop;
+    HttpClient http{loop};
+    std::vector<WorkflowEvent> events;
+    ScriptedListener store{loop,
+                           {{.answer = answer("503 Service Unavailable", "{}"), .closesAfterAnswer = true},
+                            {.answer = answer("503 Service Unavailable", "{}"), .closesAfterAnswer = true},
+                            {.answer = answer("200 OK", R"({"events":[],"currentRev":4})"), .closesAfterAnswer = true}}};
+    StorePort port{loop,
+                   http,
+                   store.address(),
+                   [this](WorkflowEvent event) { events.push_back(std::move(event)); },
+                   [](const std::string &, const std::string &, const std::string &) {}};
+};
+
+// Guards against a watch that fails again and again without anybody being told.
+TEST_F(StorePortWatch, failingRequestsAreReportedOnceUntilTheyAreAnsweredAgain)
+{
+    port.updateWatches({{"intake/", StoreMirror{.step = MirrorStep::Watching, .revision = 3, .generation = 1}}});
+    EXPECT_TRUE(loop.runUntil([&] { return conditions().size() >= 2; }, testTimeout));
+    ASSERT_EQ(conditions().size(), 2U);
+    EXPECT_EQ(conditions()[0].prefix, "intake/");
+    EXPECT_TRUE(conditions()[0].isFailing);
+    EXPECT_FALSE(conditions()[0].error.empty());
+    EXPECT_FALSE(conditions()[1].isFailing);
+}
+
 // Guards against telling a caller that its request will not run, although the store may apply the first copy of the transaction later.
 TEST_F(StorePortCalls, transactionOnAConnectionThatClosesHasAnUnknownOutcome)
 {
--- a/workflow/calleranswers.cpp
+++ b/workflow/calleranswers.cpp
@@ -6,6 +6,21 @@
 namespace sequoiastand
 {
 
+namespace
+{
+
+/// The owner that this host knows, and since when.
+std::string ownerText(const Ownership &ownership, TimePoint now)
+{
+    if (!ownership.holder) {
+        return ", no owner known";
+    }
+    const auto since = ownership.knownSince ? " for " + std::to_string((now - *ownership.knownSince).count()) + " ms" : "";
+    return ", owner " + ownership.holder->host.value + since;
+}
+
+}
+
 void putCall(WorkflowBoard &board, OpenCallerCall call)
 {
     const CallId id = call.request.id;
@@ -25,6 +40,7 @@
                 call.request.path,
                 std::string(name(call.request.action)) + ": " + outcome + " after " + std::to_string((board.now - call.receivedAt).count())
                     + " ms, configuration " + std::to_string(board.view.configuration.version) + " proven " + age + " ms ago"
+                    + (call.request.action == CallerAction::Query ? ownerText(board.ownership, board.now) : "")
                     + (result.refusal ? ": " + result.refusal->message : ""));
     board.outbox.emplace_back(std::move(result));
     board.calls.erase(call.request.id);
--- a/workflow/claimdomain.cpp
+++ b/workflow/claimdomain.cpp
@@ -50,6 +50,9 @@
         std::erase_if(ownership.recentOwnerChanges, [&](TimePoint at) { return board.now - at > recentChangeWindow; });
         ownership.recentOwnerChanges.push_back(board.now);
     }
+    if (!ownership.knownSince || holder != ownership.holder) {
+        ownership.knownSince = board.now;
+    }
     ownership.holder = std::move(holder);
     ownership.holderRevision = ownership.holder ? revision : 0;
     if (!ownership.isKnown) {
@@ -90,6 +93,7 @@
     ownership.holderRevision = token;
     ownership.isKnown = true;
     ownership.ownedSince = board.now;
+    ownership.knownSince = board.now;
     ownership.nextRenewalAt = board.now;
     ownership.claimAt.reset();
     clearOwnerSections(board);
--- a/workflow/commitprogress.cpp
+++ b/workflow/commitprogress.cpp
@@ -52,6 +52,7 @@
     auto &chain = board.chain;
     const CommitBatch batch = *std::exchange(chain.batch, std::nullopt);
     chain.isOutcomeUnknown = false;
+    chain.error.clear();
     chain.commitMarkRevision = revision;
     markStored(board, batch);
     if (batch.isSummary) {
@@ -99,6 +100,7 @@
     case StoreOutcome::Unknown:
         count(board.counters, "commitsUnanswered", reply->outcome == StoreOutcome::Unknown ? "unknown" : "notSent");
         chain.isOutcomeUnknown = true;
+        chain.error = reply->error;
         chain.retryAt = board.now + (reply->outcome == StoreOutcome::Unknown ? Duration{0} : board.self.limits.storeRetry);
         return;
     }
--- a/workflow/controllers.h
+++ b/workflow/controllers.h
@@ -70,6 +70,10 @@
 /// Reads `workflows`; writes `chain` and the stored versions in `workflows`.
 void commitProgress(WorkflowBoard &board);
 
+/// Notes which duties of the owner are overdue, and reports them in the log when that begins, repeatedly, and when it ends.
+/// Reads `view`, `load`, `mirrors`, `chain` and `targets`; writes `overdueDuties`.
+void checkDuties(WorkflowBoard &board);
+
 /// Answers callers: checks the key and the queue, then reads or writes the records that the answer needs.
 /// Reads `view` and the events; writes `calls` and `summary`.
 void answerCallers(WorkflowBoard &board);
--- a/workflow/followstore.cpp
+++ b/workflow/followstore.cpp
@@ -1,4 +1,5 @@
 #include "controllers.h"
+#include "ownerduties.h"
 
 #include <algorithm>
 #include <array>
@@ -12,9 +13,8 @@
 namespace
 {
 
-// Prefixes that every host mirrors, and those that only the owner needs.
+// Prefixes that every host mirrors.
 const std::array<std::string, 3> commonPrefixes{"config/", domainOwnerKey().path, hostKey({}).path};
-const std::array<std::string, 2> ownerPrefixes{"targets/", "intake/"};
 
 // Each target writes its registration every second or two. With at least this many targets, a watch that reports no write for `deafAfter` no longer works
 // although its connection is open.
@@ -55,6 +55,8 @@
             board, "readStore", prefix, "", "read failed, next try in " + std::to_string(board.self.limits.storeRetry.count()) + " ms: " + reply->error, true);
         mirror.step = MirrorStep::Off;
         mirror.retryAt = board.now + board.self.limits.storeRetry;
+        mirror.failingSince = mirror.failingSince.value_or(board.now);
+        mirror.error = reply->error;
         return mirror;
     }
     board.updates.push_back({prefix, true, reply->entries, {}, reply->revision});
@@ -62,6 +64,22 @@
     mirror.revision = reply->revision;
     ++mirror.generation;
     mirror.lastReceivedAt = board.now;
+    mirror.failingSince.reset();
+    return mirror;
+}
+
+StoreMirror withCondition(WorkflowBoard &board, const StoreWatchCondition &condition, StoreMirror mirror)
+{
+    if (condition.isFailing) {
+        logDecision(board, "watchStore", condition.prefix, "", "the requests of the watch fail: " + condition.error, true);
+        count(board.counters, "watchesLost", "failing");
+        mirror.failingSince = mirror.failingSince.value_or(board.now);
+        mirror.error = condition.error;
+    } else if (mirror.failingSince) {
+        const auto time = board.now - *mirror.failingSince;
+        logDecision(board, "watchStore", condition.prefix, "", "the requests of the watch are answered again after " + std::to_string(time.count()) + " ms");
+        mirror.failingSince.reset();
+    }
     return mirror;
 }
 
@@ -77,6 +95,9 @@
             count(board.counters, "watchesLost", prefix);
             mirror.step = MirrorStep::Off;
             mirror.retryAt = board.now + takeJitter(board, rereadSpread);
+        } else if (const auto *condition = std::get_if<StoreWatchCondition>(&event);
+                   condition != nullptr && condition->prefix == prefix && mirror.step == MirrorStep::Watching) {
+            mirror = withCondition(board, *condition, std::move(mirror));
         }
     }
     return mirror;
--- a/workflow/loaddomain.cpp
+++ b/workflow/loaddomain.cpp
@@ -13,6 +13,15 @@
 namespace
 {
 
+/// Schedules the next try of a read that has failed.
+void retryLater(WorkflowBoard &board, const StoreReply &reply)
+{
+    auto &load = board.load;
+    load.retryAt = board.now + board.self.limits.storeRetry;
+    load.failingSince = load.failingSince.value_or(board.now);
+    load.error = reply.error;
+}
+
 void readProgress(WorkflowBoard &board)
 {
     auto &load = board.load;
@@ -20,13 +29,14 @@
         load.progressRead.reset();
         if (reply->outcome == StoreOutcome::Applied) {
             load.hasProgress = true;
+            load.failingSince.reset();
             for (const auto &entry : reply->entries) {
                 if (const auto *progress = std::get_if<WorkflowProgress>(&entry.record)) {
                     load.progress.insert_or_assign(RequestId{lastPathSegment(entry.key)}, *progress);
                 }
             }
         } else {
-            load.retryAt = board.now + board.self.limits.storeRetry;
+            retryLater(board, *reply);
         }
     }
     if (!load.hasProgress && !load.progressRead && board.now >= load.retryAt) {
@@ -54,9 +64,10 @@
         load.commitMarkRead.reset();
         if (reply->outcome == StoreOutcome::Applied) {
             load.hasCommitMark = true;
+            load.failingSince.reset();
             applyDomainRecords(board, *reply);
         } else {
-            load.retryAt = board.now + board.self.limits.storeRetry;
+            retryLater(board, *reply);
         }
     }
     if (!load.hasCommitMark && !load.commitMarkRead && board.now >= load.retryAt) {
--- a/workflow/ownershipchange.cpp
+++ b/workflow/ownershipchange.cpp
@@ -7,6 +7,7 @@
 {
     board.load = {};
     board.chain = {};
+    board.overdueDuties.clear();
     board.workflows = {};
     board.urgentArrivals.clear();
     board.runs = {};
@@ -28,6 +29,7 @@
     follower.isKnown = ownership.isKnown;
     follower.holder = ownership.holder;
     follower.holderRevision = ownership.holderRevision;
+    follower.knownSince = ownership.knownSince;
     follower.recentOwnerChanges = ownership.recentOwnerChanges;
     follower.noClaimBefore = ownership.noClaimBefore;
     return follower;
--- a/workflow/planwork.cpp
+++ b/workflow/planwork.cpp
@@ -79,6 +79,31 @@
     }
 }
 
+/// The numbers of the service's targets that a step cannot use at the moment, by the reason.
+std::string unusableTargets(const WorkflowBoard &board, const ServiceId &service)
+{
+    int all = 0;
+    int outOfService = 0;
+    int silent = 0;
+    int avoided = 0;
+    for (const auto &[id, target] : board.targets.rows()) {
+        if (target.registration.service != service) {
+            continue;
+        }
+        ++all;
+        const bool isAnswering = target.hasAnsweredOwner && target.failures == 0 && !target.orderUnansweredAt;
+        if (!isInService(board, target)) {
+            ++outOfService;
+        } else if (!isAnswering) {
+            ++silent;
+        } else if (!acceptsWork(board, target)) {
+            ++avoided;
+        }
+    }
+    return "of " + std::to_string(all) + " targets " + std::to_string(outOfService) + " are out of service, " + std::to_string(silent) + " do not answer, "
+           + std::to_string(avoided) + " are avoided";
+}
+
 void logWaits(WorkflowBoard &board, const std::vector<WaitingStep> &waiting, const PlacementPlan &plan)
 {
     std::erase_if(board.explainedWaits, [&](const auto &row) { return board.now - row.second > 2 * explanationPeriod; });
@@ -95,7 +120,7 @@
                     std::string(name(explanation->second.reason)) + " for " + std::to_string(step.tasks.size()) + " tasks of "
                         + std::to_string(step.specification.perTask.accelerators) + " accelerators after " + std::to_string(step.waited.count())
                         + " ms: " + std::to_string(explanation->second.freeAccelerators) + " accelerators are free, " + std::to_string(explanation->second.kept)
-                        + " reserved for urgent work");
+                        + " reserved for urgent work; " + unusableTargets(board, step.service));
     }
 }
 
--- a/workflow/proveconfiguration.cpp
+++ b/workflow/proveconfiguration.cpp
@@ -154,6 +154,7 @@
     view.proof.reset();
     if (reply->outcome != StoreOutcome::Applied && reply->outcome != StoreOutcome::Conflict) {
         count(board.counters, "proofFailures", "");
+        view.proofError = reply->error;
         view.nextProofAt = board.now + board.self.limits.storeRetry;
         if (++view.failedProofs >= missedProofs) {
             setReachable(board, false);
@@ -168,11 +169,13 @@
     }
     if (isUnreadable) {
         count(board.counters, "proofFailures", "unreadable");
+        view.proofError = reply->error;
         ++view.failedProofs;
         view.nextProofAt = board.now + board.self.limits.storeRetry;
         return;
     }
     view.failedProofs = 0;
+    view.proofError.clear();
     view.provenAt = view.proofSentAt;
     const bool isInvalidated = view.invalidatedAt && view.provenAt < view.invalidatedAt;
     view.nextProofAt = isInvalidated ? board.now : view.proofSentAt + board.self.limits.proofPeriod;
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -11,6 +11,7 @@
 #include "core/timerservice.h"
 #include "domainsettings.h"
 #include "fillerpace.h"
+#include "ownerduties.h"
 #include "placement.h"
 #include "runtable.h"
 #include "targetorder.h"
@@ -57,11 +58,22 @@
     friend bool operator==(const ReadinessReply &, const ReadinessReply &) = default;
 };
 
+/// Reports that the requests of the watch on a prefix fail, or that they are answered again. The watch stays open in both cases.
+struct StoreWatchCondition
+{
+    std::string prefix;
+    bool isFailing = false;
+    std::string error;
+
+    friend bool operator==(const StoreWatchCondition &, const StoreWatchCondition &) = default;
+};
+
 using WorkflowEvent = std::variant<CallerRequest,
                                    CallAbandoned,
                                    StoreReply,
                                    StoreWatchEvent,
                                    StoreWatchLost,
+                                   StoreWatchCondition,
                                    TargetOrderReply,
                                    AdviceReply,
                                    ReadinessReply,
@@ -85,7 +97,9 @@
     Revision revision = 0; ///< Revision up to which the watch has reported; at first, the revision of the read.
     int generation = 0;
     TimePoint retryAt;
-    TimePoint lastReceivedAt; ///< When the read or the watch last brought data.
+    TimePoint lastReceivedAt;              ///< When the read or the watch last brought data.
+    std::optional<TimePoint> failingSince; ///< When the read or the watch began to fail.
+    std::string error;                     ///< Error of the last failed read, or of the watch when it began to fail.
 
     friend bool operator==(const StoreMirror &, const StoreMirror &) = default;
 };
@@ -116,6 +130,7 @@
     TimePoint nextProofAt;
     std::optional<TimePoint> invalidatedAt; ///< When the store last showed that something has changed; proofs sent before this time are no longer valid.
     int failedProofs = 0;                   ///< Number of consecutive proofs without an answer.
+    std::string proofError;                 ///< Error of the last failed proof.
     bool isStoreReachable = false;          ///< The store answers proofs; a single missing answer does not change this.
     bool isUnreadable = false;              ///< The newest proof failed on an entry that cannot be decoded, so what this host knows may be out of date.
 
@@ -138,8 +153,9 @@
     bool isKnown = false; ///< The owner key has been read at least once.
     std::optional<DomainOwner> holder;
     Revision holderRevision = 0;
-    std::optional<TimePoint> claimAt; ///< When this host will claim the vacant domain.
-    TimePoint noClaimBefore;          ///< Earliest time of a claim after this host has handed the domain over, so that the successor claims first.
+    std::optional<TimePoint> knownSince; ///< When this host learned of the present holder, or that there is none.
+    std::optional<TimePoint> claimAt;    ///< When this host will claim the vacant domain.
+    TimePoint noClaimBefore;             ///< Earliest time of a claim after this host has handed the domain over, so that the successor claims first.
     std::optional<CallId> call;
     TimePoint callSentAt;
     long long lease = 0;
@@ -167,6 +183,8 @@
     bool hasCommitMark = false;
     bool hasIntake = false;
     bool hasTargets = false;
+    std::optional<TimePoint> failingSince;          ///< When the first of the failed reads since the last successful one failed.
+    std::string error;                              ///< Error of the last failed read.
     std::map<RequestId, WorkflowProgress> progress; ///< Progress records that are read before the workflows they belong to.
 
     friend bool operator==(const DomainLoad &, const DomainLoad &) = default;
@@ -267,6 +285,7 @@
     std::set<RequestId> forgotten; ///< Ended workflows whose records are to be removed.
     std::optional<CommitBatch> batch;
     bool isOutcomeUnknown = false; ///< The answer to the batch was lost, so the batch is sent again unchanged.
+    std::string error;             ///< Why the batch is sent again.
     TimePoint retryAt;
     Revision commitMarkRevision = 0;
     long long batches = 0;
@@ -382,6 +401,7 @@
     Table<TargetId, DomainTarget> targets;
     std::vector<TargetShape> shapes; ///< Distinct shapes of targets, including targets that left a while ago.
     CommitChain chain;
+    std::map<OwnerDuty, OverdueDuty> overdueDuties; ///< Written by checkDuties.
     Table<CallId, OpenCallerCall> calls;
     SummaryCopy summary;
     TombstoneWriter tombstones; ///< Written by answerCallers.
--- a/workflow/workflowstep.cpp
+++ b/workflow/workflowstep.cpp
@@ -98,6 +98,7 @@
     followAdvice(board);
     planWork(board);
     commitProgress(board);
+    checkDuties(board);
     driveRuns(board);
     paceFillers(board);
     holdTargets(board);
