Let the soak see jobs that stand still

Cause: the soak looked at accepted jobs at the end only, so a job that stood still for seconds and moved later was not found, and its store could not refuse the calls of one host.

Change: every 100 ms the soak notes the accepted jobs that have nothing running although the turn of a task has come, sound targets have room for it twice over and less than half of the capacity is in use. 3 s of that in a calm time, after 4 s of calm, break LOST, and so do 14 s beside faults of single hosts. The message names the task, the organisation and the owner.

The test for all kinds of faults now names the last kind.

--- a/soak/faulteffects.cpp
+++ b/soak/faulteffects.cpp
@@ -65,6 +65,16 @@
             }};
 }
 
+Effect refuseWrites(SoakWorld &world, const SoakHost &host)
+{
+    if (!world.store.faults.refusedDoors.empty()) {
+        return momentaryEffect({}, false); // With several owners refused one after the other, no host might be left that can own the domain.
+    }
+    const auto door = host.storeDoor;
+    world.store.faults.refusedDoors.insert(door);
+    return {host.place.id, true, [&world, door] { world.store.faults.refusedDoors.erase(door); }};
+}
+
 Effect delaySubmissions(SoakWorld &world, const PlannedFault &fault)
 {
     constexpr int leastPercent = 40;
--- a/soak/faulteffects.h
+++ b/soak/faulteffects.h
@@ -25,6 +25,9 @@
 /// way at that moment. Callers take a refusal as final meanwhile. The host must keep all bounds.
 Effect halfCloseCallers(SoakWorld &world, SoakHost &host);
 
+/// Refuses the host's transactions as a busy store does, and serves its other calls. Does nothing while another host's are refused.
+Effect refuseWrites(SoakWorld &world, const SoakHost &host);
+
 /// Carries out most of the writes that create workflows late. The other writes are not affected, so no host counts as disturbed.
 Effect delaySubmissions(SoakWorld &world, const PlannedFault &fault);
 
--- a/soak/faultplan.cpp
+++ b/soak/faultplan.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-constexpr std::array<std::pair<FaultKind, std::string_view>, 46> names{{
+constexpr std::array<std::pair<FaultKind, std::string_view>, 47> names{{
     {FaultKind::KillHost, "killHost"},
     {FaultKind::KillOwner, "killOwner"},
     {FaultKind::KillAllHosts, "killAllHosts"},
@@ -60,6 +60,7 @@
     {FaultKind::LastingWork, "lastingWork"},
     {FaultKind::HalfCloseCallers, "halfCloseCallers"},
     {FaultKind::ManyEnds, "manyEnds"},
+    {FaultKind::RefuseOwnerWrites, "refuseOwnerWrites"},
 }};
 
 // Range of the time between the starts of two faults. Faults last up to eight seconds, so several overlap.
@@ -80,13 +81,17 @@
 constexpr int minFigure = 10;
 constexpr int maxFigure = 60;
 
-struct GapRange
+struct MillisecondRange
 {
-    int minMs = 0;
-    int maxMs = 0;
+    int least = 0;
+    int most = 0;
 };
 
-std::vector<PlannedFault> drawFaults(unsigned seed, Duration length, const std::vector<FaultKind> &kinds, GapRange gaps)
+// Refusals of the owner's transactions last longer than a job may stand still beside faults of single hosts.
+constexpr MillisecondRange refusalLengths{15'000, 25'000};
+
+std::vector<PlannedFault>
+drawFaults(unsigned seed, Duration length, const std::vector<FaultKind> &kinds, MillisecondRange gaps, MillisecondRange lengths = {minLengthMs, maxLengthMs})
 {
     std::mt19937 random(seed);
     const auto draw = [&random](int least, int most) { return least + static_cast<int>(random() % static_cast<unsigned>(most - least + 1)); };
@@ -94,11 +99,11 @@
     if (kinds.empty()) {
         return plan;
     }
-    for (Duration at{draw(0, gaps.maxMs)}; at < length; at += Duration{draw(gaps.minMs, gaps.maxMs)}) {
+    for (Duration at{draw(0, gaps.most)}; at < length; at += Duration{draw(gaps.least, gaps.most)}) {
         PlannedFault fault;
         fault.kind = kinds.at(static_cast<std::size_t>(draw(0, static_cast<int>(kinds.size()) - 1)));
         fault.at = at;
-        fault.length = std::min(Duration{draw(minLengthMs, maxLengthMs)}, length - at);
+        fault.length = std::min(Duration{draw(lengths.least, lengths.most)}, length - at);
         fault.subject = draw(0, 1'000);
         fault.figure = draw(minFigure, maxFigure);
         plan.push_back(fault);
@@ -140,7 +145,9 @@
     auto plan = drawFaults(seed, length, jointKinds, {minGapMs, maxGapMs});
     for (const auto kind : kinds | std::views::filter([](FaultKind each) { return each >= firstSeparateKind; })) {
         const auto number = static_cast<unsigned>(kind) - static_cast<unsigned>(firstSeparateKind) + 1;
-        std::ranges::copy(drawFaults(seed + number * separateSeedOffset, length, {kind}, {minSeparateGapMs, maxSeparateGapMs}), std::back_inserter(plan));
+        const auto lengths = kind == FaultKind::RefuseOwnerWrites ? refusalLengths : MillisecondRange{minLengthMs, maxLengthMs};
+        std::ranges::copy(drawFaults(seed + number * separateSeedOffset, length, {kind}, {minSeparateGapMs, maxSeparateGapMs}, lengths),
+                          std::back_inserter(plan));
     }
     std::ranges::stable_sort(plan, {}, &PlannedFault::at);
     return plan;
--- a/soak/faultplan.h
+++ b/soak/faultplan.h
@@ -57,6 +57,7 @@
     LastingWork,       ///< Submits a task that lasts and whose runs end by themselves; callers cancel it at the end of the soak.
     HalfCloseCallers,  ///< Ends the callers' sending side of a host's connections after each request, while the callers still read.
     ManyEnds,          ///< Submits more short tasks than one list of ends holds, and holds back the answers of a target of theirs until they have ended.
+    RefuseOwnerWrites, ///< The store refuses the transactions of the host that owns the domain and serves its reads, watches and renewals.
 };
 
 std::string_view name(FaultKind kind);
--- a/soak/injection.cpp
+++ b/soak/injection.cpp
@@ -265,6 +265,8 @@
         return proxyEffect(host.place.id, *host.callerLink, {delay, false, false});
     case FaultKind::HalfCloseCallers:
         return halfCloseCallers(world, host);
+    case FaultKind::RefuseOwnerWrites:
+        return refuseWrites(world, owningHost);
     default:
         return std::nullopt;
     }
--- a/soak/soakhistory.cpp
+++ b/soak/soakhistory.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <optional>
 
 namespace sequoiastand
 {
@@ -94,6 +95,48 @@
     }
 }
 
+/// The end of the first disturbance that overlaps the period; empty if none does. Disturbances of single hosts count if `countsHosts` is true.
+std::optional<TimePoint> disturbedUntil(const SoakHistory &history, TimePoint from, TimePoint until, bool countsHosts)
+{
+    const auto overlapping = std::ranges::find_if(history.disturbances, [&](const Disturbance &disturbance) {
+        return (countsHosts || disturbance.host == HostId{}) && disturbance.from <= until && disturbance.until >= from;
+    });
+    return overlapping == history.disturbances.end() ? std::nullopt : std::optional(overlapping->until);
+}
+
+/// True if the workflow stood still for the bound without a disturbance in this time and in the time before that must be calm.
+bool isTooLong(const SoakHistory &history, const Standstill &standstill, Duration bound, Duration calmBefore, bool countsHosts)
+{
+    TimePoint until = standstill.from + standstill.allowed + bound;
+    while (until <= standstill.until) {
+        const auto disturbed = disturbedUntil(history, until - bound - calmBefore, until, countsHosts);
+        if (!disturbed) {
+            return true;
+        }
+        until = *disturbed + calmBefore + bound + Duration{1};
+    }
+    return false;
+}
+
+void checkStandstills(const SoakHistory &history, const SoakBounds &bounds, Faults &faults)
+{
+    for (const auto &standstill : history.standstills) {
+        if (isTooLong(history, standstill, bounds.standstill, bounds.calmBefore, true)
+            || isTooLong(history, standstill, bounds.standstillBesideFaultsOfHosts, bounds.calmBefore, false)) {
+            faults.push_back(absl::StrCat("LOST: ",
+                                          toString(standstill.task),
+                                          ": has nothing running from ",
+                                          millis(standstill.from),
+                                          " to ",
+                                          millis(standstill.until),
+                                          " although it could run; organisation ",
+                                          standstill.organisation.value,
+                                          ", owner ",
+                                          standstill.owner.value.empty() ? "none" : standstill.owner.value));
+        }
+    }
+}
+
 void checkStates(const SoakHistory &history, Faults &faults)
 {
     for (const auto &call : history.calls) {
@@ -223,6 +266,7 @@
     checkRejections(history, faults);
     checkAccepted(history, faults);
     checkLastingWork(history, faults);
+    checkStandstills(history, bounds, faults);
     checkStates(history, faults);
     checkKeys(history, bounds, faults);
     const auto zoneOf = [](const ObservedStart &start) { return start.availabilityZone.value; };
--- a/soak/soakhistory.h
+++ b/soak/soakhistory.h
@@ -93,6 +93,19 @@
     friend bool operator==(const UnexpectedExit &, const UnexpectedExit &) = default;
 };
 
+/// A period in which an accepted workflow had nothing running although one of its tasks could run.
+struct Standstill
+{
+    TaskId task;
+    OrganisationId organisation;
+    TimePoint from;
+    TimePoint until;
+    HostId owner;        ///< Owner of the domain at the end of the period; empty if there was none.
+    Duration allowed{0}; ///< Time at the beginning of the period that does not count.
+
+    friend bool operator==(const Standstill &, const Standstill &) = default;
+};
+
 /// Events that callers, targets and operators have observed.
 struct SoakHistory
 {
@@ -105,6 +118,7 @@
     std::vector<Disturbance> disturbances;
     std::vector<PlannedStop> plannedStops;
     std::vector<UnexpectedExit> unexpectedExits;
+    std::vector<Standstill> standstills;
     std::vector<std::string> targetViolations; ///< Found by the targets: parallel runs, exceeded capacity, wrong order, too many attempts, unsubmitted tasks.
     std::vector<HostId> hostsNotReadyAtEnd;    ///< Hosts that were not ready after all faults had ended.
 
@@ -114,15 +128,18 @@
 /// Time bounds from the platform's documentation and the soak's settings.
 struct SoakBounds
 {
-    Duration contact{3'000};            ///< Time without a disturbance after which a host must keep the other bounds.
-    Duration revoke{5'000};             ///< Time from a key's removal until no host accepts it.
-    Duration evacuation{5'000};         ///< Time from a zone's evacuation until no task starts there.
-    Duration drain{2'000};              ///< Time from a target's leave notice until no task starts there.
-    Duration cancellation{3'000};       ///< Time from the answer to a cancellation until no task of the workflow starts.
-    Duration gracePeriod{6'000};        ///< Time from SIGTERM to the end of the process.
-    Duration maxDroppedRequestAge{200}; ///< Age up to which an unread request may be dropped by a planned stop.
-    Duration reclaim{2'700};            ///< Time from acceptance until guaranteed urgent work starts.
-    Duration callerTimeout{3'000};      ///< Time after which a caller abandons a call.
+    Duration contact{3'000};                        ///< Time without a disturbance after which a host must keep the other bounds.
+    Duration revoke{5'000};                         ///< Time from a key's removal until no host accepts it.
+    Duration evacuation{5'000};                     ///< Time from a zone's evacuation until no task starts there.
+    Duration drain{2'000};                          ///< Time from a target's leave notice until no task starts there.
+    Duration cancellation{3'000};                   ///< Time from the answer to a cancellation until no task of the workflow starts.
+    Duration gracePeriod{6'000};                    ///< Time from SIGTERM to the end of the process.
+    Duration maxDroppedRequestAge{200};             ///< Age up to which an unread request may be dropped by a planned stop.
+    Duration reclaim{2'700};                        ///< Time from acceptance until guaranteed urgent work starts.
+    Duration callerTimeout{3'000};                  ///< Time after which a caller abandons a call.
+    Duration standstill{3'000};                     ///< Time for which a workflow may stand still while all is calm.
+    Duration calmBefore{4'000};                     ///< Time without a disturbance before a standstill counts.
+    Duration standstillBesideFaultsOfHosts{14'000}; ///< Time for which a workflow may stand still while only single hosts are disturbed.
 
     friend bool operator==(const SoakBounds &, const SoakBounds &) = default;
 };
--- a/soak/soakmain.cpp
+++ b/soak/soakmain.cpp
@@ -3,6 +3,7 @@
 #include "injection.h"
 #include "platform/standin/platformwriter.h"
 #include "soakworld.h"
+#include "standstill.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
@@ -31,7 +32,7 @@
     --folder=<path>   An existing folder for settings and logs of the hosts.
     --seed=<n>        Seed of the faults and the workload [default: 1].
     --hosts=<n>       Host processes, 2 to 60 [default: 4].
-    --targets=<n>     Targets, 4 to 200 [default: 12].
+    --targets=<n>     Targets, 4 to 400 [default: 12].
     --seconds=<n>     How long faults are injected [default: 20].
     --only=<kinds>    Names of the kinds of fault to inject, separated by commas, or "all"; default: all but ordersAcrossCrash.
 
@@ -69,6 +70,7 @@
         world.loop.runUntil([&hasFired] { return hasFired; }, 20 * tickPeriod);
         tick(world);
         runCallers(world);
+        noteStandstills(world);
     }
 }
 
@@ -106,6 +108,7 @@
     cancelLastingWork(world);
     runFor(world, settleLimit, [&world] { return haveAllEnded(world); });
     askReadiness(world);
+    endStandstills(world);
 }
 
 /// Completes the history with the data that is known only at the end.
@@ -199,7 +202,7 @@
     options.folder = arguments.at("--folder").asString();
     options.seed = static_cast<unsigned>(arguments.at("--seed").asLong());
     options.hosts = static_cast<int>(std::clamp(arguments.at("--hosts").asLong(), 2L, 60L));
-    options.targets = static_cast<int>(std::clamp(arguments.at("--targets").asLong(), 4L, 200L));
+    options.targets = static_cast<int>(std::clamp(arguments.at("--targets").asLong(), 4L, 400L));
     options.length = Duration{arguments.at("--seconds").asLong() * 1'000};
     if (const auto &only = arguments.at("--only"); only.isString() && only.asString() == "all") {
         options.kinds = allFaultKinds();
--- a/soak/soakworld.cpp
+++ b/soak/soakworld.cpp
@@ -92,7 +92,12 @@
     world.hosts.resize(static_cast<std::size_t>(world.options.hosts));
     for (int number = 0; number < world.options.hosts; ++number) {
         auto &host = world.hosts[static_cast<std::size_t>(number)];
-        host.storeLink = std::make_unique<Proxy>(world.loop, absl::StrCat("127.0.0.1:", world.store.server.port()));
+        const auto door = openDoor(world.store);
+        if (!door.ok()) {
+            return door.status();
+        }
+        host.storeDoor = *door;
+        host.storeLink = std::make_unique<Proxy>(world.loop, absl::StrCat("127.0.0.1:", portOfDoor(world.store, *door)));
         if (auto status = host.storeLink->listen(); !status.ok()) {
             return status;
         }
--- a/soak/soakworld.h
+++ b/soak/soakworld.h
@@ -34,6 +34,7 @@
 struct SoakHost
 {
     HostPlace place;
+    std::size_t storeDoor = 0; ///< The host's own door of the store.
     std::unique_ptr<Proxy> storeLink;
     std::unique_ptr<Proxy> callerLink;
     ProcessStep step = ProcessStep::Down;
@@ -105,6 +106,8 @@
     bool acceptsRefusals = false;   ///< Callers do not repeat submissions that were refused.
     bool cancelsUnanswered = false; ///< Callers cancel submissions that are not answered, and do not repeat them.
     TimePoint nextWorkAt;
+    std::map<RequestId, Standstill> standstills; ///< Workflows that stand still at the moment.
+    TimePoint nextStandstillSampleAt;
 };
 
 /// Starts the stand-ins, the proxies and the hosts.
--- a/tests/testsoakhistory.cpp
+++ b/tests/testsoakhistory.cpp
@@ -266,7 +266,61 @@
     for (unsigned seed = 1; seed <= 50; ++seed) {
         std::ranges::transform(makeFaultPlan(seed, Duration{20'000}), std::inserter(drawn, drawn.end()), &PlannedFault::kind);
     }
-    EXPECT_EQ(drawn.size(), static_cast<std::size_t>(FaultKind::ManyEnds) + 1);
+    EXPECT_EQ(drawn.size(), static_cast<std::size_t>(FaultKind::RefuseOwnerWrites) + 1);
+}
+
+/// A workflow that stands still for some time in a history with disturbances.
+struct SoakStandstill : SoakHistoryCheck
+{
+    void standStill(int fromMs, int untilMs, Duration allowed = Duration{0})
+    {
+        history.standstills.push_back({task(0), {"tailors"}, at(fromMs), at(untilMs), {"h1"}, allowed});
+    }
+
+    void disturb(const std::string &host, int fromMs, int untilMs)
+    {
+        history.disturbances.push_back({{host}, at(fromMs), at(untilMs)});
+    }
+};
+
+TEST_F(SoakStandstill, threeSecondsInACalmTimeAreFound)
+{
+    standStill(10'000, 13'000);
+    expectViolation("LOST", true);
+}
+
+TEST_F(SoakStandstill, lessThanThreeSecondsIsAccepted)
+{
+    standStill(10'000, 12'999);
+    EXPECT_THAT(checkHistory(history), testing::IsEmpty());
+}
+
+TEST_F(SoakStandstill, disturbanceInTheFourSecondsBeforeIsExcused)
+{
+    standStill(10'000, 13'000);
+    disturb("h1", 5'000, 6'000);
+    EXPECT_THAT(checkHistory(history), testing::IsEmpty());
+}
+
+TEST_F(SoakStandstill, standstillThatLastsBeyondTheCalmTimeAfterADisturbanceIsFound)
+{
+    standStill(10'000, 20'001);
+    disturb("h1", 12'000, 13'000);
+    expectViolation("LOST", true);
+}
+
+TEST_F(SoakStandstill, taskThatLastsHasTimeToBeStartedAgain)
+{
+    standStill(10'000, 18'999, Duration{6'000});
+    EXPECT_THAT(checkHistory(history), testing::IsEmpty());
+}
+
+// Guards against a check that excuses a job for as long as any single host is disturbed.
+TEST_F(SoakStandstill, longStandstillBesideADisturbanceOfOneHostIsFound)
+{
+    standStill(10'000, 24'000);
+    disturb("h1", 5'000, 30'000);
+    expectViolation("LOST", true);
 }
 
 }
