--- a/tests/testownerduties.cpp
+++ b/tests/testownerduties.cpp
@@ -43,6 +43,50 @@
     }
 };
 
+// Guards against an owner that keeps the domain by renewals alone: it proves, commits and starts nothing, and no other host can take over.
+TEST_F(OwnerDuties, jobStartsAlthoughTheStoreRefusesTheOwnersTransactions)
+{
+    const auto host = otherHost();
+    store.faults.refusedTransactions.insert({owner()});
+    run(Duration{1'000});
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{500}, {}}, host));
+    run(longestStandstill);
+    EXPECT_EQ(startsOf(1), 1);
+}
+
+// Guards against a new owner that renews its lease and never finishes reading the domain.
+TEST_F(OwnerDuties, jobStartsAlthoughTheStoreRefusesTheNextOwnersReads)
+{
+    const auto first = owner();
+    const auto host = otherHost();
+    for (const char *other : {"h1", "h2", "h3"}) {
+        if (other != first && other != host) {
+            store.faults.refusedReads.insert({other});
+        }
+    }
+    slowDown(host, Duration{100}); // The other host claims first.
+    kill(first);
+    runUntil([&] { return !owner().empty() && owner() != first; }, Duration{5'000});
+    ASSERT_NE(owner(), host);
+    slowDown(host, Duration{0});
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{500}, {}}, host));
+    run(longestStandstill);
+    EXPECT_EQ(startsOf(1), 1);
+}
+
+// Guards against an owner whose watch of the intake fails unnoticed, so that it never learns of new jobs.
+TEST_F(OwnerDuties, jobStartsAlthoughTheStoreRefusesTheOwnersWatchOfTheIntake)
+{
+    unregister("t8"); // With eight targets that write at the same time, the owner would take its watches for deaf and read everything again.
+    run(Duration{1'000});
+    const auto first = owner();
+    store.faults.silentWatches.insert({{first}, "intake/"});
+    step(board(first), {StoreWatchCondition{"intake/", true, "status 503"}}, now, wallNow);
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{500}, {}}, otherHost()));
+    run(longestStandstill);
+    EXPECT_EQ(startsOf(1), 1);
+}
+
 // Guards against an owner that stops working without a word in its log: the overdue duty is reported when that begins, repeatedly, and when it ends.
 TEST_F(OwnerDuties, refusedTransactionsAreReportedUntilTheyAreServedAgain)
 {
@@ -62,4 +106,38 @@
     EXPECT_EQ(overdueTime(board(host), OwnerDuty::ProveConfiguration), Duration{0});
 }
 
+// Guards against a domain that is handed from host to host while the store refuses the transactions of all of them.
+TEST_F(OwnerDuties, domainKeepsItsOwnerWhileTheStoreRefusesTheTransactionsOfAllHosts)
+{
+    const auto first = owner();
+    store.faults.refusedTransactions = {{"h1"}, {"h2"}, {"h3"}};
+    run(Duration{10'000});
+    store.faults.refusedTransactions.clear();
+    run(Duration{2'000});
+    EXPECT_EQ(owner(), first);
+    EXPECT_EQ(ownershipsBegun(), 1);
+}
+
+// Guards against a request for a placement pass that is forgotten because it comes while the proof of the configuration is out of date. A step that waits for
+// the rack of its data gets no other request.
+TEST_F(OwnerDuties, stepThatHasWaitedThroughAnOutageIsPlacedAfterIt)
+{
+    constexpr int acceleratorsOfRack = 32;
+    auto filling = batch(acceleratorsOfRack, {1'000, 1'000, 1}, Duration{60'000});
+    filling.steps.front().dataRack = {"r1"};
+    answerTo(submit(id(1), filling, {Duration{60'000}, {}}, otherHost()));
+    run(Duration{500});
+    ASSERT_EQ(startsOf(1), acceleratorsOfRack);
+    auto waiting = gang(2, {1'000, 1'000, 1}, Duration{4'000}); // It may leave the rack after twice its estimate.
+    waiting.steps.front().dataRack = {"r1"};
+    answerTo(submit(id(2), waiting, {Duration{500}, {}}, otherHost(), "/patient/"));
+    run(Duration{300});
+    store.faults.refusedTransactions = {{"h1"}, {"h2"}, {"h3"}};
+    run(Duration{6'000});
+    ASSERT_EQ(startsOf(2), 0);
+    store.faults.refusedTransactions.clear();
+    run(Duration{5'000});
+    EXPECT_EQ(startsOf(2), 2);
+}
+
 }
