Hand the domain over if its owner fails at a duty

Cause: an owner keeps the domain by answers to its renewals alone. Without a proof it plans and starts nothing, without a commit no start is stored, and without its watch it learns of no job, but no other host can claim. Class: a lease that stands for less than the work that it covers.

Change: an owner that has not proved, committed, read or watched the domain for 2 s asks other hosts whether they are ready, and releases the domain to the first that is. Ready means a fresh proof, which is a transaction, so an outage that all hosts share moves nothing. Contact with targets is reported and does not end the ownership: a new owner has to wait longer until the runs of targets that all hosts have lost have certainly lapsed.

--- a/workflow/controllers.h
+++ b/workflow/controllers.h
@@ -18,8 +18,9 @@
 /// Reads the events, `updates` and `view`; writes `ownership`, and clears the owner's sections on a release.
 void claimDomain(WorkflowBoard &board);
 
-/// Releases the domain if a host with clearly more processor time is ready, or if this host has become too slow and a host that is at least as strong is ready.
-/// Reads the events, `directory` and `lag`; writes `ownership`, and clears the owner's sections on a release.
+/// Releases the domain if a host with clearly more processor time is ready, if this host has become too slow and a host that is at least as strong is ready, or
+/// if this host fails at a duty and any other host is ready.
+/// Reads the events, `directory`, `lag` and `overdueDuties`; writes `ownership`, and clears the owner's sections on a release.
 void handOver(WorkflowBoard &board);
 
 /// Keeps this host's record in the store, follows the records of the other hosts, and processes their answers to readiness checks.
--- a/workflow/handover.cpp
+++ b/workflow/handover.cpp
@@ -1,4 +1,5 @@
 #include "controllers.h"
+#include "ownerduties.h"
 #include "ownershipchange.h"
 
 #include <algorithm>
@@ -23,6 +24,9 @@
 // Time after a handover in which the former owner does not claim the domain.
 constexpr Duration noClaimTime{800};
 
+// The same for an owner that has failed at a duty. What has failed may not show in the proofs that a claim needs.
+constexpr Duration noClaimTimeOfFailedOwner{10'000};
+
 // A change of owner pays off if the successor has at least this many times the owner's processor share.
 constexpr double strongerFactor = 1.5;
 
@@ -41,20 +45,34 @@
 // Limit on unanswered checks that are remembered. A slow owner reads the answers to a round after it has begun the next ones.
 constexpr std::size_t maxOpenChecks = 20;
 
+/// True if few enough changes of owner are recent that another one is likely to help.
+bool areChangesRare(const WorkflowBoard &board)
+{
+    const auto recent = std::ranges::count_if(board.ownership.recentOwnerChanges, [&](TimePoint at) { return board.now - at <= recentChangeWindow; });
+    return recent <= maxRecentChanges;
+}
+
 /// True if this host lacks processor time and a change of owner is likely to help.
 bool lacksProcessorTime(const WorkflowBoard &board)
 {
-    const auto recent = std::ranges::count_if(board.ownership.recentOwnerChanges, [&](TimePoint at) { return board.now - at <= recentChangeWindow; });
-    return board.lag.mean > maxHealthyLag && recent <= maxRecentChanges;
+    return board.lag.mean > maxHealthyLag && areChangesRare(board);
+}
+
+/// True if this host fails at a duty of the owner. A successor that is ready has proved its configuration by a transaction a moment ago, so an outage that all
+/// hosts share leaves the domain where it is.
+bool failsAtDuty(const WorkflowBoard &board)
+{
+    return stalledDuty(board) && areChangesRare(board);
 }
 
 /// Hosts that are better suited to own the domain, the one with the most processor time first.
 std::vector<HostRecord> betterHosts(const WorkflowBoard &board)
 {
-    const double wanted = board.self.processorShare * (lacksProcessorTime(board) ? 1 : strongerFactor);
+    const bool isAnySuited = failsAtDuty(board);
+    const double wanted = isAnySuited ? 0 : board.self.processorShare * (lacksProcessorTime(board) ? 1 : strongerFactor);
     std::vector<HostRecord> better;
     for (const auto &[id, record] : board.directory.hosts) {
-        if (record.processorShare > 0 && record.processorShare >= wanted) {
+        if ((isAnySuited || record.processorShare > 0) && record.processorShare >= wanted) {
             better.push_back(record);
         }
     }
@@ -77,7 +95,7 @@
 void checkSuccessors(WorkflowBoard &board)
 {
     auto &ownership = board.ownership;
-    const bool isUrgent = lacksProcessorTime(board);
+    const bool isUrgent = lacksProcessorTime(board) || failsAtDuty(board);
     ownership.nextSuccessorCheckAt = board.now + (isUrgent ? urgentCheckPeriod : checkPeriod);
     if (ownership.successorChecks.size() >= maxOpenChecks) {
         ownership.successorChecks.clear();
@@ -91,13 +109,21 @@
     }
 }
 
+/// True if the host is weaker than this one, which rules it out unless this host fails at a duty.
+bool isWeaker(const WorkflowBoard &board, const HostId &host)
+{
+    const auto record = board.directory.hosts.find(host);
+    return record != board.directory.hosts.end() && record->second.processorShare < board.self.processorShare;
+}
+
 /// The first host of the current round whose answer says that it is ready.
 std::optional<HostId> readySuccessor(WorkflowBoard &board)
 {
+    const bool isAnySuited = failsAtDuty(board);
     for (const auto &event : board.inbox) {
         const auto *reply = std::get_if<ReadinessReply>(&event);
         const auto asked = reply == nullptr ? board.ownership.successorChecks.end() : board.ownership.successorChecks.find(reply->id);
-        if (asked != board.ownership.successorChecks.end() && reply->isReady) {
+        if (asked != board.ownership.successorChecks.end() && reply->isReady && (isAnySuited || !isWeaker(board, asked->second))) {
             return asked->second;
         }
     }
@@ -113,13 +139,17 @@
         return;
     }
     if (const auto successor = readySuccessor(board)) {
-        ownership.noClaimBefore = board.now + noClaimTime;
-        releaseDomain(board,
-                      successor->value + " is ready and better suited: this host has " + std::to_string(board.self.processorShare)
-                          + " of a core and its timers are " + std::to_string(std::chrono::duration_cast<Duration>(board.lag.mean).count()) + " ms late");
+        const bool fails = failsAtDuty(board);
+        const auto reason =
+            successor->value
+            + (fails ? " is ready, and this host fails at its duties: " + describeOverdue(board)
+                     : " is ready and better suited: this host has " + std::to_string(board.self.processorShare) + " of a core and its timers are "
+                           + std::to_string(std::chrono::duration_cast<Duration>(board.lag.mean).count()) + " ms late");
+        releaseDomain(board, reason);
+        ownership.noClaimBefore = board.now + (fails ? noClaimTimeOfFailedOwner : noClaimTime);
         return;
     }
-    if (lacksProcessorTime(board)) {
+    if (lacksProcessorTime(board) || failsAtDuty(board)) {
         ownership.nextSuccessorCheckAt = std::min(ownership.nextSuccessorCheckAt, board.now + urgentCheckPeriod);
     }
     if (board.now >= ownership.nextSuccessorCheckAt) {
--- a/workflow/ownerduties.cpp
+++ b/workflow/ownerduties.cpp
@@ -13,8 +13,9 @@
 namespace
 {
 
-// Time after which a duty that is not done counts as overdue. Two or three attempts have failed by then.
+// Time after which a duty that is not done counts as overdue, and after which the owner gives the domain up. Two or three attempts have failed by then.
 constexpr Duration overdueAfter{1'000};
+constexpr Duration stalledAfter{2'000};
 
 // Time between two lines of the log about the same overdue duty.
 constexpr Duration reportPeriod{5'000};
@@ -141,7 +142,7 @@
     }
     auto &overdue = board.overdueDuties.at(duty);
     overdue.since = *since; // It moves on if the duty is done, but late again.
-    subscribeNoLaterThan(board.timers, "duties", overdue.loggedAt + reportPeriod);
+    subscribeNoLaterThan(board.timers, "duties", std::min(overdue.loggedAt + reportPeriod, std::max(board.now + overdueAfter, overdue.since + stalledAfter)));
 }
 
 }
@@ -152,12 +153,31 @@
     return names.at(static_cast<std::size_t>(duty));
 }
 
+std::optional<OwnerDuty> stalledDuty(const WorkflowBoard &board)
+{
+    const auto limit = timeoutWithLag(board, stalledAfter);
+    const auto stalled = std::ranges::find_if(board.overdueDuties,
+                                              [&](const auto &row) { return row.first != OwnerDuty::HoldTargets && board.now >= row.second.since + limit; });
+    return stalled == board.overdueDuties.end() ? std::nullopt : std::optional(stalled->first);
+}
+
 Duration overdueTime(const WorkflowBoard &board, OwnerDuty duty)
 {
     const auto overdue = board.overdueDuties.find(duty);
     return overdue == board.overdueDuties.end() ? Duration{0} : board.now - overdue->second.since;
 }
 
+std::string describeOverdue(const WorkflowBoard &board)
+{
+    std::string text;
+    for (const auto &[duty, overdue] : board.overdueDuties) {
+        const auto error = errorOf(board, duty);
+        text += (text.empty() ? "" : "; ") + std::string(name(duty)) + " overdue for " + std::to_string((board.now - overdue.since).count()) + " ms"
+                + (error.empty() ? "" : ": " + error);
+    }
+    return text;
+}
+
 void checkDuties(WorkflowBoard &board)
 {
     if (!hasAuthority(board)) {
--- a/workflow/ownerduties.h
+++ b/workflow/ownerduties.h
@@ -35,7 +35,15 @@
     friend bool operator==(const OverdueDuty &, const OverdueDuty &) = default;
 };
 
+/// The duty for which the owner should give the domain up, because the owner has failed at it for long and another host may succeed; empty if there is none.
+/// The contact with targets is no such duty: a new owner knows of no hold that the former one sent, so it waits longer until the runs of targets that all hosts
+/// have lost have certainly lapsed.
+std::optional<OwnerDuty> stalledDuty(const WorkflowBoard &board);
+
 /// How long the duty has been overdue; zero if it is not.
 Duration overdueTime(const WorkflowBoard &board, OwnerDuty duty);
 
+/// The overdue duties, how long they have been overdue, and the errors of the last attempts, for the log.
+std::string describeOverdue(const WorkflowBoard &board);
+
 }
