Commit progress in the order of its changes

What callers saw: LOST: a job with a high id does not start while others run.

Cause: the owner took the changed workflows of each batch in the order of their ids. While workflows with lower ids change faster than batches are written, which takes 116 changes a second with a store that needs 250 ms for an answer, the others wait for their records without end, and no run starts before its record is stored. Class: a queue whose order lets some wait without end.

Change: CommitQueue keeps the workflows in the order in which they were added. A workflow that has only begun joins it once it has waited for the longest delay, so a full batch cannot keep it out either. The check of RunReports reads the queue instead of the set.

--- a/tests/testrunreports.cpp
+++ b/tests/testrunreports.cpp
@@ -167,7 +167,7 @@
     EXPECT_EQ(changed.data(), tasks);
     EXPECT_EQ(changed.front(), (TaskProgress{false, 1, 1, "c1", std::nullopt}));
     EXPECT_EQ(progressVersion(board, task.step.workflow), 3U);
-    EXPECT_TRUE(board.chain.dirty.contains(task.step.workflow));
+    EXPECT_TRUE(contains(board.chain.dirty, task.step.workflow));
 }
 
 TEST_F(RunReports, listsOfAnotherInstanceAreIgnored)
--- a/workflow/commitprogress.cpp
+++ b/workflow/commitprogress.cpp
@@ -120,33 +120,37 @@
     }
 }
 
-/// Adds the progress of the workflows, as far as the batch has room, and removes them from the set.
-void addProgress(CommitBatch &batch, const WorkflowBoard &board, std::set<RequestId> &workflows, int room)
+/// Adds the progress of the first workflows, as far as the batch has room, and removes them from the queue.
+void addProgress(CommitBatch &batch, const WorkflowBoard &board, CommitQueue &queue, int room)
 {
-    const auto count = std::min(workflows.size(), static_cast<std::size_t>(std::max<int>(0, room - static_cast<int>(batch.transaction.writes.size()))));
-    const auto end = std::next(workflows.begin(), static_cast<std::ptrdiff_t>(count));
-    std::for_each(workflows.begin(), end, [&](const RequestId &id) {
+    const auto count = static_cast<std::size_t>(std::max<int>(0, room - static_cast<int>(batch.transaction.writes.size())));
+    for (const auto &id : takeFirst(queue, count)) {
         if (const auto *entry = board.workflows.find(id)) {
             batch.transaction.writes.push_back({workflowProgressKey(id), entry->progress, std::nullopt, false});
             batch.versions.emplace(id, entry->version);
         }
-    });
-    workflows.erase(workflows.begin(), end);
+    }
 }
 
-/// Adds the workflows that have only begun, if the batch is written anyway or they have waited long enough.
-void addBegun(CommitBatch &batch, WorkflowBoard &board, int room)
+/// Moves the workflows that have only begun to the others, in the order of their begins, once they have waited long enough.
+void queueOverdueBegins(WorkflowBoard &board)
 {
     auto &chain = board.chain;
-    std::erase_if(chain.begun, [&](const RequestId &id) { return batch.versions.contains(id); });
-    if (chain.begun.empty()) {
-        return;
+    while (waitingSince(chain.begun) && board.now >= *waitingSince(chain.begun) + maxBegunDelay) {
+        enqueue(chain.dirty, takeFirst(chain.begun, 1).front(), board.now);
     }
-    if (batch.transaction.writes.empty() && board.now < chain.begunSince + maxBegunDelay) {
-        subscribeNoLaterThan(board.timers, "commit", chain.begunSince + maxBegunDelay);
-        return;
+}
+
+/// Adds the workflows that have only begun if the batch is written anyway.
+void addBegun(CommitBatch &batch, WorkflowBoard &board, int room)
+{
+    auto &chain = board.chain;
+    std::ranges::for_each(batch.versions, [&](const auto &row) { dequeue(chain.begun, row.first); });
+    if (!batch.transaction.writes.empty()) {
+        addProgress(batch, board, chain.begun, room);
+    } else if (const auto since = waitingSince(chain.begun)) {
+        subscribeNoLaterThan(board.timers, "commit", *since + maxBegunDelay);
     }
-    addProgress(batch, board, chain.begun, room);
 }
 
 std::optional<CommitBatch> makeBatch(WorkflowBoard &board)
@@ -154,6 +158,7 @@
     auto &chain = board.chain;
     const int room = board.self.limits.maxRecordsPerBatch;
     CommitBatch batch;
+    queueOverdueBegins(board);
     addProgress(batch, board, chain.dirty, room);
     addRemovals(batch, chain, room);
     if (board.load.hasTargets && board.now >= chain.nextSummaryAt && static_cast<int>(batch.transaction.writes.size()) < room) {
--- a/workflow/progresschange.cpp
+++ b/workflow/progresschange.cpp
@@ -39,7 +39,7 @@
         change(entry.progress);
         ++entry.version;
     });
-    board.chain.dirty.insert(workflow);
+    enqueue(board.chain.dirty, workflow, board.now);
 }
 
 }
@@ -97,9 +97,7 @@
         changed.progress.state = WorkflowState::Running;
         ++changed.version;
     });
-    auto &chain = board.chain;
-    chain.begunSince = chain.begun.empty() ? board.now : chain.begunSince;
-    chain.begun.insert(workflow);
+    enqueue(board.chain.begun, workflow, board.now);
 }
 
 unsigned long long progressVersion(const WorkflowBoard &board, const RequestId &workflow)
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -2,6 +2,7 @@
 
 #include "advice.h"
 #include "callermessage.h"
+#include "commitqueue.h"
 #include "core/civilclock.h"
 #include "core/counters.h"
 #include "core/event.h"
@@ -279,9 +280,8 @@
 
 struct CommitChain
 {
-    std::set<RequestId> dirty;     ///< Workflows whose progress is newer than the stored one.
-    std::set<RequestId> begun;     ///< Workflows that are newer than the stored ones only because they have begun; any later batch may store them.
-    TimePoint begunSince;          ///< When the first workflow was added to `begun`.
+    CommitQueue dirty;             ///< Workflows whose progress is newer than the stored one.
+    CommitQueue begun;             ///< Workflows that are newer than the stored ones only because they have begun; any later batch may store them.
     std::set<RequestId> forgotten; ///< Ended workflows whose records are to be removed.
     std::optional<CommitBatch> batch;
     bool isOutcomeUnknown = false; ///< The answer to the batch was lost, so the batch is sent again unchanged.
