Keep a request for a placement pass until the pass is made

What callers saw: LOST: a step that waits for the rack of its data, or for a single rack, is not placed after an outage of the store although its wait is over, until something else changes.

Cause: planWork returned without a fresh proof before it looked at the timer and at the changes of the step, which are gone in the next step. Class: a request that is forgotten when a controller returns early. advanceWorkflows returns early as well, but only after an order or a batch has shown another owner in the same step, and the domain is released in the next one; the other controllers look at their due times in every step.

Change: requests are noted in isPlanWanted before the conditions of a pass are checked.

Result (aarch64): OwnerDuties.stepThatHasWaitedThroughAnOutageIsPlacedAfterIt failed before (not placed within 5 s after the outage) and passes.

--- a/workflow/planwork.cpp
+++ b/workflow/planwork.cpp
@@ -171,11 +171,12 @@
 
 void planWork(WorkflowBoard &board)
 {
+    // A request is kept while no pass can be made, because the events that it follows from do not come again.
+    board.isPlanWanted = board.isPlanWanted || !board.workflows.changes().empty() || isDue(board.timers, "plan");
     if (!hasAuthority(board) || !isProofFresh(board) || !board.load.hasIntake || !board.load.hasTargets || !board.load.hasCommitMark) {
         return;
     }
-    const bool isRequested = board.isPlanWanted || !board.workflows.changes().empty() || isDue(board.timers, "plan");
-    if (!isRequested) {
+    if (!board.isPlanWanted) {
         return;
     }
     if (board.now < board.nextPlanAt) {
