Offer the domain only to hosts that could do the owner's duties

Cause: the review of the hand-over showed three ways in which it could fail. Readiness looks at proofs alone, so a strong host that fails at its reads was offered the domain again by the weaker one that had taken it, and an outage of the reads of all hosts moved the domain to one that could not even hold the targets. Only the strongest hosts were asked. And reads that are under way were given up whenever the watch of the registrations was silent, so a long take-over might never end, without a failed call.

Callers' readiness is unchanged. An owner that fails at a duty asks any host. A refused watch of the owner's prefixes is first replaced by a read, and asked for its state soon after a failure, so a single cut watch is no failed duty. Reads under way are kept, and a take-over of more than 4 s is overdue. Lasting tasks have no limit on attempts in the check of standstills.

--- a/soak/faultplan.cpp
+++ b/soak/faultplan.cpp
@@ -135,6 +135,7 @@
 {
     auto kinds = allFaultKinds();
     std::erase(kinds, FaultKind::OrdersAcrossCrash);
+    std::erase(kinds, FaultKind::RefuseOwnerWrites);
     return kinds;
 }
 
--- a/soak/faultplan.h
+++ b/soak/faultplan.h
@@ -79,7 +79,8 @@
 /// All kinds in the order of the enumeration.
 std::vector<FaultKind> allFaultKinds();
 
-/// The kinds that are injected unless others are named: all but `OrdersAcrossCrash`, under which a task can run twice (see KNOWN-RED.txt).
+/// The kinds that are injected unless others are named: all but `OrdersAcrossCrash`, under which a task can run twice (see KNOWN-RED.txt), and
+/// `RefuseOwnerWrites`, whose long disturbances would excuse most of what the other checks look at.
 std::vector<FaultKind> defaultFaultKinds();
 
 /// Generates consecutive and overlapping faults of the given kinds in order of time. The same seed gives the same plan.
--- a/soak/soakmain.cpp
+++ b/soak/soakmain.cpp
@@ -34,7 +34,7 @@
     --hosts=<n>       Host processes, 2 to 60 [default: 4].
     --targets=<n>     Targets, 4 to 400 [default: 12].
     --seconds=<n>     How long faults are injected [default: 20].
-    --only=<kinds>    Names of the kinds of fault to inject, separated by commas, or "all"; default: all but ordersAcrossCrash.
+    --only=<kinds>    Names of the kinds of fault to inject, separated by commas, or "all"; default: all but ordersAcrossCrash and refuseOwnerWrites.
 
 Exit status: 0 if every guarantee held, 1 if one was violated, 2 if the run could not be made.
 )";
--- a/soak/standstill.cpp
+++ b/soak/standstill.cpp
@@ -80,7 +80,8 @@
 bool hasAttemptsLeft(const SoakWorld &world, const Workflow &workflow)
 {
     return std::ranges::none_of(world.targets.fleet.failedEnds, [&](const auto &row) {
-        return row.first.step.workflow == workflow.id && std::cmp_greater_equal(row.second.size(), workflow.queue.maxAttempts);
+        const bool isLimited = row.first.step.workflow == workflow.id && !isLasting(world.targets.fleet, row.first);
+        return isLimited && std::cmp_greater_equal(row.second.size(), workflow.queue.maxAttempts);
     });
 }
 
--- a/tests/testcommitorder.cpp
+++ b/tests/testcommitorder.cpp
@@ -44,4 +44,14 @@
     EXPECT_EQ(fleet.starts[id(lastId)], 1);
 }
 
+// Guards against a summary, and so a number of waiting jobs, that is out of date for as long as progress fills every batch.
+TEST_F(CommitOrder, summaryIsWrittenWhileOthersChangeAllTheTime)
+{
+    const int before = store.appliedWrites[domainSummaryKey()];
+    submit(id(lastId), batch(1, {100, 100, 0}), {Duration{500}, {}}, "h2", "/patient/");
+    submit(id(lastId + 1), batch(1, {32'001, 100, 0}), {Duration{500}, {}}, "h2", "/patient/");
+    run(Duration{3'000});
+    EXPECT_GT(store.appliedWrites[domainSummaryKey()], before);
+}
+
 }
--- a/tests/testownerduties.cpp
+++ b/tests/testownerduties.cpp
@@ -140,4 +140,45 @@
     EXPECT_EQ(startsOf(2), 2);
 }
 
+// Guards against a domain that moves although no host could read it: the next owner could not even hold the targets.
+TEST_F(OwnerDuties, domainKeepsItsOwnerWhileTheStoreRefusesTheReadsOfAllHosts)
+{
+    const auto first = owner();
+    store.faults.refusedReads = {{"h1"}, {"h2"}, {"h3"}};
+    for (const char *host : {"h1", "h2", "h3"}) {
+        step(board(host), {StoreWatchCondition{host == first ? "intake/" : "config/", true, "status 429"}}, now, wallNow);
+    }
+    run(Duration{10'000});
+    EXPECT_EQ(owner(), first);
+    EXPECT_EQ(ownershipsBegun(), 1);
+}
+
+/// A strong host that owns the domain, and two weaker ones.
+struct UnequalOwners : OwnerDuties
+{
+    UnequalOwners()
+    {
+        settings.processorShare = 0.5;
+        addHost("strong");
+        settings.processorShare = 0.25;
+        for (const char *host : {"h1", "h2", "h3"}) {
+            kill(host);
+            start(host);
+        }
+        runUntil([&] { return owner() == "strong"; }, Duration{10'000});
+        run(Duration{4'000});
+    }
+};
+
+// Guards against a domain that goes back to a stronger host which has just failed at it and does not show that in its proofs.
+TEST_F(UnequalOwners, strongHostThatHasFailedAtItsReadsIsNotOfferedTheDomainAgain)
+{
+    store.faults.refusedReads.insert({"strong"});
+    step(board("strong"), {StoreWatchCondition{"intake/", true, "status 429"}}, now, wallNow);
+    runUntil([&] { return !owner().empty() && owner() != "strong"; }, Duration{6'000});
+    const auto next = owner();
+    run(Duration{15'000});
+    EXPECT_EQ(owner(), next);
+}
+
 }
--- a/workflow/commitprogress.cpp
+++ b/workflow/commitprogress.cpp
@@ -158,10 +158,8 @@
     auto &chain = board.chain;
     const int room = board.self.limits.maxRecordsPerBatch;
     CommitBatch batch;
-    queueOverdueBegins(board);
-    addProgress(batch, board, chain.dirty, room);
-    addRemovals(batch, chain, room);
-    if (board.load.hasTargets && board.now >= chain.nextSummaryAt && static_cast<int>(batch.transaction.writes.size()) < room) {
+    // The summary comes first, because progress may fill every batch for a long time.
+    if (board.load.hasTargets && board.now >= chain.nextSummaryAt) {
         auto summary = summaryOf(board);
         if (summary != chain.storedSummary) {
             batch.transaction.writes.push_back({domainSummaryKey(), summary, std::nullopt, false});
@@ -171,6 +169,9 @@
             chain.nextSummaryAt = board.now + summaryCheckPause;
         }
     }
+    queueOverdueBegins(board);
+    addProgress(batch, board, chain.dirty, room);
+    addRemovals(batch, chain, room);
     addBegun(batch, board, room);
     if (batch.transaction.writes.empty()) {
         return std::nullopt;
--- a/workflow/followstore.cpp
+++ b/workflow/followstore.cpp
@@ -23,6 +23,9 @@
 
 constexpr Duration rereadSpread{50};
 
+// Time for which the requests of a watch that only the owner needs may fail before its prefix is read again.
+constexpr Duration rereadAfter{1'000};
+
 bool isWanted(const WorkflowBoard &board, const std::string &prefix)
 {
     if (std::ranges::find(commonPrefixes, prefix) != commonPrefixes.end()) {
@@ -120,9 +123,28 @@
     logDecision(board, "watchStore", "targets/", "", "no target has written for " + std::to_string(deafAfter.count()) + " ms; reading again", true);
     count(board.counters, "watchesLost", "deaf");
     for (auto &[prefix, mirror] : board.mirrors) {
+        // A read that is under way is not given up: reading a large prefix may take longer than a watch may be silent.
+        if (mirror.step == MirrorStep::Watching) {
+            mirror.step = MirrorStep::Off;
+            mirror.retryAt = board.now;
+        }
+    }
+}
+
+/// Reads the prefix again if the requests of its watch have failed for a while, because a read may be answered although they are not.
+StoreMirror rereadIfFailing(WorkflowBoard &board, const std::string &prefix, StoreMirror mirror)
+{
+    if (mirror.step != MirrorStep::Watching || !mirror.failingSince || std::ranges::find(ownerPrefixes, prefix) == ownerPrefixes.end()) {
+        return mirror;
+    }
+    const auto rereadAt = std::max(*mirror.failingSince, mirror.lastReceivedAt) + timeoutWithLag(board, rereadAfter);
+    if (board.now >= rereadAt) {
         mirror.step = MirrorStep::Off;
         mirror.retryAt = board.now;
+    } else {
+        subscribeNoLaterThan(board.timers, "readStore", rereadAt);
     }
+    return mirror;
 }
 
 }
@@ -132,7 +154,7 @@
     addWantedMirrors(board);
     replaceDeafWatches(board);
     for (auto &[prefix, mirror] : board.mirrors) {
-        mirror = handleWatchEvents(board, prefix, handleReadReply(board, prefix, mirror));
+        mirror = rereadIfFailing(board, prefix, handleWatchEvents(board, prefix, handleReadReply(board, prefix, mirror)));
         // While the store does not answer, only proofs are sent to it; the reads follow once it answers again. A proof needs the configuration and the owner.
         const bool canProve = board.view.isLoaded && board.ownership.isKnown;
         const bool mayRead = board.view.isStoreReachable || !canProve;
--- a/workflow/handover.cpp
+++ b/workflow/handover.cpp
@@ -27,6 +27,9 @@
 // The same for an owner that has failed at a duty. What has failed may not show in the proofs that a claim needs.
 constexpr Duration noClaimTimeOfFailedOwner{10'000};
 
+// Time for which an owner that has failed at a duty is not offered the domain again, though it may be the strongest host.
+constexpr Duration unfitTime{30'000};
+
 // A change of owner pays off if the successor has at least this many times the owner's processor share.
 constexpr double strongerFactor = 1.5;
 
@@ -58,21 +61,22 @@
     return board.lag.mean > maxHealthyLag && areChangesRare(board);
 }
 
-/// True if this host fails at a duty of the owner. A successor that is ready has proved its configuration by a transaction a moment ago, so an outage that all
-/// hosts share leaves the domain where it is.
+/// True if this host fails at a duty of the owner. A successor is asked whether its transactions, reads and watches are answered, so an outage that all hosts
+/// share leaves the domain where it is. A batch may be refused for its content, which no answer rules out, so such changes have to be rare.
 bool failsAtDuty(const WorkflowBoard &board)
 {
-    return stalledDuty(board) && areChangesRare(board);
+    const auto duty = stalledDuty(board);
+    return duty && (*duty != OwnerDuty::CommitProgress || areChangesRare(board));
 }
 
-/// Hosts that are better suited to own the domain, the one with the most processor time first.
+/// Hosts that are better suited to own the domain, the one with the most processor time first. Any other host is, if this one fails at a duty.
 std::vector<HostRecord> betterHosts(const WorkflowBoard &board)
 {
-    const bool isAnySuited = failsAtDuty(board);
-    const double wanted = isAnySuited ? 0 : board.self.processorShare * (lacksProcessorTime(board) ? 1 : strongerFactor);
+    const bool acceptsAnyHost = failsAtDuty(board);
+    const double wanted = acceptsAnyHost ? 0 : board.self.processorShare * (lacksProcessorTime(board) ? 1 : strongerFactor);
     std::vector<HostRecord> better;
     for (const auto &[id, record] : board.directory.hosts) {
-        if ((isAnySuited || record.processorShare > 0) && record.processorShare >= wanted) {
+        if ((acceptsAnyHost || record.processorShare > 0) && record.processorShare >= wanted) {
             better.push_back(record);
         }
     }
@@ -100,10 +104,15 @@
     if (ownership.successorChecks.size() >= maxOpenChecks) {
         ownership.successorChecks.clear();
     }
-    auto better = inRandomOrderOfEquals(board, betterHosts(board));
+    auto better = betterHosts(board);
+    if (failsAtDuty(board)) {
+        // What makes this host fail may affect the strongest hosts as well, so any of them may be asked.
+        std::ranges::for_each(better, [](HostRecord &record) { record.processorShare = 0; });
+    }
+    better = inRandomOrderOfEquals(board, std::move(better));
     better.resize(std::min(better.size(), isUrgent ? maxUrgentSuccessorChecks : maxSuccessorChecks));
     for (const auto &record : better) {
-        ReadinessCheck check{takeCallId(board), record.host, record.peerAddress, timeoutWithLag(board, board.self.limits.readinessTimeout)};
+        ReadinessCheck check{takeCallId(board), record.host, record.peerAddress, true, timeoutWithLag(board, board.self.limits.readinessTimeout)};
         ownership.successorChecks.emplace(check.id, record.host);
         board.outbox.emplace_back(std::move(check));
     }
@@ -119,11 +128,11 @@
 /// The first host of the current round whose answer says that it is ready.
 std::optional<HostId> readySuccessor(WorkflowBoard &board)
 {
-    const bool isAnySuited = failsAtDuty(board);
+    const bool acceptsAnyHost = failsAtDuty(board);
     for (const auto &event : board.inbox) {
         const auto *reply = std::get_if<ReadinessReply>(&event);
         const auto asked = reply == nullptr ? board.ownership.successorChecks.end() : board.ownership.successorChecks.find(reply->id);
-        if (asked != board.ownership.successorChecks.end() && reply->isReady && (isAnySuited || !isWeaker(board, asked->second))) {
+        if (asked != board.ownership.successorChecks.end() && reply->isReady && (acceptsAnyHost || !isWeaker(board, asked->second))) {
             return asked->second;
         }
     }
@@ -147,6 +156,7 @@
                            + std::to_string(std::chrono::duration_cast<Duration>(board.lag.mean).count()) + " ms late");
         releaseDomain(board, reason);
         ownership.noClaimBefore = board.now + (fails ? noClaimTimeOfFailedOwner : noClaimTime);
+        ownership.unfitUntil = fails ? board.now + unfitTime : ownership.unfitUntil;
         return;
     }
     if (lacksProcessorTime(board) || failsAtDuty(board)) {
--- a/workflow/hostdirectory.cpp
+++ b/workflow/hostdirectory.cpp
@@ -156,7 +156,7 @@
         others.resize(maxReadinessChecks);
     }
     for (const auto &record : others) {
-        ReadinessCheck check{takeCallId(board), record.host, record.peerAddress, timeoutWithLag(board, board.self.limits.readinessTimeout)};
+        ReadinessCheck check{takeCallId(board), record.host, record.peerAddress, false, timeoutWithLag(board, board.self.limits.readinessTimeout)};
         directory.checks.insert(check.id);
         board.outbox.emplace_back(std::move(check));
     }
--- a/workflow/ownerduties.cpp
+++ b/workflow/ownerduties.cpp
@@ -17,6 +17,9 @@
 constexpr Duration overdueAfter{1'000};
 constexpr Duration stalledAfter{2'000};
 
+// Time within which a new owner reads the domain, unless reads fail.
+constexpr Duration longestLoad{4'000};
+
 // Time between two lines of the log about the same overdue duty.
 constexpr Duration reportPeriod{5'000};
 
@@ -36,7 +39,13 @@
 
 std::optional<TimePoint> readFailingSince(const WorkflowBoard &board)
 {
-    std::optional<TimePoint> since = board.load.failingSince;
+    const auto &load = board.load;
+    const bool isLoaded = load.hasProgress && load.hasCommitMark && load.hasIntake && load.hasTargets;
+    const auto loadDueAt = board.ownership.ownedSince + longestLoad;
+    std::optional<TimePoint> since = load.failingSince;
+    if (!isLoaded && board.now >= loadDueAt) {
+        since = std::min(since.value_or(loadDueAt), loadDueAt);
+    }
     for (const auto &prefix : ownerPrefixes) {
         const auto mirror = board.mirrors.find(prefix);
         if (mirror != board.mirrors.end() && mirror->second.failingSince) {
--- a/workflow/ownershipchange.cpp
+++ b/workflow/ownershipchange.cpp
@@ -32,6 +32,7 @@
     follower.knownSince = ownership.knownSince;
     follower.recentOwnerChanges = ownership.recentOwnerChanges;
     follower.noClaimBefore = ownership.noClaimBefore;
+    follower.unfitUntil = ownership.unfitUntil;
     return follower;
 }
 
--- a/workflow/planwork.cpp
+++ b/workflow/planwork.cpp
@@ -107,12 +107,16 @@
 void logWaits(WorkflowBoard &board, const std::vector<WaitingStep> &waiting, const PlacementPlan &plan)
 {
     std::erase_if(board.explainedWaits, [&](const auto &row) { return board.now - row.second > 2 * explanationPeriod; });
+    std::map<ServiceId, std::string> unusable; ///< Counted once for all steps of a service.
     for (const auto &step : waiting) {
         const auto explanation = plan.waits.find(step.step);
         if (explanation == plan.waits.end()) {
             continue;
         }
         board.explainedWaits.insert_or_assign(step.step, board.now);
+        if (!unusable.contains(step.service)) {
+            unusable.emplace(step.service, unusableTargets(board, step.service));
+        }
         logDecision(board,
                     "waitStep",
                     step.service.value,
@@ -120,7 +124,7 @@
                     std::string(name(explanation->second.reason)) + " for " + std::to_string(step.tasks.size()) + " tasks of "
                         + std::to_string(step.specification.perTask.accelerators) + " accelerators after " + std::to_string(step.waited.count())
                         + " ms: " + std::to_string(explanation->second.freeAccelerators) + " accelerators are free, " + std::to_string(explanation->second.kept)
-                        + " reserved for urgent work; " + unusableTargets(board, step.service));
+                        + " reserved for urgent work; " + unusable.at(step.service));
     }
 }
 
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -39,12 +39,13 @@
     friend bool operator==(const SettingsChanged &, const SettingsChanged &) = default;
 };
 
-/// A message that asks another host whether it is ready to serve callers.
+/// A message that asks another host whether it is ready to serve callers, or fit to own the domain.
 struct ReadinessCheck
 {
     CallId id;
     HostId host;
     std::string address;
+    bool isForOwnership = false;
     Duration timeout{0};
 
     friend bool operator==(const ReadinessCheck &, const ReadinessCheck &) = default;
@@ -156,6 +157,7 @@
     Revision holderRevision = 0;
     std::optional<TimePoint> knownSince; ///< When this host learned of the present holder, or that there is none.
     std::optional<TimePoint> claimAt;    ///< When this host will claim the vacant domain.
+    TimePoint unfitUntil;                ///< Time before which this host is not fit to own the domain, because it has failed at a duty of the owner.
     TimePoint noClaimBefore;             ///< Earliest time of a claim after this host has handed the domain over, so that the successor claims first.
     std::optional<CallId> call;
     TimePoint callSentAt;
--- a/workflow/workflowstep.cpp
+++ b/workflow/workflowstep.cpp
@@ -89,6 +89,7 @@
     proveConfiguration(board);
     claimDomain(board);
     followHosts(board);
+    checkDuties(board);
     handOver(board);
     loadDomain(board);
     followTargets(board);
@@ -98,7 +99,6 @@
     followAdvice(board);
     planWork(board);
     commitProgress(board);
-    checkDuties(board);
     driveRuns(board);
     paceFillers(board);
     holdTargets(board);
@@ -117,6 +117,12 @@
     return !board.isStopping && board.view.isStoreReachable && board.view.failedProofs == 0 && isProofFresh(board);
 }
 
+bool isFitToOwn(const WorkflowBoard &board)
+{
+    const bool isReading = std::ranges::none_of(board.mirrors, [](const auto &row) { return row.second.failingSince.has_value(); });
+    return isReady(board) && isReading && board.now >= board.ownership.unfitUntil;
+}
+
 bool isIdle(const WorkflowBoard &board)
 {
     return board.isStopping && board.calls.isEmpty() && board.ownership.step == OwnershipStep::Follower;
