Keep the domain while the store holds the owner's lease

The owner gave the domain up as soon as two renewals in a row were not answered within 400 ms, although it was at work and the store served it. On a loaded machine a store answers that late now and then. The next owner reads the whole domain and asks all targets, which took up to 4.8 s.

A renewal now overlaps with the next one and may be answered as long as it could still extend the authority. When the authority ends all the same, the owner sends no order and no write, but keeps its sections and goes on with its renewals. An answer proves that the lease, and with it the owner key, has been there all the time, so the owner resumes without a takeover. If the store has ended the lease, or shows another owner, the domain is released as before. Refused batches and fenced orders release it explicitly. Duties are counted from the resumption, because none could be done before. Unanswered renewals, the end of the authority and its return are logged.

--- a/tests/testdomainownership.cpp
+++ b/tests/testdomainownership.cpp
@@ -55,6 +55,62 @@
     EXPECT_GT(token(owner()), before);
 }
 
+// Guards against an owner that loses a calm domain because two answers of the store take longer than the timeout of a call: jobs then stand still for the time
+// of a takeover.
+TEST_F(DomainOwnership, ownerKeepsTheDomainWhileTheStoreAnswersAfterEightHundredMilliseconds)
+{
+    const auto first = owner();
+    const auto before = token(first);
+    store.faults.latency = Duration{800};
+    for (int step = 0; step < 50; ++step) {
+        run(Duration{100});
+        EXPECT_EQ(owner(), first);
+    }
+    EXPECT_EQ(token(first), before);
+}
+
+// Guards against a takeover after an outage in which the store has kept the owner's lease: the domain had to wait for the end of the lease and for the next owner
+// to read everything and to ask all targets.
+TEST_F(DomainOwnership, ownerWhoseLeaseTheStoreHasKeptResumesAfterAnOutage)
+{
+    const Duration outage{3'000};
+    const auto first = owner();
+    const auto before = token(first);
+    answerTo(submit(id(1), batch(2, {1'000, 1'000, 1}), {Duration{5'000}, {}}));
+    store.faults.isDown = true;
+    std::ranges::for_each(store.leases, [&](auto &row) { row.second.expiry += outage; });
+    run(outage - Duration{100});
+    EXPECT_EQ(ownerCount(), 0);
+    store.faults.isDown = false;
+    run(Duration{500});
+    EXPECT_EQ(owner(), first);
+    EXPECT_EQ(token(first), before);
+    answerTo(submit(id(2), batch(2, {1'000, 1'000, 1}), {Duration{100}, {}}));
+    runUntil([&] { return storedState(id(2)) == WorkflowState::Completed; }, Duration{1'000});
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Completed; }, Duration{5'000});
+    EXPECT_EQ(fleet.starts.at(id(1)), 2);
+}
+
+// Guards against orders of an owner whose authority has ended, and against two owners: the store has ended its lease while it could not be reached.
+TEST_F(DomainOwnership, ownerWhoseLeaseHasEndedInAnOutageReleasesTheDomain)
+{
+    const auto first = owner();
+    const auto before = token(first);
+    store.faults.cutOff.insert({first});
+    run(settings.limits.ownerLease);
+    const auto orders = sentOrders.size();
+    EXPECT_FALSE(hasAuthority(board(first)));
+    runUntil([&] { return !owner().empty(); }, Duration{2'000});
+    EXPECT_NE(owner(), first);
+    EXPECT_GT(token(owner()), before);
+    EXPECT_TRUE(std::none_of(
+        sentOrders.begin() + static_cast<std::ptrdiff_t>(orders), sentOrders.end(), [&](const TargetOrder &order) { return order.token == before; }));
+    store.faults.cutOff.clear();
+    run(Duration{1'000});
+    EXPECT_EQ(board(first).ownership.step, OwnershipStep::Follower);
+    EXPECT_EQ(ownerCount(), 1);
+}
+
 TEST_F(DomainOwnership, restartedOwnerTakesItsOwnKeyOverWithoutWaitingForTheLease)
 {
     const auto first = owner();
--- a/workflow/claimdomain.cpp
+++ b/workflow/claimdomain.cpp
@@ -16,7 +16,7 @@
 constexpr Duration maxStrengthDelay{500};
 constexpr Duration claimJitter{20};
 
-// Number of renewals within the duration of the lease. With four renewals, two may be lost.
+// Number of renewals within the duration of the lease. With four renewals, three may be unanswered at a time.
 constexpr int renewalsPerLease = 4;
 
 /// True if the owner is an earlier process of this host, which no longer runs.
@@ -93,6 +93,7 @@
     ownership.holderRevision = token;
     ownership.isKnown = true;
     ownership.ownedSince = board.now;
+    ownership.actingSince = board.now;
     ownership.knownSince = board.now;
     ownership.nextRenewalAt = board.now;
     ownership.claimAt.reset();
@@ -205,36 +206,90 @@
     updateHolder(board, holder == nullptr ? std::nullopt : std::optional(*holder), holder == nullptr ? reply.revision : entry->revision);
 }
 
-void renewLease(WorkflowBoard &board)
+/// Notes that the authority has ended before a renewal was answered. The store may still hold the lease, in which case no other host can own the domain, so this
+/// host keeps its sections and goes on with its renewals.
+void suspendAuthority(WorkflowBoard &board)
+{
+    board.ownership.suspendedSince = board.now;
+    logDecision(board, "renewLease", "", "", "the authority has ended before a renewal was answered; no order or write until one is", true);
+    count(board.counters, "authorityEnded", "");
+}
+
+/// Ends the suspension. The timers and changes that were due meanwhile have been missed, so everything is looked at again.
+void resumeAuthority(WorkflowBoard &board)
+{
+    const auto time = board.now - *board.ownership.suspendedSince;
+    logDecision(board, "renewLease", "", "", "the lease still runs; authority again after " + std::to_string(time.count()) + " ms");
+    board.ownership.suspendedSince.reset();
+    board.ownership.actingSince = board.now;
+    board.isPlanWanted = true;
+    subscribeNoLaterThan(board.timers, "occurrence", board.now);
+}
+
+void reportUnansweredRenewal(WorkflowBoard &board, TimePoint sentAt, const std::string &error)
+{
+    logDecision(board,
+                "renewLease",
+                "",
+                "",
+                "no answer after " + std::to_string((board.now - sentAt).count()) + " ms, "
+                    + std::to_string((board.ownership.authorityUntil - board.now).count()) + " ms before the authority ends: " + error,
+                true);
+    count(board.counters, "renewalsFailed", "");
+}
+
+/// Applies the answers to renewals. Returns false if the store has ended the lease.
+bool readRenewalReplies(WorkflowBoard &board)
 {
     auto &ownership = board.ownership;
-    const auto &limits = board.self.limits;
-    if (const auto *reply = findReply(board, ownership.renewal)) {
-        ownership.renewal.reset();
-        ownership.nextRenewalAt = board.now + limits.storeRetry;
-        if (reply->outcome == StoreOutcome::Applied && reply->leaseTimeToLive == Duration{0}) {
-            ownership.lease = 0;
-            releaseDomain(board, "the store has ended the lease");
-            return;
+    for (const auto &event : board.inbox) {
+        const auto *reply = std::get_if<StoreReply>(&event);
+        const auto renewal = reply == nullptr ? ownership.renewals.end() : ownership.renewals.find(reply->id);
+        if (renewal == ownership.renewals.end()) {
+            continue;
         }
-        if (reply->outcome == StoreOutcome::Applied) {
+        const auto sentAt = renewal->second;
+        ownership.renewals.erase(renewal);
+        if (reply->outcome != StoreOutcome::Applied) {
+            ownership.nextRenewalAt = std::min(ownership.nextRenewalAt, board.now + board.self.limits.storeRetry);
+            reportUnansweredRenewal(board, sentAt, reply->error);
+        } else if (reply->leaseTimeToLive == Duration{0}) {
+            return false;
+        } else {
             ownership.leaseDuration = reply->leaseTimeToLive;
-            ownership.authorityUntil = ownership.renewalSentAt + ownership.leaseDuration - limits.ownerLeaseMargin;
-            ownership.nextRenewalAt = ownership.renewalSentAt + ownership.leaseDuration / renewalsPerLease;
+            ownership.authorityUntil = std::max(ownership.authorityUntil, sentAt + ownership.leaseDuration - board.self.limits.ownerLeaseMargin);
         }
     }
-    if (board.now >= ownership.authorityUntil) {
-        releaseDomain(board, "the lease could not be renewed in time");
+    return true;
+}
+
+void renewLease(WorkflowBoard &board)
+{
+    auto &ownership = board.ownership;
+    if (!ownership.releaseReason.empty()) {
+        releaseDomain(board, std::string{ownership.releaseReason});
+        return;
+    }
+    if (!readRenewalReplies(board)) {
+        ownership.lease = 0;
+        releaseDomain(board, "the store has ended the lease");
         return;
     }
-    if (!ownership.renewal && board.now >= ownership.nextRenewalAt) {
-        ownership.renewal = sendToStore(board, StoreLeaseKeepAlive{ownership.lease});
-        ownership.renewalSentAt = board.now;
+    if (board.now < ownership.authorityUntil && ownership.suspendedSince) {
+        resumeAuthority(board);
+    } else if (board.now >= ownership.authorityUntil && !ownership.suspendedSince) {
+        suspendAuthority(board);
+    }
+    if (board.now >= ownership.nextRenewalAt) {
+        // Renewals overlap, each on a connection of its own, so that a late answer or a dead connection does not cost the authority.
+        const auto timeout = ownership.leaseDuration - board.self.limits.ownerLeaseMargin;
+        ownership.renewals.emplace(sendToStore(board, StoreLeaseKeepAlive{ownership.lease}, 0, timeout), board.now);
+        ownership.nextRenewalAt = board.now + ownership.leaseDuration / renewalsPerLease;
     }
-    subscribeNoLaterThan(board.timers, "authority", ownership.authorityUntil);
-    if (!ownership.renewal) {
-        subscribeNoLaterThan(board.timers, "renewal", ownership.nextRenewalAt);
+    if (!ownership.suspendedSince) {
+        subscribeNoLaterThan(board.timers, "authority", ownership.authorityUntil);
     }
+    subscribeNoLaterThan(board.timers, "renewal", ownership.nextRenewalAt);
 }
 
 }
--- a/workflow/commitprogress.cpp
+++ b/workflow/commitprogress.cpp
@@ -80,6 +80,8 @@
                 true);
     count(board.counters, "commitsRefused", "");
     board.ownership.authorityUntil = board.now;
+    board.ownership.releaseReason = "the store has refused a batch";
+    subscribeNoLaterThan(board.timers, "authority", board.now);
 }
 
 void handleBatchReply(WorkflowBoard &board)
--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -31,8 +31,9 @@
 void handleFencedOrder(WorkflowBoard &board, const TargetId &target)
 {
     logDecision(board, "obeyFence", target.value, "", "the target has accepted a higher fencing token than " + std::to_string(board.ownership.token), true);
-    // The next lease renewal or proof shows whether another host owns the domain; until then this host sends no orders or writes as owner.
     board.ownership.authorityUntil = board.now;
+    board.ownership.releaseReason = "a target has accepted a higher fencing token";
+    subscribeNoLaterThan(board.timers, "authority", board.now);
 }
 
 /// True if no start of the run can take effect any more, because the target's clock had passed the deadline of the newest one when the hold was sent. A
--- a/workflow/handover.cpp
+++ b/workflow/handover.cpp
@@ -144,7 +144,7 @@
 void handOver(WorkflowBoard &board)
 {
     auto &ownership = board.ownership;
-    if (ownership.step != OwnershipStep::Owner || board.isStopping || board.now < ownership.ownedSince + minOwnershipTime) {
+    if (!hasAuthority(board) || board.now < ownership.ownedSince + minOwnershipTime) {
         return;
     }
     if (const auto successor = readySuccessor(board)) {
--- a/workflow/ownerduties.cpp
+++ b/workflow/ownerduties.cpp
@@ -128,7 +128,10 @@
 
 void checkDuty(WorkflowBoard &board, OwnerDuty duty)
 {
-    const auto since = undoneSince(board, duty);
+    auto since = undoneSince(board, duty);
+    if (since) {
+        since = std::max(*since, board.ownership.actingSince); // No duty could be done without authority.
+    }
     const auto limit = timeoutWithLag(board, overdueAfter);
     const auto present = board.overdueDuties.find(duty);
     if (!since || board.now < *since + limit) {
--- a/workflow/workflowboard.cpp
+++ b/workflow/workflowboard.cpp
@@ -13,13 +13,13 @@
     return timeout + std::chrono::duration_cast<Duration>(lagsPerAnswer * board.lag.mean);
 }
 
-CallId sendToStore(WorkflowBoard &board, StoreRequest request, long long lease)
+CallId sendToStore(WorkflowBoard &board, StoreRequest request, long long lease, std::optional<Duration> timeout)
 {
     StoreCall call;
     call.id = takeCallId(board);
     call.request = std::move(request);
     call.lease = lease;
-    call.timeout = timeoutWithLag(board, board.self.limits.storeTimeout);
+    call.timeout = timeoutWithLag(board, timeout.value_or(board.self.limits.storeTimeout));
     const CallId id = call.id;
     board.outbox.emplace_back(std::move(call));
     return id;
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -163,11 +163,13 @@
     TimePoint callSentAt;
     long long lease = 0;
     Duration leaseDuration{0};
-    TimePoint authorityUntil; ///< Time from which this host no longer sends orders or writes as owner.
-    std::optional<CallId> renewal;
-    TimePoint renewalSentAt;
+    TimePoint authorityUntil;             ///< Time from which this host no longer sends orders or writes as owner.
+    std::map<CallId, TimePoint> renewals; ///< Send times of the renewals under way.
     TimePoint nextRenewalAt;
-    Revision token = 0; ///< Fencing token of this host's ownership.
+    std::optional<TimePoint> suspendedSince; ///< When the authority ended without an answer to a renewal; the store may still hold the lease.
+    TimePoint actingSince;                   ///< Since when this host has had its authority without a break.
+    std::string releaseReason;               ///< Why the domain has to be released; empty if it has not.
+    Revision token = 0;                      ///< Fencing token of this host's ownership.
     TimePoint ownedSince;
     std::vector<TimePoint> recentOwnerChanges; ///< Times of recent changes of owner that this host has seen.
     std::map<CallId, HostId> successorChecks;  ///< Readiness checks of hosts that are better suited to own the domain.
@@ -429,8 +431,8 @@
 /// The timeout of a call, extended by this host's timer lag, because a host with a lag also reads answers late.
 Duration timeoutWithLag(const WorkflowBoard &board, Duration timeout);
 
-/// Adds a call to the outbox and returns its id.
-CallId sendToStore(WorkflowBoard &board, StoreRequest request, long long lease = 0);
+/// Adds a call to the outbox and returns its id. Without a value, the timeout is that of the settings.
+CallId sendToStore(WorkflowBoard &board, StoreRequest request, long long lease = 0, std::optional<Duration> timeout = {});
 
 /// The reply to the call among the events of the current step, or null.
 const StoreReply *findReply(const WorkflowBoard &board, const std::optional<CallId> &call);
