Give reads of the store more time than other calls

With a store that answers late, an owner's reads were given up after 400 ms, again and again. The log named it: "h20 is ready, and this host fails at its duties: readDomain overdue".

Reads of a prefix get 1.2 s a page. Nothing waits for them as urgently as for a renewal or a commit, and a host that is refused hears it at once.

--- a/tests/fakestore.cpp
+++ b/tests/fakestore.cpp
@@ -274,7 +274,9 @@
         }
     }
     reply.id = call.id;
-    deliver(store, host, now + store.faults.latency, std::move(reply));
+    const auto *range = std::get_if<StoreRange>(&call.request);
+    const auto readLatency = range != nullptr && range->isPrefix ? store.faults.readLatency : Duration{0};
+    deliver(store, host, now + store.faults.latency + readLatency, std::move(reply));
 }
 
 void updateSessionWatch(FakeStore &store, const HostId &host, bool isWatching, Revision watchRevision)
--- a/tests/fakestore.h
+++ b/tests/fakestore.h
@@ -25,6 +25,7 @@
     std::set<HostId> refusedReads;        ///< Hosts whose reads are refused as if the store were busy; it serves their other calls and watches.
     std::set<std::pair<HostId, std::string>> silentWatches; ///< Watches, by host and prefix, whose events are dropped without an error.
     Duration latency{1};                                    ///< Time from call to answer; the call takes effect when it is made.
+    Duration readLatency{0};                                ///< Additional time from a read of a prefix to its answer.
     Duration watchLatency{1};                               ///< Time from a change to its watch event.
     bool areWatchesSilent = false;                          ///< Watch events are dropped without an error.
     int answersToLose = 0;                                  ///< Number of next transactions that take effect and are answered as Unknown.
--- a/tests/testownerduties.cpp
+++ b/tests/testownerduties.cpp
@@ -87,6 +87,24 @@
     EXPECT_EQ(startsOf(1), 1);
 }
 
+// Guards against a hand-over by an owner whose reads take long: they were given up after the timeout of other calls and counted as a failed duty, although the
+// next owner has to read even more.
+TEST_F(OwnerDuties, domainKeepsItsOwnerWhileTheStoreTakesLongForReads)
+{
+    const auto first = owner();
+    const auto before = ownershipsBegun();
+    store.faults.readLatency = Duration{800};
+    for (const char *prefix : {"intake/", "targets/"}) {
+        step(board(first), {StoreWatchLost{"connection reset", prefix}}, now, wallNow);
+        run(longestStandstill / 2);
+    }
+    EXPECT_EQ(owner(), first);
+    EXPECT_EQ(ownershipsBegun(), before);
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{500}, {}}, otherHost()));
+    run(Duration{1'000});
+    EXPECT_EQ(startsOf(1), 1);
+}
+
 // Guards against an owner that stops working without a word in its log: the overdue duty is reported when that begins, repeatedly, and when it ends.
 TEST_F(OwnerDuties, refusedTransactionsAreReportedUntilTheyAreServedAgain)
 {
--- a/workflow/domainsettings.h
+++ b/workflow/domainsettings.h
@@ -28,6 +28,7 @@
     Duration proofPeriod{1'000};      ///< Time between two proofs of the configuration; three periods fit into `maxProofAge`.
     Duration maxProofAge{3'000};      ///< Age up to which a proof counts: `revokeBound` less the duration of a call and the largest difference between clocks.
     Duration storeTimeout{400};       ///< Timeout of a store call. The store answers within milliseconds, or a quarter of a second when it is slow.
+    Duration storeReadTimeout{1'200}; ///< Timeout of each page of a read of a prefix, which nothing waits for as urgently as for other calls.
     Duration storeRetry{100};         ///< Delay before a retry after a failed store call.
     Duration ownerLease{1'500};       ///< Lease of the owner key, and so the time without an owner after the owner has crashed.
     Duration ownerLeaseMargin{300};   ///< Time from the end of the owner's authority to the earliest end of its lease, in which orders under way arrive.
--- a/workflow/followstore.cpp
+++ b/workflow/followstore.cpp
@@ -160,7 +160,7 @@
         const bool mayRead = board.view.isStoreReachable || !canProve;
         if (mirror.step == MirrorStep::Off && mayRead && board.now >= mirror.retryAt) {
             mirror.step = MirrorStep::Reading;
-            mirror.read = sendToStore(board, StoreRange{{prefix}, true});
+            mirror.read = sendToStore(board, StoreRange{{prefix}, true}, 0, board.self.limits.storeReadTimeout);
         } else if (mirror.step == MirrorStep::Off) {
             subscribeNoLaterThan(board.timers, "readStore", std::max(mirror.retryAt, board.now + Duration{1}));
         }
--- a/workflow/loaddomain.cpp
+++ b/workflow/loaddomain.cpp
@@ -40,7 +40,7 @@
         }
     }
     if (!load.hasProgress && !load.progressRead && board.now >= load.retryAt) {
-        load.progressRead = sendToStore(board, StoreRange{workflowProgressKey({}), true});
+        load.progressRead = sendToStore(board, StoreRange{workflowProgressKey({}), true}, 0, board.self.limits.storeReadTimeout);
     }
 }
 
@@ -71,7 +71,7 @@
         }
     }
     if (!load.hasCommitMark && !load.commitMarkRead && board.now >= load.retryAt) {
-        load.commitMarkRead = sendToStore(board, StoreRange{domainPrefix(), true});
+        load.commitMarkRead = sendToStore(board, StoreRange{domainPrefix(), true}, 0, board.self.limits.storeReadTimeout);
     }
 }
 
