Let the soak silence a share of all connections at once

The soak could silence the links of one host or of one target only, and its targets kept idle connections for 75 s, not for two seconds as the users' targets do.

The kind silenceAllLinks, left out of the default kinds, silences 50 to 100 percent of the open connections to the store and to the targets. Only the moment counts as a disturbance. The soak prints each standstill of 1.5 s or more, not the longest alone.

--- a/soak/faulteffects.cpp
+++ b/soak/faulteffects.cpp
@@ -121,6 +121,17 @@
             }};
 }
 
+Effect silenceAllLinks(SoakWorld &world, const PlannedFault &fault)
+{
+    constexpr int leastPercent = 40;
+    const auto isHit = [&world, percent = leastPercent + fault.figure] { return drawNumber(world, 1, 100) <= percent; };
+    std::ranges::for_each(world.hosts, [&](SoakHost &host) { host.storeLink->silenceConnections(isHit); });
+    std::ranges::for_each(world.targetStates, [&](auto &row) { row.second.link->silenceConnections(isHit); });
+    const auto now = EventLoop::now();
+    world.history.disturbances.push_back({{}, now, now});
+    return momentaryEffect({}, false);
+}
+
 Effect delaySubmissions(SoakWorld &world, const PlannedFault &fault)
 {
     constexpr int leastPercent = 40;
--- a/soak/faulteffects.h
+++ b/soak/faulteffects.h
@@ -37,6 +37,10 @@
 /// Silences the store. At the end all leases and registrations have lapsed, and the targets register again within two seconds.
 Effect lapseStore(SoakWorld &world);
 
+/// Silences a share of 50 to 100 percent, depending on `figure`, of the open connections of all hosts to the store and to the targets. Only the moment itself
+/// counts as a disturbance: the hosts have to replace the connections within the time that the bounds leave.
+Effect silenceAllLinks(SoakWorld &world, const PlannedFault &fault);
+
 /// Carries out most of the writes that create workflows late. The other writes are not affected, so no host counts as disturbed.
 Effect delaySubmissions(SoakWorld &world, const PlannedFault &fault);
 
--- a/soak/faultplan.cpp
+++ b/soak/faultplan.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-constexpr std::array<std::pair<FaultKind, std::string_view>, 50> names{{
+constexpr std::array<std::pair<FaultKind, std::string_view>, 51> names{{
     {FaultKind::KillHost, "killHost"},
     {FaultKind::KillOwner, "killOwner"},
     {FaultKind::KillAllHosts, "killAllHosts"},
@@ -64,6 +64,7 @@
     {FaultKind::TurnHostsAway, "turnHostsAway"},
     {FaultKind::StallStore, "stallStore"},
     {FaultKind::LapsedStore, "lapsedStore"},
+    {FaultKind::SilenceAllLinks, "silenceAllLinks"},
 }};
 
 // Range of the time between the starts of two faults. Faults last up to eight seconds, so several overlap.
--- a/soak/faultplan.h
+++ b/soak/faultplan.h
@@ -61,6 +61,7 @@
     TurnHostsAway,     ///< The store turns a third of the hosts away, the owner among them, with status 503, with status 429 or without an answer.
     StallStore,        ///< The store stands still for up to a second, again and again, and then executes what it has received. No host counts as disturbed.
     LapsedStore,       ///< The store is silent, and the targets' registrations and all leases end meanwhile.
+    SilenceAllLinks,   ///< At one moment, a share of the open connections of all hosts to the store and to the targets goes silent; new ones work.
 };
 
 std::string_view name(FaultKind kind);
--- a/soak/injection.cpp
+++ b/soak/injection.cpp
@@ -359,6 +359,8 @@
         return stallStore(world, fault);
     case FaultKind::LapsedStore:
         return lapseStore(world);
+    case FaultKind::SilenceAllLinks:
+        return silenceAllLinks(world, fault);
     case FaultKind::ManyEnds:
         return sendManyEnds(world);
     case FaultKind::CancelWave:
--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -115,9 +115,9 @@
     m_links.clear();
 }
 
-void Proxy::silenceConnections()
+void Proxy::silenceConnections(const std::function<bool()> &isHit)
 {
-    std::ranges::for_each(m_links, [](Link &link) { link.isSilent = true; });
+    std::ranges::for_each(m_links, [&](Link &link) { link.isSilent = link.isSilent || isHit(); });
 }
 
 void Proxy::accept()
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -6,6 +6,7 @@
 #include <absl/status/status.h>
 
 #include <deque>
+#include <functional>
 #include <list>
 #include <memory>
 #include <string>
@@ -43,8 +44,8 @@
     /// Resets all open connections at both ends.
     void resetConnections();
 
-    /// Stops forwarding on all open connections but keeps them open; later connections work.
-    void silenceConnections();
+    /// Stops forwarding on the open connections for which the function returns true, but keeps them open; later connections work.
+    void silenceConnections(const std::function<bool()> &isHit = [] { return true; });
 
     std::size_t connectionCount() const
     {
--- a/soak/soakmain.cpp
+++ b/soak/soakmain.cpp
@@ -38,7 +38,7 @@
     --targets=<n>     Targets, 4 to 400 [default: 12].
     --seconds=<n>     How long faults are injected [default: 20].
     --only=<kinds>    Names of the kinds of fault to inject, separated by commas, or "all"; default: all but ordersAcrossCrash,
-                      refuseOwnerWrites, turnHostsAway, stallStore and lapsedStore.
+                      refuseOwnerWrites, turnHostsAway, stallStore, lapsedStore and silenceAllLinks.
     --calm=<n>        Seconds without new faults after each six seconds with faults; 0 for none [default: 0].
     --shares=<kind>   "whole": each host may use a core; "unequal": one in five half a core, the others 0.12 of one [default: whole].
     --rate=<n>        Mean number of workflows submitted in a second [default: 3.333].
@@ -168,14 +168,23 @@
     }
 }
 
-/// Prints the longest standstill, also one that breaks no rule, so that runs can be compared.
-void reportLongestStandstill(const SoakHistory &history)
+/// Prints the long standstills, also those that break no rule, so that runs can be compared.
+void reportStandstills(const SoakHistory &history)
 {
+    constexpr Duration leastTime{1'500};
     const auto timeOf = [](const Standstill &standstill) { return standstill.until - standstill.from; };
+    const auto print = [&](const std::string &label, const Standstill &standstill) {
+        std::cout << label << " " << timeOf(standstill).count() << " ms of " << toString(standstill.task) << " until "
+                  << standstill.until.time_since_epoch().count() << ", owner " << standstill.owner.value << '\n';
+    };
+    for (const auto &standstill : history.standstills) {
+        if (timeOf(standstill) >= leastTime) {
+            print("standstill", standstill);
+        }
+    }
     const auto longest = std::ranges::max_element(history.standstills, {}, timeOf);
     if (longest != history.standstills.end()) {
-        std::cout << "longest standstill " << timeOf(*longest).count() << " ms of " << toString(longest->task) << " until "
-                  << longest->until.time_since_epoch().count() << ", owner " << longest->owner.value << '\n';
+        print("longest standstill", *longest);
     }
 }
 
@@ -206,7 +215,7 @@
     endHosts(world);
     const auto faults = checkHistory(finishedHistory(world));
     reportLateOrders(world.targets);
-    reportLongestStandstill(world.history);
+    reportStandstills(world.history);
     reportCalls(world.history, faults);
     report(world, faults);
     return faults.empty() ? 0 : 1;
--- a/tests/testsoakhistory.cpp
+++ b/tests/testsoakhistory.cpp
@@ -266,7 +266,7 @@
     for (unsigned seed = 1; seed <= 50; ++seed) {
         std::ranges::transform(makeFaultPlan(seed, Duration{20'000}), std::inserter(drawn, drawn.end()), &PlannedFault::kind);
     }
-    EXPECT_EQ(drawn.size(), static_cast<std::size_t>(FaultKind::LapsedStore) + 1);
+    EXPECT_EQ(drawn.size(), static_cast<std::size_t>(FaultKind::SilenceAllLinks) + 1);
 }
 
 // Guards against a plan whose faults follow one another so closely that the bounds for calm times are never checked.
