--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -139,6 +139,9 @@
             board.targets.put(id, std::move(target));
             return;
         }
+        if (reply.outcome != OrderOutcome::Refused) {
+            count(board.counters, "holdsUnanswered", "");
+        }
         if (target.failures == 1) {
             logDecision(board, "holdTarget", id.value, "", "no answer: " + reply.error, true);
         }
