End all idle connections that may have gone silent

Callers saw jobs that stood still after open connections had gone silent, which nothing but a missing answer shows. The HTTP client opened a new connection for the one call after a failure, and its first answer lifted this; libcurl then offered the oldest idle connection, which was silent as well. Each of them cost a call its whole timeout, until it had been idle for 20 s.

A call without an answer now ends the idle connections to its address that have not answered since it was sent. Connections that have are kept, so one slow call does not cost the others theirs.

HttpClientCall.callsAfterAnUnansweredOneAvoidAllConnectionsThatWereIdleBefore failed before: of the calls after the first failure every second one had no answer, as long as there were silent connections.

--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -1,5 +1,8 @@
 #include "httpclient.h"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -28,7 +31,9 @@
 
 struct HttpClient::Transfer
 {
+    HttpClient *client = nullptr;
     unsigned long long id = 0;
+    TimePoint startedAt;
     CURL *easy = nullptr;
     curl_slist *headers = nullptr;
     long bufferBytes = 0;
@@ -95,6 +100,7 @@
         return transfer;
     }
     auto transfer = std::make_unique<Transfer>();
+    transfer->client = this;
     transfer->easy = curl_easy_init();
     transfer->bufferBytes = bufferBytes;
     auto *easy = transfer->easy;
@@ -112,6 +118,10 @@
     curl_easy_setopt(easy, CURLOPT_READDATA, transfer.get());
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &HttpClient::onBeforeRequest);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &HttpClient::onOpenSocket);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, transfer.get());
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &HttpClient::onCloseSocket);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
     return transfer;
 }
@@ -135,6 +145,7 @@
 {
     auto transfer = takeTransfer(call.bufferBytes);
     transfer->id = m_nextId++;
+    transfer->startedAt = EventLoop::now();
     transfer->address = call.address;
     transfer->requestBody = call.body;
     transfer->sendBefore = call.sendBefore;
@@ -256,6 +267,7 @@
         answer.outcome = HttpOutcome::Answered;
         answer.status = static_cast<int>(status);
         m_failedAddresses.erase(transfer.address);
+        noteAnswered(transfer);
     } else {
         // The size covers all attempts of the call, including those of libcurl's own retry after a closed connection.
         long sentBytes = 0;
@@ -267,6 +279,9 @@
             m_failedAddresses.insert(transfer.address);
         }
     }
+    if (code == CURLE_OPERATION_TIMEDOUT) {
+        endSilentConnections(transfer.address, transfer.startedAt);
+    }
     answer.body = std::move(transfer.body);
     const auto onEnd = std::move(transfer.onEnd);
     close(transfer.id);
@@ -274,6 +289,44 @@
     onEnd(answer);
 }
 
+void HttpClient::noteAnswered(const Transfer &transfer)
+{
+    curl_socket_t descriptor = CURL_SOCKET_BAD;
+    curl_easy_getinfo(transfer.easy, CURLINFO_ACTIVESOCKET, &descriptor);
+    if (const auto connection = m_connections.find(descriptor); connection != m_connections.end()) {
+        connection->second.answeredAt = EventLoop::now();
+    }
+}
+
+void HttpClient::endSilentConnections(const std::string &address, TimePoint since)
+{
+    for (const auto &[descriptor, connection] : m_connections) {
+        const bool isIdle = !m_watches.contains(descriptor);
+        if (isIdle && connection.address == address && connection.answeredAt < since) {
+            // libcurl owns the connection. It closes an idle connection that has ended instead of reusing it.
+            shutdown(descriptor, SHUT_RDWR);
+            ++m_endedConnections;
+        }
+    }
+}
+
+curl_socket_t HttpClient::onOpenSocket(void *owner, curlsocktype, curl_sockaddr *address)
+{
+    const auto &transfer = *static_cast<Transfer *>(owner);
+    const int descriptor = socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    if (descriptor < 0) {
+        return CURL_SOCKET_BAD;
+    }
+    transfer.client->m_connections.insert_or_assign(descriptor, Connection{transfer.address, EventLoop::now()});
+    return descriptor;
+}
+
+int HttpClient::onCloseSocket(void *self, curl_socket_t descriptor)
+{
+    static_cast<HttpClient *>(self)->m_connections.erase(descriptor);
+    return ::close(descriptor);
+}
+
 int HttpClient::onSocketChange(CURL *, curl_socket_t descriptor, int action, void *self, void *)
 {
     auto &client = *static_cast<HttpClient *>(self);
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -53,8 +53,9 @@
 
 /// HTTP client on libcurl's multi interface and the event loop. Call timeouts use a timer of this client: libcurl drops a transfer's timeout when another of
 /// its timers fires less than a millisecond earlier, and the transfer then stays open forever. Connections are reused. After a failed call the next call to
-/// the same address opens a new connection, because a connection that no longer responds does not recover. libcurl's handles are kept and used again, because
-/// creating one for each call costs as much as the rest of the call.
+/// the same address opens a new connection, because a connection that no longer responds does not recover. Many connections may stop responding at the same
+/// moment, so a call without an answer also ends the idle connections to its address that have not answered since it was sent. libcurl's handles are kept and
+/// used again, because creating one for each call costs as much as the rest of the call.
 class HttpClient
 {
 public:
@@ -86,9 +87,22 @@
         return m_transfers.size();
     }
 
+    /// Number of idle connections that were ended because a call to their address had no answer.
+    std::size_t endedConnections() const
+    {
+        return m_endedConnections;
+    }
+
 private:
     struct Transfer;
 
+    /// A connection that libcurl keeps, in use or idle.
+    struct Connection
+    {
+        std::string address;
+        TimePoint answeredAt; ///< When it was opened or answered a call last.
+    };
+
     unsigned long long start(const HttpCall &call, DataCallback onData, AnswerCallback onEnd);
     std::unique_ptr<Transfer> takeTransfer(long bufferBytes);
     void keepTransfer(std::unique_ptr<Transfer> transfer);
@@ -98,6 +112,10 @@
     void timeOutTransfers();
     void armDeadlines();
     void finish(Transfer &transfer, CURLcode code);
+    void noteAnswered(const Transfer &transfer);
+    void endSilentConnections(const std::string &address, TimePoint since);
+    static curl_socket_t onOpenSocket(void *transfer, curlsocktype purpose, curl_sockaddr *address);
+    static int onCloseSocket(void *self, curl_socket_t descriptor);
     static int onSocketChange(CURL *easy, curl_socket_t descriptor, int action, void *self, void *socket);
     static int onTimerChange(CURLM *multi, long delayMs, void *self);
     static std::size_t onReadBody(char *buffer, std::size_t size, std::size_t count, void *transfer);
@@ -109,11 +127,13 @@
     Timer m_timer;
     Timer m_deadlineTimer;
     std::multimap<TimePoint, unsigned long long> m_deadlines; ///< Deadlines by time; may include transfers that have already ended.
-    std::map<curl_socket_t, std::unique_ptr<SocketWatch>> m_watches;
+    std::map<curl_socket_t, std::unique_ptr<SocketWatch>> m_watches; ///< Connections in use.
+    std::map<curl_socket_t, Connection> m_connections;
     std::map<unsigned long long, std::unique_ptr<Transfer>> m_transfers;
     std::map<long, std::vector<std::unique_ptr<Transfer>>> m_idleTransfers; ///< Ended transfers whose handles are used again, by size of their buffers.
     std::set<std::string> m_failedAddresses;                                ///< Addresses to which the next call must open a new connection.
     unsigned long long m_nextId = 1;
+    std::size_t m_endedConnections = 0;
 };
 
 }
--- a/net/httpclientpool.cpp
+++ b/net/httpclientpool.cpp
@@ -31,6 +31,7 @@
 
 void HttpClientPool::closeAll()
 {
+    m_endedBefore = endedConnections();
     m_clients.clear();
     m_clients.resize(clientCount);
 }
@@ -42,4 +43,11 @@
     });
 }
 
+std::size_t HttpClientPool::endedConnections() const
+{
+    return std::accumulate(m_clients.begin(), m_clients.end(), m_endedBefore, [](std::size_t sum, const std::unique_ptr<HttpClient> &client) {
+        return sum + (client ? client->endedConnections() : 0);
+    });
+}
+
 }
--- a/net/httpclientpool.h
+++ b/net/httpclientpool.h
@@ -26,9 +26,13 @@
     /// Number of calls under way.
     std::size_t openCalls() const;
 
+    /// Number of idle connections that were ended because a call to their address had no answer.
+    std::size_t endedConnections() const;
+
 private:
     EventLoop &m_loop;
     std::vector<std::unique_ptr<HttpClient>> m_clients; ///< Created when first used.
+    std::size_t m_endedBefore = 0;                      ///< Connections that were ended by clients before the last closeAll().
 };
 
 }
--- a/tests/testhttpclient.cpp
+++ b/tests/testhttpclient.cpp
@@ -1,5 +1,6 @@
 #include "loopback.h"
 #include "net/httpclient.h"
+#include "soak/proxy.h"
 
 #include <gtest/gtest.h>
 
@@ -92,6 +93,54 @@
     EXPECT_EQ(2U, server.acceptedCount());
 }
 
+// Guards against a pool of connections that have gone silent together: each of them cost a call of its own its whole timeout.
+TEST_F(HttpClientCall, callsAfterAnUnansweredOneAvoidAllConnectionsThatWereIdleBefore)
+{
+    constexpr std::size_t connections = 4;
+    LoopbackServer server(m_loop, [](const HttpRequest &) { return HttpResponse{.body = "ok"}; });
+    Proxy proxy(m_loop, server.address());
+    ASSERT_TRUE(proxy.listen().ok());
+    std::size_t answers = 0;
+    for (std::size_t number = 0; number < connections; ++number) {
+        m_client.send({.address = proxy.address(), .path = "/v1/x", .body = "{}", .timeout = testTimeout}, [&](const HttpAnswer &) { ++answers; });
+    }
+    ASSERT_TRUE(m_loop.runUntil([&] { return answers == connections; }, testTimeout));
+    ASSERT_EQ(connections, proxy.connectionCount());
+    // Times are in whole milliseconds, and a connection that has answered in the millisecond of the next call counts as working.
+    std::this_thread::sleep_for(Duration{2});
+    proxy.silenceConnections();
+    ASSERT_EQ(HttpOutcome::Unknown, call(proxy.address(), unansweredTimeout).outcome);
+
+    for (std::size_t number = 0; number < 2 * connections; ++number) {
+        EXPECT_EQ(HttpOutcome::Answered, call(proxy.address(), unansweredTimeout).outcome) << "call " << number;
+    }
+}
+
+// Guards against giving up connections that work: a call to one slow path would cost all others their connections.
+TEST_F(HttpClientCall, connectionThatHasAnsweredSinceTheUnansweredCallIsReused)
+{
+    LoopbackServer server(m_loop, [](const HttpRequest &) { return HttpResponse{.body = "ok"}; });
+    Proxy proxy(m_loop, server.address());
+    ASSERT_TRUE(proxy.listen().ok());
+    ASSERT_EQ(HttpOutcome::Answered, call(proxy.address()).outcome);
+    std::this_thread::sleep_for(Duration{2});
+    proxy.silenceConnections();
+    std::optional<HttpAnswer> unanswered;
+    m_client.send({.address = proxy.address(), .path = "/v1/x", .body = "{}", .timeout = unansweredTimeout}, [&](const HttpAnswer &answer) {
+        unanswered = answer;
+    });
+    std::this_thread::sleep_for(Duration{2});
+    ASSERT_EQ(HttpOutcome::Answered, call(proxy.address()).outcome) << "on a connection of its own";
+    ASSERT_TRUE(m_loop.runUntil([&] { return unanswered.has_value(); }, testTimeout));
+    ASSERT_EQ(HttpOutcome::Unknown, unanswered->outcome);
+
+    // The first call after a failure opens a new connection in any case, beside the one that has answered.
+    ASSERT_EQ(HttpOutcome::Answered, call(proxy.address()).outcome);
+    const auto open = proxy.connectionCount();
+    EXPECT_EQ(HttpOutcome::Answered, call(proxy.address()).outcome);
+    EXPECT_EQ(open, proxy.connectionCount());
+}
+
 // Guards against libcurl's automatic retry on a reused connection, which applied one transaction twice.
 TEST_F(HttpClientCall, requestOnAConnectionThatClosesIsNotSentAgain)
 {
