--- /dev/null
+++ b/tests/testdomainloop.cpp
@@ -0,0 +1,49 @@
+#include "loopback.h"
+#include "platform/domainloop.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <vector>
+
+namespace sequoiastand
+{
+
+class DomainLoopReadiness : public testing::Test
+{
+protected:
+    DomainLoopReadiness()
+    {
+        m_settings.domain.id = {"h1"};
+        m_settings.domain.callerAddress = loopbackAddress(closedPort());
+        m_readinessPort = closedPort();
+        m_settings.domain.readinessAddress = loopbackAddress(m_readinessPort);
+        m_settings.storeAddress = loopbackAddress(closedPort());
+    }
+
+    EventLoop m_loop;
+    DomainLoopSettings m_settings;
+    int m_readinessPort = 0;
+};
+
+// Guards against a load balancer that takes a host out of service because other hosts hold all connections of its readiness server.
+TEST_F(DomainLoopReadiness, checkIsAnsweredBesideTheConnectionsOfFortyOtherHosts)
+{
+    constexpr std::size_t otherHosts = 40;
+    const std::string request = "GET /sequoiastand/ownership HTTP/1.1\r\nHost: h1\r\n\r\n";
+    DomainLoop host(m_loop, m_settings, [](const LogEntry &) {});
+    ASSERT_TRUE(host.start().ok());
+    std::vector<std::unique_ptr<RawClient>> others;
+    for (std::size_t number = 0; number < otherHosts; ++number) {
+        others.push_back(std::make_unique<RawClient>(m_loop, m_readinessPort));
+        others.back()->send(request);
+        ASSERT_TRUE(m_loop.runUntil([&] { return !others.back()->received().empty(); }, testTimeout));
+    }
+    RawClient loadBalancer(m_loop, m_readinessPort);
+    loadBalancer.send("GET /sequoiastand/ready HTTP/1.1\r\nHost: h1\r\n\r\n");
+    ASSERT_TRUE(m_loop.runUntil([&] { return !loadBalancer.received().empty(); }, testTimeout));
+    // Without a store the host is not ready; a refusal for too many connections has another body.
+    EXPECT_TRUE(loadBalancer.received().ends_with("{}")) << loadBalancer.received();
+}
+
+}
