--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -126,7 +126,7 @@
     CURLM *m_multi;
     Timer m_timer;
     Timer m_deadlineTimer;
-    std::multimap<TimePoint, unsigned long long> m_deadlines; ///< Deadlines by time; may include transfers that have already ended.
+    std::multimap<TimePoint, unsigned long long> m_deadlines;        ///< Deadlines by time; may include transfers that have already ended.
     std::map<curl_socket_t, std::unique_ptr<SocketWatch>> m_watches; ///< Connections in use.
     std::map<curl_socket_t, Connection> m_connections;
     std::map<unsigned long long, std::unique_ptr<Transfer>> m_transfers;
--- a/tests/testhttpclient.cpp
+++ b/tests/testhttpclient.cpp
@@ -126,9 +126,8 @@
     std::this_thread::sleep_for(Duration{2});
     proxy.silenceConnections();
     std::optional<HttpAnswer> unanswered;
-    m_client.send({.address = proxy.address(), .path = "/v1/x", .body = "{}", .timeout = unansweredTimeout}, [&](const HttpAnswer &answer) {
-        unanswered = answer;
-    });
+    m_client.send({.address = proxy.address(), .path = "/v1/x", .body = "{}", .timeout = unansweredTimeout},
+                  [&](const HttpAnswer &answer) { unanswered = answer; });
     std::this_thread::sleep_for(Duration{2});
     ASSERT_EQ(HttpOutcome::Answered, call(proxy.address()).outcome) << "on a connection of its own";
     ASSERT_TRUE(m_loop.runUntil([&] { return unanswered.has_value(); }, testTimeout));
