Let a recorded gang wait for a target that missed an answer

Jobs of wide gangs stood still although they could run (LOST): a gang was placed and recorded, and before the store had answered, one of its targets had not answered some other order within 200 ms. The whole gang was dropped and recorded elsewhere, where the same happened to another target.

The class: a condition of a moment, asked of many at once, that throws away the progress made. The start of a recorded gang now waits up to 500 ms for such a target, in which a target that works has answered the repeated order or the next hold. It is still dropped at once if the target has left, is out of service or has refused a start, or if a ticket has expired, and the log line says which. Single tasks are placed elsewhere at once, as before.

RecordedGang.gangStartsAlthoughItsTargetsMissAnswersAllTheTime failed before: no start in 3 s.

--- a/workflow/driveruns.cpp
+++ b/workflow/driveruns.cpp
@@ -21,6 +21,10 @@
 // Share of the gang wait time after which an unanswered start of a member is abandoned.
 constexpr double gangStartShare = 0.5;
 
+// Time for which the start of a recorded gang waits for a target that has not answered another order. Such an order is repeated at once and a hold after a
+// quarter of a second, so a target that works answers within this time. A wide gang would otherwise be given up for each missed answer of any of its targets.
+constexpr Duration longestStartBlock{500};
+
 void sendOrder(WorkflowBoard &board, TaskRun &run, const DomainTarget &target, TargetOrderRequest request)
 {
     run.isStopCall = std::holds_alternative<StopRun>(request);
@@ -80,18 +84,39 @@
     return target != nullptr && target->registration.instance == run.place && acceptsWork(board, *target) && hasNeededTicket(board, run);
 }
 
-/// Drops a recorded run that may no longer start because its target accepts no new work or its ticket has expired. A gang is dropped as a whole, before any
-/// member has been started.
-void dropRecorded(WorkflowBoard &board, const TaskRun &run)
+bool isGangMember(const WorkflowBoard &board, const TaskRun &run)
 {
     const auto *step = findStep(board, run.task.step);
-    const bool isGang = step != nullptr && step->isGang;
+    return step != nullptr && step->isGang;
+}
+
+/// Why the run may not start for as long as it is recorded on this target; empty if its target only has to answer.
+std::string_view lastingBlock(const WorkflowBoard &board, const TaskRun &run)
+{
+    const auto *target = board.targets.find(run.place.target);
+    if (target == nullptr || target->registration.instance != run.place) {
+        return "its target has left or has restarted";
+    }
+    if (!isInService(board, *target)) {
+        return "its target is out of service";
+    }
+    if (target->avoidUntil && board.now < *target->avoidUntil) {
+        return "its target has refused another start";
+    }
+    return hasNeededTicket(board, run) ? "" : "its ticket has expired";
+}
+
+/// Drops a recorded run that may no longer start. A gang is dropped as a whole, before any member has been started.
+void dropRecorded(WorkflowBoard &board, const TaskRun &run)
+{
+    const bool isGang = isGangMember(board, run);
+    const auto block = lastingBlock(board, run);
     logDecision(board,
                 "startRun",
                 run.place.target.value,
                 toString(run.task),
                 "run " + std::to_string(run.number) + (isGang ? " of the whole gang" : "")
-                    + " dropped before its start: the target accepts no new work, or its ticket has expired");
+                    + " dropped before its start: " + (block.empty() ? "its target does not answer" : std::string(block)));
     const auto runs = isGang ? runsOf(board, run.task.step) : std::vector<TaskRun>{run};
     for (const auto &recorded : runs) {
         if (recorded.step == RunStep::Recording) {
@@ -100,6 +125,28 @@
     }
 }
 
+/// Drops a recorded run that may not start. A member of a gang waits for a while if its target only has to answer, and so does the gang.
+void holdBackOrDrop(WorkflowBoard &board, TaskRun run)
+{
+    const bool mayWait = isGangMember(board, run) && lastingBlock(board, run).empty();
+    if (!mayWait || (run.blockedSince && board.now >= *run.blockedSince + longestStartBlock)) {
+        dropRecorded(board, run);
+        return;
+    }
+    if (!run.blockedSince) {
+        run.blockedSince = board.now;
+        count(board.counters, "startsBlocked", "");
+        putRun(board, run);
+    }
+    subscribeNoLaterThan(board.timers, "orders", *run.blockedSince + longestStartBlock);
+}
+
+void endBlock(WorkflowBoard &board, TaskRun run)
+{
+    run.blockedSince.reset();
+    putRun(board, run);
+}
+
 void sendIfStored(WorkflowBoard &board, const TaskRun &run)
 {
     if (isProofFresh(board) && isStored(board, run.task.step.workflow, run.recordedInVersion)) {
@@ -116,8 +163,7 @@
 
 void driveStarting(WorkflowBoard &board, const TaskRun &run)
 {
-    const auto *step = findStep(board, run.task.step);
-    const bool isGang = step != nullptr && step->isGang;
+    const bool isGang = isGangMember(board, run);
     const auto gangWait = static_cast<double>(board.self.limits.gangWait.count()) * gangStartShare;
     const Duration longestWait = isGang ? Duration{static_cast<Duration::rep>(gangWait)} : board.self.limits.startValidity;
     if (board.now >= run.stepSince + longestWait) {
@@ -198,6 +244,10 @@
         if (underWay >= limit) {
             return;
         }
+        const bool isBlocked = group.isGang && !std::ranges::all_of(group.tasks, [&](const TaskId &task) { return mayStart(board, *board.runs.find(task)); });
+        if (isBlocked) {
+            continue;
+        }
         const auto room = group.isGang ? group.tasks.size() : static_cast<std::size_t>(limit - underWay);
         for (const auto &task : group.tasks | std::views::take(room)) {
             sendIfStored(board, *board.runs.find(task));
@@ -220,8 +270,13 @@
     const std::vector<TaskId> waiting(needingOrders.begin(), needingOrders.end());
     for (const auto &task : waiting) {
         const auto *run = board.runs.find(task);
-        if (run != nullptr && run->step == RunStep::Recording && !mayStart(board, *run)) {
-            dropRecorded(board, TaskRun{*run});
+        if (run == nullptr || run->step != RunStep::Recording) {
+            continue;
+        }
+        if (!mayStart(board, *run)) {
+            holdBackOrDrop(board, TaskRun{*run});
+        } else if (run->blockedSince) {
+            endBlock(board, TaskRun{*run});
         }
     }
     for (const auto &task : waiting) {
--- a/workflow/taskrun.h
+++ b/workflow/taskrun.h
@@ -31,6 +31,7 @@
     TimePoint stepSince;                      ///< When the run entered its step, or when its stop was requested.
     unsigned long long recordedInVersion = 0; ///< Version of the progress that must be stored before the start order is sent.
     std::optional<CallId> call;               ///< Start or stop order under way.
+    std::optional<TimePoint> blockedSince;    ///< Since when the start of a recorded run waits for its target to answer.
     TimePoint startSentAt;                    ///< Send time of the newest start order.
     TimePoint retryAt;
     int starts = 0;             ///< Number of start orders sent.
