Count the failure of a run that was presumed lost as an attempt

Its first run failed on a target that was cut off, and the end was listed after the run had been presumed lost. The owner could not tell such an end from one that a former owner had counted, so it counted neither.

The progress record names the runs that are presumed lost (lostRuns). An end that a target lists takes its run out of them, so each counts once, also after a change of owner; a gang counts once for all its members.

--- a/core/workflowprogress.cpp
+++ b/core/workflowprogress.cpp
@@ -61,6 +61,7 @@
 WorkflowProgress withFinishedOccurrence(WorkflowProgress progress, int occurrence)
 {
     progress.occurrences.erase(occurrence);
+    std::erase_if(progress.lostRuns, [&](const LostRun &lost) { return lost.occurrence == occurrence; });
     if (isOccurrenceFinished(progress, occurrence)) {
         return progress;
     }
--- a/core/workflowprogress.h
+++ b/core/workflowprogress.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -59,6 +60,17 @@
     friend bool operator==(const OccurrenceProgress &, const OccurrenceProgress &) = default;
 };
 
+/// A run that was presumed lost because its target did not answer. The target may still list how it ended.
+struct LostRun
+{
+    int occurrence = 0;
+    int step = 0;
+    int index = 0;
+    int run = 0;
+
+    friend auto operator<=>(const LostRun &, const LostRun &) = default;
+};
+
 /// Durable state of a workflow. It is written by the owner of the domain.
 struct WorkflowProgress
 {
@@ -68,6 +80,7 @@
     std::map<int, OccurrenceProgress> occurrences; ///< Occurrences that have begun and not finished.
     int finishedOccurrences = 0;                   ///< All occurrences below this number have finished.
     std::vector<int> finishedOutOfOrder;           ///< Finished occurrences with a number of at least `finishedOccurrences`, in ascending order.
+    std::set<LostRun> lostRuns;                    ///< Their ends still count as attempts, and each counts once, also after a change of owner.
     std::optional<WallTime> endedAt;
 
     friend bool operator==(const WorkflowProgress &, const WorkflowProgress &) = default;
--- a/wire/workflowjson.cpp
+++ b/wire/workflowjson.cpp
@@ -244,6 +244,9 @@
     putUnlessDefault(json, "queue", record.queue.value, std::string{});
     putUnlessDefault(json, "finished", record.finishedOccurrences, 0);
     putUnlessDefault(json, "finishedLater", record.finishedOutOfOrder, std::vector<int>{});
+    for (const auto &lost : record.lostRuns) {
+        json["lostRuns"].push_back({lost.occurrence, lost.step, lost.index, lost.run});
+    }
     if (record.endedAt) {
         json["endedAtMs"] = millisecondsOf(*record.endedAt);
     }
@@ -268,6 +271,11 @@
     }
     record.finishedOccurrences = json.value("finished", 0);
     record.finishedOutOfOrder = json.value("finishedLater", std::vector<int>{});
+    if (json.contains("lostRuns")) {
+        for (const auto &row : json.at("lostRuns")) {
+            record.lostRuns.insert({row.at(0).get<int>(), row.at(1).get<int>(), row.at(2).get<int>(), row.at(3).get<int>()});
+        }
+    }
     if (json.contains("endedAtMs")) {
         record.endedAt = wallTimeOf(json.at("endedAtMs"));
     }
--- a/workflow/holdtargets.cpp
+++ b/workflow/holdtargets.cpp
@@ -51,6 +51,7 @@
         logDecision(
             board, "loseRun", id.value, toString(run.task), "run " + std::to_string(run.number) + " has lapsed because the target has not answered", true);
         count(board.counters, "runsEnded", "lapsed");
+        noteLostRun(board, run);
         removeRun(board, run);
     }
 }
--- a/workflow/progresschange.cpp
+++ b/workflow/progresschange.cpp
@@ -32,6 +32,11 @@
     return progress.occurrences.at(step.occurrence).steps.at(static_cast<std::size_t>(step.step));
 }
 
+LostRun lostRunOf(const TaskId &task, int run)
+{
+    return {task.step.occurrence, task.step.step, task.index, run};
+}
+
 /// Writes a change of the workflow's progress and marks it for the next commit.
 void writeProgress(WorkflowBoard &board, const RequestId &workflow, const std::function<void(WorkflowProgress &)> &change)
 {
@@ -159,6 +164,24 @@
     });
 }
 
+void noteLostRun(WorkflowBoard &board, const TaskRun &run)
+{
+    const auto *step = findStep(board, run.task.step);
+    if (step != nullptr && !step->isLasting) {
+        writeProgress(board, run.task.step.workflow, [&](WorkflowProgress &progress) { progress.lostRuns.insert(lostRunOf(run.task, run.number)); });
+    }
+}
+
+bool takeLostRun(WorkflowBoard &board, const TaskId &task, int run)
+{
+    const auto *entry = board.workflows.find(task.step.workflow);
+    if (entry == nullptr || !entry->progress.lostRuns.contains(lostRunOf(task, run))) {
+        return false;
+    }
+    writeProgress(board, task.step.workflow, [&](WorkflowProgress &progress) { progress.lostRuns.erase(lostRunOf(task, run)); });
+    return true;
+}
+
 std::string_view name(RunStopCause cause)
 {
     static constexpr std::array<std::string_view, 5> names{"workflowEnded", "preempted", "gangBroken", "startUnanswered", "finishedBefore"};
--- a/workflow/progresschange.h
+++ b/workflow/progresschange.h
@@ -46,6 +46,12 @@
 /// Removes a run that its target certainly no longer runs, and releases the task's place.
 void removeRun(WorkflowBoard &board, const TaskRun &run);
 
+/// Records that the run is presumed lost. Does nothing for lasting tasks, which have any number of attempts.
+void noteLostRun(WorkflowBoard &board, const TaskRun &run);
+
+/// Removes the record that the run is presumed lost, because its end is known. Returns false if there is none.
+bool takeLostRun(WorkflowBoard &board, const TaskId &task, int run);
+
 /// Reason why runs are stopped, which labels the counter.
 enum class RunStopCause
 {
--- a/workflow/runends.cpp
+++ b/workflow/runends.cpp
@@ -139,9 +139,22 @@
     changeTask(board, counted, [](TaskProgress &task) { task.failedRuns += task.isFinished ? 0 : 1; });
 }
 
+/// Removes the records of the gang's other members that are presumed lost, because a gang that fails counts once.
+void forgetLostGang(WorkflowBoard &board, const TaskRun &run)
+{
+    const auto *entry = board.workflows.find(run.task.step.workflow);
+    const auto lostRuns = entry->progress.lostRuns;
+    for (const auto &lost : lostRuns) {
+        if (lost.occurrence == run.task.step.occurrence && lost.step == run.task.step.step && lost.run == run.number) {
+            takeLostRun(board, {run.task.step, lost.index}, lost.run);
+        }
+    }
+}
+
 /// Handles the end of a run that the board does not follow: the run was presumed lost, or a former owner has already handled its end.
 void applyUnknownEnd(WorkflowBoard &board, const TargetId &target, const EndedRun &ended)
 {
+    const bool isLost = takeLostRun(board, ended.task, ended.run);
     const auto *entry = board.workflows.find(ended.task.step.workflow);
     const auto *task = entry == nullptr ? nullptr : findTask(entry->progress, ended.task);
     // A run that was presumed lost because its target was cut off may have finished on that target, even while a later run of the task is running elsewhere.
@@ -154,12 +167,17 @@
                 target.value,
                 toString(ended.task),
                 runText(ended.run) + " ended as " + std::string(name(ended.end))
-                    + (isStillWanted ? ", although it had been presumed lost" : ", which was already known or no longer matters"));
+                    + (isStillWanted || isLost ? ", although it had been presumed lost" : ", which was already known or no longer matters"));
+    TaskRun run;
+    run.task = ended.task;
+    run.number = ended.run;
     if (isStillWanted) {
-        TaskRun run;
-        run.task = ended.task;
-        run.number = ended.run;
         finishTask(board, run, step->isGang);
+    } else if (isLost && ended.end == RunEnd::Failed) {
+        if (step->isGang) {
+            forgetLostGang(board, run);
+        }
+        countFailure(board, run, step->isGang);
     }
 }
 
