Adapt the timeout of starts to the targets' answer time

Callers saw jobs that stood still on a busy machine (LOST): targets answered starts after more than 200 ms, so starts were given up before their answers came, repeated on new connections, and their targets and gangs taken out of placement.

The owner estimates the answer time of starts as RFC 6298 does for retransmissions and gives starts and stops up after the mean and four deviations, at least 200 ms as before and at most 600 ms, so that a gang's start can still be repeated within its two seconds. A timeout counts as a sample above it, because the answers that come later are not seen; a lost answer among many does not raise it.

--- a/workflow/domainsettings.h
+++ b/workflow/domainsettings.h
@@ -34,7 +34,8 @@
     Duration ownerLeaseMargin{300};   ///< Time from the end of the owner's authority to the earliest end of its lease, in which orders under way arrive.
     Duration holdWait{1'200};         ///< Longest wait of a hold for the end of a run; the shortest wait is half of it. Most of `holdMax` is left for outages.
     Duration orderTimeout{500};       ///< Timeout of a stop of a stray run, and of a hold in addition to its wait. Targets answer within milliseconds.
-    Duration startTimeout{200};       ///< Timeout of a start or stop order before it is repeated. It is short because a gang waits for each of its members.
+    Duration startTimeout{200};       ///< Shortest timeout of a start or stop order. It is short because a gang waits for each of its members.
+    Duration maxStartTimeout{600};    ///< Longest timeout of such an order, if targets answer late; a gang's start can still be repeated.
     int maxStartsUnderWay = 48;       ///< Limit on unanswered starts, so that even a host with a tenth of a core reads answers within `startTimeout`.
     Duration orderRetry{150};         ///< First delay before an order without an answer is repeated.
     Duration startValidity{2'500};    ///< Time after which a target refuses a start, so that a late copy has no effect.
--- a/workflow/driveruns.cpp
+++ b/workflow/driveruns.cpp
@@ -28,7 +28,8 @@
 void sendOrder(WorkflowBoard &board, TaskRun &run, const DomainTarget &target, TargetOrderRequest request)
 {
     run.isStopCall = std::holds_alternative<StopRun>(request);
-    auto order = makeOrder(board, target, std::move(request), board.self.limits.startTimeout);
+    const auto &limits = board.self.limits;
+    auto order = makeOrder(board, target, std::move(request), timeoutFor(board.startAnswers, limits.startTimeout, limits.maxStartTimeout));
     run.call = order.id;
     board.runCalls.insert_or_assign(order.id, run.task);
     board.outbox.emplace_back(std::move(order));
--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -264,9 +264,22 @@
     putRun(board, run);
 }
 
+void measureAnswer(WorkflowBoard &board, const TaskRun &run, const TargetOrderReply &reply)
+{
+    const auto taken = board.now - run.startSentAt;
+    if (reply.outcome == OrderOutcome::Accepted || reply.outcome == OrderOutcome::Refused) {
+        board.startAnswers = withSample(board.startAnswers, taken);
+    } else if (reply.outcome == OrderOutcome::Unknown) {
+        board.startAnswers = withTimeout(board.startAnswers, taken);
+    }
+}
+
 void handleRunReply(WorkflowBoard &board, TaskRun run, const TargetOrderReply &reply)
 {
     const bool wasStop = run.isStopCall;
+    if (!wasStop) {
+        measureAnswer(board, run, reply);
+    }
     run.call.reset();
     if (reply.outcome == OrderOutcome::Refused && wasStop) {
         handleStopRefusal(board, std::move(run), reply);
--- a/workflow/ownershipchange.cpp
+++ b/workflow/ownershipchange.cpp
@@ -12,6 +12,7 @@
     board.urgentArrivals.clear();
     board.runs = {};
     board.runCalls.clear();
+    board.startAnswers = {};
     board.strayStops.clear();
     board.lateStarts.clear();
     board.restartPauses.clear();
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "advice.h"
+#include "answertime.h"
 #include "callermessage.h"
 #include "commitqueue.h"
 #include "core/civilclock.h"
@@ -399,6 +400,7 @@
     std::vector<UrgentArrival> urgentArrivals; ///< Recent arrivals of urgent work. Written by loadDomain.
     RunTable runs;
     std::map<CallId, TaskId> runCalls;      ///< Tasks with a start, stop or pace order under way, by call.
+    AnswerTime startAnswers;                ///< Time in which targets answer starts. Written by followRuns.
     std::map<TaskId, TimePoint> strayStops; ///< When a stray run of the task was last ordered to stop.
     std::vector<LateStart> lateStarts;
     std::map<TaskId, RestartPause> restartPauses; ///< Lasting tasks whose runs end soon. Written by followRuns and advanceWorkflows.
