--- a/tests/testlostruns.cpp
+++ b/tests/testlostruns.cpp
@@ -29,17 +29,17 @@
         run(Duration{300});
         for (const auto &[target, row] : fleet.targets) {
             if (!row.running.empty()) {
-                m_cut.push_back(target.value);
+                cutTargets.push_back(target.value);
             }
         }
-        std::ranges::for_each(m_cut, [&](const std::string &target) { cutOff(target); });
+        std::ranges::for_each(cutTargets, [&](const std::string &target) { cutOff(target); });
         runUntil([&] { return fleet.starts[id(1)] == 2 * tasks; }, Duration{14'000});
         run(Duration{500});
     }
 
     void reconnectAll()
     {
-        std::ranges::for_each(m_cut, [&](const std::string &target) { reconnect(target); });
+        std::ranges::for_each(cutTargets, [&](const std::string &target) { reconnect(target); });
     }
 
     int failedRuns()
@@ -48,7 +48,7 @@
         return entry->progress.occurrences.at(0).steps.at(0).at(0).failedRuns;
     }
 
-    std::vector<std::string> m_cut;
+    std::vector<std::string> cutTargets;
 };
 
 // Guards against a start beyond the attempts of the queue: the next owner does not know which ends the former one has counted.
