Count each ended connection once

libcurl closes an ended connection when it looks for an idle one, which may be after the next call without an answer; the connection was counted again by then.

--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -300,14 +300,12 @@
 
 void HttpClient::endSilentConnections(const std::string &address, TimePoint since)
 {
-    for (const auto &[descriptor, connection] : m_connections) {
-        const bool isIdle = !m_watches.contains(descriptor);
-        if (isIdle && connection.address == address && connection.answeredAt < since) {
-            // libcurl owns the connection. It closes an idle connection that has ended instead of reusing it.
-            shutdown(descriptor, SHUT_RDWR);
-            ++m_endedConnections;
-        }
-    }
+    m_endedConnections += std::erase_if(m_connections, [&](const auto &row) {
+        const auto &[descriptor, connection] = row;
+        const bool isSilent = !m_watches.contains(descriptor) && connection.address == address && connection.answeredAt < since;
+        // libcurl owns the connection. It closes an idle connection that has ended instead of reusing it.
+        return isSilent && shutdown(descriptor, SHUT_RDWR) == 0;
+    });
 }
 
 curl_socket_t HttpClient::onOpenSocket(void *owner, curlsocktype, curl_sockaddr *address)
