Start a gang although its targets miss answers in turn

A recorded gang that waits for targets which have missed an answer could wait without end: on a busy machine there may be no moment at which all targets of a wide gang have answered. After 800 ms such a gang is now started, if an answer to an order or a hold is all that its targets lack; a target that does not answer for 500 ms still ends the wait as before.

RecordedGang.gangStartsAlthoughAlwaysOneOfItsTargetsHasMissedAnAnswer guards it.

--- a/tests/testrecordedgang.cpp
+++ b/tests/testrecordedgang.cpp
@@ -59,6 +59,19 @@
     EXPECT_EQ(fleet.starts[id(1)], targets);
 }
 
+// Guards against a gang that waits without end because at each moment some target of it has missed an answer.
+TEST_F(RecordedGang, gangStartsAlthoughAlwaysOneOfItsTargetsHasMissedAnAnswer)
+{
+    constexpr int members = targets - 2; // The one that has missed an answer is not chosen.
+    submit(id(1), gang(members, wholeTarget), {}, "h2", "/ordinary/");
+    for (int number = 0; number < 100; ++number) {
+        setUnanswered({"t" + std::to_string(number % targets + 1)}, now);
+        setUnanswered({"t" + std::to_string((number + targets - 1) % targets + 1)}, std::nullopt);
+        run(4 * tick);
+    }
+    EXPECT_EQ(fleet.starts[id(1)], members);
+}
+
 // Guards against a gang that waits for a target that has gone instead of being placed without it.
 TEST_F(RecordedGang, gangIsPlacedElsewhereIfOneOfItsTargetsNoLongerAnswers)
 {
--- a/workflow/driveruns.cpp
+++ b/workflow/driveruns.cpp
@@ -25,6 +25,9 @@
 // quarter of a second, so a target that works answers within this time. A wide gang would otherwise be given up for each missed answer of any of its targets.
 constexpr Duration longestStartBlock{500};
 
+// Time after which a gang is started although targets of it miss answers in turn; on a busy machine there may be no moment at which all of them have answered.
+constexpr Duration longestGangBlock{800};
+
 void sendOrder(WorkflowBoard &board, TaskRun &run, const DomainTarget &target, TargetOrderRequest request)
 {
     run.isStopCall = std::holds_alternative<StopRun>(request);
@@ -136,6 +139,7 @@
     }
     if (!run.blockedSince) {
         run.blockedSince = board.now;
+        run.firstBlockedAt = run.firstBlockedAt.value_or(board.now);
         count(board.counters, "startsBlocked", "");
         putRun(board, run);
     }
@@ -236,6 +240,21 @@
     }));
 }
 
+/// True if the gang waits for targets of it. A gang that has waited long is started if all that they lack is the answer to an order or a hold.
+bool isHeldBack(const WorkflowBoard &board, const std::vector<TaskId> &gang)
+{
+    const auto runOf = [&](const TaskId &task) -> const TaskRun & { return *board.runs.find(task); };
+    if (std::ranges::all_of(gang, [&](const TaskId &task) { return mayStart(board, runOf(task)); })) {
+        return false;
+    }
+    const bool hasWaitedLong = std::ranges::any_of(gang, [&](const TaskId &task) {
+        const auto since = runOf(task).firstBlockedAt;
+        return since && board.now >= *since + longestGangBlock;
+    });
+    return !hasWaitedLong
+           || !std::ranges::all_of(gang, [&](const TaskId &task) { return acceptsWorkIfReachable(board, *board.targets.find(runOf(task).place.target)); });
+}
+
 /// Sends recorded starts up to the limit on starts under way. The starts of a gang are sent together, because its members wait for each other on their targets.
 void sendRecorded(WorkflowBoard &board, const std::vector<TaskId> &tasks)
 {
@@ -245,8 +264,7 @@
         if (underWay >= limit) {
             return;
         }
-        const bool isBlocked = group.isGang && !std::ranges::all_of(group.tasks, [&](const TaskId &task) { return mayStart(board, *board.runs.find(task)); });
-        if (isBlocked) {
+        if (group.isGang && isHeldBack(board, group.tasks)) {
             continue;
         }
         const auto room = group.isGang ? group.tasks.size() : static_cast<std::size_t>(limit - underWay);
--- a/workflow/eligibility.cpp
+++ b/workflow/eligibility.cpp
@@ -51,15 +51,18 @@
     return target.isRegistered && !registration.isDraining && !board.view.evacuated.contains(registration.availabilityZone);
 }
 
-bool acceptsWork(const WorkflowBoard &board, const DomainTarget &target)
+bool acceptsWorkIfReachable(const WorkflowBoard &board, const DomainTarget &target)
 {
-    const auto &registration = target.registration;
-    const bool isInContact = target.hasAnsweredOwner && target.failures == 0 && !target.orderUnansweredAt && target.answeredAt
-                             && board.now - *target.answeredAt <= holdPace(board).contactAge;
+    const bool isKnown = target.hasAnsweredOwner && target.answeredAt && board.now - *target.answeredAt <= holdPace(board).contactAge;
     const bool isAvoided = target.avoidUntil && board.now < *target.avoidUntil;
     const bool mayExecuteLateStart =
-        std::ranges::any_of(board.lateStarts, [&](const LateStart &late) { return late.isStopWanted && late.target == registration.instance.target; });
-    return isInService(board, target) && isInContact && !isAvoided && !mayExecuteLateStart && !target.hasStrays;
+        std::ranges::any_of(board.lateStarts, [&](const LateStart &late) { return late.isStopWanted && late.target == target.registration.instance.target; });
+    return isInService(board, target) && isKnown && !isAvoided && !mayExecuteLateStart && !target.hasStrays;
+}
+
+bool acceptsWork(const WorkflowBoard &board, const DomainTarget &target)
+{
+    return target.failures == 0 && !target.orderUnansweredAt && acceptsWorkIfReachable(board, target);
 }
 
 Duration objectiveOf(const Workflow &workflow, const Queue &queue)
--- a/workflow/eligibility.h
+++ b/workflow/eligibility.h
@@ -13,6 +13,9 @@
 /// True if the target is registered, does not drain, and its zone is not evacuated.
 bool isInService(const WorkflowBoard &board, const DomainTarget &target);
 
+/// True if the target may be given new work as soon as it has answered the latest order and the latest hold.
+bool acceptsWorkIfReachable(const WorkflowBoard &board, const DomainTarget &target);
+
 /// True if the target may be given new work now: it is registered, its zone is not evacuated, it is not draining, it answers orders, it is not avoided for a
 /// while (`avoidUntil`), it can execute no late start of a former instance, and it runs no stray tasks.
 bool acceptsWork(const WorkflowBoard &board, const DomainTarget &target);
--- a/workflow/taskrun.h
+++ b/workflow/taskrun.h
@@ -32,6 +32,7 @@
     unsigned long long recordedInVersion = 0; ///< Version of the progress that must be stored before the start order is sent.
     std::optional<CallId> call;               ///< Start or stop order under way.
     std::optional<TimePoint> blockedSince;    ///< Since when the start of a recorded run waits for its target to answer.
+    std::optional<TimePoint> firstBlockedAt;  ///< When the start of the recorded run first had to wait for its target.
     TimePoint startSentAt;                    ///< Send time of the newest start order.
     TimePoint retryAt;
     int starts = 0;             ///< Number of start orders sent.
