Expect no answers from targets that are not asked

Jobs stood still on an idle fleet of an owner with little processor time. It asks targets without runs every few seconds, in one rhythm since its take-over, and a zone counted as unresponsive when none of its targets had answered for 450 ms, also while none had been asked.

A zone is now unresponsive if nothing has come for 450 ms although three and a half answers were to be expected in this time, from the holds under way and their ages. With all holds at random ages that takes eight, as before.

WeakOwner.jobOnAnIdleFleetIsPlacedAtOnceAtAnyTime failed before for 3 of 20 jobs.

--- a/workflow/eligibility.cpp
+++ b/workflow/eligibility.cpp
@@ -11,34 +11,43 @@
 namespace
 {
 
-// Each target answers about once a second, so with this many targets some target of the zone answers about every tenth of a second. If none of them answers for
-// `unresponsiveAfter`, the zone counts as unresponsive, long before each target has missed an answer. If idle targets answer less often, more targets are
-// needed.
-constexpr int minTargetsToJudgeZone = 8;
+// If no target of a zone answers for `unresponsiveAfter`, the zone counts as unresponsive, long before each target has missed an answer, provided that so many
+// answers were to be expected in this time.
+constexpr double minExpectedAnswers = 3.5;
 constexpr Duration unresponsiveAfter{450};
 
+/// The probability that a hold that was sent this long ago is answered within the last `unresponsiveAfter`. Holds wait for half of `longestWait` at least.
+double expectedAnswers(Duration age, Duration longestWait)
+{
+    const auto shortestWait = longestWait / 2;
+    const auto span = std::min(age, longestWait) - std::max(age - unresponsiveAfter, shortestWait);
+    return std::max(0.0, static_cast<double>(span.count()) / static_cast<double>((longestWait - shortestWait).count()));
+}
+
 }
 
 std::set<AvailabilityZoneId> unresponsiveZones(const WorkflowBoard &board)
 {
     struct Contact
     {
-        int targets = 0;
+        double expected = 0;
         TimePoint newest;
     };
     std::map<AvailabilityZoneId, Contact> contacts;
     for (const auto &[id, target] : board.targets.rows()) {
-        if (target.isRegistered && target.answeredAt) {
-            auto &contact = contacts[target.registration.availabilityZone];
-            ++contact.targets;
-            contact.newest = std::max(contact.newest, *target.answeredAt);
+        if (!target.isRegistered || !target.answeredAt) {
+            continue;
+        }
+        auto &contact = contacts[target.registration.availabilityZone];
+        contact.newest = std::max(contact.newest, *target.answeredAt);
+        // A target that is not asked does not answer. One that has missed an answer is judged by itself.
+        if (target.hold && target.hasAnsweredOwner && target.failures == 0) {
+            contact.expected += expectedAnswers(board.now - target.holdSentAt, board.self.limits.holdWait);
         }
     }
-    const auto pace = holdPace(board);
-    const auto needed = minTargetsToJudgeZone * (pace.idlePause + pace.answerPeriod) / pace.answerPeriod;
     std::set<AvailabilityZoneId> unresponsive;
     for (const auto &[zone, contact] : contacts) {
-        if (contact.targets >= needed && board.now - contact.newest > unresponsiveAfter) {
+        if (contact.expected >= minExpectedAnswers && board.now - contact.newest > unresponsiveAfter) {
             unresponsive.insert(zone);
         }
     }
