Ask soon what has become of a stopped run

A gang whose starts had not been executed stood still for seconds after its stops: its targets had no runs, so an owner with little processor time asked them after the pause of an idle target, up to 4.9 s with 350 targets and 0.12 cores, and with a hold that waited up to 1.2 s for an end that could not come.

A target with a run of the board gets its next hold at once, and one whose list lacks a stopped run gets a hold that waits 100 ms at most.

--- a/tests/testweakowner.cpp
+++ b/tests/testweakowner.cpp
@@ -41,4 +41,14 @@
     }
 }
 
+// Guards against a broken gang that stands still until the next hold of an idle target shows that a member never ran there.
+TEST_F(WeakOwner, gangWhoseStartsWereNotExecutedRunsAgainSoonAfterItsStops)
+{
+    startDelay = Duration{60'000};
+    submitGang(1);
+    runUntil([&] { return firstRun(1) != nullptr && firstRun(1)->isStopWanted; }, Duration{5'000});
+    startDelay = Duration{0};
+    runUntil([&] { return fleet.starts[id(1)] == 2; }, Duration{1'200});
+}
+
 }
--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -114,14 +114,15 @@
     compareRuns(board, id, reply, holdSentAt);
 }
 
-/// Delay before the next hold. A target with runs gets its next hold at once, so that it can report the next end of a run; the hold of a target without runs
-/// can wait.
+/// Delay before the next hold. A target with runs gets its next hold at once, so that it can report the next end of a run, and so does a target of which it is
+/// not known what has become of a run; the hold of a target without runs can wait.
 Duration delayOfNextHold(const WorkflowBoard &board, const DomainTarget &target, const TargetLists &lists)
 {
     if (!target.pendingEnds.empty()) {
         return pendingEndPause;
     }
-    return lists.running.empty() ? holdPace(board).idlePause : Duration{0};
+    const bool isIdle = lists.running.empty() && startedRunsOn(board, target.registration.instance.target).empty();
+    return isIdle ? holdPace(board).idlePause : Duration{0};
 }
 
 void handleHoldReply(WorkflowBoard &board, const TargetId &id, const TargetOrderReply &reply)
--- a/workflow/holdtargets.cpp
+++ b/workflow/holdtargets.cpp
@@ -24,6 +24,10 @@
 // harm these tasks.
 constexpr int reportsPerHarmBound = 10;
 
+// Longest wait of a hold to a target from which a stopped run may be missing. Such a run has no end that would answer the hold earlier, and its task may start
+// elsewhere only once a list lacks it.
+constexpr Duration absenceWait{100};
+
 // Of the probes of a silent target with runs, every third one waits longer for its answer, so that a target that answers late keeps its runs.
 constexpr int patientProbePeriod = 3;
 constexpr Duration patientProbeTimeout{1'500};
@@ -69,6 +73,30 @@
     return isPatient ? std::max(patientProbeTimeout, board.self.limits.orderTimeout) : board.self.limits.orderTimeout;
 }
 
+/// True if the target has a run whose stop is wanted and which its latest list lacks.
+bool awaitsAbsence(const WorkflowBoard &board, const TargetId &id)
+{
+    const auto &tasks = board.runs.useOf(id).tasks;
+    return std::ranges::any_of(tasks, [&](const TaskId &task) {
+        const auto &run = *board.runs.find(task);
+        return run.isStopWanted && !run.isListed;
+    });
+}
+
+/// Wait of the next hold. Waits are randomised to spread the answers, so that some target of each zone answers at any time.
+Duration waitOfHold(WorkflowBoard &board, const DomainTarget &target)
+{
+    const auto &limits = board.self.limits;
+    const auto &id = target.registration.instance.target;
+    if (target.hasMoreEnds || !target.pendingEnds.empty()) {
+        return Duration{0};
+    }
+    const bool isShared = board.fillerPaces.contains(id);
+    const auto longest = isShared ? std::min(limits.holdWait, limits.harmBound / reportsPerHarmBound) : limits.holdWait;
+    const auto wait = longest / 2 + takeJitter(board, longest / 2);
+    return awaitsAbsence(board, id) ? std::min(wait, absenceWait) : wait;
+}
+
 void sendHold(WorkflowBoard &board, DomainTarget &target, bool keepsConnection)
 {
     const auto &limits = board.self.limits;
@@ -80,11 +108,7 @@
     // certainly lapsed would be postponed without end.
     if (target.hasAnsweredOwner && target.clock && target.failures == 0) {
         hold.deadline = *estimatedClock(target, board.now) + (target.registration.isDraining ? std::min(drainingHold, limits.holdMax) : limits.holdMax);
-        // Waits are randomised to spread the answers, so that some target of each zone answers at any time.
-        const bool isShared = board.fillerPaces.contains(target.registration.instance.target);
-        const auto longest = isShared ? std::min(limits.holdWait, limits.harmBound / reportsPerHarmBound) : limits.holdWait;
-        const bool hasUnreadEnds = target.hasMoreEnds || !target.pendingEnds.empty();
-        hold.wait = hasUnreadEnds ? Duration{0} : longest / 2 + takeJitter(board, longest / 2);
+        hold.wait = waitOfHold(board, target);
         target.heldUntil = std::max(target.heldUntil, *hold.deadline);
     }
     auto order = makeOrder(board, target, hold, hold.wait + answerTimeout(board, target));
