Move the waits that the placement chooses to a file of their own

The reserve for urgent work and the waits for a single rack or for the rack of the data decide how long a step waits although there is room. No behaviour changes.

--- /dev/null
+++ b/workflow/avoidablewait.cpp
@@ -0,0 +1,112 @@
+#include "avoidablewait.h"
+
+#include "packing.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace sequoiastand
+{
+
+namespace
+{
+
+// Longest useful wait for a single rack or for the rack of the data, as a multiple of the run time. In any other place the work takes `remoteFactor` times as
+// long, so waiting pays off for up to `remoteFactor` - 1 run times.
+double localityWaitFactor(const PlacementInput &input)
+{
+    return input.remoteFactor - 1;
+}
+
+/// The number of tasks that have to start together.
+int tasksAtOnce(const WaitingStep &waiting)
+{
+    return waiting.specification.isGang ? static_cast<int>(waiting.tasks.size()) : 1;
+}
+
+bool mayLeaveLocality(const PlacementState &state, const WaitingStep &waiting)
+{
+    const auto worthwhile = std::chrono::duration_cast<Duration>(waiting.remaining * localityWaitFactor(state.input));
+    // Urgent work must start in time, so after `maxLocalityWait` it is placed even away from its data or on several racks.
+    const auto longest = waiting.priority == 0 ? std::min(worthwhile, state.input.maxLocalityWait) : worthwhile;
+    return waiting.waited >= longest;
+}
+
+/// Sum over the targets that the step may use, leaving the adviser's decision aside.
+int sumOverTargets(PlacementState &state, const WaitingStep &waiting, const std::function<int(const PlacementTarget &)> &acceleratorsOf)
+{
+    int sum = 0;
+    for (const auto &rack : eligibleTargets(state.fleet, waiting)) {
+        for (const std::size_t number : rack.targets) {
+            sum += acceleratorsOf(state.fleet.targets[number]);
+        }
+    }
+    return sum;
+}
+
+int freeOn(const PlacementTarget &target)
+{
+    return std::max(0, target.free.accelerators);
+}
+
+int capacityOf(const PlacementTarget &target)
+{
+    return target.capacity.accelerators;
+}
+
+/// True if the rack of the step's data could take the whole gang, or one of the independent tasks, once its targets are empty and answer. Targets that are
+/// out of service do not count.
+bool canDataRackComeFree(const PlacementState &state, const WaitingStep &waiting)
+{
+    const int needed = tasksAtOnce(waiting);
+    int room = 0;
+    for (const auto &target : state.fleet.targets) {
+        if (target.rack == waiting.specification.dataRack && target.isInService && meetsRequirements(waiting, target)) {
+            room += std::min(needed, roomForTasks(waiting, target, target.capacity));
+        }
+    }
+    return room >= needed;
+}
+
+/// True if the whole gang would fit into a single empty rack.
+bool couldFitOneRack(PlacementState &state, const WaitingStep &waiting)
+{
+    const auto isAnyTarget = [](const PlacementTarget &) { return true; };
+    const auto whole = [](const PlacementTarget &target) { return target.capacity; };
+    return packRack(state.fleet, waiting, static_cast<int>(waiting.tasks.size()), {whole, isAnyTarget, std::nullopt}).has_value();
+}
+
+}
+
+int freeAccelerators(PlacementState &state, const WaitingStep &waiting)
+{
+    return sumOverTargets(state, waiting, freeOn);
+}
+
+int reserveOf(const PlacementInput &input, const ServiceId &service)
+{
+    const auto found = input.urgentReserves.find(service);
+    return found == input.urgentReserves.end() ? 0 : found->second;
+}
+
+std::optional<int> acceleratorBudget(PlacementState &state, const WaitingStep &waiting)
+{
+    if (waiting.priority == 0) {
+        return std::nullopt;
+    }
+    const int reserve = reserveOf(state.input, waiting.service);
+    const bool isTooLarge = tasksAtOnce(waiting) * waiting.specification.perTask.accelerators > sumOverTargets(state, waiting, capacityOf) - reserve;
+    return isTooLarge ? std::nullopt : std::optional(freeAccelerators(state, waiting) - reserve);
+}
+
+bool mayLeaveDataRack(const PlacementState &state, const WaitingStep &waiting)
+{
+    return mayLeaveLocality(state, waiting) || !canDataRackComeFree(state, waiting);
+}
+
+bool maySpread(PlacementState &state, const WaitingStep &waiting)
+{
+    return !waiting.specification.needsOneRack || mayLeaveLocality(state, waiting) || !couldFitOneRack(state, waiting);
+}
+
+}
--- /dev/null
+++ b/workflow/avoidablewait.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "placementstate.h"
+
+#include <optional>
+
+namespace sequoiastand
+{
+
+/// Free accelerators on all targets that the step may use, leaving the adviser's decision aside.
+int freeAccelerators(PlacementState &state, const WaitingStep &waiting);
+
+/// Accelerators of the service that are reserved for urgent work.
+int reserveOf(const PlacementInput &input, const ServiceId &service);
+
+/// The number of accelerators that the step may take without using the reserve for urgent work. Without the reserve, urgent work would have to wait until other
+/// work has been stopped. A step that would not fit beside the reserve even on an
+/// empty fleet may use the reserve without limit, because otherwise it could never start.
+std::optional<int> acceleratorBudget(PlacementState &state, const WaitingStep &waiting);
+
+/// True if the step may be placed outside the rack of its data: it has waited long enough, or its rack will not have room.
+bool mayLeaveDataRack(const PlacementState &state, const WaitingStep &waiting);
+
+/// True if the gang may be placed on several racks.
+bool maySpread(PlacementState &state, const WaitingStep &waiting);
+
+}
--- a/workflow/placement.cpp
+++ b/workflow/placement.cpp
@@ -1,5 +1,6 @@
 #include "placement.h"
 
+#include "avoidablewait.h"
 #include "packing.h"
 #include "placementstate.h"
 #include "reclaim.h"
@@ -19,13 +20,6 @@
 namespace
 {
 
-// Longest useful wait for a single rack or for the rack of the data, as a multiple of the run time. In any other place the work takes `remoteFactor` times as
-// long, so waiting pays off for up to `remoteFactor` - 1 run times.
-double localityWaitFactor(const PlacementInput &input)
-{
-    return input.remoteFactor - 1;
-}
-
 bool isAnyTarget(const PlacementTarget &)
 {
     return true;
@@ -41,52 +35,6 @@
     return target.freeAfterStops;
 }
 
-bool mayLeaveLocality(const PlacementInput &input, const WaitingStep &waiting)
-{
-    const auto longestWait = std::chrono::duration_cast<Duration>(waiting.remaining * localityWaitFactor(input));
-    // Urgent work must start in time, so after `maxLocalityWait` it is placed even away from its data or on several racks.
-    return waiting.waited >= (waiting.priority == 0 ? std::min(longestWait, input.maxLocalityWait) : longestWait);
-}
-
-/// Sum over the targets that the step may use, leaving the adviser's decision aside.
-int sumOverTargets(PlacementState &state, const WaitingStep &waiting, const std::function<int(const PlacementTarget &)> &acceleratorsOf)
-{
-    int sum = 0;
-    for (const auto &rack : eligibleTargets(state.fleet, waiting)) {
-        for (const std::size_t number : rack.targets) {
-            sum += acceleratorsOf(state.fleet.targets[number]);
-        }
-    }
-    return sum;
-}
-
-int freeAccelerators(PlacementState &state, const WaitingStep &waiting)
-{
-    return sumOverTargets(state, waiting, [](const PlacementTarget &target) { return std::max(0, target.free.accelerators); });
-}
-
-int reserveOf(const PlacementInput &input, const ServiceId &service)
-{
-    const auto found = input.urgentReserves.find(service);
-    return found == input.urgentReserves.end() ? 0 : found->second;
-}
-
-/// The number of accelerators that the step may take without using the reserve for urgent work. Without the reserve, urgent work would have to wait until other
-/// work has been stopped. A step that would not fit beside the reserve even on an empty fleet may use the reserve without limit, because otherwise it could
-/// never start.
-std::optional<int> acceleratorBudget(PlacementState &state, const WaitingStep &waiting)
-{
-    if (waiting.priority == 0) {
-        return std::nullopt;
-    }
-    const int capacity = sumOverTargets(state, waiting, [](const PlacementTarget &target) { return target.capacity.accelerators; });
-    const int free = freeAccelerators(state, waiting);
-    const int reserve = reserveOf(state.input, waiting.service);
-    const int atOnce = waiting.specification.isGang ? static_cast<int>(waiting.tasks.size()) : 1;
-    const bool isTooLarge = atOnce * waiting.specification.perTask.accelerators > capacity - reserve;
-    return isTooLarge ? std::nullopt : std::optional(free - reserve);
-}
-
 PackingLimits limitsFor(PlacementState &state, const WaitingStep &waiting, const RoomOf &roomOf)
 {
     const auto isAcceptable = [&waiting](const PlacementTarget &target) { return !waiting.avoidsSuspects || !target.isSuspect; };
@@ -100,41 +48,6 @@
     return limits;
 }
 
-/// True if the rack of the step's data could take the whole gang, or one of the independent tasks, once its targets are empty and answer. Targets that are
-/// out of service do not count.
-bool canDataRackComeFree(const PlacementState &state, const WaitingStep &waiting)
-{
-    const auto &step = waiting.specification;
-    const int needed = step.isGang ? static_cast<int>(waiting.tasks.size()) : 1;
-    int room = 0;
-    for (const auto &target : state.fleet.targets) {
-        if (target.rack == step.dataRack && target.isInService && meetsRequirements(waiting, target)) {
-            room += std::min(needed, roomForTasks(waiting, target, target.capacity));
-        }
-    }
-    return room >= needed;
-}
-
-/// True if the step may be placed outside the rack of its data: it has waited long enough, or its rack will not have room.
-bool mayLeaveDataRack(const PlacementState &state, const WaitingStep &waiting)
-{
-    return mayLeaveLocality(state.input, waiting) || !canDataRackComeFree(state, waiting);
-}
-
-/// True if the whole gang would fit into a single empty rack.
-bool couldFitOneRack(PlacementState &state, const WaitingStep &waiting, int count)
-{
-    const auto whole = [](const PlacementTarget &target) { return target.capacity; };
-    return packRack(state.fleet, waiting, count, {whole, isAnyTarget, std::nullopt}).has_value();
-}
-
-/// True if the gang may be placed on several racks.
-bool maySpread(PlacementState &state, const WaitingStep &waiting)
-{
-    const int count = static_cast<int>(waiting.tasks.size());
-    return !waiting.specification.needsOneRack || mayLeaveLocality(state.input, waiting) || !couldFitOneRack(state, waiting, count);
-}
-
 std::optional<TaskCounts> placeGang(PlacementState &state, const WaitingStep &waiting, const RoomOf &roomOf)
 {
     const int count = static_cast<int>(waiting.tasks.size());
