Take the reserve from targets that a step cannot use first

Callers saw steps with a required label wait for the reserve while most of the fleet was free: the reserve is the whole service's, but it was subtracted from what is free on the step's own targets.

What is free on the service's other targets now serves the reserve first, in the budget and in the test whether a step is too large for it. The new test AvoidableWait.reserveIsTakenFromTargetsThatTheStepCannotUseFirst failed before: 0 of 2 tasks started with 96 accelerators free elsewhere.

--- a/workflow/avoidablewait.cpp
+++ b/workflow/avoidablewait.cpp
@@ -32,11 +32,14 @@
     return waiting.waited >= longest;
 }
 
-/// Sum over the targets that the step may use, leaving the adviser's decision aside.
-int sumOverTargets(PlacementState &state, const WaitingStep &waiting, const std::function<int(const PlacementTarget &)> &acceleratorsOf)
+/// Sum over the targets that accept work of the service and have the label, if it is not empty.
+int sumOverTargets(PlacementState &state, const ServiceId &service, const std::string &label, const std::function<int(const PlacementTarget &)> &acceleratorsOf)
 {
+    WaitingStep anyStep;
+    anyStep.service = service;
+    anyStep.specification.requiredLabel = label;
     int sum = 0;
-    for (const auto &rack : eligibleTargets(state.fleet, waiting)) {
+    for (const auto &rack : eligibleTargets(state.fleet, anyStep)) {
         for (const std::size_t number : rack.targets) {
             sum += acceleratorsOf(state.fleet.targets[number]);
         }
@@ -44,6 +47,14 @@
     return sum;
 }
 
+/// Accelerators on the targets that the step may use that remain beside the reserve, which takes those on the service's other targets first.
+int besideReserve(PlacementState &state, const WaitingStep &waiting, const std::function<int(const PlacementTarget &)> &acceleratorsOf)
+{
+    const int ofStep = sumOverTargets(state, waiting.service, waiting.specification.requiredLabel, acceleratorsOf);
+    const int ofService = sumOverTargets(state, waiting.service, {}, acceleratorsOf);
+    return std::min(ofStep, ofService - reserveOf(state.input, waiting.service));
+}
+
 int freeOn(const PlacementTarget &target)
 {
     return std::max(0, target.free.accelerators);
@@ -80,7 +91,7 @@
 
 int freeAccelerators(PlacementState &state, const WaitingStep &waiting)
 {
-    return sumOverTargets(state, waiting, freeOn);
+    return sumOverTargets(state, waiting.service, waiting.specification.requiredLabel, freeOn);
 }
 
 int reserveOf(const PlacementInput &input, const ServiceId &service)
@@ -94,9 +105,11 @@
     if (waiting.priority == 0) {
         return std::nullopt;
     }
-    const int reserve = reserveOf(state.input, waiting.service);
-    const bool isTooLarge = tasksAtOnce(waiting) * waiting.specification.perTask.accelerators > sumOverTargets(state, waiting, capacityOf) - reserve;
-    return isTooLarge ? std::nullopt : std::optional(freeAccelerators(state, waiting) - reserve);
+    const bool isTooLarge = tasksAtOnce(waiting) * waiting.specification.perTask.accelerators > besideReserve(state, waiting, capacityOf);
+    if (isTooLarge) {
+        return std::nullopt;
+    }
+    return besideReserve(state, waiting, freeOn);
 }
 
 bool mayLeaveDataRack(const PlacementState &state, const WaitingStep &waiting)
