Bound every wait that the placement chooses

Callers saw jobs stand for up to 39 s although free accelerators would have held them twice over. Each chosen wait had its own limit or none: the reserve for urgent work had no bound in time, the wait for a single rack or for the rack of the data lasted twice the estimated run time, and a step with a failed run avoided suspect targets until 8 s after their last failure.

Independent tasks that may leave the rack of their data still use it first.

--- a/workflow/avoidablewait.cpp
+++ b/workflow/avoidablewait.cpp
@@ -24,12 +24,27 @@
     return waiting.specification.isGang ? static_cast<int>(waiting.tasks.size()) : 1;
 }
 
+bool hasRoomTwiceOver(const PlacementState &state, const WaitingStep &waiting)
+{
+    const int needed = 2 * tasksAtOnce(waiting);
+    int room = 0;
+    for (const auto &target : state.fleet.targets) {
+        if (isAllowed(waiting, target) && roomForTasks(waiting, target, target.free) > 0) {
+            room += std::min(needed, tasksThatFit(waiting.specification.perTask, target.free));
+        }
+        if (room >= needed) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool mayLeaveLocality(const PlacementState &state, const WaitingStep &waiting)
 {
     const auto worthwhile = std::chrono::duration_cast<Duration>(waiting.remaining * localityWaitFactor(state.input));
     // Urgent work must start in time, so after `maxLocalityWait` it is placed even away from its data or on several racks.
     const auto longest = waiting.priority == 0 ? std::min(worthwhile, state.input.maxLocalityWait) : worthwhile;
-    return waiting.waited >= longest;
+    return waiting.waited >= longest || isPastAvoidableWait(state, waiting);
 }
 
 /// Sum over the targets that accept work of the service and have the label, if it is not empty.
@@ -89,6 +104,11 @@
 
 }
 
+bool isPastAvoidableWait(const PlacementState &state, const WaitingStep &waiting)
+{
+    return waiting.waited >= state.input.maxAvoidableWait && hasRoomTwiceOver(state, waiting);
+}
+
 int freeAccelerators(PlacementState &state, const WaitingStep &waiting)
 {
     return sumOverTargets(state, waiting.service, waiting.specification.requiredLabel, freeOn);
@@ -109,7 +129,9 @@
     if (isTooLarge) {
         return std::nullopt;
     }
-    return std::max(0, besideReserve(state, waiting, freeOn));
+    const int unreserved = std::max(0, besideReserve(state, waiting, freeOn));
+    const int half = freeAccelerators(state, waiting) / 2;
+    return unreserved < half && isPastAvoidableWait(state, waiting) ? half : unreserved;
 }
 
 bool mayLeaveDataRack(const PlacementState &state, const WaitingStep &waiting)
