--- a/workflow/placement.cpp
+++ b/workflow/placement.cpp
@@ -1,5 +1,6 @@
 #include "placement.h"
 
+#include "avoidablewait.h"
 #include "packing.h"
 #include "placementstate.h"
 #include "reclaim.h"
@@ -19,13 +20,6 @@
 namespace
 {
 
-// Longest useful wait for a single rack or for the rack of the data, as a multiple of the run time. In any other place the work takes `remoteFactor` times as
-// long, so waiting pays off for up to `remoteFactor` - 1 run times.
-double localityWaitFactor(const PlacementInput &input)
-{
-    return input.remoteFactor - 1;
-}
-
 bool isAnyTarget(const PlacementTarget &)
 {
     return true;
@@ -41,52 +35,6 @@
     return target.freeAfterStops;
 }
 
-bool mayLeaveLocality(const PlacementInput &input, const WaitingStep &waiting)
-{
-    const auto longestWait = std::chrono::duration_cast<Duration>(waiting.remaining * localityWaitFactor(input));
-    // Urgent work must start in time, so after `maxLocalityWait` it is placed even away from its data or on several racks.
-    return waiting.waited >= (waiting.priority == 0 ? std::min(longestWait, input.maxLocalityWait) : longestWait);
-}
-
-/// Sum over the targets that the step may use, leaving the adviser's decision aside.
-int sumOverTargets(PlacementState &state, const WaitingStep &waiting, const std::function<int(const PlacementTarget &)> &acceleratorsOf)
-{
-    int sum = 0;
-    for (const auto &rack : eligibleTargets(state.fleet, waiting)) {
-        for (const std::size_t number : rack.targets) {
-            sum += acceleratorsOf(state.fleet.targets[number]);
-        }
-    }
-    return sum;
-}
-
-int freeAccelerators(PlacementState &state, const WaitingStep &waiting)
-{
-    return sumOverTargets(state, waiting, [](const PlacementTarget &target) { return std::max(0, target.free.accelerators); });
-}
-
-int reserveOf(const PlacementInput &input, const ServiceId &service)
-{
-    const auto found = input.urgentReserves.find(service);
-    return found == input.urgentReserves.end() ? 0 : found->second;
-}
-
-/// The number of accelerators that the step may take without using the reserve for urgent work. Without the reserve, urgent work would have to wait until other
-/// work has been stopped. A step that would not fit beside the reserve even on an empty fleet may use the reserve without limit, because otherwise it could
-/// never start.
-std::optional<int> acceleratorBudget(PlacementState &state, const WaitingStep &waiting)
-{
-    if (waiting.priority == 0) {
-        return std::nullopt;
-    }
-    const int capacity = sumOverTargets(state, waiting, [](const PlacementTarget &target) { return target.capacity.accelerators; });
-    const int free = freeAccelerators(state, waiting);
-    const int reserve = reserveOf(state.input, waiting.service);
-    const int atOnce = waiting.specification.isGang ? static_cast<int>(waiting.tasks.size()) : 1;
-    const bool isTooLarge = atOnce * waiting.specification.perTask.accelerators > capacity - reserve;
-    return isTooLarge ? std::nullopt : std::optional(free - reserve);
-}
-
 PackingLimits limitsFor(PlacementState &state, const WaitingStep &waiting, const RoomOf &roomOf)
 {
     const auto isAcceptable = [&waiting](const PlacementTarget &target) { return !waiting.avoidsSuspects || !target.isSuspect; };
@@ -100,65 +48,62 @@
     return limits;
 }
 
-/// True if the rack of the step's data could take the whole gang, or one of the independent tasks, once its targets are empty and answer. Targets that are
-/// out of service do not count.
-bool canDataRackComeFree(const PlacementState &state, const WaitingStep &waiting)
+std::optional<TaskCounts> packGang(PlacementState &state, const WaitingStep &waiting, const RoomOf &roomOf)
 {
+    const int count = static_cast<int>(waiting.tasks.size());
+    const auto limits = limitsFor(state, waiting, roomOf);
     const auto &step = waiting.specification;
-    const int needed = step.isGang ? static_cast<int>(waiting.tasks.size()) : 1;
-    int room = 0;
-    for (const auto &target : state.fleet.targets) {
-        if (target.rack == step.dataRack && target.isInService && meetsRequirements(waiting, target)) {
-            room += std::min(needed, roomForTasks(waiting, target, target.capacity));
-        }
+    if (step.needsOneRack) {
+        auto counts = packRack(state.fleet, waiting, count, limits);
+        return counts || !maySpread(state, waiting) ? counts : packTasks(state.fleet, waiting, count, limits);
     }
-    return room >= needed;
+    if (!step.dataRack.value.empty()) {
+        auto counts = packTasks(state.fleet, waiting, count, limitedToDataRack(waiting, limits));
+        return counts || !mayLeaveDataRack(state, waiting) ? counts : packTasks(state.fleet, waiting, count, limits);
+    }
+    return packTasks(state.fleet, waiting, count, limits);
 }
 
-/// True if the step may be placed outside the rack of its data: it has waited long enough, or its rack will not have room.
-bool mayLeaveDataRack(const PlacementState &state, const WaitingStep &waiting)
+/// The step as one that may use suspect targets.
+WaitingStep withSuspects(WaitingStep waiting)
 {
-    return mayLeaveLocality(state.input, waiting) || !canDataRackComeFree(state, waiting);
+    waiting.avoidsSuspects = false;
+    return waiting;
 }
 
-/// True if the whole gang would fit into a single empty rack.
-bool couldFitOneRack(PlacementState &state, const WaitingStep &waiting, int count)
+bool mayTurnToSuspects(const PlacementState &state, const WaitingStep &waiting)
 {
-    const auto whole = [](const PlacementTarget &target) { return target.capacity; };
-    return packRack(state.fleet, waiting, count, {whole, isAnyTarget, std::nullopt}).has_value();
+    return waiting.avoidsSuspects && isPastAvoidableWait(state, waiting);
 }
 
-/// True if the gang may be placed on several racks.
-bool maySpread(PlacementState &state, const WaitingStep &waiting)
+std::optional<TaskCounts> placeGang(PlacementState &state, const WaitingStep &waiting, const RoomOf &roomOf)
 {
-    const int count = static_cast<int>(waiting.tasks.size());
-    return !waiting.specification.needsOneRack || mayLeaveLocality(state.input, waiting) || !couldFitOneRack(state, waiting, count);
+    auto counts = packGang(state, waiting, roomOf);
+    return counts || !mayTurnToSuspects(state, waiting) ? counts : packGang(state, withSuspects(waiting), roomOf);
 }
 
-std::optional<TaskCounts> placeGang(PlacementState &state, const WaitingStep &waiting, const RoomOf &roomOf)
+int sumOf(const TaskCounts &counts)
+{
+    return std::accumulate(counts.begin(), counts.end(), 0);
+}
+
+/// Packs as many of the tasks as there is room for in the rack of their data, or if it has none and may be left, on any targets.
+TaskCounts packIndependentTasks(PlacementState &state, const WaitingStep &waiting)
 {
     const int count = static_cast<int>(waiting.tasks.size());
-    const auto limits = limitsFor(state, waiting, roomOf);
-    const auto &step = waiting.specification;
-    if (step.needsOneRack) {
-        auto counts = packRack(state.fleet, waiting, count, limits);
-        return counts || !maySpread(state, waiting) ? counts : packTasks(state.fleet, waiting, count, limits);
-    }
-    if (!step.dataRack.value.empty()) {
-        auto counts = packTasks(state.fleet, waiting, count, limitedToDataRack(waiting, limits));
-        return counts || !mayLeaveDataRack(state, waiting) ? counts : packTasks(state.fleet, waiting, count, limits);
+    const auto limits = limitsFor(state, waiting, freeRoom);
+    if (waiting.specification.dataRack.value.empty()) {
+        return packAsManyAsFit(state.fleet, waiting, count, limits);
     }
-    return packTasks(state.fleet, waiting, count, limits);
+    auto counts = packAsManyAsFit(state.fleet, waiting, count, limitedToDataRack(waiting, limits));
+    return sumOf(counts) > 0 || !mayLeaveDataRack(state, waiting) ? counts : packAsManyAsFit(state.fleet, waiting, count, limits);
 }
 
 /// Places as many of the tasks as there is room for; the tasks start independently of each other.
 TaskCounts placeIndependentTasks(PlacementState &state, const WaitingStep &waiting)
 {
-    const auto &step = waiting.specification;
-    const bool mustUseDataRack = !step.dataRack.value.empty() && !mayLeaveDataRack(state, waiting);
-    const auto limits = limitsFor(state, waiting, freeRoom);
-    const auto packingLimits = mustUseDataRack ? limitedToDataRack(waiting, limits) : limits;
-    return packAsManyAsFit(state.fleet, waiting, static_cast<int>(waiting.tasks.size()), packingLimits);
+    auto counts = packIndependentTasks(state, waiting);
+    return sumOf(counts) > 0 || !mayTurnToSuspects(state, waiting) ? counts : packIndependentTasks(state, withSuspects(waiting));
 }
 
 void takeRoom(std::vector<PlacementTarget> &targets, const WaitingStep &waiting, const TaskCounts &counts)
@@ -285,7 +230,7 @@
     releaseHeldRoom(state, waiting);
     const auto counts = placeIndependentTasks(state, waiting);
     startTasks(state, plan, waiting, counts);
-    const auto placed = std::accumulate(counts.begin(), counts.end(), 0);
+    const int placed = sumOf(counts);
     if (waiting.priority != 0 || std::cmp_equal(placed, waiting.tasks.size())) {
         return;
     }
@@ -307,10 +252,12 @@
         withoutAdvice.advice.reset();
         return waiting.advice && packTasks(state.fleet, withoutAdvice, count, anywhere) ? WaitReason::NotAdvised : WaitReason::NoRoom;
     }
-    const bool isReserved = !packTasks(state.fleet, waiting, count, limitsFor(state, waiting, freeRoom));
-    if (isReserved) {
+    if (!packTasks(state.fleet, waiting, count, limitsFor(state, withSuspects(waiting), freeRoom))) {
         return WaitReason::Reserve;
     }
+    if (!packTasks(state.fleet, waiting, count, limitsFor(state, waiting, freeRoom))) {
+        return WaitReason::Suspects;
+    }
     return waiting.specification.needsOneRack ? WaitReason::OneRack : WaitReason::DataRackFull;
 }
 
@@ -352,10 +299,11 @@
 
 std::string_view name(WaitReason reason)
 {
-    static constexpr std::array<std::string_view, 6> names{"no target has room",
+    static constexpr std::array<std::string_view, 7> names{"no target has room",
                                                            "the free accelerators are reserved for urgent work",
                                                            "no single rack has room",
                                                            "the rack of its data has no room",
+                                                           "only suspect targets have room",
                                                            "the targets that its adviser has allowed have no room",
                                                            "other work is being stopped for it"};
     return names.at(static_cast<std::size_t>(reason));
