Check waits on full fleets, urgent starts and cancelled runs

The soak's check of standstills looked away while half of the capacity was in use, counted room on targets without the required label or beyond maxPerTarget, and its callers sent no step with a label, one rack, a data rack or maxPerTarget. Urgent work was checked once, after all faults had ended, by its first start only. Nothing checked that the runs of a cancelled workflow end.

- Standstills count however full the fleet is.
While half of it is in use, only room that has been free for a second counts, because other work is about to take the room between the end of a task and the next start.
Below that the check is as strict as before.
Each task that lasts is looked at by itself.
The bounds and calm times are unchanged.
- RECLAIM: all tasks of the first step of urgent work within the guarantee begin within 2.9 s of a calm time, during the whole soak.
Work that sound targets have no room for beside other urgent work is excused.
The stricter check of the last gangs stays.
- UNASKED: a run of a workflow whose cancellation was confirmed ends within 3.2 s of a calm time, as the targets see it.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -1,11 +1,13 @@
 #include "callers.h"
 
 #include "platform/standin/platformwriter.h"
+#include "workdemands.h"
 
 #include <absl/strings/str_format.h>
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <utility>
 
 namespace sequoiastand
@@ -23,15 +25,6 @@
 constexpr int minRetryMs = 100;
 constexpr int maxRetryMs = 1'200;
 
-int acceleratorsOf(const WorkflowSpecification &specification)
-{
-    int most = 0;
-    for (const auto &step : specification.steps) {
-        most = std::max(most, step.taskCount * step.perTask.accelerators);
-    }
-    return most;
-}
-
 bool isOpen(const SoakWorkflow &workflow)
 {
     return !workflow.isAbandoned && !(workflow.state && hasEnded(*workflow.state));
@@ -85,9 +78,13 @@
     call.status = isAnswered ? answer.status : 0;
     call.isNotSent = answer.outcome == HttpOutcome::NotSent;
     const bool isSuccess = call.status >= 200 && call.status < 300;
+    if (call.action == CallerAction::Cancel && isCancelConfirmed(call)) {
+        workflow.cancelConfirmedAt = workflow.cancelConfirmedAt.value_or(*call.endedAt);
+    }
     if (call.action == CallerAction::Submit) {
         workflow.isCallOpen = false;
         workflow.isAccepted = workflow.isAccepted || isSuccess;
+        workflow.mayBeAccepted = workflow.mayBeAccepted || isSuccess || isUncertain(call);
         // A caller does not retry an invalid request. It retries after an unauthorised one, since a removed key may be restored.
         const bool isInvalid = call.status >= 400 && call.status < 500 && call.status != statusTooMany && call.status != statusUnauthorised;
         const bool isFinal = isInvalid || (world.acceptsRefusals && call.status == statusUnavailable);
@@ -157,6 +154,19 @@
     return specification;
 }
 
+/// The step with random demands on its targets, if the options say so.
+StepSpecification withOptionalDemands(SoakWorld &world, StepSpecification step)
+{
+    if (!world.options.hasDemands) {
+        return step;
+    }
+    std::vector<RackId> racks;
+    std::ranges::transform(world.targets.fleet.targets, std::back_inserter(racks), [](const auto &row) { return row.second.registration.rack; });
+    // With this limit, a gang fits on the targets that have the label, even if half of them are out of service.
+    const int leastPerTarget = 1 + (4 * step.taskCount - 1) / world.options.targets;
+    return withDemands(std::move(step), racks, leastPerTarget, world.demandRandom);
+}
+
 void sendRandomWorkflow(SoakWorld &world)
 {
     constexpr std::array<const char *, 3> queues{"urgent", "ordinary", "patient"};
@@ -168,10 +178,12 @@
     step.estimate = Duration{1'000};
     step.isGang = drawNumber(world, 0, 1) == 0;
     step.isCheckpointable = drawNumber(world, 0, 1) == 0;
+    step = withOptionalDemands(world, std::move(step));
     auto specification = specificationOf(step);
     if (drawNumber(world, 0, 3) == 0) {
         step.after = {0};
         step.isGang = false;
+        step.needsOneRack = false;
         specification.steps.push_back(step);
     }
     send(world, addWorkflow(world, queue, organisations.at(static_cast<std::size_t>(drawNumber(world, 0, 1))), std::move(specification)), CallerAction::Submit);
@@ -179,6 +191,15 @@
 
 }
 
+int acceleratorsOf(const WorkflowSpecification &specification)
+{
+    int most = 0;
+    for (const auto &step : specification.steps) {
+        most = std::max(most, step.taskCount * step.perTask.accelerators);
+    }
+    return most;
+}
+
 void runCallers(SoakWorld &world)
 {
     const auto now = EventLoop::now();
@@ -242,11 +263,17 @@
     step.perTask = {1'000, 2'000, 1};
     step.estimate = Duration{1'000};
     step.isLasting = true;
+    if (world.options.hasDemands) {
+        step.taskCount = 3;
+        step.requiredLabel = halfLabel;
+    }
     auto &workflow = addWorkflow(world, "ordinary", "hotels", specificationOf(step));
     const auto &id = workflow.workflow.id;
     workflow.isLasting = true;
     world.history.workflows.at(id).isLasting = true;
-    world.targets.fleet.behaviours.at(id) = {.work = Duration{1'500}, .lastingEnd = RunEnd::Finished};
+    // The end of the run would hide a stop that is missing.
+    const bool endsByItself = !world.options.hasDemands || world.demandRandom() % 2 == 0;
+    world.targets.fleet.behaviours.at(id) = {.work = Duration{1'500}, .lastingEnd = endsByItself ? std::optional(RunEnd::Finished) : std::nullopt};
     send(world, workflow, CallerAction::Submit);
 }
 
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -5,6 +5,9 @@
 namespace sequoiastand
 {
 
+/// The largest number of accelerators that a step of the workflow needs at a time.
+int acceleratorsOf(const WorkflowSpecification &specification);
+
 /// Sends new workflows, queries their states, and retries calls that were refused or not answered. To be called every few milliseconds.
 void runCallers(SoakWorld &world);
 
--- a/soak/soakhistory.cpp
+++ b/soak/soakhistory.cpp
@@ -3,7 +3,9 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
+#include <set>
 
 namespace sequoiastand
 {
@@ -104,11 +106,11 @@
     return overlapping == history.disturbances.end() ? std::nullopt : std::optional(overlapping->until);
 }
 
-/// True if the workflow stood still for the bound without a disturbance in this time and in the time before that must be calm.
-bool isTooLong(const SoakHistory &history, const Standstill &standstill, Duration bound, Duration calmBefore, bool countsHosts)
+/// True if a part of the period is as long as the bound, without a disturbance in it and in the time before it that must be calm.
+bool isTooLong(const SoakHistory &history, const Period &period, Duration bound, Duration calmBefore, bool countsHosts)
 {
-    TimePoint until = standstill.from + standstill.allowed + bound;
-    while (until <= standstill.until) {
+    TimePoint until = period.from + bound;
+    while (until <= period.until) {
         const auto disturbed = disturbedUntil(history, until - bound - calmBefore, until, countsHosts);
         if (!disturbed) {
             return true;
@@ -121,8 +123,9 @@
 void checkStandstills(const SoakHistory &history, const SoakBounds &bounds, Faults &faults)
 {
     for (const auto &standstill : history.standstills) {
-        if (isTooLong(history, standstill, bounds.standstill, bounds.calmBefore, true)
-            || isTooLong(history, standstill, bounds.standstillBesideFaultsOfHosts, bounds.calmBefore, false)) {
+        const Period counted{standstill.from + standstill.allowed, standstill.until};
+        if (isTooLong(history, counted, bounds.standstill, bounds.calmBefore, true)
+            || isTooLong(history, counted, bounds.standstillBesideFaultsOfHosts, bounds.calmBefore, false)) {
             faults.push_back(absl::StrCat("LOST: ",
                                           toString(standstill.task),
                                           ": has nothing running from ",
@@ -205,6 +208,26 @@
     }
 }
 
+/// Reports each run of a cancelled workflow that goes on in a calm time for longer than the time in which it must be stopped.
+void checkCancelledRuns(const SoakHistory &history, const SoakBounds &bounds, Faults &faults)
+{
+    for (const auto &[run, cancelled] : history.cancelledRuns) {
+        if (isTooLong(history, {cancelled.from, cancelled.until}, bounds.cancelledRuns, bounds.calmBefore, true)) {
+            faults.push_back(absl::StrCat("UNASKED: ",
+                                          toString(run.first),
+                                          ": run ",
+                                          run.second,
+                                          " is at work on ",
+                                          cancelled.target.value,
+                                          " from ",
+                                          millis(cancelled.from),
+                                          " to ",
+                                          millis(cancelled.until),
+                                          " although its workflow is cancelled"));
+        }
+    }
+}
+
 void checkPlannedStops(const SoakHistory &history, const SoakBounds &bounds, Faults &faults)
 {
     for (const auto &stop : history.plannedStops) {
@@ -245,6 +268,38 @@
     }
 }
 
+/// Reports urgent work within the guarantee whose first step has not begun in time.
+void checkUrgentWork(const SoakHistory &history, const SoakBounds &bounds, Faults &faults)
+{
+    for (const auto &[id, workflow] : history.workflows) {
+        const auto isAcceptance = [&](const ObservedCall &call) { return call.action == CallerAction::Submit && call.workflow == id && isSuccess(call); };
+        const auto call = std::ranges::find_if(history.calls, isAcceptance);
+        if (workflow.firstStepTasks == 0 || workflow.isBeyondGuarantee || workflow.mayFail || workflow.cancelledAt || call == history.calls.end()) {
+            continue;
+        }
+        const auto due = *call->endedAt + bounds.urgentStart;
+        std::set<int> begun;
+        for (const auto &start : history.starts) {
+            if (start.task.step == StepId{id, 0, 0} && start.at <= due) {
+                begun.insert(start.task.index);
+            }
+        }
+        if (std::ssize(begun) < workflow.firstStepTasks && isUndisturbed(history, call->sentAt - bounds.calmBefore, due)) {
+            faults.push_back(absl::StrCat("RECLAIM: ",
+                                          id.value,
+                                          ": accepted at ",
+                                          millis(*call->endedAt),
+                                          ", ",
+                                          begun.size(),
+                                          " of ",
+                                          workflow.firstStepTasks,
+                                          " tasks begun after ",
+                                          bounds.urgentStart.count(),
+                                          " ms"));
+        }
+    }
+}
+
 }
 
 bool isUncertain(const ObservedCall &call)
@@ -274,8 +329,10 @@
     checkStartsIn(history, history.zonesOut, bounds.evacuation, "EVAC", zoneOf, bounds, faults);
     checkStartsIn(history, history.targetsLeaving, bounds.drain, "DRAIN", targetOf, bounds, faults);
     checkCancellations(history, bounds, faults);
+    checkCancelledRuns(history, bounds, faults);
     checkPlannedStops(history, bounds, faults);
     checkReclaim(history, bounds, faults);
+    checkUrgentWork(history, bounds, faults);
     for (const auto &end : history.unexpectedExits) {
         faults.push_back(absl::StrCat("END: ", end.host.value, ": ended by itself with status ", end.exitStatus, " at ", millis(end.at)));
     }
--- a/soak/soakhistory.h
+++ b/soak/soakhistory.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sequoiastand
@@ -47,7 +48,9 @@
     bool isUrgent = false;                 ///< True for priority 0 within the organisation's guarantee.
     std::optional<WorkflowState> endState; ///< State that hosts reported to callers at the end; empty if they did not know the workflow.
     bool isLasting = false;                ///< True if its tasks last until the workflow is cancelled at the end of the soak, however often their runs end.
-    bool wasAtWorkAtEnd = false;           ///< True if, once all faults had ended, its tasks were at work within the time allowed for a restart.
+    int firstStepTasks = 0;                ///< Number of tasks of the first step; zero unless the workflow is urgent and was accepted.
+    bool isBeyondGuarantee = false; ///< True if, before it began, its organisation's urgent work needed more than its guarantee or than sound targets have.
+    bool wasAtWorkAtEnd = false;    ///< True if, once all faults had ended, its tasks were at work within the time allowed for a restart.
 
     friend bool operator==(const SentWorkflow &, const SentWorkflow &) = default;
 };
@@ -62,6 +65,14 @@
     friend bool operator==(const Withdrawal &, const Withdrawal &) = default;
 };
 
+struct Period
+{
+    TimePoint from;
+    TimePoint until;
+
+    friend bool operator==(const Period &, const Period &) = default;
+};
+
 /// The period of a fault. Faults of a host or its connections name the host; others affect all hosts.
 struct Disturbance
 {
@@ -106,6 +117,16 @@
     friend bool operator==(const Standstill &, const Standstill &) = default;
 };
 
+/// A run of a workflow whose cancellation was confirmed.
+struct CancelledRun
+{
+    TargetId target;
+    TimePoint from; ///< The confirmation, or the start of the run if that was later.
+    TimePoint until;
+
+    friend bool operator==(const CancelledRun &, const CancelledRun &) = default;
+};
+
 /// Events that callers, targets and operators have observed.
 struct SoakHistory
 {
@@ -119,6 +140,7 @@
     std::vector<PlannedStop> plannedStops;
     std::vector<UnexpectedExit> unexpectedExits;
     std::vector<Standstill> standstills;
+    std::map<std::pair<TaskId, int>, CancelledRun> cancelledRuns; ///< By task and number of the run.
     std::vector<std::string> targetViolations; ///< Found by the targets: parallel runs, exceeded capacity, wrong order, too many attempts, unsubmitted tasks.
     std::vector<HostId> hostsNotReadyAtEnd;    ///< Hosts that were not ready after all faults had ended.
 
@@ -133,9 +155,11 @@
     Duration evacuation{5'000};                     ///< Time from a zone's evacuation until no task starts there.
     Duration drain{2'000};                          ///< Time from a target's leave notice until no task starts there.
     Duration cancellation{3'000};                   ///< Time from the answer to a cancellation until no task of the workflow starts.
+    Duration cancelledRuns{3'200};                  ///< Time from the answer to a cancellation until no task of the workflow is at work.
     Duration gracePeriod{6'000};                    ///< Time from SIGTERM to the end of the process.
     Duration maxDroppedRequestAge{200};             ///< Age up to which an unread request may be dropped by a planned stop.
     Duration reclaim{2'700};                        ///< Time from acceptance until guaranteed urgent work starts.
+    Duration urgentStart{2'900};                    ///< Time from acceptance until all tasks of the first step of urgent work within the guarantee have begun.
     Duration callerTimeout{3'000};                  ///< Time after which a caller abandons a call.
     Duration standstill{3'000};                     ///< Time for which a workflow may stand still while all is calm.
     Duration calmBefore{4'000};                     ///< Time without a disturbance before a standstill counts.
--- a/soak/soakmain.cpp
+++ b/soak/soakmain.cpp
@@ -4,6 +4,7 @@
 #include "platform/standin/platformwriter.h"
 #include "soakworld.h"
 #include "standstill.h"
+#include "workchecks.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
@@ -27,7 +28,7 @@
 
 Usage:
     soak --program=<file> --folder=<path> [--seed=<n>] [--hosts=<n>] [--targets=<n>] [--seconds=<n>] [--only=<kinds>]
-         [--calm=<n>] [--shares=<kind>] [--rate=<n>] [--width=<n>]
+         [--calm=<n>] [--shares=<kind>] [--rate=<n>] [--width=<n>] [--demands=<kind>]
     soak --help
 
 Options:
@@ -43,6 +44,8 @@
     --shares=<kind>   "whole": each host may use a core; "unequal": one in five half a core, the others 0.12 of one [default: whole].
     --rate=<n>        Mean number of workflows submitted in a second [default: 3.333].
     --width=<n>       Largest number of tasks of a step [default: 6].
+    --demands=<kind>  "none", or "mixed": steps require a label that half of the targets have, one rack, the rack of their data, or
+                      a limit of tasks on one target [default: none].
 
 Exit status: 0 if every guarantee held, 1 if one was violated, 2 if the run could not be made.
 )";
@@ -56,6 +59,9 @@
 // Time after which a task that lasts must be at work again: the platform counts it as lost 6 s after its last run, if the 3 s before are calm.
 constexpr Duration lastingRestart{9'000};
 
+// Time after the last cancellation in which its runs must end, a little longer than the bound for them, so that runs that go on are seen.
+constexpr Duration stopLimit = SoakBounds{}.cancelledRuns + Duration{500};
+
 // Time without faults before the final check of guarantees that hold only without disturbances.
 constexpr Duration quietPeriod{4'000};
 
@@ -78,7 +84,7 @@
         world.loop.runUntil([&hasFired] { return hasFired; }, 20 * tickPeriod);
         tick(world);
         runCallers(world);
-        noteStandstills(world);
+        noteWork(world);
     }
 }
 
@@ -115,6 +121,7 @@
     runFor(world, lastingRestart, [&world] { return noteLastingWork(world); });
     cancelLastingWork(world);
     runFor(world, settleLimit, [&world] { return haveAllEnded(world); });
+    runFor(world, stopLimit, [&world] { return !isCancelledWorkRunning(world); });
     askReadiness(world);
     endStandstills(world);
 }
@@ -235,6 +242,7 @@
     options.length = Duration{arguments.at("--seconds").asLong() * 1'000};
     options.calm = Duration{std::max(0L, arguments.at("--calm").asLong()) * 1'000};
     options.hasUnequalHosts = arguments.at("--shares").asString() == "unequal";
+    options.hasDemands = arguments.at("--demands").asString() == "mixed";
     double rate = 0;
     if (!absl::SimpleAtod(arguments.at("--rate").asString(), &rate) || rate <= 0) {
         std::cerr << "--rate: expected a number above 0\n";
--- a/soak/soakworld.cpp
+++ b/soak/soakworld.cpp
@@ -5,6 +5,7 @@
 #include "processorquota.h"
 #include "standins/samplequeues.h"
 #include "wire/jsonfields.h"
+#include "workdemands.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -66,6 +67,9 @@
         registration.rack = {absl::StrCat("r", number / targetsPerRack + 1)};
         registration.availabilityZone = {zoneName(number / targetsPerRack)};
         registration.labels = {"kind", registration.rack.value};
+        if (number % 2 == 0) {
+            registration.labels.push_back(halfLabel);
+        }
         registration.capacity = {32'000, 131'072, 8};
         const auto port = startTarget(world.targets, registration);
         if (!port.ok()) {
@@ -183,6 +187,7 @@
 SoakWorld::SoakWorld(const SoakOptions &soakOptions)
     : options(soakOptions)
     , random(soakOptions.seed)
+    , demandRandom(soakOptions.seed)
     , store(loop, soakOptions.seed)
     , targets(loop, soakOptions.seed)
     , http(loop)
--- a/soak/soakworld.h
+++ b/soak/soakworld.h
@@ -10,6 +10,7 @@
 
 #include <absl/status/status.h>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -75,13 +76,36 @@
     bool isAccepted = false;
     bool isAbandoned = false; ///< True if the caller has used all its attempts or was told that the workflow cannot run.
     bool isCallOpen = false;
-    bool isLasting = false;      ///< Its task lasts; false from the time when the caller cancels it at the end of the soak.
-    bool isCancelWanted = false; ///< The caller sends cancellations until one is answered with success or 410.
+    bool isLasting = false;                     ///< Its task lasts; false from the time when the caller cancels it at the end of the soak.
+    bool mayBeAccepted = false;                 ///< A submission was accepted, or its outcome is not known.
+    bool isCancelWanted = false;                ///< The caller sends cancellations until one is answered with success or 410.
+    std::optional<TimePoint> cancelConfirmedAt; ///< When an answer first said that the workflow will not start any more.
     int attemptCount = 0;
     TimePoint nextCallAt;
     std::optional<WorkflowState> state;
 };
 
+/// A target of the soak that works and accepts new tasks.
+struct SoundTarget
+{
+    Resources free;
+    std::vector<std::string> labels;
+    std::map<StepId, int> tasks; ///< Number of running tasks of each step.
+
+    friend bool operator==(const SoundTarget &, const SoundTarget &) = default;
+};
+
+/// What the targets of the soak run, and what they have room for.
+struct FleetUse
+{
+    std::set<RequestId> workflowsAtWork;
+    std::set<TaskId> tasksAtWork;
+    std::map<TargetId, SoundTarget> sound;
+    bool isHalfInUse = false; ///< True if at least half of the capacity of all targets is in use.
+
+    friend bool operator==(const FleetUse &, const FleetUse &) = default;
+};
+
 struct SoakOptions
 {
     std::string program; ///< Path of the binary under test.
@@ -94,6 +118,7 @@
     bool hasUnequalHosts = false; ///< Hosts have shares of a core, as those of the users do, and are held to them.
     Duration meanWorkGap{300};    ///< Mean time between two submissions.
     int maxTasks = 6;             ///< Largest number of tasks of a step.
+    bool hasDemands = false;      ///< Steps demand a label, one rack, the rack of their data, or a limit of tasks on one target.
     std::vector<FaultKind> kinds = defaultFaultKinds();
 
     friend bool operator==(const SoakOptions &, const SoakOptions &) = default;
@@ -107,6 +132,7 @@
     SoakOptions options;
     EventLoop loop;
     std::mt19937 random;
+    std::mt19937 demandRandom; ///< Draws the demands of steps, so that the rest of the workload of a seed does not depend on them.
     PlatformStore store;
     PlatformTargets targets;
     HttpClient http;
@@ -123,8 +149,9 @@
     bool acceptsRefusals = false;   ///< Callers do not repeat submissions that were refused.
     bool cancelsUnanswered = false; ///< Callers cancel submissions that are not answered, and do not repeat them.
     TimePoint nextWorkAt;
-    std::map<RequestId, Standstill> standstills; ///< Workflows that stand still at the moment.
-    TimePoint nextStandstillSampleAt;
+    std::map<TaskId, Standstill> standstills; ///< Tasks that last and workflows, by their first task, that stand still at the moment.
+    TimePoint nextWorkSampleAt;
+    std::deque<FleetUse> recentUse; ///< Samples of about the last second, the newest at the end.
 };
 
 /// Starts the stand-ins, the proxies and the hosts.
--- a/soak/standstill.h
+++ b/soak/standstill.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "soakworld.h"
+#include "fleetuse.h"
 
 namespace sequoiastand
 {
 
-/// Notes the accepted workflows that have nothing running although the turn of one of their tasks has come, sound targets have room for it twice over, and
-/// less than half of the capacity is in use. To be called every few milliseconds.
-void noteStandstills(SoakWorld &world);
+/// Notes the accepted workflows that have nothing running although the turn of one of their tasks has come and sound targets that it may use have room for it,
+/// or for its whole gang, twice over; and in the same way each task that lasts and is not at work.
+void noteStandstills(SoakWorld &world, const FleetUse &use);
 
 /// Ends the periods that are still open, so that the history holds them.
 void endStandstills(SoakWorld &world);
