--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -167,11 +167,30 @@
     return withDemands(std::move(step), racks, leastPerTarget, world.demandRandom);
 }
 
+/// Submits work that is not urgent and occupies processors for a long time, which urgent work can use only after stopping it.
+void sendLongWork(SoakWorld &world)
+{
+    constexpr Duration work{20'000};
+    StepSpecification step;
+    step.taskCount = 2 * world.options.targets;
+    step.perTask = {15'000, 4'000, 0};
+    step.estimate = work;
+    step.isCheckpointable = true;
+    auto &workflow = addWorkflow(world, "patient", "hotels", specificationOf(step));
+    world.targets.fleet.behaviours.at(workflow.workflow.id) = {.work = work};
+    send(world, workflow, CallerAction::Submit);
+}
+
 void sendRandomWorkflow(SoakWorld &world)
 {
+    const auto isLong = [](const auto &row) { return row.second.workflow.queue.id.value == "patient" && isOpen(row.second); };
+    if (world.options.hasLongWork && std::ranges::none_of(world.workflows, isLong)) {
+        sendLongWork(world);
+        return;
+    }
     constexpr std::array<const char *, 3> queues{"urgent", "ordinary", "patient"};
     constexpr std::array<const char *, 2> organisations{"tailors", "hotels"};
-    const std::string queue = queues.at(static_cast<std::size_t>(drawNumber(world, 0, 2)));
+    const std::string queue = queues.at(static_cast<std::size_t>(drawNumber(world, 0, world.options.hasLongWork ? 1 : 2)));
     StepSpecification step;
     step.taskCount = drawNumber(world, 1, world.options.maxTasks);
     step.perTask = {1'000 * drawNumber(world, 1, 6), 2'000 * drawNumber(world, 1, 8), drawNumber(world, 1, 4)};
--- a/soak/soakmain.cpp
+++ b/soak/soakmain.cpp
@@ -45,7 +45,8 @@
     --rate=<n>        Mean number of workflows submitted in a second [default: 3.333].
     --width=<n>       Largest number of tasks of a step [default: 6].
     --demands=<kind>  "none", or "mixed": steps require a label that half of the targets have, one rack, the rack of their data, or
-                      a limit of tasks on one target [default: none].
+                      a limit of tasks on one target; or "processors": long work occupies the processors of all targets, so
+                      that urgent work has to stop it [default: none].
 
 Exit status: 0 if every guarantee held, 1 if one was violated, 2 if the run could not be made.
 )";
@@ -243,6 +244,7 @@
     options.calm = Duration{std::max(0L, arguments.at("--calm").asLong()) * 1'000};
     options.hasUnequalHosts = arguments.at("--shares").asString() == "unequal";
     options.hasDemands = arguments.at("--demands").asString() == "mixed";
+    options.hasLongWork = arguments.at("--demands").asString() == "processors";
     double rate = 0;
     if (!absl::SimpleAtod(arguments.at("--rate").asString(), &rate) || rate <= 0) {
         std::cerr << "--rate: expected a number above 0\n";
--- a/soak/soakworld.h
+++ b/soak/soakworld.h
@@ -119,6 +119,7 @@
     Duration meanWorkGap{300};    ///< Mean time between two submissions.
     int maxTasks = 6;             ///< Largest number of tasks of a step.
     bool hasDemands = false;      ///< Steps demand a label, one rack, the rack of their data, or a limit of tasks on one target.
+    bool hasLongWork = false;     ///< Work that is not urgent and needs processors alone occupies all targets for a long time.
     std::vector<FaultKind> kinds = defaultFaultKinds();
 
     friend bool operator==(const SoakOptions &, const SoakOptions &) = default;
