Send a silent target few stops until it answers

Its target had answered nothing for 20 s although its link was sound again after 11 s. A job of 1,000 tasks had been cancelled, and the owner sent about 300 stops to the target at once and repeated them together each second. All of them, and the target's hold, timed out until the lease had lapsed.

Its first answer lets all others go.

SilentTarget.cancelledJobSendsItFewStopsUntilItAnswers failed before: 300 stops in 3 s for 100 tasks, now fewer than one for each. That a slow stand-in alone would not have caused the case is not shown.

--- a/workflow/driveruns.cpp
+++ b/workflow/driveruns.cpp
@@ -6,6 +6,7 @@
 #include "targetorders.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <ranges>
 #include <string>
@@ -28,6 +29,10 @@
 // Time after which a gang is started although targets of it miss answers in turn; on a busy machine there may be no moment at which all of them have answered.
 constexpr Duration longestGangBlock{800};
 
+// Stops that may be under way at a target that has left an order unanswered. The stops of a wide job, sent together and repeated together, keep a target that
+// answers late from answering any of them, and its hold.
+constexpr int maxStopsAtSilentTarget = 4;
+
 void sendOrder(WorkflowBoard &board, TaskRun &run, const DomainTarget &target, TargetOrderRequest request)
 {
     run.isStopCall = std::holds_alternative<StopRun>(request);
@@ -193,13 +198,41 @@
     }
 }
 
-void driveStop(WorkflowBoard &board, const TaskRun &run)
+/// The stops under way at each target that has left an order unanswered.
+std::map<TargetId, int> stopsAtSilentTargets(const WorkflowBoard &board)
 {
-    if (board.now >= run.retryAt) {
-        sendStop(board, run);
-    } else {
-        subscribeNoLaterThan(board.timers, "orders", run.retryAt);
+    std::map<TargetId, int> stops;
+    for (const auto &[call, task] : board.runCalls) {
+        const auto *run = board.runs.find(task);
+        const auto *target = run == nullptr ? nullptr : board.targets.find(run->place.target);
+        if (target != nullptr && target->orderUnansweredAt && run->call == call && run->isStopCall) {
+            ++stops[target->registration.instance.target];
+        }
+    }
+    return stops;
+}
+
+/// The time from which the stop may be sent, as far as its target's silence decides.
+TimePoint stopAllowedAt(const WorkflowBoard &board, const TaskRun &run, const std::map<TargetId, int> &stopsAtSilent)
+{
+    const auto *target = board.targets.find(run.place.target);
+    if (target == nullptr || !target->orderUnansweredAt) {
+        return board.now;
+    }
+    const auto stops = stopsAtSilent.find(run.place.target);
+    const bool isFull = stops != stopsAtSilent.end() && stops->second >= maxStopsAtSilentTarget;
+    return (isFull ? board.now : *target->orderUnansweredAt) + board.self.limits.orderRetry;
+}
+
+void driveStop(WorkflowBoard &board, const TaskRun &run, std::map<TargetId, int> &stopsAtSilent)
+{
+    const auto allowedAt = std::max(run.retryAt, stopAllowedAt(board, run, stopsAtSilent));
+    if (allowedAt > board.now) {
+        subscribeNoLaterThan(board.timers, "orders", allowedAt);
+        return;
     }
+    ++stopsAtSilent[run.place.target];
+    sendStop(board, run);
 }
 
 /// Tasks of one step whose starts are due. Steps are served by priority and then by age.
@@ -298,6 +331,7 @@
             endBlock(board, TaskRun{*run});
         }
     }
+    auto stopsAtSilent = stopsAtSilentTargets(board);
     for (const auto &task : waiting) {
         const auto *present = board.runs.find(task);
         if (present == nullptr || present->call) {
@@ -305,7 +339,7 @@
         }
         const TaskRun run = *present;
         if (run.isStopWanted && !run.stoppedAt) {
-            driveStop(board, run);
+            driveStop(board, run, stopsAtSilent);
         } else if (run.step == RunStep::Starting && !run.stoppedAt) {
             driveStarting(board, run);
         }
