Take the reserve from targets that a step cannot use first

Callers saw steps with a required label wait for the reserve while most of the fleet was free: the reserve is the whole service's, but it was subtracted from what is free on the step's own targets.

What is free on the service's other targets now serves the reserve first, in the budget and in the test whether a step is too large for it. The new test AvoidableWait.reserveIsTakenFromTargetsThatTheStepCannotUseFirst failed before: 0 of 2 tasks started with 96 accelerators free elsewhere.

--- a/workflow/avoidablewait.cpp
+++ b/workflow/avoidablewait.cpp
@@ -3,7 +3,6 @@
 #include "packing.h"
 
 #include <algorithm>
-#include <functional>
 
 namespace sequoiastand
 {
@@ -32,8 +31,10 @@
     return waiting.waited >= longest;
 }
 
+using AcceleratorsOf = int (*)(const PlacementTarget &);
+
 /// Sum over the targets that the step may use, leaving the adviser's decision aside.
-int sumOverTargets(PlacementState &state, const WaitingStep &waiting, const std::function<int(const PlacementTarget &)> &acceleratorsOf)
+int sumOverTargets(PlacementState &state, const WaitingStep &waiting, AcceleratorsOf acceleratorsOf)
 {
     int sum = 0;
     for (const auto &rack : eligibleTargets(state.fleet, waiting)) {
@@ -44,6 +45,19 @@
     return sum;
 }
 
+/// Accelerators on the targets that the step may use that remain beside the reserve, which takes those on the service's other targets first.
+int besideReserve(PlacementState &state, const WaitingStep &waiting, AcceleratorsOf acceleratorsOf)
+{
+    const int ofStep = sumOverTargets(state, waiting, acceleratorsOf);
+    int ofService = ofStep;
+    if (!waiting.specification.requiredLabel.empty()) {
+        WaitingStep withoutLabel;
+        withoutLabel.service = waiting.service;
+        ofService = sumOverTargets(state, withoutLabel, acceleratorsOf);
+    }
+    return std::min(ofStep, ofService - reserveOf(state.input, waiting.service));
+}
+
 int freeOn(const PlacementTarget &target)
 {
     return std::max(0, target.free.accelerators);
@@ -94,9 +108,11 @@
     if (waiting.priority == 0) {
         return std::nullopt;
     }
-    const int reserve = reserveOf(state.input, waiting.service);
-    const bool isTooLarge = tasksAtOnce(waiting) * waiting.specification.perTask.accelerators > sumOverTargets(state, waiting, capacityOf) - reserve;
-    return isTooLarge ? std::nullopt : std::optional(freeAccelerators(state, waiting) - reserve);
+    const bool isTooLarge = tasksAtOnce(waiting) * waiting.specification.perTask.accelerators > besideReserve(state, waiting, capacityOf);
+    if (isTooLarge) {
+        return std::nullopt;
+    }
+    return besideReserve(state, waiting, freeOn);
 }
 
 bool mayLeaveDataRack(const PlacementState &state, const WaitingStep &waiting)
--- a/workflow/avoidablewait.h
+++ b/workflow/avoidablewait.h
@@ -14,7 +14,7 @@
 int reserveOf(const PlacementInput &input, const ServiceId &service);
 
 /// The number of accelerators that the step may take without using the reserve for urgent work. Without the reserve, urgent work would have to wait until other
-/// work has been stopped. A step that would not fit beside the reserve even on an
+/// work has been stopped. What is free on targets that the step cannot use serves the reserve first. A step that would not fit beside the reserve even on an
 /// empty fleet may use the reserve without limit, because otherwise it could never start.
 std::optional<int> acceleratorBudget(PlacementState &state, const WaitingStep &waiting);
 
