Let tasks without accelerators start beside the reserve

Tasks that need no accelerators waited while fewer accelerators were free than are reserved: the budget was then negative, and a demand of zero exceeds a negative budget. They take nothing of the reserve, so the budget is never below zero. AvoidableWait.tasksWithoutAcceleratorsDoNotWaitForTheReserve failed before: none of 3 tasks started, alone or as a gang.

--- a/tests/testavoidablewait.cpp
+++ b/tests/testavoidablewait.cpp
@@ -33,4 +33,16 @@
     EXPECT_EQ(startsOf(plan(), "task"), 0) << "28 of the 32 accelerators of the step's targets are needed for the reserve";
 }
 
+// Guards against tasks without accelerators that wait for the reserve, of which they take nothing.
+TEST_F(AvoidableWait, tasksWithoutAcceleratorsDoNotWaitForTheReserve)
+{
+    input.urgentReserves[{"press"}] = 51;
+    occupyAll(1, 12, 8);
+    auto &tasks = addBatch("tasks", 2, 3, 0);
+    tasks.specification.perTask = {1'000, 1'000, 0};
+    addGang("gang", 2, 3, 0).specification.perTask = {1'000, 1'000, 0};
+    EXPECT_EQ(startsOf(plan(), "tasks"), 3);
+    EXPECT_EQ(startsOf(plan(), "gang"), 3);
+}
+
 }
--- a/workflow/avoidablewait.cpp
+++ b/workflow/avoidablewait.cpp
@@ -112,7 +112,7 @@
     if (isTooLarge) {
         return std::nullopt;
     }
-    return besideReserve(state, waiting, freeOn);
+    return std::max(0, besideReserve(state, waiting, freeOn));
 }
 
 bool mayLeaveDataRack(const PlacementState &state, const WaitingStep &waiting)
