Bound every wait that the placement chooses

Callers saw jobs stand for up to 39 s although free accelerators would have held them twice over. Each chosen wait had its own limit or none: the reserve for urgent work had no bound in time, the wait for a single rack or for the rack of the data lasted twice the estimated run time, and a step with a failed run avoided suspect targets until 8 s after their last failure.

A step that has waited for 1.5 s beside room for it twice over, counted target by target, is now past its avoidable wait: it may take half of the free accelerators whatever the reserve, leave its rack, and use suspect targets if no other ones will do. isPastAvoidableWait() decides this for all of them. Independent tasks that may leave the rack of their data still use it first. A step that only suspect targets could hold is explained as such; the log called it reserved.

GangPlacement.oneRackGangWaitsForARackAsLongAsItThenEndsEarlier and workStaysNearItsDataUntilWaitingCostsMore expected waits of 3.9 s and 1.9 s beside room twice over, which the rule forbids. They now have room for less than that and check the same limits; the data rack is checked for a task and for a gang.

--- a/tests/testgangplacement.cpp
+++ b/tests/testgangplacement.cpp
@@ -64,9 +64,9 @@
     EXPECT_EQ(racksOf(plan(), "small"), (std::set<RackId>{{"r1"}}));
 }
 
-TEST_F(GangPlacement, oneRackGangWaitsForARackAsLongAsItThenEndsEarlier)
+TEST_F(GangPlacement, oneRackGangWithoutRoomTwiceOverWaitsForARackAsLongAsItThenEndsEarlier)
 {
-    for (const int number : {1, 5, 9, 13}) {
+    for (const int number : {1, 2, 5, 6, 9, 10, 13, 14, 15}) {
         occupy(number, 8);
     }
     auto &gang = addGang("together", 1, 4, 8);
@@ -108,17 +108,33 @@
     EXPECT_EQ(startsOf(plan(), "urgent"), 4);
 }
 
-TEST_F(GangPlacement, workStaysNearItsDataUntilWaitingCostsMore)
+TEST_F(GangPlacement, workWithoutRoomTwiceOverStaysNearItsDataUntilWaitingCostsMore)
 {
-    for (int number = 1; number <= 4; ++number) {
+    for (int number = 1; number <= 15; ++number) {
+        occupy(number, 8);
+    }
+    occupy(16, 4);
+    auto &task = addBatch("near", 2, 1, 4);
+    task.specification.dataRack = {"r1"};
+    task.remaining = Duration{1'000};
+    task.waited = Duration{1'900};
+    EXPECT_EQ(startsOf(plan(), "near"), 0);
+    task.waited = Duration{2'000};
+    EXPECT_EQ(startsOf(plan(), "near"), 1);
+}
+
+TEST_F(GangPlacement, gangWithoutRoomTwiceOverStaysNearItsDataUntilWaitingCostsMore)
+{
+    for (int number = 1; number <= 14; ++number) {
         occupy(number, 8);
     }
-    auto &batch = addBatch("near", 2, 2, 4);
-    batch.specification.dataRack = {"r1"};
-    batch.remaining = Duration{1'000};
-    batch.waited = Duration{1'900};
+    occupy(16, 4);
+    auto &gang = addGang("near", 2, 2, 4);
+    gang.specification.dataRack = {"r1"};
+    gang.remaining = Duration{1'000};
+    gang.waited = Duration{1'900};
     EXPECT_EQ(startsOf(plan(), "near"), 0);
-    batch.waited = Duration{2'000};
+    gang.waited = Duration{2'000};
     EXPECT_EQ(startsOf(plan(), "near"), 2);
 }
 
--- a/workflow/avoidablewait.cpp
+++ b/workflow/avoidablewait.cpp
@@ -23,12 +23,29 @@
     return waiting.specification.isGang ? static_cast<int>(waiting.tasks.size()) : 1;
 }
 
-bool mayLeaveLocality(const PlacementState &state, const WaitingStep &waiting)
+bool hasRoomTwiceOver(PlacementState &state, const WaitingStep &waiting)
+{
+    const int needed = 2 * tasksAtOnce(waiting);
+    int room = 0;
+    for (const auto &rack : eligibleTargets(state.fleet, waiting)) {
+        for (const std::size_t number : rack.targets) {
+            const auto &target = state.fleet.targets[number];
+            const int tasks = std::min(needed, tasksThatFit(waiting.specification.perTask, target.free));
+            room += tasks > 0 && isAllowed(waiting, target) && roomForTasks(waiting, target, target.free) > 0 ? tasks : 0;
+        }
+        if (room >= needed) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool mayLeaveLocality(PlacementState &state, const WaitingStep &waiting)
 {
     const auto worthwhile = std::chrono::duration_cast<Duration>(waiting.remaining * localityWaitFactor(state.input));
     // Urgent work must start in time, so after `maxLocalityWait` it is placed even away from its data or on several racks.
     const auto longest = waiting.priority == 0 ? std::min(worthwhile, state.input.maxLocalityWait) : worthwhile;
-    return waiting.waited >= longest;
+    return waiting.waited >= longest || isPastAvoidableWait(state, waiting);
 }
 
 using AcceleratorsOf = int (*)(const PlacementTarget &);
@@ -92,6 +109,11 @@
 
 }
 
+bool isPastAvoidableWait(PlacementState &state, const WaitingStep &waiting)
+{
+    return waiting.waited >= state.input.maxAvoidableWait && hasRoomTwiceOver(state, waiting);
+}
+
 int freeAccelerators(PlacementState &state, const WaitingStep &waiting)
 {
     return sumOverTargets(state, waiting, freeOn);
@@ -112,10 +134,12 @@
     if (isTooLarge) {
         return std::nullopt;
     }
-    return std::max(0, besideReserve(state, waiting, freeOn));
+    const int unreserved = std::max(0, besideReserve(state, waiting, freeOn));
+    const int half = freeAccelerators(state, waiting) / 2;
+    return unreserved < half && isPastAvoidableWait(state, waiting) ? half : unreserved;
 }
 
-bool mayLeaveDataRack(const PlacementState &state, const WaitingStep &waiting)
+bool mayLeaveDataRack(PlacementState &state, const WaitingStep &waiting)
 {
     return mayLeaveLocality(state, waiting) || !canDataRackComeFree(state, waiting);
 }
--- a/workflow/placement.cpp
+++ b/workflow/placement.cpp
@@ -48,7 +48,7 @@
     return limits;
 }
 
-std::optional<TaskCounts> placeGang(PlacementState &state, const WaitingStep &waiting, const RoomOf &roomOf)
+std::optional<TaskCounts> packGang(PlacementState &state, const WaitingStep &waiting, const RoomOf &roomOf)
 {
     const int count = static_cast<int>(waiting.tasks.size());
     const auto limits = limitsFor(state, waiting, roomOf);
@@ -64,14 +64,46 @@
     return packTasks(state.fleet, waiting, count, limits);
 }
 
+/// The step as one that may use suspect targets.
+WaitingStep withSuspects(WaitingStep waiting)
+{
+    waiting.avoidsSuspects = false;
+    return waiting;
+}
+
+bool mayTurnToSuspects(PlacementState &state, const WaitingStep &waiting)
+{
+    return waiting.avoidsSuspects && isPastAvoidableWait(state, waiting);
+}
+
+std::optional<TaskCounts> placeGang(PlacementState &state, const WaitingStep &waiting, const RoomOf &roomOf)
+{
+    auto counts = packGang(state, waiting, roomOf);
+    return counts || !mayTurnToSuspects(state, waiting) ? counts : packGang(state, withSuspects(waiting), roomOf);
+}
+
+int sumOf(const TaskCounts &counts)
+{
+    return std::accumulate(counts.begin(), counts.end(), 0);
+}
+
+/// Packs as many of the tasks as there is room for in the rack of their data, or if it has none and may be left, on any targets.
+TaskCounts packIndependentTasks(PlacementState &state, const WaitingStep &waiting)
+{
+    const int count = static_cast<int>(waiting.tasks.size());
+    const auto limits = limitsFor(state, waiting, freeRoom);
+    if (waiting.specification.dataRack.value.empty()) {
+        return packAsManyAsFit(state.fleet, waiting, count, limits);
+    }
+    auto counts = packAsManyAsFit(state.fleet, waiting, count, limitedToDataRack(waiting, limits));
+    return sumOf(counts) > 0 || !mayLeaveDataRack(state, waiting) ? counts : packAsManyAsFit(state.fleet, waiting, count, limits);
+}
+
 /// Places as many of the tasks as there is room for; the tasks start independently of each other.
 TaskCounts placeIndependentTasks(PlacementState &state, const WaitingStep &waiting)
 {
-    const auto &step = waiting.specification;
-    const bool mustUseDataRack = !step.dataRack.value.empty() && !mayLeaveDataRack(state, waiting);
-    const auto limits = limitsFor(state, waiting, freeRoom);
-    const auto packingLimits = mustUseDataRack ? limitedToDataRack(waiting, limits) : limits;
-    return packAsManyAsFit(state.fleet, waiting, static_cast<int>(waiting.tasks.size()), packingLimits);
+    auto counts = packIndependentTasks(state, waiting);
+    return sumOf(counts) > 0 || !mayTurnToSuspects(state, waiting) ? counts : packIndependentTasks(state, withSuspects(waiting));
 }
 
 void takeRoom(std::vector<PlacementTarget> &targets, const WaitingStep &waiting, const TaskCounts &counts)
@@ -198,7 +230,7 @@
     releaseHeldRoom(state, waiting);
     const auto counts = placeIndependentTasks(state, waiting);
     startTasks(state, plan, waiting, counts);
-    const auto placed = std::accumulate(counts.begin(), counts.end(), 0);
+    const int placed = sumOf(counts);
     if (waiting.priority != 0 || std::cmp_equal(placed, waiting.tasks.size())) {
         return;
     }
@@ -220,10 +252,12 @@
         withoutAdvice.advice.reset();
         return waiting.advice && packTasks(state.fleet, withoutAdvice, count, anywhere) ? WaitReason::NotAdvised : WaitReason::NoRoom;
     }
-    const bool isReserved = !packTasks(state.fleet, waiting, count, limitsFor(state, waiting, freeRoom));
-    if (isReserved) {
+    if (!packTasks(state.fleet, waiting, count, limitsFor(state, withSuspects(waiting), freeRoom))) {
         return WaitReason::Reserve;
     }
+    if (!packTasks(state.fleet, waiting, count, limitsFor(state, waiting, freeRoom))) {
+        return WaitReason::Suspects;
+    }
     return waiting.specification.needsOneRack ? WaitReason::OneRack : WaitReason::DataRackFull;
 }
 
@@ -265,10 +299,11 @@
 
 std::string_view name(WaitReason reason)
 {
-    static constexpr std::array<std::string_view, 6> names{"no target has room",
+    static constexpr std::array<std::string_view, 7> names{"no target has room",
                                                            "the free accelerators are reserved for urgent work",
                                                            "no single rack has room",
                                                            "the rack of its data has no room",
+                                                           "only suspect targets have room",
                                                            "the targets that its adviser has allowed have no room",
                                                            "other work is being stopped for it"};
     return names.at(static_cast<std::size_t>(reason));
--- a/workflow/placement.h
+++ b/workflow/placement.h
@@ -51,8 +51,8 @@
     int priority = 0;
     bool isGuaranteed = false; ///< Work of the most urgent priority within its organisation's guarantee; it may reclaim resources that others have borrowed.
     std::vector<int> tasks;
-    bool avoidsSuspects = false;           ///< A run of the step has failed, so the step has few attempts left and does not use suspect targets.
-    Duration waited{0};                    ///< Time since the step could first have started.
+    bool avoidsSuspects = false;           ///< A run of the step has failed, so the step has few attempts left and uses suspect targets only in need.
+    Duration waited{0};                    ///< Time since the step's occurrence was due or accepted; includes earlier steps and runs, so it may be too long.
     Duration remaining{0};                 ///< Estimated remaining run time.
     Duration slack{0};                     ///< Time until the step must start to meet its objective; negative if it is late.
     std::map<TargetId, int> tasksOnTarget; ///< Number of the step's tasks that already have a place on each target.
@@ -88,6 +88,7 @@
     Duration stopTime{500};                  ///< Time from the decision to stop a run until its room is known to be free.
     double remoteFactor = 3;                 ///< Factor by which run time grows for a gang on several racks, or for a task outside the rack of its data.
     Duration maxLocalityWait{1'000};         ///< Longest time that urgent work waits for a single rack or for the rack of its data.
+    Duration maxAvoidableWait{1'500};        ///< Longest time that a step waits although there is room for it twice over.
     bool mayPreempt = true;                  ///< Work may be preempted for urgent steps; false while the state of much of the fleet is unknown.
     std::map<ServiceId, int> urgentReserves; ///< Accelerators of each service that work below the most urgent priority leaves free.
 
@@ -117,6 +118,7 @@
     Reserve,      ///< There is room, but it is reserved for urgent work.
     OneRack,      ///< There is room, but not in any single rack.
     DataRackFull, ///< There is room, but not in the rack of the step's data.
+    Suspects,     ///< There is room, but only with suspect targets, which the step avoids after a failed run.
     NotAdvised,   ///< There is room, but not on the targets that the step's adviser has allowed so far.
     Preempting,   ///< Other work is being stopped to make room for the step.
 };
--- a/workflow/placementinput.cpp
+++ b/workflow/placementinput.cpp
@@ -25,6 +25,9 @@
 // Part of the reclaim bound that is left for the start itself and for a store that answers slowly.
 constexpr Duration reclaimMargin{600};
 
+// A job without a run counts as lost after 3 s if there is room for it twice over. Half of that is left for placement, the record and the start order.
+constexpr Duration maxAvoidableWait{1'500};
+
 // Remaining validity that a ticket must have at placement, because the run must be recorded and its start order must arrive before the ticket expires. Both
 // together take about 20 ms, or longer if the store answers slowly.
 constexpr Duration ticketMargin{300};
@@ -259,6 +262,7 @@
     input.stopTime = limits.stopGrace + stopOverhead;
     input.remoteFactor = limits.remoteFactor;
     input.maxLocalityWait = limits.reclaimBound - limits.stopGrace - reclaimMargin;
+    input.maxAvoidableWait = maxAvoidableWait;
     input.mayPreempt = isFleetKnown(board);
     input.urgentReserves = urgentReserves(board);
     return input;
