Bound the wait for the reserve without room twice over too

With the bound on chosen waits, steps that fit once but not twice over, target by target, still waited for the reserve for up to 29 s beside hundreds of free accelerators whose targets have little memory or processor time left. The reserve still had no bound in time for them.

--- a/workflow/avoidablewait.cpp
+++ b/workflow/avoidablewait.cpp
@@ -136,7 +136,7 @@
     }
     const int unreserved = std::max(0, besideReserve(state, waiting, freeOn));
     const int half = freeAccelerators(state, waiting) / 2;
-    return unreserved < half && isPastAvoidableWait(state, waiting) ? half : unreserved;
+    return waiting.waited < state.input.maxAvoidableWait ? unreserved : std::max(unreserved, half);
 }
 
 bool mayLeaveDataRack(PlacementState &state, const WaitingStep &waiting)
