--- a/workflow/avoidablewait.cpp
+++ b/workflow/avoidablewait.cpp
@@ -3,7 +3,6 @@
 #include "packing.h"
 
 #include <algorithm>
-#include <functional>
 
 namespace sequoiastand
 {
@@ -24,13 +23,15 @@
     return waiting.specification.isGang ? static_cast<int>(waiting.tasks.size()) : 1;
 }
 
-bool hasRoomTwiceOver(const PlacementState &state, const WaitingStep &waiting)
+bool hasRoomTwiceOver(PlacementState &state, const WaitingStep &waiting)
 {
     const int needed = 2 * tasksAtOnce(waiting);
     int room = 0;
-    for (const auto &target : state.fleet.targets) {
-        if (isAllowed(waiting, target) && roomForTasks(waiting, target, target.free) > 0) {
-            room += std::min(needed, tasksThatFit(waiting.specification.perTask, target.free));
+    for (const auto &rack : eligibleTargets(state.fleet, waiting)) {
+        for (const std::size_t number : rack.targets) {
+            const auto &target = state.fleet.targets[number];
+            const int tasks = std::min(needed, tasksThatFit(waiting.specification.perTask, target.free));
+            room += tasks > 0 && isAllowed(waiting, target) && roomForTasks(waiting, target, target.free) > 0 ? tasks : 0;
         }
         if (room >= needed) {
             return true;
@@ -39,7 +40,7 @@
     return false;
 }
 
-bool mayLeaveLocality(const PlacementState &state, const WaitingStep &waiting)
+bool mayLeaveLocality(PlacementState &state, const WaitingStep &waiting)
 {
     const auto worthwhile = std::chrono::duration_cast<Duration>(waiting.remaining * localityWaitFactor(state.input));
     // Urgent work must start in time, so after `maxLocalityWait` it is placed even away from its data or on several racks.
@@ -47,14 +48,13 @@
     return waiting.waited >= longest || isPastAvoidableWait(state, waiting);
 }
 
-/// Sum over the targets that accept work of the service and have the label, if it is not empty.
-int sumOverTargets(PlacementState &state, const ServiceId &service, const std::string &label, const std::function<int(const PlacementTarget &)> &acceleratorsOf)
+using AcceleratorsOf = int (*)(const PlacementTarget &);
+
+/// Sum over the targets that the step may use, leaving the adviser's decision aside.
+int sumOverTargets(PlacementState &state, const WaitingStep &waiting, AcceleratorsOf acceleratorsOf)
 {
-    WaitingStep anyStep;
-    anyStep.service = service;
-    anyStep.specification.requiredLabel = label;
     int sum = 0;
-    for (const auto &rack : eligibleTargets(state.fleet, anyStep)) {
+    for (const auto &rack : eligibleTargets(state.fleet, waiting)) {
         for (const std::size_t number : rack.targets) {
             sum += acceleratorsOf(state.fleet.targets[number]);
         }
@@ -63,10 +63,15 @@
 }
 
 /// Accelerators on the targets that the step may use that remain beside the reserve, which takes those on the service's other targets first.
-int besideReserve(PlacementState &state, const WaitingStep &waiting, const std::function<int(const PlacementTarget &)> &acceleratorsOf)
-{
-    const int ofStep = sumOverTargets(state, waiting.service, waiting.specification.requiredLabel, acceleratorsOf);
-    const int ofService = sumOverTargets(state, waiting.service, {}, acceleratorsOf);
+int besideReserve(PlacementState &state, const WaitingStep &waiting, AcceleratorsOf acceleratorsOf)
+{
+    const int ofStep = sumOverTargets(state, waiting, acceleratorsOf);
+    int ofService = ofStep;
+    if (!waiting.specification.requiredLabel.empty()) {
+        WaitingStep withoutLabel;
+        withoutLabel.service = waiting.service;
+        ofService = sumOverTargets(state, withoutLabel, acceleratorsOf);
+    }
     return std::min(ofStep, ofService - reserveOf(state.input, waiting.service));
 }
 
@@ -104,14 +109,14 @@
 
 }
 
-bool isPastAvoidableWait(const PlacementState &state, const WaitingStep &waiting)
+bool isPastAvoidableWait(PlacementState &state, const WaitingStep &waiting)
 {
     return waiting.waited >= state.input.maxAvoidableWait && hasRoomTwiceOver(state, waiting);
 }
 
 int freeAccelerators(PlacementState &state, const WaitingStep &waiting)
 {
-    return sumOverTargets(state, waiting.service, waiting.specification.requiredLabel, freeOn);
+    return sumOverTargets(state, waiting, freeOn);
 }
 
 int reserveOf(const PlacementInput &input, const ServiceId &service)
@@ -131,10 +136,10 @@
     }
     const int unreserved = std::max(0, besideReserve(state, waiting, freeOn));
     const int half = freeAccelerators(state, waiting) / 2;
-    return unreserved < half && isPastAvoidableWait(state, waiting) ? half : unreserved;
+    return waiting.waited < state.input.maxAvoidableWait ? unreserved : std::max(unreserved, half);
 }
 
-bool mayLeaveDataRack(const PlacementState &state, const WaitingStep &waiting)
+bool mayLeaveDataRack(PlacementState &state, const WaitingStep &waiting)
 {
     return mayLeaveLocality(state, waiting) || !canDataRackComeFree(state, waiting);
 }
