Carry out a reload that is asked for during the start

A host that received SIGHUP while it read its settings ended by the signal, because the default action holds until the event loop watches it. Seen once in a soak; an operator who reloads right after a start would see the same.

main() now records SIGHUP from its first line, and `serve` reloads the settings once it watches the signal. Blocking the signal would not be enough: the threads that log4cplus starts do not inherit the mask. The other commands still end on SIGHUP.

--- a/app/sequoiastandmain.cpp
+++ b/app/sequoiastandmain.cpp
@@ -1,4 +1,5 @@
 #include "app/exitcode.h"
+#include "app/hangup.h"
 #include "app/serve.h"
 #include "app/statementclient.h"
 #include "net/socketaddress.h"
@@ -143,6 +144,7 @@
         // Skips static destructors: the destructor of log4cplus joins a thread of its pool and would block forever on systems where other threads stop at exit.
         std::quick_exit(serve(arguments.at("--settings").asString()));
     }
+    restoreHangUps();
     if (arguments.at("check-config").asBool()) {
         return checkConfig(arguments.at("FILE").asString());
     }
@@ -157,6 +159,7 @@
 
 int main(int argc, char **argv)
 {
+    recordHangUps();
     try {
         return runCommand(docopt::docopt_parse(usage, {argv + 1, argv + argc}, true, true));
     } catch (const docopt::DocoptExitHelp &) {
--- a/app/serve.cpp
+++ b/app/serve.cpp
@@ -1,6 +1,7 @@
 #include "serve.h"
 
 #include "exitcode.h"
+#include "hangup.h"
 #include "log.h"
 #include "settings.h"
 #include "settingswatch.h"
@@ -58,9 +59,11 @@
         log.flush();
     });
     const StatementService statements(hostLoop);
-    SignalWatch hangUp(loop, SIGHUP, [&log] {
-        log.write({"reload", "", "", "settings not reloaded: a host of a zone domain reads them only at startup", false});
-    });
+    const auto refuseReload = [&log] { log.write({"reload", "", "", "settings not reloaded: a host of a zone domain reads them only at startup", false}); };
+    SignalWatch hangUp(loop, SIGHUP, refuseReload);
+    if (takeRecordedHangUp()) {
+        refuseReload();
+    }
     return runHost(loop, hostLoop, log, "serving callers on " + host.httpAddress + " and peers on " + host.peerAddress);
 }
 
@@ -82,7 +85,10 @@
         }
     };
     const auto logError = [&](const std::string &error) { log.write({"reload", "", "", "settings not changed: " + error, true}); };
-    const SettingsWatch watch(loop, settingsFile, initial, apply, logError);
+    SettingsWatch watch(loop, settingsFile, initial, apply, logError);
+    if (takeRecordedHangUp()) {
+        watch.reload();
+    }
     return runHost(loop, domainLoop, log, "serving callers on " + settings.domain.callerAddress + ", store " + settings.storeAddress);
 }
 
