Ask soon for adopted runs that no list shows

After a change of owner, a gang that was recorded and never started stood until the second hold of one of its targets was answered, which waits for up to 1.2 s for an end of a run that does not exist. The first hold is sent in the millisecond in which the runs are adopted, so its list does not count; a hold waited briefly only if the stop of a run was wanted already.

A target with an adopted run that no list has shown now gets a hold that waits for 100 ms at most, as one with a stopped run does.

TakeOver.recordedGangStartsSoonAlthoughItsStartsWereNeverSent on virtual time: the gang of 16 tasks started 1,285 ms after the new owner had its authority; the test failed with "the condition does not hold after 600 ms", and its counterpart on targets that answer after 60 ms did not hold after 1,000 ms. Both pass now.

--- a/workflow/holdtargets.cpp
+++ b/workflow/holdtargets.cpp
@@ -24,8 +24,8 @@
 // harm these tasks.
 constexpr int reportsPerHarmBound = 10;
 
-// Longest wait of a hold to a target from which a stopped run may be missing. Such a run has no end that would answer the hold earlier, and its task may start
-// elsewhere only once a list lacks it.
+// Longest wait of a hold to a target from which a stopped or adopted run may be missing. Such a run has no end that would answer the hold earlier, and its task
+// may start elsewhere only once a list lacks it.
 constexpr Duration absenceWait{100};
 
 // Of the probes of a silent target with runs, every third one waits longer for its answer, so that a target that answers late keeps its runs.
@@ -73,13 +73,13 @@
     return isPatient ? std::max(patientProbeTimeout, board.self.limits.orderTimeout) : board.self.limits.orderTimeout;
 }
 
-/// True if the target has a run whose stop is wanted and which its latest list lacks.
+/// True if the target has a run that was adopted or whose stop is wanted, and which no list has shown.
 bool awaitsAbsence(const WorkflowBoard &board, const TargetId &id)
 {
     const auto &tasks = board.runs.useOf(id).tasks;
     return std::ranges::any_of(tasks, [&](const TaskId &task) {
         const auto &run = *board.runs.find(task);
-        return run.isStopWanted && !run.isListed;
+        return (run.isStopWanted || run.step == RunStep::Unconfirmed) && !run.isListed;
     });
 }
 
