Adapt the timeout of store calls to the store's answer time

Proofs, commits, claims and writes of callers were given up after 400 ms. While a store answered later than that, no proof succeeded, hosts refused callers, no progress was stored, nothing was placed, and every call was sent again and again. The class: a timeout shorter than an answer, with a remedy that adds load.

The timeout now follows the measured answer time with the estimate that starts use (RFC 6298), within 400 ms and 1.2 s. A proof's call always runs for 1.2 s. If it is not answered within the expected time, it counts as missed and is repeated on a new connection, at the pace of before, so a connection that has gone silent costs no more than it did; a late answer is still read and counts from the sending of its proof. The estimate has only answers as samples: a store that does not answer at all is found to be unreachable as soon as before.

Conflicts now arrive late as well. One whose proof was sent with other conditions than those known now is not applied, because it may be older than what a watch has reported; another proof is sent at once.

Price: the client ends silent idle connections 800 ms later if only a proof has met one.

--- a/core/storerecord.h
+++ b/core/storerecord.h
@@ -238,6 +238,7 @@
     StoreRequest request;
     long long lease = 0; ///< Lease of the writes that are bound to the host's lease.
     Duration timeout{0};
+    bool opensConnection = false; ///< Uses a new connection, because another one may no longer respond.
 
     friend bool operator==(const StoreCall &, const StoreCall &) = default;
 };
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -173,7 +173,7 @@
         transfer->headers = curl_slist_append(transfer->headers, ("Authorization: Bearer " + call.bearerToken).c_str());
     }
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
-    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, m_failedAddresses.contains(call.address) ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.opensConnection || m_failedAddresses.contains(call.address) ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, call.closesConnection ? 1L : 0L);
     const auto id = transfer->id;
     m_transfers.emplace(id, std::move(transfer));
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -24,6 +24,7 @@
     std::string bearerToken;
     Duration timeout{0};                   ///< Time limit for the whole call; zero means none, for streams.
     std::vector<std::string> headers;      ///< Additional headers, as "Name: value".
+    bool opensConnection = false;          ///< Opens a new connection for the call.
     bool closesConnection = false;         ///< Closes the connection after the call, for addresses that are called rarely.
     bool isRetryable = false;              ///< If a reused connection turns out to be closed, the call may be sent a second time on a new connection.
     std::optional<TimePoint> sendBefore;   ///< From this time on the request is not sent any more, for instance because the sender's permission has ended.
--- a/workflow/controllers.h
+++ b/workflow/controllers.h
@@ -5,6 +5,10 @@
 namespace sequoiastand
 {
 
+/// Measures the time in which the store answers calls.
+/// Reads the events; writes `storeAnswers` and `storeCalls`.
+void measureStoreAnswers(WorkflowBoard &board);
+
 /// Mirrors the prefixes of the store that this host needs by a complete read followed by a watch. A watch that is lost or reports nothing is replaced by a new
 /// read.
 /// Reads the events, `ownership` and `view`; writes `mirrors` and `updates`.
--- a/workflow/domainsettings.h
+++ b/workflow/domainsettings.h
@@ -27,7 +27,8 @@
 
     Duration proofPeriod{1'000};      ///< Time between two proofs of the configuration; three periods fit into `maxProofAge`.
     Duration maxProofAge{3'000};      ///< Age up to which a proof counts: `revokeBound` less the duration of a call and the largest difference between clocks.
-    Duration storeTimeout{400};       ///< Timeout of a store call. The store answers within milliseconds, or a quarter of a second when it is slow.
+    Duration storeTimeout{400};       ///< Shortest timeout of a store call. The store answers within milliseconds, or a quarter of a second when it is slow.
+    Duration maxStoreTimeout{1'200};  ///< Longest timeout of such a call, if the store answers late; a claim is made within the lease that was granted for it.
     Duration storeReadTimeout{1'200}; ///< Timeout of each page of a read of a prefix, which nothing waits for as urgently as for other calls.
     Duration storeRetry{100};         ///< Delay before a retry after a failed store call.
     Duration ownerLease{1'500};       ///< Lease of the owner key, and so the time without an owner after the owner has crashed.
--- a/workflow/proveconfiguration.cpp
+++ b/workflow/proveconfiguration.cpp
@@ -13,6 +13,11 @@
 // Number of consecutive unanswered proofs after which the store counts as unreachable; a single answer may get lost.
 constexpr int missedProofs = 2;
 
+bool isAnswer(const StoreReply &reply)
+{
+    return reply.outcome == StoreOutcome::Applied || reply.outcome == StoreOutcome::Conflict;
+}
+
 void adoptConfiguration(WorkflowBoard &board, const QueueConfiguration &configuration, Revision revision)
 {
     auto &view = board.view;
@@ -99,11 +104,11 @@
 }
 
 /// Applies the current entries of the conditions' keys as updates. The owner key is passed to claimDomain by `updates`.
-void applyConflict(WorkflowBoard &board, const StoreReply &reply)
+void applyConflict(WorkflowBoard &board, const StoreProof &proof, const StoreReply &reply)
 {
     MirrorUpdate changed{"config/", false, {}, {}, 0};
     MirrorUpdate owner{domainOwnerKey().path, true, {}, {}, 0};
-    for (const auto &condition : proofConditions(board)) {
+    for (const auto &condition : proof.conditions) {
         const auto entry = std::ranges::find(reply.entries, condition.key, &StoreEntry::key);
         auto &update = condition.key == domainOwnerKey() ? owner : changed;
         if (entry != reply.entries.end()) {
@@ -144,42 +149,99 @@
                 isUnreadable);
 }
 
-void handleProofReply(WorkflowBoard &board)
+void countFailure(WorkflowBoard &board, const std::string &error, const std::string &label)
 {
     auto &view = board.view;
-    const auto *reply = findReply(board, view.proof);
-    if (reply == nullptr) {
-        return;
-    }
-    view.proof.reset();
-    if (reply->outcome != StoreOutcome::Applied && reply->outcome != StoreOutcome::Conflict) {
-        count(board.counters, "proofFailures", "");
-        view.proofError = reply->error;
-        view.nextProofAt = board.now + board.self.limits.storeRetry;
-        if (++view.failedProofs >= missedProofs) {
-            setReachable(board, false);
-        }
-        return;
+    count(board.counters, "proofFailures", label);
+    view.proofError = error;
+    ++view.failedProofs;
+    view.nextProofAt = board.now + board.self.limits.storeRetry;
+}
+
+void noteMissedProof(WorkflowBoard &board, const std::string &error)
+{
+    countFailure(board, error, "");
+    if (board.view.failedProofs >= missedProofs) {
+        setReachable(board, false);
     }
+}
+
+void handleProofAnswer(WorkflowBoard &board, const StoreProof &proof, const StoreReply &reply)
+{
+    auto &view = board.view;
     // The error of a conflict names an entry that cannot be decoded. The known configuration may then hold a key that has been withdrawn.
-    const bool isUnreadable = reply->outcome == StoreOutcome::Conflict && !reply->error.empty();
-    setUnreadable(board, isUnreadable, reply->error);
-    if (reply->outcome == StoreOutcome::Conflict) {
-        applyConflict(board, *reply);
+    const bool isConflict = reply.outcome == StoreOutcome::Conflict;
+    const bool isUnreadable = isConflict && !reply.error.empty();
+    setUnreadable(board, isUnreadable, reply.error);
+    // What this host has learned since it sent the proof may be newer than the entries of the conflict.
+    const bool isOutdated = isConflict && proof.conditions != proofConditions(board);
+    if (isConflict && !isOutdated) {
+        applyConflict(board, proof, reply);
     }
     if (isUnreadable) {
-        count(board.counters, "proofFailures", "unreadable");
-        view.proofError = reply->error;
-        ++view.failedProofs;
-        view.nextProofAt = board.now + board.self.limits.storeRetry;
+        countFailure(board, reply.error, "unreadable");
         return;
     }
     view.failedProofs = 0;
     view.proofError.clear();
-    view.provenAt = view.proofSentAt;
-    const bool isInvalidated = view.invalidatedAt && view.provenAt < view.invalidatedAt;
-    view.nextProofAt = isInvalidated ? board.now : view.proofSentAt + board.self.limits.proofPeriod;
     setReachable(board, true);
+    if (isOutdated) {
+        view.nextProofAt = board.now;
+        return;
+    }
+    view.provenAt = proof.sentAt;
+    const bool isInvalidated = view.invalidatedAt && view.provenAt < view.invalidatedAt;
+    view.nextProofAt = isInvalidated ? board.now : proof.sentAt + board.self.limits.proofPeriod;
+}
+
+/// Reads the answers to all proofs under way, newest first. An answer makes the older proofs superfluous.
+void readProofReplies(WorkflowBoard &board)
+{
+    auto &view = board.view;
+    if (const auto proof = view.proof) {
+        if (const auto *reply = findReply(board, proof->call)) {
+            view.proof.reset();
+            if (isAnswer(*reply)) {
+                view.lateProofs.clear();
+                handleProofAnswer(board, *proof, *reply);
+            } else {
+                noteMissedProof(board, reply->error);
+            }
+        }
+    }
+    for (const auto &proof : std::vector(view.lateProofs.rbegin(), view.lateProofs.rend())) {
+        const auto *reply = findReply(board, proof.call);
+        if (reply == nullptr || std::ranges::find(view.lateProofs, proof) == view.lateProofs.end()) {
+            continue;
+        }
+        if (isAnswer(*reply)) {
+            std::erase_if(view.lateProofs, [&](const StoreProof &other) { return other.sentAt <= proof.sentAt; });
+            handleProofAnswer(board, proof, *reply);
+        } else {
+            std::erase(view.lateProofs, proof);
+        }
+    }
+}
+
+/// Stops waiting for the newest proof before its call ends, so that a connection that no longer responds delays the next proof no more than an answer would.
+void passOverLateProof(WorkflowBoard &board)
+{
+    auto &view = board.view;
+    const auto timeout = timeoutWithLag(board, storeTimeout(board));
+    if (board.now < view.proof->sentAt + timeout) {
+        subscribeNoLaterThan(board.timers, "proof", view.proof->sentAt + timeout);
+        return;
+    }
+    view.lateProofs.push_back(*std::exchange(view.proof, std::nullopt));
+    noteMissedProof(board, "no answer within " + std::to_string(timeout.count()) + " ms");
+}
+
+void sendProof(WorkflowBoard &board)
+{
+    const auto conditions = proofConditions(board);
+    const auto call = sendToStore(board, StoreTransaction{{}, conditions}, 0, std::max(storeTimeout(board), board.self.limits.maxStoreTimeout));
+    std::get<StoreCall>(board.outbox.back()).opensConnection = !board.view.lateProofs.empty();
+    board.view.proof = StoreProof{call, board.now, conditions};
 }
 
 }
@@ -192,14 +254,17 @@
             applyUpdate(board, update);
         }
     }
-    handleProofReply(board);
+    readProofReplies(board);
     auto &view = board.view;
+    if (view.proof) {
+        passOverLateProof(board);
+    }
     if (!view.isLoaded || !board.ownership.isKnown) {
         return;
     }
     if (!view.proof && board.now >= view.nextProofAt) {
-        view.proof = sendToStore(board, StoreTransaction{{}, proofConditions(board)});
-        view.proofSentAt = board.now;
+        sendProof(board);
+        subscribeNoLaterThan(board.timers, "proof", board.now + timeoutWithLag(board, storeTimeout(board)));
     }
     if (!view.proof) {
         subscribeNoLaterThan(board.timers, "proof", view.nextProofAt);
--- a/workflow/workflowboard.cpp
+++ b/workflow/workflowboard.cpp
@@ -2,6 +2,7 @@
 
 #include "core/random.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace sequoiastand
@@ -13,14 +14,24 @@
     return timeout + std::chrono::duration_cast<Duration>(lagsPerAnswer * board.lag.mean);
 }
 
+Duration storeTimeout(const WorkflowBoard &board)
+{
+    const auto least = board.self.limits.storeTimeout;
+    return timeoutFor(board.storeAnswers, least, std::max(least, board.self.limits.maxStoreTimeout));
+}
+
 CallId sendToStore(WorkflowBoard &board, StoreRequest request, long long lease, std::optional<Duration> timeout)
 {
     StoreCall call;
     call.id = takeCallId(board);
     call.request = std::move(request);
     call.lease = lease;
-    call.timeout = timeoutWithLag(board, timeout.value_or(board.self.limits.storeTimeout));
+    call.timeout = timeoutWithLag(board, timeout.value_or(storeTimeout(board)));
     const CallId id = call.id;
+    const auto *range = std::get_if<StoreRange>(&call.request);
+    if (range == nullptr || !range->isPrefix) {
+        board.storeCalls.emplace(id, board.now);
+    }
     board.outbox.emplace_back(std::move(call));
     return id;
 }
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -119,17 +119,27 @@
     friend bool operator==(const MirrorUpdate &, const MirrorUpdate &) = default;
 };
 
+/// A read of the store that confirms what this host knows if all conditions hold.
+struct StoreProof
+{
+    CallId call;
+    TimePoint sentAt;
+    std::vector<StoreCondition> conditions;
+
+    friend bool operator==(const StoreProof &, const StoreProof &) = default;
+};
+
 /// The operators' configuration as this host knows it, and when it was last confirmed to be current.
 struct ConfigurationView
 {
     QueueConfiguration configuration;
     Revision revision = 0; ///< Revision of the configuration's key; zero if it has never been read.
     std::map<AvailabilityZoneId, Revision> evacuated;
-    bool isRead = false;               ///< The whole configuration has been read at least once.
-    bool isLoaded = false;             ///< The configuration has been read, and the operators have written one.
-    std::optional<TimePoint> provenAt; ///< Send time of the newest proof whose answer confirmed the configuration.
-    std::optional<CallId> proof;
-    TimePoint proofSentAt;
+    bool isRead = false;                ///< The whole configuration has been read at least once.
+    bool isLoaded = false;              ///< The configuration has been read, and the operators have written one.
+    std::optional<TimePoint> provenAt;  ///< Send time of the newest proof whose answer confirmed the configuration.
+    std::optional<StoreProof> proof;    ///< The newest proof, until it is answered or counts as unanswered.
+    std::vector<StoreProof> lateProofs; ///< Proofs that count as unanswered, but whose answers would still be read.
     TimePoint nextProofAt;
     std::optional<TimePoint> invalidatedAt; ///< When the store last showed that something has changed; proofs sent before this time are no longer valid.
     int failedProofs = 0;                   ///< Number of consecutive proofs without an answer.
@@ -401,6 +411,8 @@
     RunTable runs;
     std::map<CallId, TaskId> runCalls;      ///< Tasks with a start, stop or pace order under way, by call.
     AnswerTime startAnswers;                ///< Time in which targets answer starts. Written by followRuns.
+    AnswerTime storeAnswers;                ///< Time in which the store answers calls. Written by measureStoreAnswers.
+    std::map<CallId, TimePoint> storeCalls; ///< Send times of the store calls under way, except reads of prefixes.
     std::map<TaskId, TimePoint> strayStops; ///< When a stray run of the task was last ordered to stop.
     std::vector<LateStart> lateStarts;
     std::map<TaskId, RestartPause> restartPauses; ///< Lasting tasks whose runs end soon. Written by followRuns and advanceWorkflows.
@@ -433,7 +445,10 @@
 /// The timeout of a call, extended by this host's timer lag, because a host with a lag also reads answers late.
 Duration timeoutWithLag(const WorkflowBoard &board, Duration timeout);
 
-/// Adds a call to the outbox and returns its id. Without a value, the timeout is that of the settings.
+/// Time within which the store is expected to answer a call.
+Duration storeTimeout(const WorkflowBoard &board);
+
+/// Adds a call to the outbox and returns its id. Without a value, the timeout is storeTimeout().
 CallId sendToStore(WorkflowBoard &board, StoreRequest request, long long lease = 0, std::optional<Duration> timeout = {});
 
 /// The reply to the call among the events of the current step, or null.
--- a/workflow/workflowstep.cpp
+++ b/workflow/workflowstep.cpp
@@ -85,6 +85,7 @@
     board.inbox = std::move(events);
     fireTimers(board.timers, now);
     applyProcessEvents(board);
+    measureStoreAnswers(board);
     followStore(board);
     proveConfiguration(board);
     claimDomain(board);
