Renew the lease while the claim for the domain is under way

With a store that answers after 900 ms, no host became owner: the lease is granted from the arrival of the grant and the claim is answered two answer times later, when the lease of 1.5 s has ended.

A host now renews the lease from the answer to the grant on. Renewals end with the claim, so a claim without an answer keeps the domain vacant no longer than its timeout and the lease.

LateStore.domainIsClaimedAfterItsOwnerHasCrashed on virtual time: at 900 ms it failed with "the condition does not hold after 6900 ms".

--- a/tests/testlatestore.cpp
+++ b/tests/testlatestore.cpp
@@ -61,6 +61,17 @@
     }
 }
 
+// Guards against a domain without an owner, because a claim is given up, or its lease lapses, before late answers.
+TEST_P(LateStore, domainIsClaimedAfterItsOwnerHasCrashed)
+{
+    store.faults.latency = latency();
+    run(Duration{3'000});
+    const auto former = owner();
+    const std::string other = former == "h1" ? "h2" : "h1";
+    kill(former);
+    runUntil([&] { return hasAuthority(board(other)); }, settings.limits.ownerLease + 6 * latency());
+}
+
 // Guards against an owner that starts work with a configuration that was confirmed too long ago.
 TEST_P(LateStore, proofCountsFromItsSending)
 {
--- a/workflow/claimdomain.cpp
+++ b/workflow/claimdomain.cpp
@@ -158,6 +158,7 @@
     }
     ownership.authorityUntil = ownership.callSentAt + ownership.leaseDuration - board.self.limits.ownerLeaseMargin;
     ownership.step = OwnershipStep::Claiming;
+    ownership.nextRenewalAt = board.now;
     StoreWrite write{domainOwnerKey(), DomainOwner{board.self.id, board.self.incarnation}, ownership.holderRevision, true};
     ownership.call = sendToStore(board, StoreTransaction{{std::move(write)}}, ownership.lease);
 }
@@ -263,6 +264,28 @@
     return true;
 }
 
+void sendDueRenewal(WorkflowBoard &board)
+{
+    auto &ownership = board.ownership;
+    if (board.now >= ownership.nextRenewalAt) {
+        // Renewals overlap, each on a connection of its own, so that a late answer or a dead connection does not cost the authority.
+        const auto timeout = ownership.leaseDuration - board.self.limits.ownerLeaseMargin;
+        ownership.renewals.emplace(sendToStore(board, StoreLeaseKeepAlive{ownership.lease}, 0, timeout), board.now);
+        ownership.nextRenewalAt = board.now + ownership.leaseDuration / renewalsPerLease;
+    }
+    subscribeNoLaterThan(board.timers, "renewal", ownership.nextRenewalAt);
+}
+
+/// Keeps the lease while the claim is under way, because a late store answers the claim when the lease would already have ended.
+void renewClaim(WorkflowBoard &board)
+{
+    if (readRenewalReplies(board)) {
+        sendDueRenewal(board);
+    } else {
+        endClaim(board, "the store has ended the lease");
+    }
+}
+
 void renewLease(WorkflowBoard &board)
 {
     auto &ownership = board.ownership;
@@ -280,16 +303,10 @@
     } else if (board.now >= ownership.authorityUntil && !ownership.suspendedSince) {
         suspendAuthority(board);
     }
-    if (board.now >= ownership.nextRenewalAt) {
-        // Renewals overlap, each on a connection of its own, so that a late answer or a dead connection does not cost the authority.
-        const auto timeout = ownership.leaseDuration - board.self.limits.ownerLeaseMargin;
-        ownership.renewals.emplace(sendToStore(board, StoreLeaseKeepAlive{ownership.lease}, 0, timeout), board.now);
-        ownership.nextRenewalAt = board.now + ownership.leaseDuration / renewalsPerLease;
-    }
+    sendDueRenewal(board);
     if (!ownership.suspendedSince) {
         subscribeNoLaterThan(board.timers, "authority", ownership.authorityUntil);
     }
-    subscribeNoLaterThan(board.timers, "renewal", ownership.nextRenewalAt);
 }
 
 }
@@ -310,6 +327,8 @@
     }
     if (ownership.step == OwnershipStep::Follower) {
         claimIfVacant(board);
+    } else if (ownership.step == OwnershipStep::Claiming) {
+        renewClaim(board);
     } else if (ownership.step == OwnershipStep::Owner && board.isStopping) {
         // The next owner finds everything that it needs in the store and in the targets' lists, so the host need not wait for anything.
         releaseDomain(board, "the host stops");
