--- a/app/hangup.cpp
+++ b/app/hangup.cpp
@@ -1,7 +1,6 @@
 #include "hangup.h"
 
 #include <csignal>
-#include <utility>
 
 namespace sequoiastand
 {
