Repeat the newest changes of the intake's watch

A submission or cancellation that an answered watch of the intake left out was unknown to the owner until the owner changed: the job stood still, or a cancelled one ran on. Nothing compared the stored intake with the owner's board. On large fleets the targets' watch hides this only while it is taken for silent and everything is read again.

Every 750 ms the owner lets the watch begin its next poll at the newest revision that any mirror had reported two periods ago. Applying a change of the intake twice has no effect. A change that was left out is known after 750 ms and, if a poll is open, its wait of up to 1 s; it is repeated a second time after another 750 ms. If the store no longer has this history, the watch goes on as before instead of reading everything again.

A workflow found this way is logged (watchStore "the watch had left out revision ...") and counted (watchesLost "leftOut").

Reading the range instead would bring all records of the last minutes each time, for one more page of calls per 500 items; one poll brings the changes of the last two seconds only.

A registration that is left out is known with the target's next heartbeat, before and after the change.

--- a/tests/fakestore.cpp
+++ b/tests/fakestore.cpp
@@ -212,8 +212,9 @@
             }
             return isUndecodable;
         });
-        if (!store.faults.areWatchesSilent && !store.faults.silentWatches.contains({host, prefix})
-            && (prefix.empty() || !part.put.empty() || !part.deleted.empty())) {
+        const bool hasChanges = prefix.empty() || !part.put.empty() || !part.deleted.empty();
+        const bool isSkipped = hasChanges && store.faults.skippingWatches.erase({host, prefix}) > 0;
+        if (!isSkipped && hasChanges && !store.faults.areWatchesSilent && !store.faults.silentWatches.contains({host, prefix})) {
             deliver(store, host, now + store.faults.watchLatency, part);
         }
     }
@@ -297,7 +298,10 @@
     });
     for (const auto &[prefix, mirror] : mirrors) {
         if (mirror.step == MirrorStep::Watching) {
-            store.watchers.try_emplace({host, prefix}, FakeWatch{mirror.revision, mirror.generation});
+            auto &watch = store.watchers.try_emplace({host, prefix}, FakeWatch{mirror.revision, mirror.generation, mirror.repeats}).first->second;
+            if (std::exchange(watch.repeats, mirror.repeats) != mirror.repeats && mirror.repeatedAfter.front() >= store.historyBegin) {
+                watch.reported = std::min(watch.reported, mirror.repeatedAfter.front());
+            }
         }
     }
 }
--- a/tests/fakestore.h
+++ b/tests/fakestore.h
@@ -23,14 +23,15 @@
     std::set<HostId> cutOff;              ///< Hosts for which the store behaves as if it were down.
     std::set<HostId> refusedTransactions; ///< Hosts whose transactions are refused as if the store were busy; it serves their other calls and watches.
     std::set<HostId> refusedReads;        ///< Hosts whose reads are refused as if the store were busy; it serves their other calls and watches.
-    std::set<std::pair<HostId, std::string>> silentWatches; ///< Watches, by host and prefix, whose events are dropped without an error.
-    Duration latency{1};                                    ///< Time from call to answer; the call takes effect when it is made.
-    Duration readLatency{0};                                ///< Additional time from a read of a prefix to its answer.
-    Duration watchLatency{1};                               ///< Time from a change to its watch event.
-    bool areWatchesSilent = false;                          ///< Watch events are dropped without an error.
-    int answersToLose = 0;                                  ///< Number of next transactions that take effect and are answered as Unknown.
-    int callsToLose = 0;                                    ///< Number of next transactions that take no effect and are answered as Unknown.
-    int answersToDrop = 0;                                  ///< Number of next calls that take effect and are never answered.
+    std::set<std::pair<HostId, std::string>> silentWatches;   ///< Watches, by host and prefix, whose events are dropped without an error.
+    std::set<std::pair<HostId, std::string>> skippingWatches; ///< Watches, by host and prefix, that leave out their next change.
+    Duration latency{1};                                      ///< Time from call to answer; the call takes effect when it is made.
+    Duration readLatency{0};                                  ///< Additional time from a read of a prefix to its answer.
+    Duration watchLatency{1};                                 ///< Time from a change to its watch event.
+    bool areWatchesSilent = false;                            ///< Watch events are dropped without an error.
+    int answersToLose = 0;                                    ///< Number of next transactions that take effect and are answered as Unknown.
+    int callsToLose = 0;                                      ///< Number of next transactions that take no effect and are answered as Unknown.
+    int answersToDrop = 0;                                    ///< Number of next calls that take effect and are never answered.
     int writesToDelay = 0; ///< Number of next transactions with writes that are answered as Unknown and take effect after `delay`.
     Duration delay{2'000};
     std::set<StoreKey> undecodable; ///< Keys whose values no host can decode: answers leave them out with an error, and watches report them as removed.
@@ -41,6 +42,7 @@
 {
     Revision reported = 0; ///< Changes up to this revision have been delivered.
     int generation = 0;
+    int repeats = 0; ///< Of the mirror, at its newest repeat.
 
     friend bool operator==(const FakeWatch &, const FakeWatch &) = default;
 };
--- a/tests/teststoreport.cpp
+++ b/tests/teststoreport.cpp
@@ -3,6 +3,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <iterator>
+#include <map>
+#include <ranges>
 #include <string>
 #include <vector>
 
@@ -86,6 +90,60 @@
     EXPECT_FALSE(conditions()[1].isFailing);
 }
 
+/// A watch of a store on loopback at revision 9 that no longer has the history before revision 4.
+struct StorePortRepeat : testing::Test
+{
+    static HttpResponse answer(const HttpRequest &request)
+    {
+        return {.status = request.query.at("after") < "4" ? 410 : 200, .body = R"({"events":[],"currentRev":9})"};
+    }
+
+    /// The revisions after which the watch has asked for changes since the repeat, up to the request after it.
+    std::vector<std::string> revisionsFrom(Revision repeatAfter)
+    {
+        const auto mirror = [&](int repeats) {
+            return std::map<std::string, StoreMirror>{
+                {"intake/", StoreMirror{.step = MirrorStep::Watching, .revision = 8, .generation = 1, .repeats = repeats, .repeatedAfter = {repeatAfter}}}};
+        };
+        port.updateWatches(mirror(0));
+        EXPECT_TRUE(loop.runUntil([&] { return store.requests().size() >= 2; }, testTimeout));
+        const auto before = store.requests().size();
+        port.updateWatches(mirror(1));
+        EXPECT_TRUE(loop.runUntil([&] { return store.requests().size() >= before + 3; }, testTimeout));
+        std::vector<std::string> revisions;
+        std::ranges::transform(
+            store.requests() | std::views::drop(before), std::back_inserter(revisions), [](const HttpRequest &request) { return request.query.at("after"); });
+        return revisions;
+    }
+
+    EventLoop loop;
+    HttpClient http{loop};
+    std::vector<WorkflowEvent> events;
+    LoopbackServer store{loop, answer};
+    StorePort port{loop,
+                   http,
+                   store.address(),
+                   [this](WorkflowEvent event) { events.push_back(std::move(event)); },
+                   [](const std::string &, const std::string &, const std::string &) {}};
+};
+
+// Guards against a watch that never shows a change that it has left out once.
+TEST_F(StorePortRepeat, repeatAsksOnceForFormerChanges)
+{
+    const auto revisions = revisionsFrom(5);
+    EXPECT_EQ(std::ranges::count(revisions, "5"), 1);
+    EXPECT_EQ(revisions.back(), "9");
+}
+
+// Guards against reading the whole prefix again because a repeat begins before the history that the store has kept.
+TEST_F(StorePortRepeat, watchContinuesIfTheHistoryOfARepeatIsGone)
+{
+    const auto revisions = revisionsFrom(3);
+    EXPECT_EQ(std::ranges::count(revisions, "3"), 1);
+    EXPECT_EQ(revisions.back(), "9");
+    EXPECT_TRUE(events.empty());
+}
+
 // Guards against telling a caller that its request will not run, although the store may apply the first copy of the transaction later.
 TEST_F(StorePortCalls, transactionOnAConnectionThatClosesHasAnUnknownOutcome)
 {
--- a/workflow/followstore.cpp
+++ b/workflow/followstore.cpp
@@ -23,6 +23,20 @@
 
 constexpr Duration rereadSpread{50};
 
+// Time between two repeats of the newest changes of the intake. Together with the wait of a poll it bounds the time for which the owner does not know of a
+// submission that an answered watch has left out. A repeat costs one call of the store at most.
+constexpr Duration repeatPeriod{750};
+
+// Number of periods whose changes are repeated. With two of them each change is repeated twice, and at least once after its own watch has had the time of a
+// whole period to report it; other watches may be ahead of it.
+constexpr std::size_t repeatedPeriods = 2;
+
+bool isRepeated(const std::string &prefix)
+{
+    // Targets write their registrations again and again, and proofs compare the configuration and the owner.
+    return prefix == "intake/";
+}
+
 // Time for which the requests of a watch that only the owner needs may fail before its prefix is read again.
 constexpr Duration rereadAfter{1'000};
 
@@ -62,15 +76,36 @@
         mirror.error = reply->error;
         return mirror;
     }
-    board.updates.push_back({prefix, true, reply->entries, {}, reply->revision});
+    board.updates.push_back({prefix, true, reply->entries, {}, reply->revision, mirror.revision});
     mirror.step = MirrorStep::Watching;
     mirror.revision = reply->revision;
     ++mirror.generation;
+    mirror.repeatedAfter = {reply->revision};
+    mirror.nextRepeatAt = board.now + repeatPeriod;
     mirror.lastReceivedAt = board.now;
     mirror.failingSince.reset();
     return mirror;
 }
 
+/// Lets the watch repeat its newest changes once per period, because an answered watch may have left one out. The owner takes steps for its
+/// proofs and the answers of targets anyway, so this needs no timer of its own.
+StoreMirror repeatChanges(WorkflowBoard &board, const std::string &prefix, StoreMirror mirror)
+{
+    if (mirror.step != MirrorStep::Watching || !isRepeated(prefix)) {
+        return mirror;
+    }
+    if (board.now >= mirror.nextRepeatAt) {
+        const auto newest = std::ranges::max_element(board.mirrors, {}, [](const auto &row) { return row.second.revision; })->second.revision;
+        ++mirror.repeats;
+        mirror.repeatedAfter.push_back(std::max(newest, mirror.revision));
+        if (mirror.repeatedAfter.size() > repeatedPeriods + 1) {
+            mirror.repeatedAfter.pop_front();
+        }
+        mirror.nextRepeatAt = board.now + repeatPeriod;
+    }
+    return mirror;
+}
+
 StoreMirror withCondition(WorkflowBoard &board, const StoreWatchCondition &condition, StoreMirror mirror)
 {
     if (condition.isFailing) {
@@ -90,7 +125,7 @@
 {
     for (const auto &event : board.inbox) {
         if (const auto *change = std::get_if<StoreWatchEvent>(&event); change != nullptr && change->prefix == prefix && mirror.step == MirrorStep::Watching) {
-            board.updates.push_back({prefix, false, change->put, change->deleted, change->revision});
+            board.updates.push_back({prefix, false, change->put, change->deleted, change->revision, mirror.revision});
             mirror.revision = std::max(mirror.revision, change->revision);
             mirror.lastReceivedAt = board.now;
         } else if (const auto *lost = std::get_if<StoreWatchLost>(&event); lost != nullptr && lost->prefix == prefix && mirror.step == MirrorStep::Watching) {
@@ -154,7 +189,8 @@
     addWantedMirrors(board);
     replaceDeafWatches(board);
     for (auto &[prefix, mirror] : board.mirrors) {
-        mirror = rereadIfFailing(board, prefix, handleWatchEvents(board, prefix, handleReadReply(board, prefix, mirror)));
+        mirror = handleWatchEvents(board, prefix, handleReadReply(board, prefix, mirror));
+        mirror = repeatChanges(board, prefix, rereadIfFailing(board, prefix, mirror));
         // While the store does not answer, only proofs are sent to it; the reads follow once it answers again. A proof needs the configuration and the owner.
         const bool canProve = board.view.isLoaded && board.ownership.isKnown;
         const bool mayRead = board.view.isStoreReachable || !canProve;
--- a/workflow/loaddomain.cpp
+++ b/workflow/loaddomain.cpp
@@ -160,10 +160,20 @@
     board.workflows.put(id, std::move(entry));
 }
 
+/// Logs a workflow that the watch did not report with the other changes up to its revision.
+void reportIfLeftOut(WorkflowBoard &board, const MirrorUpdate &update, const StoreEntry &entry, const RequestId &id)
+{
+    if (entry.revision <= update.formerRevision && !board.workflows.contains(id)) {
+        logDecision(board, "watchStore", update.prefix, id.value, "the watch had left out revision " + std::to_string(entry.revision), true);
+        count(board.counters, "watchesLost", "leftOut");
+    }
+}
+
 void applyIntake(WorkflowBoard &board, const MirrorUpdate &update)
 {
     for (const auto &entry : update.put) {
         if (const auto *workflow = std::get_if<Workflow>(&entry.record)) {
+            reportIfLeftOut(board, update, entry, workflow->id);
             addWorkflow(board, *workflow);
         }
     }
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -99,6 +99,9 @@
     CallId read;
     Revision revision = 0; ///< Revision up to which the watch has reported; at first, the revision of the read.
     int generation = 0;
+    int repeats = 0;                    ///< Grows whenever the watch has to report the newest changes once more.
+    std::deque<Revision> repeatedAfter; ///< Newest revisions that any mirror had reported at the latest repeats; the present one begins at the first of them.
+    TimePoint nextRepeatAt;
     TimePoint retryAt;
     TimePoint lastReceivedAt;              ///< When the read or the watch last brought data.
     std::optional<TimePoint> failingSince; ///< When the read or the watch began to fail.
@@ -115,6 +118,7 @@
     std::vector<StoreEntry> put;
     std::vector<StoreKey> deleted;
     Revision revision = 0;
+    Revision formerRevision = 0; ///< Revision up to which the mirror had reported before.
 
     friend bool operator==(const MirrorUpdate &, const MirrorUpdate &) = default;
 };
