Write late, not never, what the log says of decisions

On-call engineers missed the owner's placeStep lines of 6 to 50 jobs in the second after a takeover: the owner ended and placed hundreds of tasks within a second, the ends filled the limit of 300 lines about jobs, and the lines about placements, which come last in a step, were dropped.

All lines about jobs shared one limit, first come, first written. Now the lines that say that a job was placed, why it waits, why its runs were stopped and how it ended wait for the next second instead, up to 4,000 of them, and no other line about a job is written until they are. They keep the time of the decision. They also wait while the reader of standard output is slow and half of the log's buffer is in use. The limits on lines per second are unchanged, and writing still never blocks; a timer writes the lines that wait if no other line follows.

LogAfterTakeover.placementsAreWrittenThoughEndsHaveReachedTheLimit failed with no room for lines that wait, which is the former behaviour: 0 of 500 placements were written after 600 ends; now all are, within 3 s.

--- a/app/log.cpp
+++ b/app/log.cpp
@@ -11,6 +11,7 @@
 #include <log4cplus/spi/loggingevent.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <utility>
@@ -102,33 +103,58 @@
     if (!line) {
         return;
     }
-    if (const auto suppressed = takeSuppressed(m_rate, now); suppressed > 0) {
-        writeLine({{"log",
-                    "",
-                    "",
-                    std::to_string(suppressed) + " lines were suppressed because more than " + std::to_string(m_rate.jobLinesPerSecond) + " about jobs or "
-                        + std::to_string(m_rate.linesPerSecond) + " in total arrived within one second",
-                    true},
-                   0});
-    }
-    if (allowLine(m_rate, !line->entry.job.empty(), now)) {
-        writeLine(*line);
-    }
+    writeWaiting(now);
+    std::ranges::for_each(admit(m_queue, {*line, EventLoop::wallNow()}, hasRoom(), now), [this](const TimedLine &admitted) { writeLine(admitted); });
+}
+
+bool Log::hasRoom() const
+{
+    return !m_buffer || m_buffer->hasRoom();
+}
+
+bool Log::hasPendingLines() const
+{
+    return !m_queue.waiting.empty() || (m_buffer && !m_buffer->isEmpty());
 }
 
-void Log::writeLine(const LogLine &line)
+void Log::writeLine(const TimedLine &line)
 {
-    const auto text = logText(line, m_host, EventLoop::wallNow());
-    m_logger.log(line.entry.isError ? log4cplus::ERROR_LOG_LEVEL : log4cplus::INFO_LOG_LEVEL, text);
+    const auto text = logText(line.line, m_host, line.at);
+    m_logger.log(line.line.entry.isError ? log4cplus::ERROR_LOG_LEVEL : log4cplus::INFO_LOG_LEVEL, text);
+}
+
+void Log::writeWaiting(TimePoint now)
+{
+    if (const auto suppressed = takeSuppressed(m_queue.rate, now); suppressed > 0) {
+        const auto &rate = m_queue.rate;
+        writeLine({{{"log",
+                     "",
+                     "",
+                     std::to_string(suppressed) + " lines were suppressed because more than " + std::to_string(rate.jobLinesPerSecond) + " about jobs or "
+                         + std::to_string(rate.linesPerSecond) + " in total arrived within one second, or because the log's reader is too slow",
+                     true},
+                    0},
+                   EventLoop::wallNow()});
+    }
+    if (hasRoom()) {
+        std::ranges::for_each(takeWaiting(m_queue, now), [this](const TimedLine &line) { writeLine(line); });
+    }
 }
 
 void Log::flush()
 {
+    writeWaiting(EventLoop::now());
     if (m_buffer) {
         m_buffer->flush();
     }
 }
 
+void Log::finish()
+{
+    std::ranges::for_each(std::exchange(m_queue.waiting, {}), [this](const TimedLine &line) { writeLine(line); });
+    flush();
+}
+
 std::string logText(const LogLine &line, const std::string &host, WallTime at)
 {
     nlohmann::ordered_json json{{"time", timeText(at)}, {"level", line.entry.isError ? "error" : "info"}, {"host", host}, {"step", line.entry.step}};
--- a/app/logbuffer.cpp
+++ b/app/logbuffer.cpp
@@ -37,6 +37,11 @@
     m_pending += line;
 }
 
+bool LogBuffer::hasRoom() const
+{
+    return m_pending.size() <= maxPendingBytes / 2;
+}
+
 void LogBuffer::flush()
 {
     std::size_t written = 0;
--- a/app/logbuffer.h
+++ b/app/logbuffer.h
@@ -21,6 +21,14 @@
     /// Writes as much as the descriptor accepts without blocking.
     void flush();
 
+    /// True while at least half of the buffer is free.
+    bool hasRoom() const;
+
+    bool isEmpty() const
+    {
+        return m_pending.empty();
+    }
+
     long long droppedLines() const
     {
         return m_droppedLines;
--- a/app/logratelimit.h
+++ b/app/logratelimit.h
@@ -18,9 +18,15 @@
     friend bool operator==(const LogRateLimit &, const LogRateLimit &) = default;
 };
 
+/// True if the limit for the current second leaves room for another line.
+bool hasRoomForLine(const LogRateLimit &rate, bool namesJob, TimePoint now);
+
 /// True if another line may be written now; otherwise the line is counted as suppressed.
 bool allowLine(LogRateLimit &rate, bool namesJob, TimePoint now);
 
+/// Counts a line that is not written.
+void suppressLine(LogRateLimit &rate, TimePoint now);
+
 /// Returns the number of lines that were suppressed before the current second, and resets this number to zero.
 long long takeSuppressed(LogRateLimit &rate, TimePoint now);
 
--- a/app/serve.cpp
+++ b/app/serve.cpp
@@ -22,6 +22,38 @@
     return now.time_since_epoch().count();
 }
 
+// Time between two attempts to write lines of the log that had to wait.
+constexpr Duration logRetry{100};
+
+/// Writes log entries, and retries while lines wait because of the log's limits or its reader.
+class LogWriter
+{
+public:
+    LogWriter(EventLoop &loop, Log &log)
+        : m_log(log)
+        , m_retry(loop, [this] { flush(); })
+    {
+    }
+
+    void write(const LogEntry &entry)
+    {
+        m_log.write(entry);
+        flush();
+    }
+
+private:
+    void flush()
+    {
+        m_log.flush();
+        if (m_log.hasPendingLines() && !m_retry.isActive()) {
+            m_retry.startIn(logRetry);
+        }
+    }
+
+    Log &m_log;
+    Timer m_retry;
+};
+
 /// Runs the event loop until a planned stop, triggered by SIGTERM or SIGINT, has finished. `Host` is HostLoop or DomainLoop.
 template<typename Host>
 int runHost(EventLoop &loop, Host &host, Log &log, const std::string &listening)
@@ -43,7 +75,7 @@
     }
     log.write({"start", "", "", listening, false});
     loop.run();
-    log.flush();
+    log.finish();
     return static_cast<int>(ExitCode::Success);
 }
 
@@ -53,10 +85,8 @@
     host.incarnation = incarnationOf(EventLoop::wallNow());
     host.randomSeed = static_cast<unsigned long long>(host.incarnation) ^ std::hash<std::string>{}(host.id.value);
     EventLoop loop;
-    HostLoop hostLoop(loop, settings.loop, [&log](const LogEntry &entry) {
-        log.write(entry);
-        log.flush();
-    });
+    LogWriter writer(loop, log);
+    HostLoop hostLoop(loop, settings.loop, [&writer](const LogEntry &entry) { writer.write(entry); });
     const StatementService statements(hostLoop);
     SignalWatch hangUp(loop, SIGHUP, [&log] {
         log.write({"reload", "", "", "settings not reloaded: a host of a zone domain reads them only at startup", false});
@@ -70,10 +100,8 @@
     settings.domain.incarnation = incarnationOf(EventLoop::wallNow());
     settings.domain.randomSeed = static_cast<unsigned long long>(settings.domain.incarnation) ^ std::hash<std::string>{}(settings.domain.id.value);
     EventLoop loop;
-    DomainLoop domainLoop(loop, settings, [&log](const LogEntry &entry) {
-        log.write(entry);
-        log.flush();
-    });
+    LogWriter writer(loop, log);
+    DomainLoop domainLoop(loop, settings, [&writer](const LogEntry &entry) { writer.write(entry); });
     const auto apply = [&](const Settings &changed) {
         if (changed.domain) {
             domainLoop.applySettings(*changed.domain);
