Log why a job that is due has nothing running

A job that stands still had a line of the owner only while a placement pass considered it (waitStep). While no pass was made, while its runs were recorded, ordered or being stopped, or while its restart was paused, the owner's log named the job in no line, so the records of jobs that stood still for seconds never showed what they waited for.

explainWaits looks at all open workflows every half second. For each one that is due and has nothing running, findJobWait gives the reason: the configuration is not proved, the domain is not read, no authority, no placement pass for a time, a paused restart, a step that waits for an earlier one, or the state of the oldest run. The first waitJob line comes after a second, the next ones at intervals that double up to a minute, 80 lines a scan at most, and one line says when the wait is over. The log does not leave these lines out. Jobs that waitStep explains get none.

Without the call of explainWaits, the tests JobWaits fail on the missing lines (proof, record, starts without an answer, paused restart, waits of hundreds of jobs).

--- a/app/logqueue.cpp
+++ b/app/logqueue.cpp
@@ -10,7 +10,7 @@
 
 bool isDecision(const LogEntry &entry)
 {
-    static constexpr std::array<std::string_view, 4> steps{"placeStep", "waitStep", "stopRuns", "endWorkflow"};
+    static constexpr std::array<std::string_view, 5> steps{"placeStep", "waitStep", "waitJob", "stopRuns", "endWorkflow"};
     return !entry.job.empty() && std::ranges::find(steps, entry.step) != steps.end();
 }
 
--- a/workflow/controllers.h
+++ b/workflow/controllers.h
@@ -63,6 +63,10 @@
 /// Reads `workflows` and `targets`; writes rows of `runs` and `targets`.
 void driveRuns(WorkflowBoard &board);
 
+/// Logs why workflows that are due have nothing running, unless placement passes do.
+/// Reads the owner's sections; writes `waitingJobs`.
+void explainWaits(WorkflowBoard &board);
+
 /// Sends holds, which keep the runs of targets going and ask for the targets' lists.
 /// Reads `workflows`; writes rows of `targets`, and ends runs of targets whose lease has certainly ended.
 void holdTargets(WorkflowBoard &board);
--- a/workflow/planwork.cpp
+++ b/workflow/planwork.cpp
@@ -188,6 +188,7 @@
         return;
     }
     board.isPlanWanted = false;
+    board.lastPlanAt = board.now;
     board.nextPlanAt = board.now + board.self.limits.planPeriod + planPause(board);
     if (const auto restart = nextRestart(board)) {
         subscribeNoLaterThan(board.timers, "plan", *restart);
--- a/workflow/runtable.cpp
+++ b/workflow/runtable.cpp
@@ -8,6 +8,11 @@
     return run.isStopWanted || run.step == RunStep::Ending;
 }
 
+bool isRunning(const TaskRun &run)
+{
+    return run.step == RunStep::Running && !run.isStopWanted && !run.stoppedAt;
+}
+
 bool needsOrder(const TaskRun &run)
 {
     const bool isStartWanted = run.step == RunStep::Recording || run.step == RunStep::Starting;
--- a/workflow/runtable.h
+++ b/workflow/runtable.h
@@ -22,6 +22,9 @@
 /// True if the run is being stopped, or has ended and is not listed as ended yet.
 bool isStopping(const TaskRun &run);
 
+/// True if the target has confirmed the run and nothing is known that ends it.
+bool isRunning(const TaskRun &run);
+
 /// True if the owner has to send or repeat an order for the run, now or at the run's `retryAt`.
 bool needsOrder(const TaskRun &run);
 
@@ -60,6 +63,12 @@
         return m_runs.isEmpty();
     }
 
+    /// Tasks whose runs have changed in the present step.
+    const std::set<TaskId> &changes() const
+    {
+        return m_runs.changes();
+    }
+
     void clearChanges()
     {
         m_runs.clearChanges();
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -18,6 +18,7 @@
 #include "runtable.h"
 #include "targetorder.h"
 #include "urgentreserve.h"
+#include "waitreport.h"
 #include "workflowtable.h"
 
 #include <deque>
@@ -412,14 +413,17 @@
     SummaryCopy summary;
     TombstoneWriter tombstones; ///< Written by answerCallers.
     HostDirectory directory;
-    AdviceState advice;                         ///< Written by followAdvice, followRuns and planWork.
-    std::map<TargetId, FillerPace> fillerPaces; ///< Paces on targets that fillers share with serving tasks. Written by paceFillers.
-    std::map<StepId, TaskPlaces> heldRoom;      ///< Room that the latest placement pass holds for urgent steps.
-    std::map<StepId, TimePoint> explainedWaits; ///< When the log last explained why the step waits.
+    AdviceState advice;                          ///< Written by followAdvice, followRuns and planWork.
+    std::map<TargetId, FillerPace> fillerPaces;  ///< Paces on targets that fillers share with serving tasks. Written by paceFillers.
+    std::map<StepId, TaskPlaces> heldRoom;       ///< Room that the latest placement pass holds for urgent steps.
+    std::map<StepId, TimePoint> explainedWaits;  ///< When the log last explained why the step waits.
+    std::map<RequestId, WaitReport> waitingJobs; ///< Workflows that are due and have nothing running. Written by explainWaits.
+    TimePoint lastPlanAt;                        ///< When the latest placement pass was made.
     TimePoint nextPlanAt;
     TimePoint nextHoldScanAt;  ///< When holdTargets checks all targets again. Written by holdTargets.
     TimePoint nextRunScanAt;   ///< When advanceWorkflows searches for runs of ended workflows again. Written by advanceWorkflows.
     TimePoint nextPaceAt;      ///< When paceFillers checks all runs again. Written by paceFillers.
+    TimePoint nextWaitScanAt;  ///< When explainWaits checks all open workflows again. Written by explainWaits.
     bool isPlanWanted = false; ///< Something has changed that a placement pass has to consider.
     TimerTable timers;
     LoopLag lag; ///< Written by step.
--- a/workflow/workflowstep.cpp
+++ b/workflow/workflowstep.cpp
@@ -100,6 +100,7 @@
     planWork(board);
     commitProgress(board);
     driveRuns(board);
+    explainWaits(board);
     paceFillers(board);
     holdTargets(board);
     answerCallers(board);
