Name what the owner has stored in the log line of a query

A host that is not the owner named the owner in the log line of a query's answer, but nothing of the job, so a line "query: queued" or "query: running" did not tell a job that was never placed from one whose runs are recorded and do not begin, or from one that stands between two runs.

The host reads the progress record for each query anyway, and the owner writes it whenever it records or ends runs. The line now names what the record shows: finished tasks, recorded runs with the target of the first, and the newest run. The answer is unchanged, and no read or write is added. The owner's reason for a wait is not stored: a job that waits to be placed causes no write.

QueryLine.queryOfAJobThatWaitsNamesWhatTheOwnerHasStored and QueryLine.queryOfAJobBetweenTwoRunsNamesThatNoneIsRecorded failed without the addition to the line.

--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -151,7 +151,7 @@
         return;
     }
     if (call.request.action == CallerAction::Query || hasEnded(progress->state)) {
-        answer(board, call, {{}, {}, progress->state, {}});
+        answer(board, call, {{}, {}, progress->state, {}}, call.request.action == CallerAction::Query ? storedState(*progress) : "");
         return;
     }
     cancel(board, call, *routed);
--- a/workflow/calleranswers.cpp
+++ b/workflow/calleranswers.cpp
@@ -1,5 +1,7 @@
 #include "calleranswers.h"
 
+#include <algorithm>
+#include <ranges>
 #include <utility>
 #include <variant>
 
@@ -27,7 +29,7 @@
     board.calls.put(id, std::move(call));
 }
 
-void answer(WorkflowBoard &board, const OpenCallerCall &call, CallerAnswer result)
+void answer(WorkflowBoard &board, const OpenCallerCall &call, CallerAnswer result, const std::string &detail)
 {
     result.id = call.request.id;
     const std::string outcome = result.refusal ? std::string(name(result.refusal->reason)) : result.state ? std::string(name(*result.state)) : "done";
@@ -40,12 +42,40 @@
                 call.request.path,
                 std::string(name(call.request.action)) + ": " + outcome + " after " + std::to_string((board.now - call.receivedAt).count())
                     + " ms, configuration " + std::to_string(board.view.configuration.version) + " proven " + age + " ms ago"
-                    + (call.request.action == CallerAction::Query ? ownerText(board.ownership, board.now) : "")
+                    + (call.request.action == CallerAction::Query ? ownerText(board.ownership, board.now) : "") + detail
                     + (result.refusal ? ": " + result.refusal->message : ""));
     board.outbox.emplace_back(std::move(result));
     board.calls.erase(call.request.id);
 }
 
+std::string storedState(const WorkflowProgress &progress)
+{
+    if (hasEnded(progress.state)) {
+        return {};
+    }
+    int tasks = 0;
+    int finished = 0;
+    std::string firstPlace;
+    int recorded = 0;
+    int newestRun = 0;
+    for (const auto &task :
+         progress.occurrences | std::views::values | std::views::transform(&OccurrenceProgress::steps) | std::views::join | std::views::join) {
+        ++tasks;
+        finished += task.isFinished ? 1 : 0;
+        newestRun = std::max(newestRun, task.lastRun);
+        if (!task.isFinished && task.place) {
+            ++recorded;
+            firstPlace = firstPlace.empty() ? task.place->target.value : firstPlace;
+        }
+    }
+    if (newestRun == 0) {
+        return ", stored: no run recorded";
+    }
+    return ", stored: " + std::to_string(finished) + " of " + std::to_string(tasks) + " tasks finished, "
+           + (recorded == 0 ? "no run recorded now" : std::to_string(recorded) + " runs recorded, the first on " + firstPlace) + ", newest run "
+           + std::to_string(newestRun);
+}
+
 void refuseUnavailable(WorkflowBoard &board, OpenCallerCall call, Refusal refusal)
 {
     askOtherHosts(board);
--- a/workflow/calleranswers.h
+++ b/workflow/calleranswers.h
@@ -15,8 +15,11 @@
 /// Inserts or replaces the row of the call.
 void putCall(WorkflowBoard &board, OpenCallerCall call);
 
-/// Answers the call, which ends it.
-void answer(WorkflowBoard &board, const OpenCallerCall &call, CallerAnswer result);
+/// Answers the call, which ends it. `detail` is added to the log entry.
+void answer(WorkflowBoard &board, const OpenCallerCall &call, CallerAnswer result, const std::string &detail = {});
+
+/// What the stored progress shows of a workflow that has not ended, for the log: finished tasks and recorded runs. Empty if it has ended.
+std::string storedState(const WorkflowProgress &progress);
 
 /// Refuses a call that this host cannot serve now. If another host is ready, the caller is told to retry at once, otherwise after a delay. If it is not known
 /// whether another host is ready, the other hosts are asked first, and the call waits in step `Refusing` until they have answered or `answerBy` has passed.
