Ask the adviser first about steps that have room

A step below the most urgent priority was asked about in the order of placement. A gang that fits nowhere was asked about for the whole fleet, 30 targets a question and one question at a time, before a later step with room was asked about at all: 13 questions on 352 targets.

Steps without room on the targets in question now come last.

--- a/tests/testadvice.cpp
+++ b/tests/testadvice.cpp
@@ -78,6 +78,25 @@
     EXPECT_EQ(nextQuestion(input)->step, step("urgent"));
 }
 
+// Guards against a step with room that waits until the adviser has been asked about the whole fleet for a gang that fits nowhere.
+TEST_F(AdvisedPlacement, stepWithRoomIsAskedAboutBeforeAStepWithout)
+{
+    for (int number = 1; number <= 40; ++number) {
+        occupy(number, 1);
+    }
+    auto &gang = addGang("gang", 1, 2, 8);
+    gang.advice.emplace();
+    gang.slack = Duration{0};
+    addBatch("task", 2, 1, 1).advice.emplace();
+    const auto first = nextQuestion(input);
+    ASSERT_TRUE(first);
+    EXPECT_EQ(first->step, step("task"));
+    input.waiting.pop_back();
+    const auto second = nextQuestion(input);
+    ASSERT_TRUE(second);
+    EXPECT_EQ(second->step, step("gang"));
+}
+
 TEST_F(AdvisedPlacement, expiredTicketsAreRenewedOnlyWhereTheyCanBeUsed)
 {
     // Guards against asking the adviser every few seconds about each step that waits on a full fleet.
--- a/workflow/advicequestion.cpp
+++ b/workflow/advicequestion.cpp
@@ -31,6 +31,13 @@
     return !hasExpired || waiting.priority == 0 || tasksThatFit(waiting.specification.perTask, target.freeAfterStops) > 0;
 }
 
+bool hasRoomOnAny(const PlacementInput &input, const WaitingStep &waiting, const std::vector<TargetId> &targets)
+{
+    return std::ranges::any_of(input.targets, [&](const PlacementTarget &target) {
+        return tasksThatFit(waiting.specification.perTask, target.free) > 0 && std::ranges::find(targets, target.id) != targets.end();
+    });
+}
+
 std::vector<TargetId> targetsToAsk(const PlacementInput &input, const WaitingStep &waiting)
 {
     const auto &advice = *waiting.advice;
@@ -57,15 +64,24 @@
 {
     auto waiting = input.waiting;
     sortWaiting(waiting);
+    std::optional<AdviceQuestion> forLater;
     for (const auto &step : waiting) {
         if (!step.advice || placeableTasks(input, step) >= static_cast<int>(step.tasks.size())) {
             continue;
         }
-        if (auto targets = targetsToAsk(input, step); !targets.empty()) {
+        auto targets = targetsToAsk(input, step);
+        if (targets.empty()) {
+            continue;
+        }
+        // A question about full targets lets no task start, so it must not delay the questions for other steps. Urgent steps preempt work on such targets.
+        if (step.priority == 0 || hasRoomOnAny(input, step, targets)) {
             return AdviceQuestion{step.step, std::move(targets)};
         }
+        if (!forLater) {
+            forLater = AdviceQuestion{step.step, std::move(targets)};
+        }
     }
-    return std::nullopt;
+    return forLater;
 }
 
 }
