Bound waits although the accepting host's clock is ahead

The time that a step has waited was the owner's time of day less that of the accepting host. A host that starts while its clock is ahead keeps that time for a minute, so its jobs waited for the difference on top of the bound.

A step has now waited for at least as long as its owner has seen it wait. AvoidableWaitOfJobs.jobAcceptedByAHostWithAnAdvancedClockStartsAtTheBound failed before: 6,630 ms instead of 1,630 ms with a clock 5 s ahead.

--- a/workflow/placementinput.cpp
+++ b/workflow/placementinput.cpp
@@ -104,6 +104,15 @@
     return permission;
 }
 
+/// Time since the step's occurrence was due or accepted. The accepting host's time of day may be ahead of the owner's, so it is at least the time for which this
+/// owner has seen the step wait.
+Duration waitedTime(const WorkflowBoard &board, const Workflow &workflow, const StepId &step)
+{
+    const auto seen = board.waitingSince.find(step);
+    const auto sinceSeen = seen == board.waitingSince.end() ? Duration{0} : board.now - seen->second;
+    return std::max(sinceSeen, board.wallNow - std::max(dueTime(workflow, step.occurrence), workflow.acceptedAt));
+}
+
 std::optional<WaitingStep> waitingStep(const WorkflowBoard &board, const WorkflowEntry &entry, const StepId &id, const StepProgress &progress)
 {
     const auto &specification = entry.workflow->specification.steps.at(static_cast<std::size_t>(id.step));
@@ -134,7 +143,7 @@
     waiting.service = queue.service;
     waiting.organisation = entry.workflow->organisation;
     waiting.priority = queue.priority;
-    waiting.waited = std::max(Duration{0}, board.wallNow - std::max(dueTime(*entry.workflow, id.occurrence), entry.workflow->acceptedAt));
+    waiting.waited = waitedTime(board, *entry.workflow, id);
     waiting.remaining = specification.estimate;
     waiting.slack = slackOf(board, entry, queue, id.occurrence);
     if (queue.advice) {
--- a/workflow/planwork.cpp
+++ b/workflow/planwork.cpp
@@ -154,6 +154,16 @@
 // Time allowed for the adviser's answer in addition to the time that the queue's terms with the adviser state.
 constexpr Duration adviceMargin{500};
 
+/// Notes since when each of the steps waits, and forgets the steps that no longer wait.
+void noteWaiting(WorkflowBoard &board, const std::vector<WaitingStep> &waiting)
+{
+    const auto former = std::exchange(board.waitingSince, {});
+    for (const auto &step : waiting) {
+        const auto since = former.find(step.step);
+        board.waitingSince.emplace(step.step, since == former.end() ? board.now : since->second);
+    }
+}
+
 /// Sends the next question to the adviser, unless a question is under way or the last one failed recently.
 void askAdviser(WorkflowBoard &board, const PlacementInput &input)
 {
@@ -193,6 +203,7 @@
         subscribeNoLaterThan(board.timers, "plan", *restart);
     }
     auto input = placementInput(board);
+    noteWaiting(board, input.waiting);
     board.heldRoom.clear();
     if (!input.waiting.empty()) {
         std::vector<WaitingStep> unexplained;
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -415,6 +415,7 @@
     AdviceState advice;                         ///< Written by followAdvice, followRuns and planWork.
     std::map<TargetId, FillerPace> fillerPaces; ///< Paces on targets that fillers share with serving tasks. Written by paceFillers.
     std::map<StepId, TaskPlaces> heldRoom;      ///< Room that the latest placement pass holds for urgent steps.
+    std::map<StepId, TimePoint> waitingSince;   ///< When a placement pass of this owner first saw the step wait.
     std::map<StepId, TimePoint> explainedWaits; ///< When the log last explained why the step waits.
     TimePoint nextPlanAt;
     TimePoint nextHoldScanAt;  ///< When holdTargets checks all targets again. Written by holdTargets.
