Halve the cost of deciding on avoidable waits

With 540 targets and 400 waiting steps a placement pass took 8.0 ms of a core after the bound on avoidable waits and 3.5 ms before; it takes 5.2 ms now. Sums over the fleet are made only where a reserve exists and the step needs accelerators, and the room is counted on eligible targets, full ones first skipped. Plans of 20,000 random inputs are the same as before.

--- a/workflow/avoidablewait.cpp
+++ b/workflow/avoidablewait.cpp
@@ -3,7 +3,6 @@
 #include "packing.h"
 
 #include <algorithm>
-#include <functional>
 
 namespace sequoiastand
 {
@@ -24,22 +23,27 @@
     return waiting.specification.isGang ? static_cast<int>(waiting.tasks.size()) : 1;
 }
 
-bool hasRoomTwiceOver(const PlacementState &state, const WaitingStep &waiting)
+bool hasRoomTwiceOver(PlacementState &state, const WaitingStep &waiting)
 {
     const int needed = 2 * tasksAtOnce(waiting);
     int room = 0;
-    for (const auto &target : state.fleet.targets) {
-        if (isAllowed(waiting, target) && roomForTasks(waiting, target, target.free) > 0) {
-            room += std::min(needed, tasksThatFit(waiting.specification.perTask, target.free));
-        }
-        if (room >= needed) {
-            return true;
+    for (const auto &rack : eligibleTargets(state.fleet, waiting)) {
+        for (const std::size_t number : rack.targets) {
+            const auto &target = state.fleet.targets[number];
+            const int fitting = std::min(needed, tasksThatFit(waiting.specification.perTask, target.free));
+            // Most targets of a full fleet have no room, so this is checked first.
+            if (fitting > 0 && isAllowed(waiting, target) && roomForTasks(waiting, target, target.free) > 0) {
+                room += fitting;
+            }
+            if (room >= needed) {
+                return true;
+            }
         }
     }
     return false;
 }
 
-bool mayLeaveLocality(const PlacementState &state, const WaitingStep &waiting)
+bool mayLeaveLocality(PlacementState &state, const WaitingStep &waiting)
 {
     const auto worthwhile = std::chrono::duration_cast<Duration>(waiting.remaining * localityWaitFactor(state.input));
     // Urgent work must start in time, so after `maxLocalityWait` it is placed even away from its data or on several racks.
@@ -47,14 +51,11 @@
     return waiting.waited >= longest || isPastAvoidableWait(state, waiting);
 }
 
-/// Sum over the targets that accept work of the service and have the label, if it is not empty.
-int sumOverTargets(PlacementState &state, const ServiceId &service, const std::string &label, const std::function<int(const PlacementTarget &)> &acceleratorsOf)
+template<typename AcceleratorsOf>
+int sumOver(const PlacementState &state, const std::vector<RackTargets> &racks, AcceleratorsOf acceleratorsOf)
 {
-    WaitingStep anyStep;
-    anyStep.service = service;
-    anyStep.specification.requiredLabel = label;
     int sum = 0;
-    for (const auto &rack : eligibleTargets(state.fleet, anyStep)) {
+    for (const auto &rack : racks) {
         for (const std::size_t number : rack.targets) {
             sum += acceleratorsOf(state.fleet.targets[number]);
         }
@@ -62,23 +63,26 @@
     return sum;
 }
 
-/// Accelerators on the targets that the step may use that remain beside the reserve, which takes those on the service's other targets first.
-int besideReserve(PlacementState &state, const WaitingStep &waiting, const std::function<int(const PlacementTarget &)> &acceleratorsOf)
+/// The targets of the step's service that accept work, with any label.
+const std::vector<RackTargets> &targetsOfService(PlacementState &state, const WaitingStep &waiting)
 {
-    const int ofStep = sumOverTargets(state, waiting.service, waiting.specification.requiredLabel, acceleratorsOf);
-    const int ofService = sumOverTargets(state, waiting.service, {}, acceleratorsOf);
-    return std::min(ofStep, ofService - reserveOf(state.input, waiting.service));
+    WaitingStep withoutLabel;
+    withoutLabel.service = waiting.service;
+    return eligibleTargets(state.fleet, withoutLabel);
 }
 
-int freeOn(const PlacementTarget &target)
+/// Accelerators on the targets that the step may use that remain beside the reserve, which takes those on the service's other targets first.
+template<typename AcceleratorsOf>
+int besideReserve(PlacementState &state, const WaitingStep &waiting, AcceleratorsOf acceleratorsOf)
 {
-    return std::max(0, target.free.accelerators);
+    const int ofStep = sumOver(state, eligibleTargets(state.fleet, waiting), acceleratorsOf);
+    const bool mayUseAll = waiting.specification.requiredLabel.empty();
+    const int ofService = mayUseAll ? ofStep : sumOver(state, targetsOfService(state, waiting), acceleratorsOf);
+    return std::min(ofStep, ofService - reserveOf(state.input, waiting.service));
 }
 
-int capacityOf(const PlacementTarget &target)
-{
-    return target.capacity.accelerators;
-}
+constexpr auto freeOn = [](const PlacementTarget &target) { return std::max(0, target.free.accelerators); };
+constexpr auto capacityOf = [](const PlacementTarget &target) { return target.capacity.accelerators; };
 
 /// True if the rack of the step's data could take the whole gang, or one of the independent tasks, once its targets are empty and answer. Targets that are
 /// out of service do not count.
@@ -104,14 +108,14 @@
 
 }
 
-bool isPastAvoidableWait(const PlacementState &state, const WaitingStep &waiting)
+bool isPastAvoidableWait(PlacementState &state, const WaitingStep &waiting)
 {
     return waiting.waited >= state.input.maxAvoidableWait && hasRoomTwiceOver(state, waiting);
 }
 
 int freeAccelerators(PlacementState &state, const WaitingStep &waiting)
 {
-    return sumOverTargets(state, waiting.service, waiting.specification.requiredLabel, freeOn);
+    return sumOver(state, eligibleTargets(state.fleet, waiting), freeOn);
 }
 
 int reserveOf(const PlacementInput &input, const ServiceId &service)
@@ -122,7 +126,8 @@
 
 std::optional<int> acceleratorBudget(PlacementState &state, const WaitingStep &waiting)
 {
-    if (waiting.priority == 0) {
+    const bool takesReserve = waiting.specification.perTask.accelerators > 0 && reserveOf(state.input, waiting.service) > 0;
+    if (waiting.priority == 0 || !takesReserve) {
         return std::nullopt;
     }
     const bool isTooLarge = tasksAtOnce(waiting) * waiting.specification.perTask.accelerators > besideReserve(state, waiting, capacityOf);
@@ -134,7 +139,7 @@
     return unreserved < half && isPastAvoidableWait(state, waiting) ? half : unreserved;
 }
 
-bool mayLeaveDataRack(const PlacementState &state, const WaitingStep &waiting)
+bool mayLeaveDataRack(PlacementState &state, const WaitingStep &waiting)
 {
     return mayLeaveLocality(state, waiting) || !canDataRackComeFree(state, waiting);
 }
--- a/workflow/avoidablewait.h
+++ b/workflow/avoidablewait.h
@@ -9,7 +9,7 @@
 
 /// True if the step has waited for `maxAvoidableWait` although the targets that it may use have room for it twice over, counted target by target. No choice of
 /// the placement may make it wait any longer: neither the reserve for urgent work, nor its preferred rack, nor suspect targets.
-bool isPastAvoidableWait(const PlacementState &state, const WaitingStep &waiting);
+bool isPastAvoidableWait(PlacementState &state, const WaitingStep &waiting);
 
 /// Free accelerators on all targets that the step may use, leaving the adviser's decision aside.
 int freeAccelerators(PlacementState &state, const WaitingStep &waiting);
@@ -23,7 +23,7 @@
 std::optional<int> acceleratorBudget(PlacementState &state, const WaitingStep &waiting);
 
 /// True if the step may be placed outside the rack of its data: it has waited long enough, or its rack will not have room.
-bool mayLeaveDataRack(const PlacementState &state, const WaitingStep &waiting);
+bool mayLeaveDataRack(PlacementState &state, const WaitingStep &waiting);
 
 /// True if the gang may be placed on several racks.
 bool maySpread(PlacementState &state, const WaitingStep &waiting);
--- a/workflow/placement.cpp
+++ b/workflow/placement.cpp
@@ -71,7 +71,7 @@
     return waiting;
 }
 
-bool mayTurnToSuspects(const PlacementState &state, const WaitingStep &waiting)
+bool mayTurnToSuspects(PlacementState &state, const WaitingStep &waiting)
 {
     return waiting.avoidsSuspects && isPastAvoidableWait(state, waiting);
 }
