--- a/tests/testavoidablewait.cpp
+++ b/tests/testavoidablewait.cpp
@@ -61,6 +61,17 @@
     EXPECT_EQ(startsOf(plan(), "batch"), 24);
 }
 
+TEST_F(AvoidableWait, stepWithoutRoomTwiceOverOnItsOwnTargetsLeavesTheReserve)
+{
+    input.urgentReserves[{"press"}] = 40;
+    occupyAll(5, 16, 8);
+    occupyAll(1, 3, 8);
+    target(5).free = target(5).capacity;
+    target(6).free = target(6).capacity;
+    waitedLong(addBatch("task", 2, 1, 8)).specification.requiredLabel = "r1";
+    EXPECT_EQ(startsOf(plan(), "task"), 0);
+}
+
 TEST_F(AvoidableWait, gangWithoutRoomTwiceOverLeavesTheReserve)
 {
     input.urgentReserves[{"press"}] = 51;
--- a/workflow/avoidablewait.cpp
+++ b/workflow/avoidablewait.cpp
@@ -127,7 +127,8 @@
 
 std::optional<int> acceleratorBudget(PlacementState &state, const WaitingStep &waiting)
 {
-    if (waiting.priority == 0) {
+    const bool takesReserve = waiting.specification.perTask.accelerators > 0 && reserveOf(state.input, waiting.service) > 0;
+    if (waiting.priority == 0 || !takesReserve) {
         return std::nullopt;
     }
     const bool isTooLarge = tasksAtOnce(waiting) * waiting.specification.perTask.accelerators > besideReserve(state, waiting, capacityOf);
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -432,6 +432,7 @@
     AdviceState advice;                          ///< Written by followAdvice, followRuns and planWork.
     std::map<TargetId, FillerPace> fillerPaces;  ///< Paces on targets that fillers share with serving tasks. Written by paceFillers.
     std::map<StepId, TaskPlaces> heldRoom;       ///< Room that the latest placement pass holds for urgent steps.
+    std::map<StepId, TimePoint> waitingSince;    ///< Since when each waiting step could have started, as far as this owner knows.
     std::map<StepId, TimePoint> explainedWaits;  ///< When the log last explained why the step waits.
     std::map<RequestId, WaitReport> waitingJobs; ///< Workflows that are due and have nothing running. Written by explainWaits.
     TimePoint lastPlanAt;                        ///< When the latest placement pass was made.
