Count the wait of a step from when its turn came

A step counted as waiting since its job's acceptance. Steps after other steps, and tasks whose run had failed, were therefore past the bound on avoidable waits as soon as they could start: they took the reserve for urgent work, left the rack of their data at once, which makes them run up to three times as long, and used suspect targets.

The wait now begins when the owner first sees the step wait. Only a step that no run or other step came before, and the steps in the first pass of an owner, count from the acceptance.

AvoidableWaitOfJobs.stepAfterALongStepWaitsFromItsTurnOn failed before: the second step started in another rack as its turn came.

--- a/tests/testavoidablewaitofjobs.cpp
+++ b/tests/testavoidablewaitofjobs.cpp
@@ -62,4 +62,21 @@
     expectStartAtTheBound(2);
 }
 
+// Guards against steps that take the reserve, or leave the rack of their data, as soon as their turn comes because the job was accepted long before.
+TEST_F(AvoidableWaitOfJobs, stepAfterALongStepWaitsFromItsTurnOn)
+{
+    fillDataRack();
+    auto specification = batch(1, small, Duration{3'000});
+    specification.steps.push_back(specification.steps.front());
+    specification.steps.back().after = {0};
+    specification.steps.back().dataRack = {"r1"};
+    specification.steps.back().estimate = work;
+    submit(id(2), specification, {.work = Duration{3'000}}, "h1", "/ordinary/");
+    runUntil([&] { return fleet.starts[id(2)] == 1; }, Duration{1'000});
+    run(Duration{3'000});
+    run(bound - startTime);
+    EXPECT_EQ(fleet.starts[id(2)], 1);
+    runUntil([&] { return fleet.starts[id(2)] == 2; }, 3 * startTime);
+}
+
 }
--- a/workflow/placement.h
+++ b/workflow/placement.h
@@ -52,7 +52,7 @@
     bool isGuaranteed = false; ///< Work of the most urgent priority within its organisation's guarantee; it may reclaim resources that others have borrowed.
     std::vector<int> tasks;
     bool avoidsSuspects = false;           ///< A run of the step has failed, so the step has few attempts left and uses suspect targets only in need.
-    Duration waited{0};                    ///< Time since the step's occurrence was due or accepted; includes earlier steps and runs, so it may be too long.
+    Duration waited{0};                    ///< Time since the step could first have started, or since its latest run ended.
     Duration remaining{0};                 ///< Estimated remaining run time.
     Duration slack{0};                     ///< Time until the step must start to meet its objective; negative if it is late.
     std::map<TargetId, int> tasksOnTarget; ///< Number of the step's tasks that already have a place on each target.
--- a/workflow/placementinput.cpp
+++ b/workflow/placementinput.cpp
@@ -104,13 +104,18 @@
     return permission;
 }
 
-/// Time since the step's occurrence was due or accepted. The accepting host's time of day may be ahead of the owner's, so it is at least the time for which this
-/// owner has seen the step wait.
-Duration waitedTime(const WorkflowBoard &board, const Workflow &workflow, const StepId &step)
+/// Time since the step could first have started. A step that a pass of this owner has not seen waiting could start when its occurrence was due or accepted if
+/// no other step or run of it came first; otherwise its turn has just come, unless this is the owner's first pass, which cannot tell.
+Duration waitedTime(const WorkflowBoard &board, const Workflow &workflow, const StepId &id, const StepProgress &progress)
 {
-    const auto seen = board.waitingSince.find(step);
-    const auto sinceSeen = seen == board.waitingSince.end() ? Duration{0} : board.now - seen->second;
-    return std::max(sinceSeen, board.wallNow - std::max(dueTime(workflow, step.occurrence), workflow.acceptedAt));
+    if (const auto seen = board.waitingSince.find(id); seen != board.waitingSince.end()) {
+        return board.now - seen->second;
+    }
+    const auto &step = workflow.specification.steps.at(static_cast<std::size_t>(id.step));
+    const bool isFirst = step.after.empty() && std::ranges::all_of(progress, [](const TaskProgress &task) { return task.lastRun == 0; });
+    const bool isOwnersFirstPass = board.lastPlanAt < board.ownership.ownedSince;
+    const auto sinceDue = std::max(Duration{0}, board.wallNow - std::max(dueTime(workflow, id.occurrence), workflow.acceptedAt));
+    return isFirst || isOwnersFirstPass ? sinceDue : Duration{0};
 }
 
 std::optional<WaitingStep> waitingStep(const WorkflowBoard &board, const WorkflowEntry &entry, const StepId &id, const StepProgress &progress)
@@ -143,7 +148,7 @@
     waiting.service = queue.service;
     waiting.organisation = entry.workflow->organisation;
     waiting.priority = queue.priority;
-    waiting.waited = waitedTime(board, *entry.workflow, id);
+    waiting.waited = waitedTime(board, *entry.workflow, id, progress);
     waiting.remaining = specification.estimate;
     waiting.slack = slackOf(board, entry, queue, id.occurrence);
     if (queue.advice) {
--- a/workflow/planwork.cpp
+++ b/workflow/planwork.cpp
@@ -154,13 +154,13 @@
 // Time allowed for the adviser's answer in addition to the time that the queue's terms with the adviser state.
 constexpr Duration adviceMargin{500};
 
-/// Notes since when each of the steps waits, and forgets the steps that no longer wait.
+/// Notes since when each of the steps could have started, and forgets the steps that no longer wait.
 void noteWaiting(WorkflowBoard &board, const std::vector<WaitingStep> &waiting)
 {
     const auto former = std::exchange(board.waitingSince, {});
     for (const auto &step : waiting) {
         const auto since = former.find(step.step);
-        board.waitingSince.emplace(step.step, since == former.end() ? board.now : since->second);
+        board.waitingSince.emplace(step.step, since == former.end() ? board.now - step.waited : since->second);
     }
 }
 
@@ -198,13 +198,13 @@
         return;
     }
     board.isPlanWanted = false;
-    board.lastPlanAt = board.now;
     board.nextPlanAt = board.now + board.self.limits.planPeriod + planPause(board);
     if (const auto restart = nextRestart(board)) {
         subscribeNoLaterThan(board.timers, "plan", *restart);
     }
     auto input = placementInput(board);
     noteWaiting(board, input.waiting);
+    board.lastPlanAt = board.now;
     board.heldRoom.clear();
     if (!input.waiting.empty()) {
         std::vector<WaitingStep> unexplained;
