Say of a job with finished tasks that its end is not decided

The line about a job with nothing running said that its occurrence had not begun, although its tasks had finished and the owner could not decide its end, for want of authority or of the store. JobWaits.jobWithFinishedTasksIsNotExplainedAsNotBegun guards this.

--- a/tests/testjobwaits.cpp
+++ b/tests/testjobwaits.cpp
@@ -1,5 +1,6 @@
 #include "tests/domainfixture.h"
 #include "workflow/jobwaits.h"
+#include "workflow/progresschange.h"
 
 #include <absl/strings/match.h>
 
@@ -136,4 +137,15 @@
     EXPECT_EQ(std::ranges::count_if(std::views::iota(2, jobs), [&](int number) { return lines(number, "waitJob") == 0; }), 0);
 }
 
+// Guards against a line that says that a job has not begun although all its tasks have finished and only its end has not been decided.
+TEST_F(JobWaits, jobWithFinishedTasksIsNotExplainedAsNotBegun)
+{
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{60'000}, {}}));
+    runUntil([this] { return isAtWork(fleet, id(1)); }, Duration{1'000});
+    auto finished = board("h1");
+    finished.runs = {};
+    changeProgress(finished, id(1), [](WorkflowProgress &progress) { progress.occurrences.at(0).steps.at(0).at(0).isFinished = true; });
+    EXPECT_EQ(findJobWait(finished, id(1))->reason, "its tasks have finished and its end is not decided");
+}
+
 }
--- a/workflow/jobwaits.cpp
+++ b/workflow/jobwaits.cpp
@@ -135,7 +135,13 @@
             }
         }
     }
-    return wait ? *std::move(wait) : JobWait{blocked.empty() ? "the occurrence that is due has not begun" : blocked};
+    if (wait || !blocked.empty()) {
+        return wait ? *std::move(wait) : JobWait{blocked};
+    }
+    const std::string reason =
+        entry.progress.occurrences.empty() ? "the occurrence that is due has not begun" : "its tasks have finished and its end is not decided";
+    const auto block = placementBlock(board);
+    return {block.empty() ? reason : reason + ", " + block};
 }
 
 }
