Declare the values that the parts for hard load share

Caps and weights of organisations, run-time factors of targets, errors of estimates and pairs of interfering tasks are each written by one part and read by others, so their types are agreed on first. Nothing reads or writes them yet.

--- a/core/queueconfiguration.h
+++ b/core/queueconfiguration.h
@@ -51,11 +51,23 @@
     friend bool operator==(const Service &, const Service &) = default;
 };
 
-/// An organisation and the accelerators that are guaranteed to its work of priority 0 at all times.
+/// Limits on the resources that an organisation may use on all targets together. A resource without a value is not limited.
+struct ResourceCap
+{
+    std::optional<int> milliCpu;
+    std::optional<int> memoryMb;
+    std::optional<int> accelerators;
+
+    friend bool operator==(const ResourceCap &, const ResourceCap &) = default;
+};
+
+/// An organisation and its part of the capacity.
 struct OrganisationShare
 {
     OrganisationId id;
-    int guaranteedAccelerators = 0;
+    int guaranteedAccelerators = 0; ///< Accelerators that belong to the organisation's work of priority 0 at all times.
+    int weight = 1;                 ///< Share of the capacity, relative to the weights of the other organisations, while all of it is in use.
+    ResourceCap cap;
 
     friend bool operator==(const OrganisationShare &, const OrganisationShare &) = default;
 };
--- a/workflow/placement.h
+++ b/workflow/placement.h
@@ -2,6 +2,7 @@
 
 #include "core/queueconfiguration.h"
 #include "core/workflowprogress.h"
+#include "interference.h"
 
 #include <functional>
 #include <map>
@@ -22,11 +23,13 @@
     RackId rack;
     std::vector<std::string> labels;
     Resources capacity;
-    Resources free;           ///< Resources that nothing occupies now.
-    Resources freeAfterStops; ///< `free` plus the resources of runs that are being stopped.
-    bool isInService = false; ///< The target is registered, does not drain, and its zone is not evacuated.
-    bool acceptsWork = false; ///< The target may be given new work now.
-    bool isSuspect = false;   ///< Enough runs have failed on the target, with none finished since, that it may be faulty.
+    Resources free;              ///< Resources that nothing occupies now.
+    Resources freeAfterStops;    ///< `free` plus the resources of runs that are being stopped.
+    bool isInService = false;    ///< The target is registered, does not drain, and its zone is not evacuated.
+    bool acceptsWork = false;    ///< The target may be given new work now.
+    double runTimeFactor = 1;    ///< Run time on the target relative to the median of its service; larger on slower targets.
+    std::vector<TaskKind> kinds; ///< Distinct kinds of the tasks that run on the target; filled only while interference is known.
+    bool isSuspect = false;      ///< Enough runs have failed on the target, with none finished since, that it may be faulty.
 
     friend bool operator==(const PlacementTarget &, const PlacementTarget &) = default;
 };
@@ -51,6 +54,8 @@
     int priority = 0;
     bool isGuaranteed = false; ///< Work of the most urgent priority within its organisation's guarantee; it may reclaim resources that others have borrowed.
     std::vector<int> tasks;
+    TaskKind kind;
+    bool isBeyondShare = false;            ///< The organisation holds its fair share of the service's accelerators or more.
     bool avoidsSuspects = false;           ///< A run of the step has failed, so the step has few attempts left and uses suspect targets only in need.
     Duration waited{0};                    ///< Time since the step could first have started, or since its latest run ended.
     Duration remaining{0};                 ///< Estimated remaining run time.
@@ -84,13 +89,15 @@
 {
     std::vector<PlacementTarget> targets;
     std::vector<WaitingStep> waiting;
-    std::map<StepId, TaskPlaces> held;       ///< Room that earlier passes hold for urgent steps until the preempted work there has stopped.
-    Duration stopTime{500};                  ///< Time from the decision to stop a run until its room is known to be free.
-    double remoteFactor = 3;                 ///< Factor by which run time grows for a gang on several racks, or for a task outside the rack of its data.
-    Duration maxLocalityWait{1'000};         ///< Longest time that urgent work waits for a single rack or for the rack of its data.
-    Duration maxAvoidableWait{1'500};        ///< Longest time that a step waits although there is room for it twice over.
-    bool mayPreempt = true;                  ///< Work may be preempted for urgent steps; false while the state of much of the fleet is unknown.
-    std::map<ServiceId, int> urgentReserves; ///< Accelerators of each service that work below the most urgent priority leaves free.
+    std::map<StepId, TaskPlaces> held; ///< Room that earlier passes hold for urgent steps until the preempted work there has stopped.
+    Duration stopTime{500};            ///< Time from the decision to stop a run until its room is known to be free.
+    double remoteFactor = 3;           ///< Factor by which run time grows for a gang on several racks, or for a task outside the rack of its data.
+    Duration maxLocalityWait{1'000};   ///< Longest time that urgent work waits for a single rack or for the rack of its data.
+    Duration maxAvoidableWait{1'500};  ///< Longest time that a step waits although there is room for it twice over.
+    bool mayPreempt = true;            ///< Work may be preempted for urgent steps; false while the state of much of the fleet is unknown.
+    std::map<OrganisationId, ResourceCap> organisationRoom; ///< What each organisation may start within its cap; a missing organisation has no limit.
+    std::set<KindPair> interference;                        ///< Kinds of tasks that slow each other down on one target.
+    std::map<ServiceId, int> urgentReserves;                ///< Accelerators of each service that work below the most urgent priority leaves free.
 
     friend bool operator==(const PlacementInput &, const PlacementInput &) = default;
 };
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -12,11 +12,13 @@
 #include "core/table.h"
 #include "core/timerservice.h"
 #include "domainsettings.h"
+#include "estimateerror.h"
 #include "fillerpace.h"
 #include "ownerduties.h"
 #include "placement.h"
 #include "runtable.h"
 #include "targetorder.h"
+#include "targetspeed.h"
 #include "urgentreserve.h"
 #include "waitreport.h"
 #include "workflowtable.h"
@@ -429,13 +431,15 @@
     SummaryCopy summary;
     TombstoneWriter tombstones; ///< Written by answerCallers.
     HostDirectory directory;
-    AdviceState advice;                          ///< Written by followAdvice, followRuns and planWork.
-    std::map<TargetId, FillerPace> fillerPaces;  ///< Paces on targets that fillers share with serving tasks. Written by paceFillers.
-    std::map<StepId, TaskPlaces> heldRoom;       ///< Room that the latest placement pass holds for urgent steps.
-    std::map<StepId, TimePoint> waitingSince;    ///< Since when each waiting step could have started, as far as this owner knows.
-    std::map<StepId, TimePoint> explainedWaits;  ///< When the log last explained why the step waits.
-    std::map<RequestId, WaitReport> waitingJobs; ///< Workflows that are due and have nothing running. Written by explainWaits.
-    TimePoint lastPlanAt;                        ///< When the latest placement pass was made.
+    AdviceState advice;                                  ///< Written by followAdvice, followRuns and planWork.
+    std::map<TargetId, FillerPace> fillerPaces;          ///< Paces on targets that fillers share with serving tasks. Written by paceFillers.
+    std::map<TargetId, TargetSpeed> targetSpeeds;        ///< Written by learnSpeeds.
+    std::map<EstimateKey, EstimateError> estimateErrors; ///< Written by learnEstimates.
+    std::map<StepId, TaskPlaces> heldRoom;               ///< Room that the latest placement pass holds for urgent steps.
+    std::map<StepId, TimePoint> waitingSince;            ///< Since when each waiting step could have started, as far as this owner knows.
+    std::map<StepId, TimePoint> explainedWaits;          ///< When the log last explained why the step waits.
+    std::map<RequestId, WaitReport> waitingJobs;         ///< Workflows that are due and have nothing running. Written by explainWaits.
+    TimePoint lastPlanAt;                                ///< When the latest placement pass was made.
     TimePoint nextPlanAt;
     TimePoint nextHoldScanAt;  ///< When holdTargets checks all targets again. Written by holdTargets.
     TimePoint nextRunScanAt;   ///< When advanceWorkflows searches for runs of ended workflows again. Written by advanceWorkflows.
