Decode caps and weights of organisations

The configuration's rows of tenants carry a cap and a weight, which were ignored. The adapter now reads both; 0 or a missing field of a cap means no limit, and a missing weight is 1.

Not measured: no behaviour depends on the values yet.

--- a/tests/testplatformstore.cpp
+++ b/tests/testplatformstore.cpp
@@ -166,7 +166,8 @@
     const std::string text = R"({"version":7,"routes":[{"name":"r1","host":"h.example","prefix":"/a/","kind":"non_idempotent","timeoutMs":3000,
         "targetLatencyMs":250,"priority":0,"service":"press","maxAttempts":2,"stretch":1.5,"anonymous":false,"new":"field",
         "advice":{"decisionMs":20,"periodMs":2,"validityMs":3000}}],"services":[{"name":"press","healthPath":"/health","rejectsOverload":true}],
-        "limits":{"maxBodyBytes":1000},"tenants":[{"name":"t1","apiKeys":["k1","k2"],"guaranteed":{"gpu":72}},{"name":"t2","apiKeys":[]}]})";
+        "limits":{"maxBodyBytes":1000},"tenants":[{"name":"t1","apiKeys":["k1","k2"],"guaranteed":{"gpu":72},"weight":4,"cap":{"cpu":4033730,"memMb":0,"gpu":500}},
+        {"name":"t2","apiKeys":[]}]})";
     const auto record = readPlatformRecord(queueConfigurationKey(), text);
     ASSERT_TRUE(record.ok()) << record.status();
     const auto &configuration = std::get<QueueConfiguration>(*record);
@@ -176,6 +177,9 @@
     EXPECT_EQ(queue.advice, (AdviceTerms{Duration{20}, Duration{2}, Duration{3'000}}));
     EXPECT_TRUE(configuration.services.at({"press"}).rejectsOverload);
     EXPECT_EQ(configuration.organisations.at({"t1"}).guaranteedAccelerators, 72);
+    EXPECT_EQ(configuration.organisations.at({"t1"}).cap, (ResourceCap{4'033'730, std::nullopt, 500}));
+    EXPECT_EQ(configuration.organisations.at({"t1"}).weight, 4);
+    EXPECT_EQ(configuration.organisations.at({"t2"}), (OrganisationShare{{"t2"}}));
     EXPECT_EQ(configuration.keys.at("k2"), OrganisationId{"t1"});
     EXPECT_EQ(configuration.maxBodyBytes, 1'000U);
 }
