Check the caps of organisations in the fleet model

No test objected to a start that brings an organisation above its cap. The model of the targets now knows the caps that may be in force, and records a QUOTA violation for a start that exceeds the highest of them; the platform's allowance of a tenth and one task is not used. DomainTest sets caps with setCap().

--- a/standins/fleetchecks.cpp
+++ b/standins/fleetchecks.cpp
@@ -96,6 +96,39 @@
     }
 }
 
+void checkQuota(FleetModel &fleet, const TaskId &task, TimePoint now)
+{
+    const auto &organisation = fleet.workflows.at(task.step.workflow).organisation;
+    const auto caps = fleet.caps.find(organisation);
+    if (caps == fleet.caps.end()) {
+        return;
+    }
+    long long milliCpu = 0;
+    long long memoryMb = 0;
+    long long accelerators = 0;
+    for (const auto &[id, target] : fleet.targets) {
+        for (const auto &[running, run] : target.running) {
+            const auto *step = stepOf(fleet, running.step);
+            if (step != nullptr && fleet.workflows.at(running.step.workflow).organisation == organisation) {
+                milliCpu += step->perTask.milliCpu;
+                memoryMb += step->perTask.memoryMb;
+                accelerators += step->perTask.accelerators;
+            }
+        }
+    }
+    const auto allows = [](std::optional<int> limit, long long used) { return !limit || used <= *limit; };
+    const bool isAllowed = std::ranges::any_of(caps->second, [&](const ModelCap &row) {
+        const bool isInForce = !row.until || now < *row.until;
+        return isInForce && allows(row.cap.milliCpu, milliCpu) && allows(row.cap.memoryMb, memoryMb) && allows(row.cap.accelerators, accelerators);
+    });
+    if (!isAllowed) {
+        recordViolation(fleet,
+                        "QUOTA",
+                        task,
+                        absl::StrCat("brings ", organisation.value, " over its cap to ", milliCpu, " cpu, ", memoryMb, " MB, ", accelerators, " accelerators"));
+    }
+}
+
 void checkAvailability(FleetModel &fleet, const TaskId &task, TimePoint now)
 {
     const auto *step = stepOf(fleet, task.step);
--- a/standins/fleetchecks.h
+++ b/standins/fleetchecks.h
@@ -25,6 +25,9 @@
 /// Checks that the tasks on the target fit into its capacity.
 void checkRoom(FleetModel &fleet, const ModelTarget &target, const TaskId &task);
 
+/// Checks that the start keeps its organisation within the highest of its caps that may be in force. The platform's rule allows a tenth and one task more.
+void checkQuota(FleetModel &fleet, const TaskId &task, TimePoint now);
+
 /// Checks that stopping the task keeps the unavailable tasks of its step within the step's limit.
 void checkAvailability(FleetModel &fleet, const TaskId &task, TimePoint now);
 
--- a/standins/fleetmodel.cpp
+++ b/standins/fleetmodel.cpp
@@ -132,6 +132,7 @@
     ++fleet.starts[order.task.step.workflow];
     fleet.lastStart[order.task] = now;
     checkRoom(fleet, target, order.task);
+    checkQuota(fleet, order.task, now);
     return reply;
 }
 
@@ -375,6 +376,16 @@
     std::ranges::for_each(ids, [&](const TargetId &id) { endDueRuns(fleet, id, now); });
 }
 
+void setCap(FleetModel &fleet, const OrganisationId &organisation, const ResourceCap &cap, TimePoint formerUntil)
+{
+    auto &caps = fleet.caps[organisation];
+    if (caps.empty()) {
+        caps.push_back({});
+    }
+    std::ranges::for_each(caps, [&](ModelCap &former) { former.until = former.until.value_or(formerUntil); });
+    caps.push_back({cap, std::nullopt});
+}
+
 Resources usedOn(const FleetModel &fleet, const ModelTarget &target)
 {
     Resources used;
--- a/standins/fleetmodel.h
+++ b/standins/fleetmodel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "advisermodel.h"
+#include "core/queueconfiguration.h"
 #include "core/targetregistration.h"
 #include "core/time.h"
 #include "core/workflow.h"
@@ -72,6 +73,15 @@
     friend bool operator==(const ModelTarget &, const ModelTarget &) = default;
 };
 
+/// A cap of an organisation in a configuration that may be in force.
+struct ModelCap
+{
+    ResourceCap cap;
+    std::optional<TimePoint> until; ///< Time from which a newer configuration is in force everywhere; no value for the newest one.
+
+    friend bool operator==(const ModelCap &, const ModelCap &) = default;
+};
+
 /// Model of targets that follow the platform's rules for runs, on virtual time. It records violations of the rules by the hosts.
 struct FleetModel
 {
@@ -85,8 +95,9 @@
     std::map<TargetId, ModelTarget> targets;
     std::map<RequestId, Workflow> workflows;
     std::map<RequestId, TaskBehaviour> behaviours;
-    AdviserModel adviser;                 ///< The adviser of queues whose starts need a ticket.
-    std::map<TaskId, TimePoint> finished; ///< When a run of the task first finished.
+    std::map<OrganisationId, std::vector<ModelCap>> caps; ///< Caps by organisation; one without a row has no limit.
+    AdviserModel adviser;                                 ///< The adviser of queues whose starts need a ticket.
+    std::map<TaskId, TimePoint> finished;                 ///< When a run of the task first finished.
     std::map<TaskId, TimePoint>
         acknowledgedFinishes; ///< When a finish of the task was acknowledged, if the hold on the target had not lapsed since the finish.
     std::map<TaskId, TimePoint> lastStart;
@@ -113,6 +124,9 @@
 /// Advances the runs to the given time and ends those that are due.
 void advance(FleetModel &fleet, TimePoint now);
 
+/// Sets the organisation's cap. The former one may be in force until the given time.
+void setCap(FleetModel &fleet, const OrganisationId &organisation, const ResourceCap &cap, TimePoint formerUntil);
+
 /// Resources used by the runs on the target.
 Resources usedOn(const FleetModel &fleet, const ModelTarget &target);
 
--- a/tests/domaincallers.cpp
+++ b/tests/domaincallers.cpp
@@ -35,6 +35,9 @@
     workflow.id = id;
     workflow.queue = *findQueue(configuration, queueHost, prefix);
     workflow.specification = specification;
+    if (const auto key = configuration.keys.find(callerKey); key != configuration.keys.end()) {
+        workflow.organisation = key->second;
+    }
     fleet.workflows.insert_or_assign(id, workflow);
     fleet.behaviours.insert_or_assign(id, behaviour);
     CallerRequest request;
--- a/tests/domainfixture.cpp
+++ b/tests/domainfixture.cpp
@@ -96,6 +96,14 @@
     writeConfiguration();
 }
 
+void DomainTest::setCap(const std::string &organisation, const ResourceCap &cap)
+{
+    const bool isFirst = m_hosts.empty();
+    configuration.organisations.at({organisation}).cap = cap;
+    sequoiastand::setCap(fleet, {organisation}, cap, isFirst ? now : now + settings.limits.maxProofAge + tick);
+    writeConfiguration();
+}
+
 void DomainTest::setKey(const std::string &key, const std::string &organisation)
 {
     configuration.keys.insert_or_assign(key, OrganisationId{organisation});
--- a/tests/domainfixture.h
+++ b/tests/domainfixture.h
@@ -29,6 +29,9 @@
     void addTargets(int count);
     void setQueue(const Queue &queue);
     void setGuarantee(const std::string &organisation, int accelerators);
+
+    /// The former cap counts as in force for as long as a host may act on a proof of it and a start may be under way.
+    void setCap(const std::string &organisation, const ResourceCap &cap);
     void setKey(const std::string &key, const std::string &organisation);
     void removeKey(const std::string &key);
     void evacuate(const std::string &zone);
