Keep organisations within their resource caps

Everything that may be running counts: runs from their planning until their targets certainly do not run them, starts without an answer, strays. A pass starts and holds only what the lowest cap that may be in force leaves. Other steps wait with OrganisationCap, hold nothing and preempt nothing. Guaranteed urgent work stops less urgent units of its own organisation if only the cap is in its way. Recorded starts are checked again before they are sent, because the cap may have fallen, and starts are not repeated above the cap. A gang or task larger than the cap is refused as quotaExceeded.

--- a/workflow/advicequestion.cpp
+++ b/workflow/advicequestion.cpp
@@ -1,5 +1,7 @@
 #include "advicequestion.h"
 
+#include "organisationcap.h"
+
 #include "packing.h"
 
 #include <algorithm>
@@ -66,7 +68,8 @@
     sortWaiting(waiting);
     std::optional<AdviceQuestion> forLater;
     for (const auto &step : waiting) {
-        if (!step.advice || placeableTasks(input, step) >= static_cast<int>(step.tasks.size())) {
+        const bool isBeyondCap = !step.isGuaranteed && tasksWithinCap(input, step) < (step.specification.isGang ? static_cast<int>(step.tasks.size()) : 1);
+        if (!step.advice || isBeyondCap || placeableTasks(input, step) >= static_cast<int>(step.tasks.size())) {
             continue;
         }
         auto targets = targetsToAsk(input, step);
--- a/workflow/callerchecks.cpp
+++ b/workflow/callerchecks.cpp
@@ -1,5 +1,7 @@
 #include "callerchecks.h"
 
+#include "organisationcap.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -31,6 +33,13 @@
     });
 }
 
+/// True if the gang, or one independent task, fits under the cap of its organisation while nothing else of the organisation runs.
+bool couldFitUnderCap(const ResourceCap &cap, const StepSpecification &step)
+{
+    const int count = step.isGang ? step.taskCount : 1;
+    return tasksWithin(cap, step.perTask, count) == count;
+}
+
 std::optional<std::string> findSubmissionError(const CallerRequest &request, const RoutedCall &routed)
 {
     if (!isRequestId(routed.rest)) {
@@ -95,6 +104,13 @@
     if (!std::ranges::all_of(steps, [&](const StepSpecification &step) { return couldFit(board, *routed.queue, step); })) {
         return notRun(RefusalReason::NeverFits, "a task is larger than every target, or requires a label that no target has");
     }
+    const auto share = board.view.configuration.organisations.find(routed.organisation);
+    if (share != board.view.configuration.organisations.end()) {
+        const auto &cap = share->second.cap;
+        if (!std::ranges::all_of(steps, [&](const StepSpecification &step) { return couldFitUnderCap(cap, step); })) {
+            return notRun(RefusalReason::QuotaExceeded, "a gang or a task is larger than the cap of its organisation, which is " + describe(cap));
+        }
+    }
     return std::nullopt;
 }
 
--- a/workflow/driveruns.cpp
+++ b/workflow/driveruns.cpp
@@ -1,11 +1,13 @@
 #include "controllers.h"
 #include "eligibility.h"
+#include "organisationcap.h"
 #include "progresschange.h"
 #include "runends.h"
 #include "targetlease.h"
 #include "targetorders.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <ranges>
@@ -116,10 +118,9 @@
 }
 
 /// Drops a recorded run that may no longer start. A gang is dropped as a whole, before any member has been started.
-void dropRecorded(WorkflowBoard &board, const TaskRun &run)
+void dropRecorded(WorkflowBoard &board, const TaskRun &run, std::string_view block)
 {
     const bool isGang = isGangMember(board, run);
-    const auto block = lastingBlock(board, run);
     logDecision(board,
                 "startRun",
                 run.place.target.value,
@@ -139,7 +140,7 @@
 {
     const bool mayWait = isGangMember(board, run) && lastingBlock(board, run).empty();
     if (!mayWait || (run.blockedSince && board.now >= *run.blockedSince + longestStartBlock)) {
-        dropRecorded(board, run);
+        dropRecorded(board, run, lastingBlock(board, run));
         return;
     }
     if (!run.blockedSince) {
@@ -171,7 +172,26 @@
     return target != nullptr && isInService(board, *target);
 }
 
-void driveStarting(WorkflowBoard &board, const TaskRun &run)
+/// What the organisations have left within their caps beside everything that may be running; empty without caps.
+std::map<OrganisationId, ResourceCap> roomWithinCaps(const WorkflowBoard &board)
+{
+    const auto caps = capsInForce(board.view, board.now);
+    return caps.empty() ? caps : roomOfOrganisations(caps, organisationUse(board));
+}
+
+/// The room of a step of the loop, which is computed once, when the first order needs it.
+using CapRoom = std::optional<std::map<OrganisationId, ResourceCap>>;
+
+/// True if the organisation has more running than its cap allows, so that no unanswered start of it may be repeated.
+bool isAboveCap(const WorkflowBoard &board, const TaskRun &run, CapRoom &capRoom)
+{
+    const auto *entry = board.workflows.find(run.task.step.workflow);
+    capRoom = capRoom ? std::move(capRoom) : CapRoom(roomWithinCaps(board));
+    const auto room = entry == nullptr ? capRoom->end() : capRoom->find(entry->workflow->organisation);
+    return room != capRoom->end() && isExceeded(room->second);
+}
+
+void driveStarting(WorkflowBoard &board, const TaskRun &run, CapRoom &capRoom)
 {
     const bool isGang = isGangMember(board, run);
     const auto gangWait = static_cast<double>(board.self.limits.gangWait.count()) * gangStartShare;
@@ -191,8 +211,8 @@
         return;
     }
     subscribeNoLaterThan(board.timers, "orders", run.stepSince + longestWait);
-    // Without a recent proof the zone may have been evacuated since the first order. A new proof wakes the host.
-    if (isProofFresh(board)) {
+    // Without a recent proof the zone may have been evacuated since the first order. A new proof wakes the host. The cap may have been lowered since.
+    if (isProofFresh(board) && !isAboveCap(board, run, capRoom)) {
         count(board.counters, "startsRepeated", "");
         sendStart(board, run);
     }
@@ -288,11 +308,39 @@
            || !std::ranges::all_of(gang, [&](const TaskId &task) { return acceptsWorkIfReachable(board, *board.targets.find(runOf(task).place.target)); });
 }
 
+bool isStoredGroup(const WorkflowBoard &board, const StartGroup &group)
+{
+    const auto &first = *board.runs.find(group.tasks.front());
+    return isStored(board, first.task.step.workflow, first.recordedInVersion);
+}
+
+/// Drops recorded runs that no longer fit under the caps, because a cap was lowered or a stray run was listed after they were planned. The least urgent and
+/// newest ones are dropped first.
+void dropBeyondCaps(WorkflowBoard &board, const std::vector<StartGroup> &groups)
+{
+    const bool mayStart = std::ranges::any_of(groups, [&](const StartGroup &group) { return isStoredGroup(board, group); });
+    auto room = mayStart ? roomWithinCaps(board) : std::map<OrganisationId, ResourceCap>{};
+    if (std::ranges::none_of(room, [](const auto &row) { return isExceeded(row.second); })) {
+        return;
+    }
+    std::vector<RecordedStart> starts;
+    std::ranges::transform(groups, std::back_inserter(starts), [&](const StartGroup &group) {
+        const auto &step = group.tasks.front().step;
+        return RecordedStart{board.workflows.find(step.workflow)->workflow->organisation, findStep(board, step)->perTask, group.isGang, group.tasks};
+    });
+    for (const auto &task : startsBeyondCaps(starts, std::move(room))) {
+        if (const auto *run = board.runs.find(task)) { // A gang is dropped with its first member.
+            dropRecorded(board, TaskRun{*run}, "its organisation has reached its cap");
+        }
+    }
+}
+
 /// Sends recorded starts up to the limit on starts under way. The starts of a gang are sent together, because its members wait for each other on their targets.
 void sendRecorded(WorkflowBoard &board, const std::vector<TaskId> &tasks)
 {
     int underWay = startsUnderWay(board);
     const int limit = board.self.limits.maxStartsUnderWay;
+    dropBeyondCaps(board, startGroups(board, tasks));
     for (const auto &group : startGroups(board, tasks)) {
         if (underWay >= limit) {
             return;
@@ -332,6 +380,7 @@
         }
     }
     auto stopsAtSilent = stopsAtSilentTargets(board);
+    CapRoom capRoom;
     for (const auto &task : waiting) {
         const auto *present = board.runs.find(task);
         if (present == nullptr || present->call) {
@@ -341,7 +390,7 @@
         if (run.isStopWanted && !run.stoppedAt) {
             driveStop(board, run, stopsAtSilent);
         } else if (run.step == RunStep::Starting && !run.stoppedAt) {
-            driveStarting(board, run);
+            driveStarting(board, run, capRoom);
         }
     }
     sendRecorded(board, waiting);
--- a/workflow/followruns.cpp
+++ b/workflow/followruns.cpp
@@ -88,6 +88,9 @@
         if (found != listed.end() && found->second->run == run.number) {
             updateListedRun(board, run, *found->second);
         } else if (board.runs.contains(run.task) && isCertainlyAbsent(board, run, reply, holdSentAt)) {
+            if (hasStartExpired(board, run, reply.clock, holdSentAt)) {
+                fenceLateStart(board, run.task, run.number);
+            }
             dropUnlistedRun(board, run);
         }
     }
@@ -182,6 +185,7 @@
     target.hasAnsweredOwner = true;
     target.answeredAt = board.now;
     target.hasStrays = false;
+    target.strays.clear();
     target.hasMoreEnds = reply.lists->isEndListFull;
     if (reply.clock) {
         target.clock = ClockSample{*reply.clock, board.now};
@@ -256,6 +260,7 @@
         handleFencedOrder(board, run.place.target);
     }
     if (reply.refusal == OrderRefusal::OldRun) {
+        fenceLateStart(board, run.task, run.number);
         run.stoppedAt = board.now;
         run.step = RunStep::Ending;
     } else {
@@ -289,6 +294,7 @@
     run.unansweredOrders = reply.outcome == OrderOutcome::Accepted || reply.outcome == OrderOutcome::Refused ? 0 : run.unansweredOrders;
     if (reply.outcome == OrderOutcome::Accepted) {
         if (wasStop) {
+            fenceLateStart(board, run.task, run.number);
             run.stoppedAt = board.now;
             run.step = RunStep::Ending;
         } else {
--- a/workflow/guaranteeshare.cpp
+++ b/workflow/guaranteeshare.cpp
@@ -1,6 +1,7 @@
 #include "guaranteeshare.h"
 
 #include "eligibility.h"
+#include "organisationcap.h"
 
 #include <algorithm>
 #include <map>
@@ -35,6 +36,12 @@
     for (const auto &[id, share] : board.view.configuration.organisations) {
         remaining.emplace(id, share.guaranteedAccelerators);
     }
+    // Work beyond the cap cannot start, so a guarantee counts only up to the cap.
+    for (const auto &[id, cap] : capsInForce(board.view, board.now)) {
+        if (const auto share = remaining.find(id); share != remaining.end()) {
+            share->second = std::min(share->second, cap.accelerators.value_or(share->second));
+        }
+    }
     std::set<RequestId> guaranteed;
     for (const auto *entry : urgent) {
         const auto share = remaining.find(entry->workflow->organisation);
--- a/workflow/latestarts.cpp
+++ b/workflow/latestarts.cpp
@@ -30,6 +30,7 @@
     late.stop.reset();
     if (reply->outcome == OrderOutcome::Accepted || reply->refusal == OrderRefusal::OldRun) {
         late.isStopWanted = false;
+        late.isFenced = true;
         board.isPlanWanted = true;
         return late;
     }
--- a/workflow/ownershipchange.cpp
+++ b/workflow/ownershipchange.cpp
@@ -19,6 +19,7 @@
     board.advice = {};
     board.fillerPaces.clear();
     board.heldRoom.clear();
+    board.organisationCapWaits = 0;
     board.waitingSince.clear();
     board.explainedWaits.clear();
     board.targets = {};
--- a/workflow/placement.cpp
+++ b/workflow/placement.cpp
@@ -1,6 +1,7 @@
 #include "placement.h"
 
 #include "avoidablewait.h"
+#include "organisationcap.h"
 #include "packing.h"
 #include "placementstate.h"
 #include "reclaim.h"
@@ -173,12 +174,14 @@
 void startTasks(PlacementState &state, PlacementPlan &plan, const WaitingStep &waiting, const TaskCounts &counts)
 {
     takeRoom(state.fleet.targets, waiting, counts);
+    takeCapRoom(state.input, waiting, sumOf(counts));
     addStarts(plan, state.fleet.targets, waiting, counts);
 }
 
 void holdRoom(PlacementState &state, PlacementPlan &plan, const WaitingStep &waiting, const TaskCounts &counts)
 {
     takeRoom(state.fleet.targets, waiting, counts);
+    takeCapRoom(state.input, waiting, sumOf(counts));
     plan.held.insert_or_assign(waiting.step, placesOf(state.fleet.targets, counts));
 }
 
@@ -200,6 +203,44 @@
     }
 }
 
+std::optional<TaskCounts> findHeldPlaces(PlacementState &state, PlacementPlan &plan, const WaitingStep &waiting, const std::optional<TaskCounts> &held)
+{
+    if (held && doAllFit(state.fleet.targets, waiting, *held, roomAfterStops)) {
+        return held;
+    }
+    if (auto counts = placeGang(state, waiting, roomAfterStops)) {
+        return counts;
+    }
+    auto reclaim = state.input.mayPreempt ? findReclaim(state, waiting, maySpread(state, waiting)) : std::nullopt;
+    if (!reclaim) {
+        return std::nullopt;
+    }
+    plan.stops.insert(plan.stops.end(), reclaim->stops.begin(), reclaim->stops.end());
+    return std::move(reclaim->places);
+}
+
+/// Makes room within the cap for a guaranteed step: less urgent work of its own organisation is stopped, and the step holds room on the targets meanwhile. Other
+/// steps wait for their cap without holding anything.
+void makeCapRoom(PlacementState &state, PlacementPlan &plan, const WaitingStep &waiting, const std::optional<TaskCounts> &held)
+{
+    const auto units = waiting.isGuaranteed ? findCapStops(state, waiting) : std::nullopt;
+    if (!units) {
+        return;
+    }
+    const auto targets = state.fleet.targets;
+    const auto leaving = victimsOf(state).isLeaving;
+    const auto stops = stopUnits(state, waiting, *units);
+    if (auto places = findHeldPlaces(state, plan, waiting, held)) {
+        plan.stops.insert(plan.stops.end(), stops.begin(), stops.end());
+        std::ranges::transform(*units, std::inserter(plan.capStops, plan.capStops.end()), [&](std::size_t unit) { return firstTask(state, unit); });
+        holdRoom(state, plan, waiting, *places);
+    } else {
+        // The work is stopped only if the step can start afterwards.
+        state.fleet.targets = targets;
+        state.victims->isLeaving = leaving;
+    }
+}
+
 /// Ends the hold of an earlier pass for the step and returns the held room to the targets, so that the step itself can use it.
 std::optional<TaskCounts> releaseHeldRoom(PlacementState &state, const WaitingStep &waiting)
 {
@@ -207,6 +248,7 @@
     auto counts = held ? taskCountsOf(state.fleet, waiting, held.mapped()) : std::nullopt;
     if (counts) {
         returnRoom(state.fleet.targets, waiting, *counts);
+        returnCapRoom(state.input, waiting, sumOf(*counts));
     }
     return counts;
 }
@@ -214,7 +256,10 @@
 void placeGangStep(PlacementState &state, PlacementPlan &plan, const WaitingStep &waiting)
 {
     const auto held = releaseHeldRoom(state, waiting);
-    if (held && doAllFit(state.fleet.targets, waiting, *held, freeRoom)) {
+    if (std::cmp_less(tasksWithinCap(state.input, waiting), waiting.tasks.size())) {
+        plan.capWaits.insert(waiting.step);
+        makeCapRoom(state, plan, waiting, held);
+    } else if (held && doAllFit(state.fleet.targets, waiting, *held, freeRoom)) {
         startTasks(state, plan, waiting, *held);
     } else if (auto counts = placeGang(state, waiting, freeRoom)) {
         startTasks(state, plan, waiting, *counts);
@@ -225,19 +270,57 @@
     }
 }
 
-void placeTasks(PlacementState &state, PlacementPlan &plan, const WaitingStep &waiting)
+/// Starts as many of the tasks as there is room for, and returns their number.
+int startIndependentTasks(PlacementState &state, PlacementPlan &plan, const WaitingStep &waiting)
 {
-    releaseHeldRoom(state, waiting);
     const auto counts = placeIndependentTasks(state, waiting);
     startTasks(state, plan, waiting, counts);
-    const int placed = sumOf(counts);
+    return sumOf(counts);
+}
+
+WaitingStep withoutTasks(WaitingStep waiting, int first)
+{
+    waiting.tasks.erase(waiting.tasks.begin(), waiting.tasks.begin() + first);
+    return waiting;
+}
+
+WaitingStep withTasks(WaitingStep waiting, int count)
+{
+    waiting.tasks.resize(static_cast<std::size_t>(count));
+    return waiting;
+}
+
+/// Places the tasks of a step that may start only in part within its organisation's cap. Guaranteed tasks beyond the cap may stop other work of the organisation.
+void placeTasksWithinCap(PlacementState &state, PlacementPlan &plan, const WaitingStep &waiting, int allowed)
+{
+    const int placed = allowed > 0 ? startIndependentTasks(state, plan, withTasks(waiting, allowed)) : 0;
+    if (waiting.priority != 0) {
+        return;
+    }
+    const auto rest = withoutTasks(waiting, placed);
+    const int possible = waiting.isGuaranteed ? tasksBesideOwnWork(state, rest) : 0;
+    if (possible > allowed - placed) {
+        makeCapRoom(state, plan, withTasks(rest, possible), std::nullopt);
+    } else if (placed < allowed) {
+        makeRoom(state, plan, withTasks(rest, allowed - placed));
+    }
+}
+
+void placeTasks(PlacementState &state, PlacementPlan &plan, const WaitingStep &waiting)
+{
+    releaseHeldRoom(state, waiting);
+    const int allowed = tasksWithinCap(state.input, waiting);
+    if (std::cmp_less(allowed, waiting.tasks.size())) {
+        plan.capWaits.insert(waiting.step);
+        placeTasksWithinCap(state, plan, waiting, allowed);
+        return;
+    }
+    const int placed = startIndependentTasks(state, plan, waiting);
     if (waiting.priority != 0 || std::cmp_equal(placed, waiting.tasks.size())) {
         return;
     }
     // Preempts work for the urgent tasks that found no room, in the same way as for a gang.
-    WaitingStep rest = waiting;
-    rest.tasks.erase(rest.tasks.begin(), rest.tasks.begin() + placed);
-    makeRoom(state, plan, rest);
+    makeRoom(state, plan, withoutTasks(waiting, placed));
 }
 
 WaitReason reasonOf(PlacementState &state, const PlacementPlan &plan, const WaitingStep &waiting)
@@ -245,6 +328,9 @@
     if (plan.held.contains(waiting.step)) {
         return WaitReason::Preempting;
     }
+    if (plan.capWaits.contains(waiting.step)) {
+        return WaitReason::OrganisationCap;
+    }
     const int count = waiting.specification.isGang ? static_cast<int>(waiting.tasks.size()) : 1;
     const PackingLimits anywhere{freeRoom, isAnyTarget, std::nullopt};
     if (!packTasks(state.fleet, waiting, count, anywhere)) {
@@ -261,6 +347,11 @@
     return waiting.specification.needsOneRack ? WaitReason::OneRack : WaitReason::DataRackFull;
 }
 
+std::string capDetail(const PlacementState &state, const PlacementPlan &plan, const WaitingStep &waiting)
+{
+    return plan.capWaits.contains(waiting.step) ? describe(state.input.organisationRoom.at(waiting.organisation)) : std::string();
+}
+
 void placeStep(PlacementState &state, PlacementPlan &plan, const WaitingStep &waiting)
 {
     const auto startsBefore = plan.starts.size();
@@ -270,7 +361,8 @@
         placeTasks(state, plan, waiting);
     }
     if (waiting.needsExplanation && plan.starts.size() == startsBefore) {
-        const WaitExplanation explanation{reasonOf(state, plan, waiting), freeAccelerators(state, waiting), reserveOf(state.input, waiting.service)};
+        const WaitExplanation explanation{
+            reasonOf(state, plan, waiting), freeAccelerators(state, waiting), reserveOf(state.input, waiting.service), capDetail(state, plan, waiting)};
         plan.waits.emplace(waiting.step, explanation);
     }
 }
@@ -283,6 +375,7 @@
         const auto counts = places == state.input.held.end() ? std::nullopt : taskCountsOf(state.fleet, step, places->second);
         if (counts && doAllFit(state.fleet.targets, step, *counts, roomAfterStops)) {
             takeRoom(state.fleet.targets, step, *counts);
+            takeCapRoom(state.input, step, sumOf(*counts));
         } else {
             state.input.held.erase(step.step);
         }
@@ -299,20 +392,22 @@
 
 std::string_view name(WaitReason reason)
 {
-    static constexpr std::array<std::string_view, 7> names{"no target has room",
+    static constexpr std::array<std::string_view, 8> names{"no target has room",
                                                            "the free accelerators are reserved for urgent work",
                                                            "no single rack has room",
                                                            "the rack of its data has no room",
                                                            "only suspect targets have room",
                                                            "the targets that its adviser has allowed have no room",
-                                                           "other work is being stopped for it"};
+                                                           "other work is being stopped for it",
+                                                           "its organisation has no room within its cap"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
 void sortWaiting(std::vector<WaitingStep> &waiting)
 {
-    std::ranges::stable_sort(
-        waiting, {}, [](const WaitingStep &step) { return std::tuple(step.priority, !step.isGuaranteed, step.slack < Duration{0}, step.slack); });
+    std::ranges::stable_sort(waiting, {}, [](const WaitingStep &step) {
+        return std::tuple(step.priority, !step.isGuaranteed, step.slack < Duration{0}, step.slack);
+    });
 }
 
 PlacementPlan planPlacements(PlacementInput input, const RunningUnitsSource &findRunning)
--- a/workflow/placement.h
+++ b/workflow/placement.h
@@ -55,6 +55,7 @@
     bool isGuaranteed = false; ///< Work of the most urgent priority within its organisation's guarantee; it may reclaim resources that others have borrowed.
     std::vector<int> tasks;
     TaskKind kind;
+    int unreservedMilliCpu = 0;            ///< Processors that each task of a filler uses without reserving them; they count against the organisation's cap.
     bool isBeyondShare = false;            ///< The organisation holds its fair share of the service's accelerators or more.
     bool avoidsSuspects = false;           ///< A run of the step has failed, so the step has few attempts left and uses suspect targets only in need.
     Duration waited{0};                    ///< Time since the step could first have started, or since its latest run ended.
@@ -75,6 +76,7 @@
     bool isGuaranteed = false; ///< Work of the most urgent priority within its organisation's guarantee; it is never preempted.
     OrganisationId organisation;
     Resources perTask;
+    int unreservedMilliCpu = 0;           ///< Processors that each task of a filler uses without reserving them; they count against the organisation's cap.
     std::map<int, TargetId> tasks;        ///< Target of each task, by task index.
     double lostWork = 0;                  ///< Core-seconds of work that a stop discards.
     Duration remaining = Duration::max(); ///< Estimated time until the unit ends by itself, from its progress; the maximum if that is unknown.
@@ -95,9 +97,10 @@
     Duration maxLocalityWait{1'000};   ///< Longest time that urgent work waits for a single rack or for the rack of its data.
     Duration maxAvoidableWait{1'500};  ///< Longest time that a step waits although there is room for it twice over.
     bool mayPreempt = true;            ///< Work may be preempted for urgent steps; false while the state of much of the fleet is unknown.
-    std::map<OrganisationId, ResourceCap> organisationRoom; ///< What each organisation may start within its cap; a missing organisation has no limit.
-    std::set<KindPair> interference;                        ///< Kinds of tasks that slow each other down on one target.
-    std::map<ServiceId, int> urgentReserves;                ///< Accelerators of each service that work below the most urgent priority leaves free.
+    std::map<OrganisationId, ResourceCap> organisationRoom;           ///< What each organisation may start within its cap; a missing organisation has no limit.
+    std::map<OrganisationId, ResourceCap> organisationRoomAfterStops; ///< `organisationRoom` plus what the organisation's runs use that are being stopped.
+    std::set<KindPair> interference;                                  ///< Kinds of tasks that slow each other down on one target.
+    std::map<ServiceId, int> urgentReserves;                          ///< Accelerators of each service that work below the most urgent priority leaves free.
 
     friend bool operator==(const PlacementInput &, const PlacementInput &) = default;
 };
@@ -121,13 +124,14 @@
 /// Reason why a step does not start now.
 enum class WaitReason
 {
-    NoRoom,       ///< The targets that accept work have no room for the step.
-    Reserve,      ///< There is room, but it is reserved for urgent work.
-    OneRack,      ///< There is room, but not in any single rack.
-    DataRackFull, ///< There is room, but not in the rack of the step's data.
-    Suspects,     ///< There is room, but only with suspect targets, which the step avoids after a failed run.
-    NotAdvised,   ///< There is room, but not on the targets that the step's adviser has allowed so far.
-    Preempting,   ///< Other work is being stopped to make room for the step.
+    NoRoom,          ///< The targets that accept work have no room for the step.
+    Reserve,         ///< There is room, but it is reserved for urgent work.
+    OneRack,         ///< There is room, but not in any single rack.
+    DataRackFull,    ///< There is room, but not in the rack of the step's data.
+    Suspects,        ///< There is room, but only with suspect targets, which the step avoids after a failed run.
+    NotAdvised,      ///< There is room, but not on the targets that the step's adviser has allowed so far.
+    Preempting,      ///< Other work is being stopped to make room for the step.
+    OrganisationCap, ///< The organisation has too much running to start the step within its cap.
 };
 
 std::string_view name(WaitReason reason);
@@ -138,6 +142,7 @@
     WaitReason reason = WaitReason::NoRoom;
     int freeAccelerators = 0; ///< Free accelerators on all targets that the step may use.
     int kept = 0;             ///< Accelerators of the step's service that are reserved for urgent work.
+    std::string detail;       ///< What the organisation may still start; empty unless the step waits for its cap.
 
     friend bool operator==(const WaitExplanation &, const WaitExplanation &) = default;
 };
@@ -148,6 +153,8 @@
     std::vector<PreemptedTask> stops;
     std::map<StepId, TaskPlaces> held;       ///< Room that the next pass has to hold for urgent steps.
     std::map<StepId, WaitExplanation> waits; ///< Explanations for the steps that need one.
+    std::set<StepId> capWaits;               ///< Steps of which tasks wait because their organisation has reached its cap.
+    std::set<TaskId> capStops;               ///< The first task of each unit in `stops` that is stopped to keep its own organisation within its cap.
 
     friend bool operator==(const PlacementPlan &, const PlacementPlan &) = default;
 };
--- a/workflow/placementinput.cpp
+++ b/workflow/placementinput.cpp
@@ -2,6 +2,7 @@
 
 #include "eligibility.h"
 #include "guaranteeshare.h"
+#include "organisationcap.h"
 #include "progresschange.h"
 #include "restartpause.h"
 #include "runprogress.h"
@@ -145,6 +146,7 @@
     const auto &queue = queueOf(board, *entry.workflow);
     waiting.specification = specification;
     waiting.specification.perTask = reservedResources(specification);
+    waiting.unreservedMilliCpu = specification.perTask.milliCpu - waiting.specification.perTask.milliCpu;
     waiting.service = queue.service;
     waiting.organisation = entry.workflow->organisation;
     waiting.priority = queue.priority;
@@ -251,6 +253,7 @@
         if (!belongsToLastUnit) {
             units.push_back(common);
             units.back().perTask = run.occupiedResources;
+            units.back().unreservedMilliCpu = step->perTask.milliCpu - run.occupiedResources.milliCpu;
         }
         auto &unit = units.back();
         // A gang ends when its last member does. A lasting task never ends by itself.
@@ -279,6 +282,11 @@
     input.maxAvoidableWait = maxAvoidableWait;
     input.mayPreempt = isFleetKnown(board);
     input.urgentReserves = urgentReserves(board);
+    if (const auto caps = capsInForce(board.view, board.now); !caps.empty()) {
+        const auto use = organisationUse(board);
+        input.organisationRoom = roomOfOrganisations(caps, use);
+        input.organisationRoomAfterStops = roomAfterStops(caps, use);
+    }
     return input;
 }
 
--- a/workflow/planwork.cpp
+++ b/workflow/planwork.cpp
@@ -104,6 +104,12 @@
            + std::to_string(avoided) + " are avoided";
 }
 
+std::string reasonText(const WaitingStep &step, const WaitExplanation &explanation)
+{
+    const auto reason = std::string(name(explanation.reason));
+    return explanation.detail.empty() ? reason : reason + ", " + step.organisation.value + " may still start " + explanation.detail + ",";
+}
+
 void logWaits(WorkflowBoard &board, const std::vector<WaitingStep> &waiting, const PlacementPlan &plan)
 {
     std::erase_if(board.explainedWaits, [&](const auto &row) { return board.now - row.second > 2 * explanationPeriod; });
@@ -121,7 +127,7 @@
                     "waitStep",
                     step.service.value,
                     toString(step.step),
-                    std::string(name(explanation->second.reason)) + " for " + std::to_string(step.tasks.size()) + " tasks of "
+                    reasonText(step, explanation->second) + " for " + std::to_string(step.tasks.size()) + " tasks of "
                         + std::to_string(step.specification.perTask.accelerators) + " accelerators after " + std::to_string(step.waited.count())
                         + " ms: " + std::to_string(explanation->second.freeAccelerators) + " accelerators are free, " + std::to_string(explanation->second.kept)
                         + " reserved for urgent work; " + unusable.at(step.service));
@@ -206,12 +212,17 @@
     noteWaiting(board, input.waiting);
     board.lastPlanAt = board.now;
     board.heldRoom.clear();
+    board.organisationCapWaits = 0;
     if (!input.waiting.empty()) {
         std::vector<WaitingStep> unexplained;
         std::ranges::copy_if(input.waiting, std::back_inserter(unexplained), &WaitingStep::needsExplanation);
         askAdviser(board, input);
         auto plan = planPlacements(std::move(input), [&board] { return runningUnits(board); });
         logWaits(board, unexplained, plan);
+        board.organisationCapWaits = plan.capWaits.size();
+        if (!plan.capStops.empty()) {
+            count(board.counters, "organisationCapStops", "", static_cast<long long>(plan.capStops.size()));
+        }
         stopPlanned(board, plan.stops);
         startPlanned(board, plan.starts);
         board.heldRoom = std::move(plan.held);
--- a/workflow/proveconfiguration.cpp
+++ b/workflow/proveconfiguration.cpp
@@ -1,4 +1,5 @@
 #include "controllers.h"
+#include "organisationcap.h"
 
 #include <algorithm>
 #include <string>
@@ -34,6 +35,7 @@
                     true);
         return;
     }
+    keepFormerCaps(view, configuration, board.now + board.self.limits.maxProofAge, board.now);
     view.configuration = configuration;
     board.isPlanWanted = true;
     logDecision(board,
--- a/workflow/reclaim.cpp
+++ b/workflow/reclaim.cpp
@@ -1,5 +1,7 @@
 #include "reclaim.h"
 
+#include "organisationcap.h"
+
 #include <algorithm>
 #include <limits>
 #include <map>
@@ -184,16 +186,39 @@
     }
 }
 
-void applyOption(PlacementState &state, const WaitingStep &waiting, const PreemptionOption &option, Reclaim &reclaim)
+/// The units of the step's own organisation that may be stopped for it.
+std::vector<std::size_t> ownVictims(const VictimIndex &index, const WaitingStep &waiting, VictimScope scope)
 {
-    auto &index = victimsOf(state);
-    for (const std::size_t victim : option.victims) {
-        const auto &unit = index.units[victim];
-        addRoomAfterStop(state.fleet, index, victim);
-        for (const auto &[task, target] : unit.tasks) {
-            reclaim.stops.push_back({{unit.step, task}, waiting.step});
+    std::vector<std::size_t> victims;
+    for (std::size_t unit = 0; unit < index.units.size(); ++unit) {
+        const bool isOwn = index.units[unit].organisation == waiting.organisation;
+        if (isOwn && !index.isLeaving[unit] && isInScope(index.units[unit], waiting, scope)) {
+            victims.push_back(unit);
+        }
+    }
+    return victims;
+}
+
+ResourceCap withUnit(const VictimIndex &index, const ResourceCap &room, std::size_t unit)
+{
+    return plusTasks(room, countedResources(index.units[unit]), static_cast<int>(index.units[unit].tasks.size()));
+}
+
+/// The organisation's room within its cap once the stops under way and the units that end soon have left; no value without a cap.
+std::optional<ResourceCap> ownRoomAfterStops(PlacementState &state, const WaitingStep &waiting)
+{
+    const auto &index = victimsOf(state);
+    const auto found = state.input.organisationRoomAfterStops.find(waiting.organisation);
+    if (found == state.input.organisationRoomAfterStops.end()) {
+        return std::nullopt;
+    }
+    auto room = found->second;
+    for (std::size_t unit = 0; unit < index.units.size(); ++unit) {
+        if (index.isLeaving[unit] && index.units[unit].organisation == waiting.organisation) {
+            room = withUnit(index, room, unit);
         }
     }
+    return room;
 }
 
 VictimIndex makeIndex(const PackingFleet &fleet, std::vector<RunningUnit> units)
@@ -244,9 +269,75 @@
         return std::nullopt;
     }
     Reclaim reclaim;
-    applyOption(state, waiting, best, reclaim);
+    reclaim.stops = stopUnits(state, waiting, best.victims);
     reclaim.places = *placesIn(state, waiting, best);
     return reclaim;
 }
 
+int tasksBesideOwnWork(PlacementState &state, const WaitingStep &waiting)
+{
+    const auto &index = victimsOf(state);
+    const int count = static_cast<int>(waiting.tasks.size());
+    auto room = ownRoomAfterStops(state, waiting);
+    if (!room) {
+        return count;
+    }
+    const auto victims = state.input.mayPreempt ? ownVictims(index, waiting, VictimScope::AndBorrowed) : std::vector<std::size_t>{};
+    std::ranges::for_each(victims, [&](std::size_t unit) { room = withUnit(index, *room, unit); });
+    return tasksWithin(*room, countedResources(waiting), count);
+}
+
+std::optional<std::vector<std::size_t>> findCapStops(PlacementState &state, const WaitingStep &waiting)
+{
+    const auto &index = victimsOf(state);
+    const int count = static_cast<int>(waiting.tasks.size());
+    const auto initial = ownRoomAfterStops(state, waiting);
+    const auto fits = [&](const ResourceCap &room) { return tasksWithin(room, countedResources(waiting), count) == count; };
+    if (!initial || fits(*initial)) {
+        return std::vector<std::size_t>{};
+    }
+    if (!state.input.mayPreempt) {
+        return std::nullopt;
+    }
+    for (const auto scope : {VictimScope::LessUrgent, VictimScope::AndBorrowed}) {
+        auto victims = ownVictims(index, waiting, scope);
+        auto room = *initial;
+        std::ranges::for_each(victims, [&](std::size_t unit) { room = withUnit(index, room, unit); });
+        if (!fits(room)) {
+            continue;
+        }
+        std::ranges::stable_sort(victims, std::greater{}, [&](std::size_t unit) { return index.units[unit].lostWork; });
+        std::vector<std::size_t> needed;
+        for (const std::size_t unit : victims) {
+            const auto without = lessTasks(room, countedResources(index.units[unit]), static_cast<int>(index.units[unit].tasks.size()));
+            if (fits(without)) {
+                room = without;
+            } else {
+                needed.push_back(unit);
+            }
+        }
+        return needed;
+    }
+    return std::nullopt;
+}
+
+std::vector<PreemptedTask> stopUnits(PlacementState &state, const WaitingStep &waiting, const std::vector<std::size_t> &units)
+{
+    auto &index = victimsOf(state);
+    std::vector<PreemptedTask> stops;
+    for (const std::size_t unit : units) {
+        addRoomAfterStop(state.fleet, index, unit);
+        for (const auto &[task, target] : index.units[unit].tasks) {
+            stops.push_back({{index.units[unit].step, task}, waiting.step});
+        }
+    }
+    return stops;
+}
+
+TaskId firstTask(const PlacementState &state, std::size_t unit)
+{
+    const auto &first = state.victims->units[unit];
+    return {first.step, first.tasks.begin()->first};
+}
+
 }
--- a/workflow/reclaim.h
+++ b/workflow/reclaim.h
@@ -24,4 +24,17 @@
 /// The room of the chosen units is added to `freeAfterStops` of their targets, and the units are marked as preempted.
 std::optional<Reclaim> findReclaim(PlacementState &state, const WaitingStep &waiting, bool maySpread);
 
+/// The number of the step's tasks that its organisation's cap would allow if all work of the organisation were stopped that may be stopped for the step.
+int tasksBesideOwnWork(PlacementState &state, const WaitingStep &waiting);
+
+/// Chooses units of the step's own organisation whose stop lets all tasks of the guaranteed step start within the cap, with as little lost work as the search
+/// finds: less urgent work, and if that is not enough, equally urgent work beyond the guarantee. Chooses none if stops under way are enough. Returns nothing if
+/// the cap cannot be kept.
+std::optional<std::vector<std::size_t>> findCapStops(PlacementState &state, const WaitingStep &waiting);
+
+/// Marks the units as preempted, adds their room to `freeAfterStops` of their targets, and returns their tasks.
+std::vector<PreemptedTask> stopUnits(PlacementState &state, const WaitingStep &waiting, const std::vector<std::size_t> &units);
+
+TaskId firstTask(const PlacementState &state, std::size_t unit);
+
 }
--- a/workflow/runends.cpp
+++ b/workflow/runends.cpp
@@ -2,6 +2,7 @@
 
 #include "progresschange.h"
 #include "restartpause.h"
+#include "targetlease.h"
 #include "targetorders.h"
 
 #include <algorithm>
@@ -204,6 +205,7 @@
 void applyRunEnd(WorkflowBoard &board, const TargetId &target, const EndedRun &ended)
 {
     noteBegun(board, ended.task.step.workflow);
+    fenceLateStart(board, ended.task, ended.run);
     const auto *present = board.runs.find(ended.task);
     if (present == nullptr || present->number != ended.run || present->place.target != target) {
         applyUnknownEnd(board, target, ended);
@@ -264,6 +266,7 @@
     }
     DomainTarget target = *present;
     target.hasStrays = true;
+    target.strays.push_back(row.task);
     board.targets.put(id, target);
     const auto [stop, isNew] = board.strayStops.try_emplace(row.task, board.now);
     if (!isNew && board.now < stop->second + strayRetry) {
--- a/workflow/targetlease.cpp
+++ b/workflow/targetlease.cpp
@@ -59,6 +59,15 @@
         board.lateStarts.push_back({run.task, run.number, run.place.target, board.now + maxDeliveryDelay});
     } else {
         known->until = board.now + maxDeliveryDelay;
+        known->isFenced = false;
+    }
+}
+
+void fenceLateStart(WorkflowBoard &board, const TaskId &task, int run)
+{
+    const auto known = std::ranges::find_if(board.lateStarts, [&](const LateStart &late) { return late.task == task && late.run == run; });
+    if (known != board.lateStarts.end()) {
+        known->isFenced = true;
     }
 }
 
@@ -67,6 +76,7 @@
     const auto require = [&](LateStart late) {
         if (late.target == target) {
             late.isStopWanted = true;
+            late.isFenced = false;
             late.stop.reset();
             late.stopRetryAt = board.now;
         }
--- a/workflow/targetlease.h
+++ b/workflow/targetlease.h
@@ -29,6 +29,9 @@
 /// Records a start without an answer, because a copy of it may arrive seconds later.
 void noteLateStart(WorkflowBoard &board, const TaskRun &run);
 
+/// Notes that the target's present instance has listed the end of the run or has carried out its stop, so that a late copy of the start has no effect there.
+void fenceLateStart(WorkflowBoard &board, const TaskId &task, int run);
+
 /// Requires that the target's present instance confirms the stop of each start that may still arrive there.
 void requireStopsOfLateStarts(WorkflowBoard &board, const TargetId &target);
 
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -136,11 +136,21 @@
     friend bool operator==(const StoreProof &, const StoreProof &) = default;
 };
 
+/// The caps of a configuration that may still be in force beside a newer one, because another host may not have learned of the newer one yet.
+struct FormerCaps
+{
+    std::map<OrganisationId, ResourceCap> caps;
+    TimePoint until; ///< Time from which the newer configuration is in force everywhere.
+
+    friend bool operator==(const FormerCaps &, const FormerCaps &) = default;
+};
+
 /// The operators' configuration as this host knows it, and when it was last confirmed to be current.
 struct ConfigurationView
 {
     QueueConfiguration configuration;
-    Revision revision = 0; ///< Revision of the configuration's key; zero if it has never been read.
+    Revision revision = 0;              ///< Revision of the configuration's key; zero if it has never been read.
+    std::vector<FormerCaps> formerCaps; ///< Caps of former configurations that may still be in force. A host that starts knows none.
     std::map<AvailabilityZoneId, Revision> evacuated;
     bool isRead = false;                ///< The whole configuration has been read at least once.
     bool isLoaded = false;              ///< The configuration has been read, and the operators have written one.
@@ -230,6 +240,7 @@
     int run = 0;
     TargetId target;
     TimePoint until;            ///< Latest time at which the start may arrive.
+    bool isFenced = false;      ///< The target's present instance has shown that it will not execute the start.
     bool isStopWanted = false;  ///< The target has restarted since, and its new instance has not confirmed that it will not execute the start.
     std::optional<CallId> stop; ///< Stop order under way.
     TimePoint stopRetryAt;
@@ -279,6 +290,7 @@
     std::deque<PendingEnd> pendingEnds;
     bool hasMoreEnds = false;            ///< The newest list of ends was full, so the target lists further ends once these have been acknowledged.
     bool hasStrays = false;              ///< The target runs stray tasks, whose resources are not accounted for.
+    std::vector<TaskId> strays;          ///< The stray tasks in the newest list; they count against the caps of their organisations.
     std::optional<TimePoint> avoidUntil; ///< Time until which the target gets no work: its own state made it refuse a start.
     int recentFailures = 0;              ///< Runs that have failed on the target since the last one that finished.
     std::optional<TimePoint> lastFailureAt;
@@ -439,6 +451,7 @@
     std::map<StepId, TimePoint> waitingSince;            ///< Since when each waiting step could have started, as far as this owner knows.
     std::map<StepId, TimePoint> explainedWaits;          ///< When the log last explained why the step waits.
     std::map<RequestId, WaitReport> waitingJobs;         ///< Workflows that are due and have nothing running. Written by explainWaits.
+    std::size_t organisationCapWaits = 0;                ///< Steps that the latest placement pass kept back by a cap. Written by planWork.
     TimePoint lastPlanAt;                                ///< When the latest placement pass was made.
     TimePoint nextPlanAt;
     TimePoint nextHoldScanAt;  ///< When holdTargets checks all targets again. Written by holdTargets.
