Order waiting steps by the fair shares of organisations

The weights of organisations had no effect. Among steps of equal priority that are not guaranteed, those of organisations that hold less than their share of the service now come first while more accelerators are wanted than are free. Without a weight other than 1, no step is marked and the order is unchanged.

No load with weights was played.

--- a/workflow/placement.cpp
+++ b/workflow/placement.cpp
@@ -406,7 +406,7 @@
 void sortWaiting(std::vector<WaitingStep> &waiting)
 {
     std::ranges::stable_sort(waiting, {}, [](const WaitingStep &step) {
-        return std::tuple(step.priority, !step.isGuaranteed, step.slack < Duration{0}, step.slack);
+        return std::tuple(step.priority, !step.isGuaranteed, step.isBeyondShare, step.slack < Duration{0}, step.slack);
     });
 }
 
--- a/workflow/placementinput.cpp
+++ b/workflow/placementinput.cpp
@@ -3,6 +3,7 @@
 #include "eligibility.h"
 #include "guaranteeshare.h"
 #include "organisationcap.h"
+#include "organisationshare.h"
 #include "progresschange.h"
 #include "restartpause.h"
 #include "runprogress.h"
@@ -287,6 +288,7 @@
         input.organisationRoom = roomOfOrganisations(caps, use);
         input.organisationRoomAfterStops = roomAfterStops(caps, use);
     }
+    markBeyondShare(input.waiting, shareTerms(board));
     return input;
 }
 
