Test that a new owner counts runs it has not seen listed

A mutation that leaves unconfirmed runs and late starts out of the usage passed all tests on caps. The new test cuts a target off while the owner changes.

--- a/tests/testorganisationcap.cpp
+++ b/tests/testorganisationcap.cpp
@@ -212,6 +212,18 @@
         Duration{20'000});
 }
 
+TEST_F(OrganisationCap, newOwnerCountsRunsOnTargetsThatDoNotAnswerIt)
+{
+    // Guards against a new owner that counts only the runs that targets have listed.
+    answerTo(submit(id(1), batch(40, {1'000, 1'000, 1}), {Duration{6'000}, {}}, "h1", "/ordinary/"));
+    runUntil([&] { return acceleratorsInUse() == 16; }, Duration{2'000});
+    cutOff("t1");
+    kill(owner());
+    run(Duration{4'000});
+    EXPECT_FALSE(owner().empty());
+    EXPECT_EQ(acceleratorsInUse(), 16);
+}
+
 TEST_F(OrganisationCap, recordedStartIsDroppedIfTheCapFallsBeforeItIsSent)
 {
     // Guards against a start that is sent after the store was slow, although the cap has fallen far below it since it was planned.
