Set a cap in the soak and respect it in its checks

The soak configured no caps. The tailors now have one that leaves room for one of the largest gangs; the targets' model checks it, and work that has no room within the cap is neither standing still nor overdue.

--- a/soak/fleetuse.cpp
+++ b/soak/fleetuse.cpp
@@ -52,18 +52,23 @@
     Resources used;
     for (const auto &[id, target] : world.targets.fleet.targets) {
         SoundTarget sound{target.registration.capacity, target.registration.labels, {}};
+        const bool isSoundTarget = isSound(world, id, target);
         for (const auto &[task, run] : target.running) {
             use.workflowsAtWork.insert(task.step.workflow);
             use.tasksAtWork.insert(task);
             const auto *step = stepOf(world.targets.fleet, task.step);
-            if (step != nullptr && isCounted(task)) {
+            const bool isCountedHere = isCounted(task);
+            if (step != nullptr && (isCountedHere || !isSoundTarget)) {
+                use.accelerators[world.targets.fleet.workflows.at(task.step.workflow).organisation] += step->perTask.accelerators;
+            }
+            if (step != nullptr && isCountedHere) {
                 sound.free = sound.free - reservedResources(*step);
                 ++sound.tasks[task.step];
             }
         }
         capacity = capacity + target.registration.capacity;
         used = used + target.registration.capacity - sound.free;
-        if (isSound(world, id, target)) {
+        if (isSoundTarget) {
             use.sound.emplace(id, std::move(sound));
         }
     }
@@ -79,6 +84,11 @@
             target.free = former == sample.sound.end() ? Resources{} : leastOf(target.free, former->second.free);
         }
     }
+    for (const auto &sample : recent) {
+        for (const auto &[organisation, accelerators] : sample.accelerators) {
+            use.accelerators[organisation] = std::max(use.accelerators[organisation], accelerators);
+        }
+    }
     return use;
 }
 
@@ -91,4 +101,11 @@
     return room;
 }
 
+bool hasCapRoom(const SoakWorld &world, const FleetUse &use, const OrganisationId &organisation, const StepSpecification &step, int tasks)
+{
+    const auto &cap = world.configuration.organisations.at(organisation).cap.accelerators;
+    const auto used = use.accelerators.find(organisation);
+    return !cap || (used == use.accelerators.end() ? 0 : used->second) + step.perTask.accelerators * tasks <= *cap;
+}
+
 }
--- a/soak/fleetuse.h
+++ b/soak/fleetuse.h
@@ -23,4 +23,7 @@
 /// `copies` copies of the step; preferred racks do not limit the room, as tasks may run elsewhere.
 int roomFor(const FleetUse &use, const StepId &id, const StepSpecification &step, int wanted, int copies);
 
+/// True if the organisation's cap on accelerators leaves room for the tasks beside what it uses.
+bool hasCapRoom(const SoakWorld &world, const FleetUse &use, const OrganisationId &organisation, const StepSpecification &step, int tasks);
+
 }
--- a/soak/soakworld.cpp
+++ b/soak/soakworld.cpp
@@ -36,7 +36,10 @@
 // Time beyond the grace period after which a process that has not ended is killed.
 constexpr Duration gracePeriodMargin{1'000};
 
-QueueConfiguration initialConfiguration()
+// Accelerators that a task of the random workload needs at most.
+constexpr int maxAcceleratorsPerTask = 4;
+
+QueueConfiguration initialConfiguration(const SoakOptions &options)
 {
     QueueConfiguration configuration;
     configuration.services.emplace(ServiceId{"press"}, Service{{"press"}, false, false, "/health"});
@@ -45,6 +48,9 @@
         configuration.keys.emplace("key-" + organisation, OrganisationId{organisation});
         configuration.keys.emplace("spare-" + organisation, OrganisationId{organisation});
     }
+    // The cap leaves room for one of the largest gangs, so that the workload often reaches it.
+    const int cap = std::max(guaranteedAccelerators, maxAcceleratorsPerTask * options.maxTasks);
+    configuration.organisations.at({"tailors"}).cap.accelerators = cap;
     for (auto queue : sampleQueues()) {
         queue.timeout = Duration{3'000};
         configuration.queues.emplace(queue.id, queue);
@@ -191,8 +197,11 @@
     , store(loop, soakOptions.seed)
     , targets(loop, soakOptions.seed)
     , http(loop)
-    , configuration(initialConfiguration())
+    , configuration(initialConfiguration(soakOptions))
 {
+    for (const auto &[id, share] : configuration.organisations) {
+        setCap(targets.fleet, id, share.cap, TimePoint{});
+    }
 }
 
 absl::Status startWorld(SoakWorld &world)
--- a/soak/soakworld.h
+++ b/soak/soakworld.h
@@ -101,6 +101,8 @@
     std::set<RequestId> workflowsAtWork;
     std::set<TaskId> tasksAtWork;
     std::map<TargetId, SoundTarget> sound;
+    std::map<OrganisationId, int>
+        accelerators;         ///< Accelerators that the counted tasks of each organisation use, and all its tasks on targets that are not sound.
     bool isHalfInUse = false; ///< True if at least half of the capacity of all targets is in use.
 
     friend bool operator==(const FleetUse &, const FleetUse &) = default;
--- a/soak/standstill.cpp
+++ b/soak/standstill.cpp
@@ -43,12 +43,12 @@
     return std::ranges::all_of(step.after, [&](int before) { return isStepFinished(world, workflow, before); });
 }
 
-/// True if sound targets have room for a task of the step, or for its whole gang, twice over.
-bool hasRoomTwiceOver(const FleetUse &use, const StepId &id, const StepSpecification &step)
+/// True if sound targets and the cap of its organisation have room for a task of the step, or for its whole gang, twice over.
+bool hasRoomTwiceOver(const SoakWorld &world, const FleetUse &use, const Workflow &workflow, const StepId &id, const StepSpecification &step)
 {
     constexpr int copies = 2;
     const int needed = copies * (step.isGang ? step.taskCount : 1);
-    return roomFor(use, id, step, needed, copies) >= needed;
+    return roomFor(use, id, step, needed, copies) >= needed && hasCapRoom(world, use, workflow.organisation, step, needed);
 }
 
 /// The tasks of the workflow that stand still: each lasting task that is not at work, and the first other task that could run if nothing of the workflow runs.
@@ -61,7 +61,7 @@
         const auto &step = steps[static_cast<std::size_t>(number)];
         const StepId id{workflow.id, 0, number};
         const bool isOver = !step.isLasting && (isAtWork || isStepFinished(world, workflow, number));
-        if (isOver || !isDue(world, workflow, step) || !hasRoomTwiceOver(use, id, step)) {
+        if (isOver || !isDue(world, workflow, step) || !hasRoomTwiceOver(world, use, workflow, id, step)) {
             continue;
         }
         const auto couldRun = [&](int index) {
--- a/soak/workchecks.cpp
+++ b/soak/workchecks.cpp
@@ -67,7 +67,7 @@
         if (wanted == 0) {
             continue;
         }
-        const bool hasRoom = roomFor(use, {id, 0, 0}, first, wanted, 1) == wanted;
+        const bool hasRoom = roomFor(use, {id, 0, 0}, first, wanted, 1) == wanted && hasCapRoom(world, use, row.workflow.organisation, first, wanted);
         sent.isBeyondGuarantee = sent.isBeyondGuarantee || !hasRoom || !isGuaranteeKept(world, row.workflow.organisation);
     }
 }
