Log and count what becomes of proofs, store answers and requests

The HTTP server reports how each request ended; requests that were read and not answered have an endRequest line. No logic changes.

--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -32,6 +32,14 @@
 // Retry-After has a resolution of one second. Delays are rounded up, except that a delay below this minimum is sent as 0.
 constexpr Duration minRetryAfter{100};
 
+/// True if the peer has closed or reset the connection and no bytes are left to read.
+bool isClosedByPeer(int descriptor)
+{
+    char byte = 0;
+    const auto count = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 }
 
 struct HttpServer::Connection
@@ -39,6 +47,7 @@
     int descriptor = -1;
     std::optional<TimePoint> deadline; ///< Deadline of the current phase: idle, receiving or sending; none while a request is being handled.
     bool isAboveLimit = false;
+    bool isTimedOut = false;
 };
 
 struct HttpServer::Request
@@ -50,6 +59,9 @@
     bool isHandled = false;
     bool isSuspended = false;
     bool isResponseQueued = false;
+    bool isRead = false; ///< The last byte of the body was read.
+    bool hasClientLeft = false;
+    std::optional<TimePoint> handledAt;
     std::size_t bodyBytes = 0;
     std::optional<HttpResponse> response;
     std::unique_ptr<SocketWatch> disconnectWatch;
@@ -69,6 +81,7 @@
     m_watch.stop();
     m_disconnectHandler = {};
     m_handler = {};
+    m_endHandler = {};
     if (m_daemon != nullptr) {
         for (const auto &[id, request] : m_requests) {
             resume(*request);
@@ -97,6 +110,11 @@
     m_limitResponse = std::move(response);
 }
 
+void HttpServer::setEndHandler(EndHandler handler)
+{
+    m_endHandler = std::move(handler);
+}
+
 absl::Status HttpServer::listen(const std::string &address, int port)
 {
     sockaddr_in socketAddress{};
@@ -169,6 +187,7 @@
             // libmicrohttpd has no function to close a single connection. It closes a connection whose stream has ended, so the socket is shut down here.
             ::shutdown(connection->descriptor, SHUT_RDWR);
             connection->deadline.reset();
+            connection->isTimedOut = true;
         }
     }
     m_sweepTimer.startIn(std::min(sweepPeriod, m_limits.requestTimeout));
@@ -235,12 +254,14 @@
         *size = 0;
         return MHD_YES;
     }
+    request.isRead = true;
     if (request.bodyBytes > m_limits.maxBodyBytes) {
         request.response = m_limitResponse ? m_limitResponse(HttpLimit::BodyTooLarge) : HttpResponse{413, "text/plain", "body too large\n"};
         request.response->closesConnection = true;
     }
     if (!request.isHandled && !request.response) {
         request.isHandled = true;
+        request.handledAt = EventLoop::now();
         if (auto *state = connectionOf(connection)) {
             state->deadline.reset();
         }
@@ -323,6 +344,7 @@
             return;
         }
         // The client has reset the connection and reads no answer, so this response only ends the connection.
+        found->second->hasClientLeft = true;
         if (m_disconnectHandler) {
             m_disconnectHandler(id);
         }
@@ -346,7 +368,30 @@
     return static_cast<HttpServer *>(self)->onAccess(*static_cast<Request *>(*request), connection, method, path, data, size);
 }
 
-void HttpServer::onCompletedRaw(void *self, MHD_Connection *connection, void **request, MHD_RequestTerminationCode)
+void HttpServer::reportEnd(const Request &request, MHD_RequestTerminationCode code) const
+{
+    if (!m_endHandler) {
+        return;
+    }
+    const auto *connection = connectionOf(request.connection);
+    HttpRequestSummary summary{request.request.method, request.request.path, HttpRequestEnd::Failed, request.isRead, Duration{0}};
+    if (request.handledAt) {
+        summary.sinceRead = std::chrono::duration_cast<Duration>(EventLoop::now() - *request.handledAt);
+    }
+    if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK) {
+        summary.end = HttpRequestEnd::Answered;
+    } else if (code == MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN) {
+        summary.end = HttpRequestEnd::ServerStopped;
+    } else if (connection != nullptr && connection->isTimedOut) {
+        summary.end = HttpRequestEnd::TimedOut;
+    } else if (request.hasClientLeft || code == MHD_REQUEST_TERMINATED_READ_ERROR || code == MHD_REQUEST_TERMINATED_CLIENT_ABORT
+               || (connection != nullptr && isClosedByPeer(connection->descriptor))) {
+        summary.end = HttpRequestEnd::ClientLeft;
+    }
+    m_endHandler(summary);
+}
+
+void HttpServer::onCompletedRaw(void *self, MHD_Connection *connection, void **request, MHD_RequestTerminationCode code)
 {
     auto &server = *static_cast<HttpServer *>(self);
     if (*request == nullptr) {
@@ -356,6 +401,7 @@
     if (ended.isHandled && !ended.response && server.m_disconnectHandler) {
         server.m_disconnectHandler(ended.id);
     }
+    server.reportEnd(ended, code);
     server.m_requests.erase(ended.id);
     *request = nullptr;
     if (auto *state = server.connectionOf(connection)) {
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "eventloop.h"
+#include "httprequestend.h"
 
 #include <absl/status/status.h>
 #include <microhttpd.h>
@@ -66,6 +67,7 @@
     using Handler = std::function<void(HttpRequestId, const HttpRequest &)>;
     using DisconnectHandler = std::function<void(HttpRequestId)>;
     using LimitResponse = std::function<HttpResponse(HttpLimit)>;
+    using EndHandler = std::function<void(const HttpRequestSummary &)>;
 
     HttpServer(EventLoop &loop, HttpServerLimits limits);
     ~HttpServer();
@@ -84,6 +86,9 @@
     /// Sets the function that returns the response to a request that exceeds a limit.
     void setLimitResponse(LimitResponse response);
 
+    /// Sets the handler that is called when a connection has finished with a request, also with one that was not read completely.
+    void setEndHandler(EndHandler handler);
+
     /// Listens on an IPv4 address; port 0 chooses a free port.
     absl::Status listen(const std::string &address, int port);
     int port() const;
@@ -117,6 +122,7 @@
     void resume(Request &request);
     void watchForDisconnect(Request &request);
     Connection *connectionOf(MHD_Connection *connection) const;
+    void reportEnd(const Request &request, MHD_RequestTerminationCode code) const;
 
     static MHD_Result onAccessRaw(void *self, MHD_Connection *connection, const char *path, const char *method, const char *, const char *, size_t *, void **);
     static void onCompletedRaw(void *self, MHD_Connection *connection, void **request, MHD_RequestTerminationCode code);
@@ -128,6 +134,7 @@
     Handler m_handler;
     DisconnectHandler m_disconnectHandler;
     LimitResponse m_limitResponse;
+    EndHandler m_endHandler;
     std::vector<std::string> m_readHeaders;
     MHD_Daemon *m_daemon = nullptr;
     SocketWatch m_watch;
--- a/tests/testhttpserver.cpp
+++ b/tests/testhttpserver.cpp
@@ -40,6 +40,7 @@
             m_requests.push_back(request);
         });
         m_server->setDisconnectHandler([this](HttpRequestId id) { m_abandoned.push_back(id); });
+        m_server->setEndHandler([this](const HttpRequestSummary &summary) { m_ends.push_back(summary); });
         EXPECT_TRUE(m_server->listen("127.0.0.1", 0).ok());
     }
 
@@ -53,8 +54,38 @@
     std::vector<HttpRequestId> m_ids;
     std::vector<HttpRequest> m_requests;
     std::vector<HttpRequestId> m_abandoned;
+    std::vector<HttpRequestSummary> m_ends;
 };
 
+// Guards against requests that end without an answer unseen: each end is reported with its cause.
+TEST_F(HttpServerLimitsTest, endOfARequestIsReportedWithItsCause)
+{
+    serveWith(Duration{200});
+    RawClient answered(m_loop, m_server->port());
+    answered.send(post("{}"));
+    ASSERT_TRUE(wait([this] { return m_requests.size() == 1; }));
+    m_server->respond(m_ids[0], {.body = "done"});
+    ASSERT_TRUE(wait([this] { return m_ends.size() == 1; }));
+    EXPECT_TRUE(m_ends[0].isRead);
+    EXPECT_EQ(m_ends[0].end, HttpRequestEnd::Answered);
+    EXPECT_EQ(m_ends[0].path, "/v1/jobs");
+
+    answered.close();
+    RawClient leaving(m_loop, m_server->port());
+    leaving.send(post("{}"));
+    ASSERT_TRUE(wait([this] { return m_requests.size() == 2; }));
+    leaving.reset();
+    ASSERT_TRUE(wait([this] { return m_ends.size() == 2; }));
+    EXPECT_EQ(m_ends[1].end, HttpRequestEnd::ClientLeft);
+
+    RawClient incomplete(m_loop, m_server->port());
+    incomplete.send("POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 60\r\n\r\npart");
+    ASSERT_TRUE(wait([this] { return m_ends.size() == 3; }));
+    EXPECT_EQ(m_ends[2].end, HttpRequestEnd::TimedOut);
+    EXPECT_FALSE(m_ends[2].isRead);
+    EXPECT_FALSE(isUnanswered(m_ends[2]));
+}
+
 TEST_F(HttpServerLimitsTest, suspendedRequestIsAnsweredLater)
 {
     RawClient client(m_loop, m_server->port());
--- a/workflow/calleranswers.cpp
+++ b/workflow/calleranswers.cpp
@@ -34,14 +34,20 @@
     result.id = call.request.id;
     const std::string outcome = result.refusal ? std::string(name(result.refusal->reason)) : result.state ? std::string(name(*result.state)) : "done";
     count(board.counters, result.refusal ? "callsRefused" : "callsAnswered", outcome);
-    addSample(board.counters, "answerMs", static_cast<double>((board.now - call.receivedAt).count()));
+    const auto timeout = call.request.answerTimeout;
+    const auto took = board.now - call.receivedAt;
+    addSample(board.counters, "answerMs", static_cast<double>(took.count()));
+    if (timeout > Duration{0} && took >= timeout) {
+        count(board.counters, "answersAfterDeadline", outcome);
+    }
     const auto age = board.view.provenAt ? std::to_string((board.now - *board.view.provenAt).count()) : "unknown";
     logDecision(board,
                 "answerCall",
                 call.request.host,
                 call.request.path,
-                std::string(name(call.request.action)) + ": " + outcome + " after " + std::to_string((board.now - call.receivedAt).count())
-                    + " ms, configuration " + std::to_string(board.view.configuration.version) + " proven " + age + " ms ago"
+                std::string(name(call.request.action)) + ": " + outcome + " after " + std::to_string(took.count()) + " ms"
+                    + (timeout > Duration{0} ? " of " + std::to_string(timeout.count()) : "") + ", configuration "
+                    + std::to_string(board.view.configuration.version) + " proven " + age + " ms ago"
                     + (call.request.action == CallerAction::Query ? ownerText(board.ownership, board.now) : "") + detail
                     + (result.refusal ? ": " + result.refusal->message : ""));
     board.outbox.emplace_back(std::move(result));
--- a/workflow/callerwrites.cpp
+++ b/workflow/callerwrites.cpp
@@ -1,6 +1,7 @@
 #include "callerwrites.h"
 
 #include "calleranswers.h"
+#include "configurationcopies.h"
 #include "tombstones.h"
 
 #include <algorithm>
@@ -135,6 +136,7 @@
 /// A condition failed: the workflow, its cancellation or its tombstone exists already, or the configuration has changed.
 void handleConflict(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
 {
+    countConfigurations(board, reply.entries, "write");
     for (const auto &entry : reply.entries) {
         if (const auto *workflow = std::get_if<Workflow>(&entry.record)) {
             handleStoredWorkflow(board, std::move(call), *workflow);
--- a/workflow/proveconfiguration.cpp
+++ b/workflow/proveconfiguration.cpp
@@ -1,3 +1,4 @@
+#include "configurationcopies.h"
 #include "controllers.h"
 #include "organisationcap.h"
 
@@ -43,7 +44,8 @@
                 "",
                 "",
                 "version " + std::to_string(configuration.version) + " at revision " + std::to_string(revision) + " with "
-                    + std::to_string(configuration.queues.size()) + " queues and " + std::to_string(configuration.keys.size()) + " keys");
+                    + std::to_string(configuration.queues.size()) + " queues and " + std::to_string(configuration.keys.size()) + " keys; "
+                    + receivedCopies(board.counters) + " since the start");
 }
 
 void setEvacuated(WorkflowBoard &board, const AvailabilityZoneId &zone, std::optional<Revision> revision)
@@ -177,6 +179,10 @@
     setUnreadable(board, isUnreadable, reply.error);
     // What this host has learned since it sent the proof may be newer than the entries of the conflict.
     const bool isOutdated = isConflict && proof.conditions != proofConditions(board);
+    if (isConflict) {
+        countConfigurations(board, reply.entries, "proof");
+    }
+    count(board.counters, "proofs", isUnreadable ? "unreadable" : isOutdated ? "outdated" : isConflict ? "changed" : "confirmed");
     if (isConflict && !isOutdated) {
         applyConflict(board, proof, reply);
     }
@@ -253,6 +259,7 @@
     const auto updates = board.updates;
     for (const auto &update : updates) {
         if (update.prefix == "config/") {
+            countConfigurations(board, update.put, update.isSnapshot ? "read" : "watch");
             applyUpdate(board, update);
         }
     }
