Keep room for the header of a response

Callers saw a request whose connection ended without a byte of answer although the request had been handled: a submission was stored and never answered.

libmicrohttpd keeps the header of a request and that of its response in one memory pool for each connection, whose size was maxHeaderBytes. A header of 16,010 to 16,130 bytes left no room for the response, and so did 652 bytes of short lines beside a limit of 4 KiB, or a large pipelined request. A request target with many parameters was not answered at all: its connection ended at the deadline of 10 s, and its record stayed among the open requests.

The pool has 4 KiB more than maxHeaderBytes, and a request whose header, lines, parameters, cookies and trailers leave less than 1 KiB of it is refused with 431 before it reaches the handler. The server writes this refusal to the socket itself, since the pool may have no room for it. The record of a request whose target could not be read ends with its connection.

--- a/net/callerapi.cpp
+++ b/net/callerapi.cpp
@@ -20,6 +20,7 @@
 
 constexpr Duration overduePeriod{1'000};
 constexpr std::size_t maxNameBytes = 128;
+constexpr int statusHeaderTooLarge = 431;
 constexpr std::string_view jobsPath = "/v1/jobs/";
 constexpr std::string_view resultSuffix = "/result";
 const std::string bootstrapOperator = "bootstrap";
@@ -105,6 +106,12 @@
     m_server.setHandler([this](HttpRequestId id, const HttpRequest &request) { onRequest(id, request); });
     m_server.setDisconnectHandler([this](HttpRequestId id) { onDisconnected(id); });
     m_server.setLimitResponse([this](HttpLimit limit) {
+        if (limit == HttpLimit::HeaderTooLarge) {
+            count(m_board.counters, "refusals", std::string(name(RefusalReason::BadRequest)));
+            auto response = refusalResponse({RefusalReason::BadRequest, RequestEffect::NotRun, Duration{0}, "the header of the request is too large"});
+            response.status = statusHeaderTooLarge;
+            return response;
+        }
         const bool isBody = limit == HttpLimit::BodyTooLarge;
         const Refusal refusal{isBody ? RefusalReason::BodyTooLarge : RefusalReason::TooManyConnections,
                               RequestEffect::NotRun,
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -29,9 +29,6 @@
 
 constexpr Duration sweepPeriod{1'000};
 
-// Retry-After has a resolution of one second. Delays are rounded up, except that a delay below this minimum is sent as 0.
-constexpr Duration minRetryAfter{100};
-
 /// True if the peer has closed or reset the connection and no bytes are left to read.
 bool isClosedByPeer(int descriptor)
 {
@@ -48,6 +45,7 @@
     std::optional<TimePoint> deadline; ///< Deadline of the current phase: idle, receiving or sending; none while a request is being handled.
     bool isAboveLimit = false;
     bool isTimedOut = false;
+    HttpRequestId request = 0; ///< The request that is being received or answered; 0 if there is none.
 };
 
 struct HttpServer::Request
@@ -59,7 +57,8 @@
     bool isHandled = false;
     bool isSuspended = false;
     bool isResponseQueued = false;
-    bool isRead = false; ///< The last byte of the body was read.
+    bool isRefused = false; ///< Its response was written to the socket by the server itself.
+    bool isRead = false;    ///< The last byte of the body was read.
     bool hasClientLeft = false;
     std::optional<TimePoint> handledAt;
     std::size_t bodyBytes = 0;
@@ -136,7 +135,7 @@
                                 MHD_OPTION_CONNECTION_LIMIT,
                                 m_limits.maxConnections + maxRefusedConnections,
                                 MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-                                m_limits.maxHeaderBytes,
+                                connectionPoolBytes(m_limits),
                                 MHD_OPTION_NOTIFY_COMPLETED,
                                 &HttpServer::onCompletedRaw,
                                 this,
@@ -171,6 +170,10 @@
 void HttpServer::runDaemon()
 {
     MHD_run(m_daemon);
+    if (std::exchange(m_hasRefusedTarget, false)) {
+        // libmicrohttpd closes such a connection in its next run only.
+        MHD_run(m_daemon);
+    }
     MHD_UNSIGNED_LONG_LONG waitMs = 0;
     if (MHD_get_timeout(m_daemon, &waitMs) == MHD_YES) {
         m_runTimer.startIn(Duration{static_cast<long long>(waitMs)});
@@ -226,21 +229,40 @@
         &request.request);
     const auto *state = connectionOf(connection);
     if (state != nullptr && state->isAboveLimit) {
-        request.response = m_limitResponse ? m_limitResponse(HttpLimit::TooManyConnections) : HttpResponse{503, "text/plain", "too many connections\n"};
+        request.response = limitResponse(HttpLimit::TooManyConnections);
     } else if (const char *length = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Content-Length")) {
         if (std::strtoull(length, nullptr, 10) > m_limits.maxBodyBytes) {
-            request.response = m_limitResponse ? m_limitResponse(HttpLimit::BodyTooLarge) : HttpResponse{413, "text/plain", "body too large\n"};
+            request.response = limitResponse(HttpLimit::BodyTooLarge);
         }
     }
-    if (request.response) {
-        request.response->closesConnection = true;
-    }
+}
+
+HttpResponse HttpServer::limitResponse(HttpLimit limit) const
+{
+    auto response = m_limitResponse ? m_limitResponse(limit) : defaultLimitResponse(limit);
+    response.closesConnection = true;
+    return response;
+}
+
+MHD_Result HttpServer::refuse(Request &request, MHD_Connection *connection, HttpLimit limit)
+{
+    // libmicrohttpd has no room for a response beside a request that fills its memory, so the response is written here.
+    const auto text = closingResponseText(limitResponse(limit), request.request.method == MHD_HTTP_METHOD_HEAD);
+    const int descriptor = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+    request.isRefused = ::send(descriptor, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT) == static_cast<ssize_t>(text.size());
+    return MHD_NO;
 }
 
 MHD_Result HttpServer::onAccess(Request &request, MHD_Connection *connection, const char *method, const char *path, const char *data, std::size_t *size)
 {
+    if (request.isRefused) {
+        return MHD_NO;
+    }
     if (!request.isHeadRead) {
         readHead(request, connection, method, path);
+        if (!isHeaderWithinLimits(connection, m_limits)) {
+            return refuse(request, connection, HttpLimit::HeaderTooLarge);
+        }
         return request.response ? queueResponse(request, connection) : MHD_YES;
     }
     if (*size > 0) {
@@ -256,8 +278,11 @@
     }
     request.isRead = true;
     if (request.bodyBytes > m_limits.maxBodyBytes) {
-        request.response = m_limitResponse ? m_limitResponse(HttpLimit::BodyTooLarge) : HttpResponse{413, "text/plain", "body too large\n"};
-        request.response->closesConnection = true;
+        request.response = limitResponse(HttpLimit::BodyTooLarge);
+    }
+    if (!request.isHandled && !isHeaderWithinLimits(connection, m_limits)) {
+        // The trailers of a chunked body have filled the connection's memory.
+        return refuse(request, connection, HttpLimit::HeaderTooLarge);
     }
     if (!request.isHandled && !request.response) {
         request.isHandled = true;
@@ -289,8 +314,7 @@
         MHD_add_response_header(response, "Connection", "close");
     }
     if (answer.retryAfter > Duration{0}) {
-        const auto seconds = answer.retryAfter < minRetryAfter ? 0 : std::chrono::ceil<std::chrono::seconds>(answer.retryAfter).count();
-        MHD_add_response_header(response, "Retry-After", std::to_string(seconds).c_str());
+        MHD_add_response_header(response, "Retry-After", retryAfterText(answer.retryAfter).c_str());
     }
     const auto result = MHD_queue_response(connection, static_cast<unsigned>(answer.status), response);
     MHD_destroy_response(response);
@@ -378,7 +402,7 @@
     if (request.handledAt) {
         summary.sinceRead = std::chrono::duration_cast<Duration>(EventLoop::now() - *request.handledAt);
     }
-    if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK) {
+    if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK || request.isRefused) {
         summary.end = HttpRequestEnd::Answered;
     } else if (code == MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN) {
         summary.end = HttpRequestEnd::ServerStopped;
@@ -405,15 +429,30 @@
     server.m_requests.erase(ended.id);
     *request = nullptr;
     if (auto *state = server.connectionOf(connection)) {
+        state->request = 0;
         state->deadline = EventLoop::now() + server.m_limits.idleTimeout;
     }
 }
 
+void HttpServer::onClosed(MHD_Connection *connection)
+{
+    const auto found = m_connections.find(connection);
+    if (found == m_connections.end()) {
+        return;
+    }
+    // libmicrohttpd does not report the end of a request whose header it could not read.
+    if (const auto request = m_requests.find(found->second->request); request != m_requests.end()) {
+        reportEnd(*request->second, MHD_REQUEST_TERMINATED_WITH_ERROR);
+        m_requests.erase(request);
+    }
+    m_connections.erase(found);
+}
+
 void HttpServer::onConnectionRaw(void *self, MHD_Connection *connection, void **, MHD_ConnectionNotificationCode code)
 {
     auto &server = *static_cast<HttpServer *>(self);
     if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
-        server.m_connections.erase(connection);
+        server.onClosed(connection);
         return;
     }
     auto state = std::make_unique<Connection>();
@@ -423,7 +462,7 @@
     server.m_connections.emplace(connection, std::move(state));
 }
 
-void *HttpServer::onUriRaw(void *self, const char *, MHD_Connection *connection)
+void *HttpServer::onUriRaw(void *self, const char *uri, MHD_Connection *connection)
 {
     auto &server = *static_cast<HttpServer *>(self);
     auto request = std::make_unique<Request>();
@@ -432,8 +471,13 @@
     auto *raw = request.get();
     server.m_requests.emplace(raw->id, std::move(request));
     if (auto *state = server.connectionOf(connection)) {
+        state->request = raw->id;
         state->deadline = EventLoop::now() + server.m_limits.requestTimeout;
     }
+    if (!isTargetWithinLimits(uri, server.m_limits)) {
+        server.refuse(*raw, connection, HttpLimit::HeaderTooLarge);
+        server.m_hasRefusedTarget = true;
+    }
     return raw;
 }
 
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "eventloop.h"
+#include "httplimits.h"
+#include "httpmessage.h"
 #include "httprequestend.h"
 
 #include <absl/status/status.h>
@@ -15,48 +17,6 @@
 namespace sequoiastand
 {
 
-struct HttpRequest
-{
-    std::string method;
-    std::string path;
-    std::map<std::string, std::string> query;
-    std::string bearerToken;
-    std::string body;
-    std::map<std::string, std::string> headers; ///< Values of the request headers named in setReadHeaders(), by header name.
-
-    friend bool operator==(const HttpRequest &, const HttpRequest &) = default;
-};
-
-struct HttpResponse
-{
-    int status = 200;
-    std::string contentType = "application/json";
-    std::string body;
-    bool closesConnection = false;
-    Duration retryAfter{0}; ///< Sent as Retry-After in whole seconds, rounded up; less than 100 ms is sent as 0, and zero is not sent.
-
-    friend bool operator==(const HttpResponse &, const HttpResponse &) = default;
-};
-
-struct HttpServerLimits
-{
-    std::size_t maxBodyBytes = std::size_t{1024} * 1024;
-    std::size_t maxHeaderBytes = std::size_t{16} * 1024;
-    unsigned maxConnections = 1'500;  ///< With 3,000 connections and two of six hosts down, each host has 750 on average; this is twice as many.
-    Duration requestTimeout{10'000};  ///< Time limit from the first line of a request to its last byte.
-    Duration responseTimeout{30'000}; ///< Time limit for sending a response to a slow client.
-    Duration idleTimeout{75'000};     ///< Time after which a connection without a request is closed.
-
-    friend bool operator==(const HttpServerLimits &, const HttpServerLimits &) = default;
-};
-
-/// A limit that the server enforces before a request reaches the handler.
-enum class HttpLimit
-{
-    BodyTooLarge,
-    TooManyConnections,
-};
-
 /// Identifies one request of a server.
 using HttpRequestId = unsigned long long;
 
@@ -117,10 +77,13 @@
     void closeTimedOutConnections();
     MHD_Result onAccess(Request &request, MHD_Connection *connection, const char *method, const char *path, const char *data, std::size_t *size);
     void readHead(Request &request, MHD_Connection *connection, const char *method, const char *path);
+    HttpResponse limitResponse(HttpLimit limit) const;
+    MHD_Result refuse(Request &request, MHD_Connection *connection, HttpLimit limit);
     MHD_Result waitForResponse(Request &request, MHD_Connection *connection);
     MHD_Result queueResponse(Request &request, MHD_Connection *connection);
     void resume(Request &request);
     void watchForDisconnect(Request &request);
+    void onClosed(MHD_Connection *connection);
     Connection *connectionOf(MHD_Connection *connection) const;
     void reportEnd(const Request &request, MHD_RequestTerminationCode code) const;
 
@@ -143,6 +106,7 @@
     std::map<HttpRequestId, std::unique_ptr<Request>> m_requests;
     std::map<MHD_Connection *, std::unique_ptr<Connection>> m_connections;
     HttpRequestId m_nextId = 1;
+    bool m_hasRefusedTarget = false;
 };
 
 }
