Read on after a refusal until the client has received it

Callers whose body was over the limit saw their connection reset, or end with neither 413 nor anything else.

A body beyond four times the limit made the handler return MHD_NO, which ends the connection without a response. And each connection that ended after a response was closed with the client's bytes unread, so the kernel reset it and a client that was still sending lost the response.

The body is refused at the byte that exceeds the limit. libmicrohttpd takes a response only before a body or after it; reading the rest of the body first would keep the request open for as long as the client sends, so the server writes the response itself.

Ruled out: a body that ends at the limit, Expect: 100-continue, HTTP/1.0, HEAD and Connection: close were answered before and are tested now.

--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -20,9 +20,8 @@
 namespace
 {
 
-// The length of a chunked body is not known beforehand. If a body exceeds the size limit, the server reads and discards the rest, up to this multiple of the
-// limit, so that the client receives the response.
-constexpr std::size_t discardedBodyFactor = 4;
+// After its response, the rest of a refused body is read and discarded up to this multiple of the limit, so that the client receives the response.
+constexpr std::size_t discardedBodyFactor = 16;
 
 // Number of connections that are accepted in addition to `maxConnections`, so that their requests can be refused with a response.
 constexpr unsigned maxRefusedConnections = 64;
@@ -72,6 +71,7 @@
     , m_watch(loop, [this](int) { runDaemon(); })
     , m_runTimer(loop, [this] { runDaemon(); })
     , m_sweepTimer(loop, [this] { closeTimedOutConnections(); })
+    , m_drain(loop, {.maxDiscardedBytes = discardedBodyFactor * limits.maxBodyBytes})
 {
 }
 
@@ -246,7 +246,8 @@
 
 MHD_Result HttpServer::refuse(Request &request, MHD_Connection *connection, HttpLimit limit)
 {
-    // libmicrohttpd has no room for a response beside a request that fills its memory, so the response is written here.
+    // libmicrohttpd queues no response while it receives a body, and has none for a request that fills its memory. The response is written here, and the
+    // drain of the closed connection makes sure that the client receives it.
     const auto text = closingResponseText(limitResponse(limit), request.request.method == MHD_HTTP_METHOD_HEAD);
     const int descriptor = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
     request.isRefused = ::send(descriptor, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT) == static_cast<ssize_t>(text.size());
@@ -267,19 +268,14 @@
     }
     if (*size > 0) {
         request.bodyBytes += *size;
-        if (request.bodyBytes > m_limits.maxBodyBytes * discardedBodyFactor) {
-            return MHD_NO;
-        }
-        if (request.bodyBytes <= m_limits.maxBodyBytes) {
-            request.request.body.append(data, *size);
+        if (request.bodyBytes > m_limits.maxBodyBytes) {
+            return refuse(request, connection, HttpLimit::BodyTooLarge);
         }
+        request.request.body.append(data, *size);
         *size = 0;
         return MHD_YES;
     }
     request.isRead = true;
-    if (request.bodyBytes > m_limits.maxBodyBytes) {
-        request.response = limitResponse(HttpLimit::BodyTooLarge);
-    }
     if (!request.isHandled && !isHeaderWithinLimits(connection, m_limits)) {
         // The trailers of a chunked body have filled the connection's memory.
         return refuse(request, connection, HttpLimit::HeaderTooLarge);
@@ -445,6 +441,9 @@
         reportEnd(*request->second, MHD_REQUEST_TERMINATED_WITH_ERROR);
         m_requests.erase(request);
     }
+    if (!isClosedByPeer(found->second->descriptor)) {
+        m_drain.add(found->second->descriptor);
+    }
     m_connections.erase(found);
 }
 
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connectiondrain.h"
 #include "eventloop.h"
 #include "httplimits.h"
 #include "httpmessage.h"
@@ -66,7 +67,7 @@
 
     std::size_t openConnections() const
     {
-        return m_connections.size();
+        return m_connections.size() + m_drain.size();
     }
 
 private:
@@ -103,6 +104,7 @@
     SocketWatch m_watch;
     Timer m_runTimer;
     Timer m_sweepTimer;
+    ConnectionDrain m_drain;
     std::map<HttpRequestId, std::unique_ptr<Request>> m_requests;
     std::map<MHD_Connection *, std::unique_ptr<Connection>> m_connections;
     HttpRequestId m_nextId = 1;
