Accept the backlog of a listener before it is closed

Callers whose connection was complete but not yet accepted when a host stopped accepting saw it reset, with a request that was already sent.

Closing a listening socket resets the connections in its backlog. stopAccepting() now takes the listener out of libmicrohttpd, accepts what waits in the backlog, adds it to the daemon and closes the listener then. A connection that is completed between the last accept() and close() is still reset; its request has not been read.

The test of the backlog guards this. A second one guards what was ruled out as a cause: a request that is in the socket's buffer when the deadline of its connection passes is answered.

--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -162,9 +162,29 @@
 void HttpServer::stopAccepting()
 {
     const auto listener = MHD_quiesce_daemon(m_daemon);
-    if (listener != MHD_INVALID_SOCKET) {
-        ::close(listener);
+    if (listener == MHD_INVALID_SOCKET) {
+        return;
+    }
+    // Closing the listener resets the connections in its backlog.
+    while (true) {
+        sockaddr_in address{};
+        socklen_t size = sizeof address;
+        const int descriptor = ::accept4(listener, reinterpret_cast<sockaddr *>(&address), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (descriptor < 0 && errno == EINTR) {
+            continue;
+        }
+        if (descriptor < 0) {
+            break;
+        }
+        MHD_add_connection(m_daemon, descriptor, reinterpret_cast<const sockaddr *>(&address), size);
     }
+    ::close(listener);
+    m_runTimer.startIn(Duration{0});
+}
+
+void HttpServer::poll()
+{
+    runDaemon();
 }
 
 void HttpServer::runDaemon()
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -57,14 +57,23 @@
     /// Answers a request. The id of a request that has ended is ignored.
     void respond(HttpRequestId id, HttpResponse response);
 
-    /// Accepts no new connections; open requests are still answered.
+    /// Accepts the connections that wait in the backlog and no others; open requests are still answered.
     void stopAccepting();
 
+    /// Reads and sends what is ready now, without waiting for the event loop.
+    void poll();
+
     std::size_t openRequests() const
     {
         return m_requests.size();
     }
 
+    /// Number of connections that have ended and whose clients may not have received the last response yet.
+    std::size_t closingConnections() const
+    {
+        return m_drain.size();
+    }
+
     std::size_t openConnections() const
     {
         return m_connections.size() + m_drain.size();
--- a/tests/testhttpserver.cpp
+++ b/tests/testhttpserver.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <ctime>
+#include <thread>
 
 namespace sequoiastand
 {
@@ -248,4 +249,36 @@
     EXPECT_TRUE(wait([&client] { return client.received().ends_with("done"); }));
 }
 
+// Guards against a planned stop that resets the connections in the listener's backlog, with requests that were already sent.
+TEST_F(HttpServerLimitsTest, connectionInTheBacklogIsAnsweredAfterAcceptingHasStopped)
+{
+    RawClient first(m_loop, m_server->port());
+    RawClient second(m_loop, m_server->port());
+    first.send(post("{}"));
+    second.send(post("{}"));
+    m_server->stopAccepting();
+    ASSERT_TRUE(wait([this] { return m_requests.size() == 2; }));
+    m_server->respond(m_ids[0], {.body = "done"});
+    m_server->respond(m_ids[1], {.body = "done"});
+    EXPECT_TRUE(wait([&] { return first.received().ends_with("done") && second.received().ends_with("done"); }));
+}
+
+// Guards against a sweep that closes a connection whose request is in the socket's buffer while the loop was busy beyond the deadline.
+TEST_F(HttpServerLimitsTest, requestThatHasArrivedBeforeTheDeadlineIsSweptIsAnswered)
+{
+    serveWith(Duration{100});
+    RawClient unused(m_loop, m_server->port());
+    RawClient incomplete(m_loop, m_server->port());
+    incomplete.send("POST /v1/jobs HTTP/1.1\r\n");
+    ASSERT_TRUE(wait([this] { return m_server->openConnections() == 2; }));
+    m_loop.runUntil([] { return false; }, Duration{20});
+    unused.send(post("{}"));
+    incomplete.send("Host: x\r\nContent-Length: 2\r\n\r\n{}");
+    std::this_thread::sleep_for(Duration{250});
+    ASSERT_TRUE(wait([this] { return m_requests.size() == 2; }));
+    m_server->respond(m_ids[0], {.body = "done"});
+    m_server->respond(m_ids[1], {.body = "done"});
+    EXPECT_TRUE(wait([&] { return unused.received().ends_with("done") && incomplete.received().ends_with("done"); }));
+}
+
 }
