Answer requests that arrive or wait at the end of a planned stop

A host that was stopped left its last requests without an answer: those that were still being handled when the grace period ended were cut with the process, those that arrived between the last check and the exit were reset in the socket's buffer, and a connection whose last response its client had not read was closed with unread bytes.

Each check of a stopping host now reads what has arrived first. Connections that are being closed count as not answered.

With a single run of libmicrohttpd in poll() the test of open requests failed (x86_64): openRequests() was 2, expected 0. libmicrohttpd resumes a connection in one run and sends its response in the next.

--- a/net/hostloop.cpp
+++ b/net/hostloop.cpp
@@ -168,11 +168,13 @@
     const bool hasOpenCommand = std::ranges::any_of(m_board.commands.rows(), [](const auto &row) { return row.second.step != CommandStep::Answered; });
     return m_board.isStopping && m_board.calls.isEmpty() && !hasOpenCommand && m_board.leases.isEmpty() && m_board.store.writes.empty()
            && m_board.store.transactions.empty() && !m_board.store.batch && m_callers.openCalls() == 0 && m_server.openRequests() == 0
-           && !m_peers.hasQueuedFrames();
+           && m_server.closingConnections() == 0 && !m_peers.hasQueuedFrames();
 }
 
 void HostLoop::checkStopped()
 {
+    // A request in a socket's buffer would be lost if the process exited now.
+    m_server.poll();
     if (isEverythingAnswered() || EventLoop::now() >= m_stopDeadline) {
         if (m_onStopped) {
             m_onStopped();
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -184,6 +184,8 @@
 
 void HttpServer::poll()
 {
+    // libmicrohttpd resumes a connection in one run and sends its response in the next.
+    runDaemon();
     runDaemon();
 }
 
