--- a/tests/testhttpheadersize.cpp
+++ b/tests/testhttpheadersize.cpp
@@ -37,7 +37,7 @@
     const std::string name = "X-L: ";
     std::string header = "GET /v1/jobs HTTP/1.1\r\nHost: x\r\n";
     while (header.size() + 2 * lineBytes + lineEnd.size() <= size) {
-        header += name + std::string(lineBytes - name.size() - lineEnd.size(), 'a') + lineEnd;
+        header.append(name).append(lineBytes - name.size() - lineEnd.size(), 'a').append(lineEnd);
     }
     header += name + std::string(size - header.size() - name.size() - 2 * lineEnd.size(), 'a') + lineEnd;
     return header + lineEnd;
