Forget descriptors that libcurl closes without a report

When a call times out, the HTTP client shuts down the connections to its address that have been idle since before the call. It kept their descriptors from the opening of a socket until libcurl's close callback. libcurl 7.88 closes a socket whose connection could not be established in time without calling it, so the descriptor stayed listed, was used again for a caller's connection, and the next call to the store that timed out shut that connection down. Large configurations fill the links of small hosts, which makes new connections to the store time out.

A connection is now listed from its first answer, when it is established; libcurl reports the close of such connections. Connections that never answered are closed with their call and need no entry.

The test failed before: both ends of an unrelated connection were shut down, and one connection was counted as ended.

--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -118,8 +118,6 @@
     curl_easy_setopt(easy, CURLOPT_READDATA, transfer.get());
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &HttpClient::onBeforeRequest);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
-    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &HttpClient::onOpenSocket);
-    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, transfer.get());
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &HttpClient::onCloseSocket);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
@@ -293,8 +291,8 @@
 {
     curl_socket_t descriptor = CURL_SOCKET_BAD;
     curl_easy_getinfo(transfer.easy, CURLINFO_ACTIVESOCKET, &descriptor);
-    if (const auto connection = m_connections.find(descriptor); connection != m_connections.end()) {
-        connection->second.answeredAt = EventLoop::now();
+    if (descriptor != CURL_SOCKET_BAD) {
+        m_connections.insert_or_assign(descriptor, Connection{transfer.address, EventLoop::now()});
     }
 }
 
@@ -308,17 +306,6 @@
     });
 }
 
-curl_socket_t HttpClient::onOpenSocket(void *owner, curlsocktype, curl_sockaddr *address)
-{
-    const auto &transfer = *static_cast<Transfer *>(owner);
-    const int descriptor = socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
-    if (descriptor < 0) {
-        return CURL_SOCKET_BAD;
-    }
-    transfer.client->m_connections.insert_or_assign(descriptor, Connection{transfer.address, EventLoop::now()});
-    return descriptor;
-}
-
 int HttpClient::onCloseSocket(void *self, curl_socket_t descriptor)
 {
     static_cast<HttpClient *>(self)->m_connections.erase(descriptor);
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -97,11 +97,12 @@
 private:
     struct Transfer;
 
-    /// A connection that libcurl keeps, in use or idle.
+    /// An established connection that libcurl keeps, in use or idle. libcurl closes the descriptors of connections that were never established without a call
+    /// of onCloseSocket(), and the descriptor may belong to another part of the process afterwards.
     struct Connection
     {
         std::string address;
-        TimePoint answeredAt; ///< When it was opened or answered a call last.
+        TimePoint answeredAt; ///< When it answered a call last.
     };
 
     unsigned long long start(const HttpCall &call, DataCallback onData, AnswerCallback onEnd);
@@ -115,7 +116,6 @@
     void finish(Transfer &transfer, CURLcode code);
     void noteAnswered(const Transfer &transfer);
     void endSilentConnections(const std::string &address, TimePoint since);
-    static curl_socket_t onOpenSocket(void *transfer, curlsocktype purpose, curl_sockaddr *address);
     static int onCloseSocket(void *self, curl_socket_t descriptor);
     static int onSocketChange(CURL *easy, curl_socket_t descriptor, int action, void *self, void *socket);
     static int onTimerChange(CURLM *multi, long delayMs, void *self);
--- a/tests/testhttpclient.cpp
+++ b/tests/testhttpclient.cpp
@@ -3,8 +3,12 @@
 #include "soak/proxy.h"
 
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <memory>
 #include <optional>
@@ -20,6 +24,46 @@
 /// Timeout of calls that must not be answered; long enough to send a request on a busy machine.
 constexpr Duration unansweredTimeout{200};
 
+/// A loopback listener whose backlog is full, so that connections to it are never established.
+class FullListener
+{
+public:
+    FullListener()
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        EXPECT_EQ(bind(m_listener, reinterpret_cast<const sockaddr *>(&address), size), 0);
+        EXPECT_EQ(listen(m_listener, 0), 0);
+        EXPECT_EQ(getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size), 0);
+        m_port = ntohs(address.sin_port);
+        for (auto &waiting : m_waiting) {
+            waiting = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+            connect(waiting, reinterpret_cast<const sockaddr *>(&address), size);
+        }
+    }
+
+    ~FullListener()
+    {
+        std::ranges::for_each(m_waiting, ::close);
+        ::close(m_listener);
+    }
+
+    FullListener(const FullListener &) = delete;
+    FullListener &operator=(const FullListener &) = delete;
+
+    std::string address() const
+    {
+        return loopbackAddress(m_port);
+    }
+
+private:
+    int m_listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int m_port = 0;
+    std::array<int, 4> m_waiting{};
+};
+
 const std::string okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 }
@@ -117,6 +161,24 @@
 }
 
 // Guards against giving up connections that work: a call to one slow path would cost all others their connections.
+// Guards against shutting down a caller's connection: libcurl closes a connection that it could not establish in time without reporting it, and the descriptor is
+// used again.
+TEST_F(HttpClientCall, unansweredCallLeavesConnectionsOfOtherPartsOpen)
+{
+    const FullListener peer;
+    ASSERT_EQ(HttpOutcome::NotSent, call(peer.address(), unansweredTimeout).outcome);
+    std::array<int, 2> ends{};
+    ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, ends.data()), 0);
+    ASSERT_EQ(HttpOutcome::NotSent, call(peer.address(), unansweredTimeout).outcome);
+
+    for (const int end : ends) {
+        char byte = 0;
+        EXPECT_EQ(recv(end, &byte, 1, MSG_DONTWAIT), -1) << "the connection has been shut down";
+    }
+    EXPECT_EQ(m_client.endedConnections(), 0U);
+    std::ranges::for_each(ends, ::close);
+}
+
 TEST_F(HttpClientCall, connectionThatHasAnsweredSinceTheUnansweredCallIsReused)
 {
     LoopbackServer server(m_loop, [](const HttpRequest &) { return HttpResponse{.body = "ok"}; });
