Test series of configurations on hosts with narrow links

The fake store now has a time for which a copy occupies the link of its receiver; other answers queue behind it, and a watch reports later changes only with its next answer.

Bounds: a proof is fresh at each moment (maxProofAge), submissions are accepted within their callers' 3 s, a version is in force 3 s after it is stored, copies received do not exceed the versions by more than two.

--- a/tests/fakestore.cpp
+++ b/tests/fakestore.cpp
@@ -177,9 +177,32 @@
         call.request);
 }
 
-void deliver(FakeStore &store, const HostId &host, TimePoint due, Event event)
+int configurationCopies(const std::vector<StoreEntry> &entries)
 {
+    return static_cast<int>(std::ranges::count_if(entries, [](const StoreEntry &entry) { return std::holds_alternative<QueueConfiguration>(entry.record); }));
+}
+
+int configurationCopies(const Event &event)
+{
+    if (const auto *reply = std::get_if<StoreReply>(&event)) {
+        return configurationCopies(reply->entries);
+    }
+    const auto *change = std::get_if<StoreWatchEvent>(&event);
+    return change == nullptr ? 0 : configurationCopies(change->put);
+}
+
+/// Delivers the event once the link of the host has transferred everything that was sent before. Returns the time of the delivery.
+TimePoint deliver(FakeStore &store, const HostId &host, TimePoint due, Event event)
+{
+    const int copies = configurationCopies(event);
+    store.copiesSent[host] += copies;
+    auto &busyUntil = store.linkBusyUntil[host];
+    due = std::max(due, busyUntil) + copies * store.faults.copyTime;
+    if (copies > 0 && store.faults.copyTime > Duration{0}) {
+        busyUntil = due;
+    }
     store.deliveries.push_back({host, due, std::move(event)});
+    return due;
 }
 
 /// The part of the change that concerns keys with the prefix.
@@ -199,6 +222,9 @@
         deliver(store, host, now, StoreWatchLost{"connection closed", prefix});
         return false;
     }
+    if (now < watch.receivingTo) {
+        return true;
+    }
     for (const auto &change : store.history) {
         if (change.revision <= watch.reported) {
             continue;
@@ -215,7 +241,9 @@
         const bool hasChanges = prefix.empty() || !part.put.empty() || !part.deleted.empty();
         const bool isSkipped = hasChanges && store.faults.skippingWatches.erase({host, prefix}) > 0;
         if (!isSkipped && hasChanges && !store.faults.areWatchesSilent && !store.faults.silentWatches.contains({host, prefix})) {
-            deliver(store, host, now + store.faults.watchLatency, part);
+            const bool isLarge = store.faults.copyTime > Duration{0} && configurationCopies(part.put) > 0;
+            const auto deliveredAt = deliver(store, host, now + store.faults.watchLatency, std::move(part));
+            watch.receivingTo = isLarge ? deliveredAt : watch.receivingTo;
         }
     }
     return true;
--- a/tests/fakestore.h
+++ b/tests/fakestore.h
@@ -34,6 +34,7 @@
     int answersToDrop = 0;                                    ///< Number of next calls that take effect and are never answered.
     int writesToDelay = 0; ///< Number of next transactions with writes that are answered as Unknown and take effect after `delay`.
     Duration delay{2'000};
+    Duration copyTime{0};           ///< Time for which a copy of the queue configuration occupies the link of the host that receives it.
     std::set<StoreKey> undecodable; ///< Keys whose values no host can decode: answers leave them out with an error, and watches report them as removed.
 };
 
@@ -42,7 +43,8 @@
 {
     Revision reported = 0; ///< Changes up to this revision have been delivered.
     int generation = 0;
-    int repeats = 0; ///< Of the mirror, at its newest repeat.
+    int repeats = 0;       ///< Of the mirror, at its newest repeat.
+    TimePoint receivingTo; ///< Time until which the host receives the watch's newest answer; later changes wait for the next one.
 
     friend bool operator==(const FakeWatch &, const FakeWatch &) = default;
 };
@@ -83,6 +85,8 @@
     std::deque<FakeDelivery> deliveries;
     std::map<StoreKey, int> appliedWrites; ///< Number of writes to each key.
     int calls = 0;
+    std::map<HostId, TimePoint> linkBusyUntil; ///< Time until which copies of the queue configuration occupy the host's link.
+    std::map<HostId, int> copiesSent;          ///< Copies of the queue configuration that were sent to the host.
 };
 
 /// Executes a host's call; the answer is delivered after the latency.
--- /dev/null
+++ b/tests/testconfigurationstorm.cpp
@@ -0,0 +1,143 @@
+#include "tests/domainfixture.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace sequoiastand
+{
+
+/// Hosts with narrow links, each of which a copy of the configuration occupies for a while, and versions that follow each other faster than that.
+struct ConfigurationStorm : DomainTest
+{
+    static constexpr Duration copyTime{300};
+    static constexpr Duration versionPeriod{200};
+    static constexpr Duration submissionPeriod{70};
+    static constexpr Duration callerTimeout{3'000};
+    static constexpr Duration applyBound{3'000};
+    static constexpr int versions = 12;
+
+    // Beside the versions themselves: a copy that is under way when the proof conflicts, and one whose request crosses the next version.
+    static constexpr int spareCopies = 2;
+
+    ConfigurationStorm()
+    {
+        addTargets(8);
+        std::ranges::for_each(hosts, [this](const std::string &host) { addHost(host); });
+        run(Duration{2'000});
+        store.faults.copyTime = copyTime;
+        store.copiesSent.clear();
+    }
+
+    struct Submission
+    {
+        CallId call;
+        TimePoint sentAt;
+        std::string host;
+    };
+
+    void writeVersion()
+    {
+        setKey("key-" + std::to_string(configuration.version), "hotels");
+        m_storedAt.emplace(configuration.version, now);
+    }
+
+    void submitEverywhere()
+    {
+        for (const auto &host : hosts) {
+            m_submissions.push_back({submit(id(++m_lastId), batch(1, {1'000, 1'000, 1}), {Duration{50}, {}}, host), now, host});
+        }
+    }
+
+    /// Notes what the callers and the hosts see at the present moment.
+    void observe()
+    {
+        for (const auto &host : hosts) {
+            const auto &view = board(host).view;
+            m_unproven += isProofFresh(board(host)) ? 0 : 1;
+            m_oldestProof = std::max(m_oldestProof, now - view.provenAt.value_or(TimePoint{}));
+            for (const auto &[version, storedAt] : m_storedAt) {
+                if (view.configuration.version < version) {
+                    m_slowest = std::max(m_slowest, now - storedAt);
+                }
+            }
+        }
+    }
+
+    /// Writes the versions and then waits until the last of them has to be in force everywhere.
+    void playSeries(bool hasCallers)
+    {
+        const auto begin = now;
+        const auto end = begin + versions * versionPeriod + applyBound;
+        auto nextVersion = begin;
+        auto nextSubmission = begin;
+        while (now < end) {
+            if (now >= nextVersion && static_cast<int>(m_storedAt.size()) < versions) {
+                writeVersion();
+                nextVersion += versionPeriod;
+            }
+            if (hasCallers && now >= nextSubmission && now < begin + versions * versionPeriod + versionPeriod) {
+                submitEverywhere();
+                nextSubmission += submissionPeriod;
+            }
+            run(tick);
+            observe();
+        }
+    }
+
+    int mostCopies() const
+    {
+        return std::ranges::max_element(store.copiesSent, {}, [](const auto &row) { return row.second; })->second;
+    }
+
+    std::vector<std::string> hosts{"h1", "h2", "h3"};
+    std::vector<Submission> m_submissions;
+    std::map<long long, TimePoint> m_storedAt;
+    int m_unproven = 0; ///< Number of moments and hosts without a fresh proof.
+    Duration m_oldestProof{0};
+    Duration m_slowest{0}; ///< Longest time for which a host did not know a version that was stored.
+    int m_lastId = 0;
+};
+
+// Guards against a host that cannot prove its configuration because versions are stored faster than it receives them: it refuses all callers meanwhile.
+TEST_F(ConfigurationStorm, proofStaysFreshWhileVersionsFollowEachOtherQuickly)
+{
+    playSeries(false);
+    EXPECT_EQ(m_unproven, 0) << "oldest proof " << m_oldestProof.count() << " ms";
+}
+
+// Guards against versions that come into force late because a host receives every version, and several copies of each.
+TEST_F(ConfigurationStorm, eachVersionOrANewerOneIsInForceInTime)
+{
+    playSeries(false);
+    EXPECT_LE(m_slowest, applyBound);
+}
+
+TEST_F(ConfigurationStorm, hostReceivesNoMoreCopiesThanVersions)
+{
+    playSeries(false);
+    EXPECT_LE(mostCopies(), versions + spareCopies);
+}
+
+// Guards against submissions that bring a further copy of the configuration each, and wait behind those of others.
+TEST_F(ConfigurationStorm, submissionsBringNoCopiesOfTheirOwn)
+{
+    playSeries(true);
+    EXPECT_LE(mostCopies(), versions + spareCopies);
+}
+
+// Guards against submissions that find the configuration changed each time they are sent, until their callers have gone.
+TEST_F(ConfigurationStorm, submissionsAreAcceptedWithinTheirCallersTime)
+{
+    playSeries(true);
+    ASSERT_FALSE(m_submissions.empty());
+    for (const auto &submission : m_submissions) {
+        ASSERT_TRUE(isAnswered(submission.call)) << submission.host;
+        const auto answer = answerTo(submission.call);
+        EXPECT_FALSE(answer.refusal) << submission.host << " at " << submission.sentAt.time_since_epoch().count() << ": " << answer.refusal->message;
+    }
+    EXPECT_LE(m_slowest, applyBound);
+}
+
+}
