Count the conflict of a proof although the host knows newer

Each proof ended in a conflict, and the conflict was discarded as outdated as soon as the watch had brought a newer version since the proof was sent.

A conflict is a linearizable read at or after the sending of the proof. A key whose known revision is at least that of the answer is known as it was then, or newer, so the conflict proves it. Each key is now compared by itself. Where the key is absent on one side and has changed since the proof was sent, the order cannot be decided and the proof is repeated as before.

--- a/tests/testconfigurationstorm.cpp
+++ b/tests/testconfigurationstorm.cpp
@@ -107,6 +107,25 @@
     EXPECT_EQ(m_unproven, 0) << "oldest proof " << m_oldestProof.count() << " ms";
 }
 
+// Guards against a conflict that is discarded because the watch has been faster: it proves the keys as of its sending all the same.
+TEST_F(ConfigurationStorm, conflictThatTheWatchHasOvertakenIsAProof)
+{
+    constexpr Duration latency{500};
+    store.faults.copyTime = Duration{0};
+    store.faults.latency = latency;
+    store.faults.watchLatency = latency / 2;
+    run(Duration{3'000});
+    const auto &view = board("h1").view;
+    runUntil([&] { return !view.proof && now + Duration{50} >= view.nextProofAt; }, Duration{3'000});
+    writeVersion();
+    runUntil([&] { return view.proof.has_value(); }, Duration{100});
+    const auto sentAt = view.proof->sentAt;
+    writeVersion();
+    run(latency + 2 * tick);
+    EXPECT_EQ(view.configuration.version, configuration.version);
+    EXPECT_GE(*view.provenAt, sentAt);
+}
+
 // Guards against versions that come into force late because a host receives every version, and several copies of each.
 TEST_F(ConfigurationStorm, eachVersionOrANewerOneIsInForceInTime)
 {
--- a/workflow/proveconfiguration.cpp
+++ b/workflow/proveconfiguration.cpp
@@ -107,22 +107,53 @@
     return conditions;
 }
 
-/// Applies the current entries of the conditions' keys as updates. The owner key is passed to claimDomain by `updates`.
-void applyConflict(WorkflowBoard &board, const StoreProof &proof, const StoreReply &reply)
+/// The revision of the condition's key that this host knows, zero if the key does not exist.
+Revision knownRevision(const std::vector<StoreCondition> &known, const StoreKey &key)
 {
-    MirrorUpdate changed{"config/", false, {}, {}, 0};
-    MirrorUpdate owner{domainOwnerKey().path, true, {}, {}, 0};
-    for (const auto &condition : proof.conditions) {
-        const auto entry = std::ranges::find(reply.entries, condition.key, &StoreEntry::key);
-        auto &update = condition.key == domainOwnerKey() ? owner : changed;
-        if (entry != reply.entries.end()) {
-            update.put.push_back(*entry);
-        } else if (&update == &changed && condition.revision != 0) {
-            update.deleted.push_back(condition.key);
+    const auto condition = std::ranges::find(known, key, &StoreCondition::key);
+    return condition == known.end() ? 0 : condition->revision;
+}
+
+/// True if it is certain whether the entry in the answer to a proof, null if the key is absent, or this host's knowledge is newer. What this host has learned
+/// since it sent the proof may be newer; revisions decide that unless the key is absent on one side.
+bool isOrderKnown(const StoreCondition &sent, Revision known, const StoreEntry *entry)
+{
+    return known == sent.revision || (known != 0 && entry != nullptr);
+}
+
+void applyConflictingKey(WorkflowBoard &board, const StoreCondition &sent, Revision known, const StoreEntry *entry)
+{
+    if (!isOrderKnown(sent, known, entry) || (entry != nullptr && entry->revision <= known) || (entry == nullptr && known == 0)) {
+        return;
+    }
+    if (sent.key == domainOwnerKey()) {
+        // The owner is claimDomain's to change.
+        MirrorUpdate owner{sent.key.path, true, {}, {}, 0};
+        if (entry != nullptr) {
+            owner.put.push_back(*entry);
         }
+        board.updates.push_back(std::move(owner));
+    } else if (entry != nullptr) {
+        applyEntry(board, *entry);
+    } else if (sent.key != queueConfigurationKey()) {
+        setEvacuated(board, {lastPathSegment(sent.key)}, std::nullopt);
     }
-    applyUpdate(board, changed);
-    board.updates.push_back(std::move(owner));
+}
+
+/// Applies the current entries of the proof's keys as far as they are newer than what this host knows. Returns true if this host now knows all keys as they
+/// were when the proof was sent, or newer.
+bool applyConflict(WorkflowBoard &board, const StoreProof &proof, const StoreReply &reply)
+{
+    const auto known = proofConditions(board);
+    return std::ranges::count_if(proof.conditions,
+                                 [&](const StoreCondition &sent) {
+                                     const auto found = std::ranges::find(reply.entries, sent.key, &StoreEntry::key);
+                                     const auto *entry = found == reply.entries.end() ? nullptr : &*found;
+                                     const auto revision = knownRevision(known, sent.key);
+                                     applyConflictingKey(board, sent, revision, entry);
+                                     return !isOrderKnown(sent, revision, entry);
+                                 })
+           == 0;
 }
 
 void setReachable(WorkflowBoard &board, bool isStoreReachable)
@@ -177,15 +208,11 @@
     const bool isConflict = reply.outcome == StoreOutcome::Conflict;
     const bool isUnreadable = isConflict && !reply.error.empty();
     setUnreadable(board, isUnreadable, reply.error);
-    // What this host has learned since it sent the proof may be newer than the entries of the conflict.
-    const bool isOutdated = isConflict && proof.conditions != proofConditions(board);
     if (isConflict) {
         countConfigurations(board, reply.entries, "proof");
     }
-    count(board.counters, "proofs", isUnreadable ? "unreadable" : isOutdated ? "outdated" : isConflict ? "changed" : "confirmed");
-    if (isConflict && !isOutdated) {
-        applyConflict(board, proof, reply);
-    }
+    const bool isDecided = !isConflict || applyConflict(board, proof, reply);
+    count(board.counters, "proofs", isUnreadable ? "unreadable" : !isDecided ? "outdated" : isConflict ? "changed" : "confirmed");
     if (isUnreadable) {
         countFailure(board, reply.error, "unreadable");
         return;
@@ -193,7 +220,7 @@
     view.failedProofs = 0;
     view.proofError.clear();
     setReachable(board, true);
-    if (isOutdated) {
+    if (!isDecided) {
         view.nextProofAt = board.now;
         return;
     }
