Prove instead of watching while the configuration changes

A host received 23 copies by watch and 12 by proof of 29 versions, 0.3 s each, and its other calls of the store waited behind them: the watch brings all versions in between, and each conflict of a proof brings the newest once more.

After a change the watch of the configuration is now closed and proofs follow each other until one is confirmed. A proof brings only the newest version and is as fresh as its sending; the pause after each conflict is as long as the conflict took, so that half of the link is left. A proof that is refused or not answered opens the watch again, and while the host catches up, a proof is waited for as long as its call lasts, because a further one would bring a further copy. In calm a change arrives as before, with one proof more.

--- a/workflow/controllers.h
+++ b/workflow/controllers.h
@@ -15,9 +15,15 @@
 void followStore(WorkflowBoard &board);
 
 /// Applies updates of the configuration and asks the store once a period to confirm that the known configuration is current. Such a confirmation is a proof.
+/// After a change it goes on proving, with pauses, until the store confirms a proof.
 /// Reads the events and `updates`; writes `view`, and `updates` if the store's answer shows changes.
 void proveConfiguration(WorkflowBoard &board);
 
+/// Closes the watch of the configuration from a change until a proof is confirmed or not answered. The watch would bring each version in between in full, beside
+/// the newest one that the proofs bring.
+/// Reads `view`; writes `mirrors`.
+void pauseConfigurationWatch(WorkflowBoard &board);
+
 /// Claims a domain without an owner, renews the owner's lease, and releases the domain when the host's authority ends or the host stops.
 /// Reads the events, `updates` and `view`; writes `ownership`, and clears the owner's sections on a release.
 void claimDomain(WorkflowBoard &board);
--- a/workflow/followstore.cpp
+++ b/workflow/followstore.cpp
@@ -203,4 +203,22 @@
     }
 }
 
+void pauseConfigurationWatch(WorkflowBoard &board)
+{
+    const auto found = board.mirrors.find("config/");
+    if (found == board.mirrors.end()) {
+        return;
+    }
+    auto &mirror = found->second;
+    if (mirror.step == MirrorStep::Watching && board.view.isCatchingUp) {
+        mirror.step = MirrorStep::Paused;
+        mirror.failingSince.reset();
+    } else if (mirror.step == MirrorStep::Paused && !board.view.isCatchingUp) {
+        mirror.step = MirrorStep::Watching;
+        mirror.revision = std::max(mirror.revision, board.view.readRevision);
+        mirror.lastReceivedAt = board.now;
+        ++mirror.generation;
+    }
+}
+
 }
--- a/workflow/proveconfiguration.cpp
+++ b/workflow/proveconfiguration.cpp
@@ -3,6 +3,7 @@
 #include "organisationcap.h"
 
 #include <algorithm>
+#include <ranges>
 #include <string>
 #include <utility>
 
@@ -27,6 +28,8 @@
         return;
     }
     view.revision = revision;
+    // A proof brings only the newest version, the watch all of them. Without a proof, the watch is the only source.
+    view.isCatchingUp = view.isLoaded && board.ownership.isKnown;
     if (configuration.version < view.configuration.version) {
         logDecision(board,
                     "applyConfiguration",
@@ -193,9 +196,23 @@
     view.nextProofAt = board.now + board.self.limits.storeRetry;
 }
 
+/// The pause after an answer that carried the configuration. It is as long as the answer took, so that the proofs leave half of a narrow link to other calls.
+Duration pauseAfterCopy(const WorkflowBoard &board, const StoreProof &proof)
+{
+    return std::min(board.now - proof.sentAt, board.self.limits.proofPeriod);
+}
+
+/// The newest revision among what this host knows of the configuration and the evacuations.
+Revision newestRevision(const ConfigurationView &view)
+{
+    const auto evacuations = view.evacuated | std::views::values;
+    return std::ranges::empty(evacuations) ? view.revision : std::max(view.revision, std::ranges::max(evacuations));
+}
+
 void noteMissedProof(WorkflowBoard &board, const std::string &error)
 {
     countFailure(board, error, "");
+    board.view.isCatchingUp = false; // Changes may still be reported by the watch.
     if (board.view.failedProofs >= missedProofs) {
         setReachable(board, false);
     }
@@ -215,18 +232,24 @@
     count(board.counters, "proofs", isUnreadable ? "unreadable" : !isDecided ? "outdated" : isConflict ? "changed" : "confirmed");
     if (isUnreadable) {
         countFailure(board, reply.error, "unreadable");
+        view.nextProofAt = std::max(view.nextProofAt, board.now + pauseAfterCopy(board, proof));
         return;
     }
     view.failedProofs = 0;
     view.proofError.clear();
     setReachable(board, true);
     if (!isDecided) {
-        view.nextProofAt = board.now;
+        view.nextProofAt = board.now + pauseAfterCopy(board, proof);
         return;
     }
     view.provenAt = proof.sentAt;
+    view.readRevision = std::max(view.readRevision, newestRevision(view));
     const bool isInvalidated = view.invalidatedAt && view.provenAt < view.invalidatedAt;
-    view.nextProofAt = isInvalidated ? board.now : proof.sentAt + board.self.limits.proofPeriod;
+    if (!isConflict && knownRevision(proof.conditions, queueConfigurationKey()) == view.revision) {
+        view.isCatchingUp = false;
+    }
+    const auto pause = isConflict ? pauseAfterCopy(board, proof) : Duration{0};
+    view.nextProofAt = isInvalidated || view.isCatchingUp ? board.now + pause : proof.sentAt + board.self.limits.proofPeriod;
 }
 
 /// Reads the answers to all proofs under way, newest first. An answer makes the older proofs superfluous.
@@ -258,11 +281,19 @@
     }
 }
 
+/// Time after which a proof without an answer no longer delays the next one. An answer that carries the configuration may take long, and a further proof would
+/// bring a further copy.
+Duration proofTimeout(const WorkflowBoard &board)
+{
+    const auto timeout = storeTimeout(board);
+    return timeoutWithLag(board, board.view.isCatchingUp ? std::max(timeout, board.self.limits.maxStoreTimeout) : timeout);
+}
+
 /// Stops waiting for the newest proof before its call ends, so that a connection that no longer responds delays the next proof no more than an answer would.
 void passOverLateProof(WorkflowBoard &board)
 {
     auto &view = board.view;
-    const auto timeout = timeoutWithLag(board, storeTimeout(board));
+    const auto timeout = proofTimeout(board);
     if (board.now < view.proof->sentAt + timeout) {
         subscribeNoLaterThan(board.timers, "proof", view.proof->sentAt + timeout);
         return;
@@ -283,15 +314,18 @@
 
 void proveConfiguration(WorkflowBoard &board)
 {
-    const auto updates = board.updates;
-    for (const auto &update : updates) {
+    const bool wasCatchingUp = board.view.isCatchingUp;
+    for (const auto &update : board.updates) {
         if (update.prefix == "config/") {
             countConfigurations(board, update.put, update.isSnapshot ? "read" : "watch");
             applyUpdate(board, update);
         }
     }
-    readProofReplies(board);
     auto &view = board.view;
+    if (view.isCatchingUp && !wasCatchingUp) {
+        view.nextProofAt = board.now;
+    }
+    readProofReplies(board);
     if (view.proof) {
         passOverLateProof(board);
     }
@@ -300,7 +334,7 @@
     }
     if (!view.proof && board.now >= view.nextProofAt) {
         sendProof(board);
-        subscribeNoLaterThan(board.timers, "proof", board.now + timeoutWithLag(board, storeTimeout(board)));
+        subscribeNoLaterThan(board.timers, "proof", board.now + proofTimeout(board));
     }
     if (!view.proof) {
         subscribeNoLaterThan(board.timers, "proof", view.nextProofAt);
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -92,6 +92,7 @@
     Off,
     Reading,
     Watching,
+    Paused, ///< The watch is closed while the proofs of the configuration bring the changes.
 };
 
 /// A prefix of the store that this host mirrors: it reads the prefix once as a whole and then watches it from the revision of that read. The front end keeps a
@@ -150,6 +151,7 @@
 {
     QueueConfiguration configuration;
     Revision revision = 0;              ///< Revision of the configuration's key; zero if it has never been read.
+    Revision readRevision = 0;          ///< All changes of the configuration and the evacuations up to this revision are known.
     std::vector<FormerCaps> formerCaps; ///< Caps of former configurations that may still be in force. A host that starts knows none.
     std::map<AvailabilityZoneId, Revision> evacuated;
     bool isRead = false;                ///< The whole configuration has been read at least once.
@@ -158,6 +160,7 @@
     std::optional<StoreProof> proof;    ///< The newest proof, until it is answered or counts as unanswered.
     std::vector<StoreProof> lateProofs; ///< Proofs that count as unanswered, but whose answers would still be read.
     TimePoint nextProofAt;
+    bool isCatchingUp = false; ///< The configuration has changed since the last confirmed proof, and may change faster than this host can receive it.
     std::optional<TimePoint> invalidatedAt; ///< When the store last showed that something has changed; proofs sent before this time are no longer valid.
     int failedProofs = 0;                   ///< Number of consecutive proofs without an answer.
     std::string proofError;                 ///< Error of the last failed proof.
--- a/workflow/workflowstep.cpp
+++ b/workflow/workflowstep.cpp
@@ -88,6 +88,7 @@
     measureStoreAnswers(board);
     followStore(board);
     proveConfiguration(board);
+    pauseConfigurationWatch(board);
     claimDomain(board);
     followHosts(board);
     checkDuties(board);
