Decide submissions by a configuration received once

Each submission was conditional on the revision of the configuration, so each one sent during a change ended in a conflict with the whole configuration, 400 KB, then proved it again and conflicted with the next version. One conflict also made every other call, and the owner's starts, wait for a new proof (invalidatedAt).

A call may be decided by any configuration that was in force after it was received. The conflict of a write is such a read, so the host adopts its configuration and sends the write again without the condition. While versions follow each other, calls that write wait for the proof that was sent after them, and unanswered writes do not count as a sign that the host is cut off. Other calls no longer wait. A conflict shows that earlier copies cannot be stored only if they required an older revision; only then may the call be answered as not run.

--- a/tests/testconfigurationstorm.cpp
+++ b/tests/testconfigurationstorm.cpp
@@ -216,4 +216,35 @@
     EXPECT_LE(m_slowest, applyBound);
 }
 
+// Guards against a submission that is accepted with a key that was removed before it was sent, although the host knows neither the removal nor the versions
+// before it.
+TEST_F(ConfigurationStorm, removedKeyCannotSubmitDuringASeries)
+{
+    writeVersion();
+    run(copyTime + Duration{50});
+    writeVersion();
+    run(versionPeriod);
+    removeKey("key-tailors");
+    for (const auto &host : hosts) {
+        const auto answer = answerTo(submit(id(++m_lastId), batch(1, {1'000, 1'000, 1}), {}, host));
+        ASSERT_TRUE(answer.refusal) << host;
+        EXPECT_EQ(answer.refusal->reason, RefusalReason::Unauthorised) << host;
+        EXPECT_FALSE(storedState(id(m_lastId))) << host;
+    }
+}
+
+// Guards against a submission that is stored or run twice: its first copy is executed late, and the configuration changes before the second one.
+TEST_F(ConfigurationStorm, submissionWithALateCopyIsAcceptedOnce)
+{
+    store.faults.writesToDelay = 1;
+    const auto call = submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{50}, {}}, "h1");
+    run(tick);
+    writeVersion();
+    EXPECT_FALSE(answerTo(call).refusal);
+    run(applyBound);
+    EXPECT_TRUE(store.lateCalls.empty());
+    EXPECT_EQ(fleet.starts[id(1)], 1);
+    EXPECT_EQ(store.appliedWrites.at(workflowKey(id(1))), 1);
+}
+
 }
--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -199,7 +199,7 @@
         refuse(board, call, RefusalReason::StoreUnavailable, board.view.isLoaded ? "the store does not answer" : "the host has no configuration yet");
     } else if (call.step == CallerStep::Proving && board.view.isUnreadable) {
         refuse(board, call, RefusalReason::StoreUnavailable, "the newest configuration cannot be decoded");
-    } else if (call.step == CallerStep::Proving && isProofFresh(board)) {
+    } else if (call.step == CallerStep::Proving && isProofFresh(board) && !awaitsProof(board, call)) {
         handle(board, call);
     } else if (call.step == CallerStep::WritingTombstone && !call.call && !hasTombstoneLease(board)) {
         if (!board.tombstones.grant) {
--- a/workflow/callerwrites.cpp
+++ b/workflow/callerwrites.cpp
@@ -1,7 +1,6 @@
 #include "callerwrites.h"
 
 #include "calleranswers.h"
-#include "configurationcopies.h"
 #include "tombstones.h"
 
 #include <algorithm>
@@ -16,19 +15,31 @@
 {
 
 // Number of unanswered sendings of a write after which this host is probably cut off from the store. The caller is then better served by another host, which
-// can find out whether the write took effect.
+// can find out whether the write took effect. While the configuration changes, answers may only be waiting behind copies of it.
 constexpr int maxUnansweredWrites = 2;
 
-std::vector<StoreCondition> configurationCondition(const WorkflowBoard &board)
+/// True if the known configuration was in force after the call was received, so that it may decide the call.
+bool isDecidable(const WorkflowBoard &board, const OpenCallerCall &call)
 {
-    return {{queueConfigurationKey(), board.view.revision}};
+    return board.view.currentAt >= std::optional(call.receivedAt);
+}
+
+/// Sends the write. If the known configuration may have been replaced before the call was received, the write is conditional on its revision.
+void sendWrite(WorkflowBoard &board, OpenCallerCall call, StoreTransaction transaction, long long lease)
+{
+    call.requiredRevision = isDecidable(board, call) ? 0 : board.view.revision;
+    if (call.requiredRevision != 0) {
+        transaction.conditions.push_back({queueConfigurationKey(), call.requiredRevision});
+    }
+    call.sentAt = board.now;
+    call.call = sendToStore(board, std::move(transaction), lease);
+    putCall(board, std::move(call));
 }
 
 void write(WorkflowBoard &board, OpenCallerCall call, StoreTransaction transaction)
 {
     call.step = CallerStep::Writing;
-    call.call = sendToStore(board, std::move(transaction));
-    putCall(board, std::move(call));
+    sendWrite(board, std::move(call), std::move(transaction), 0);
 }
 
 }
@@ -42,7 +53,6 @@
     workflow.acceptedAt = board.wallNow;
     workflow.specification = *call.request.specification;
     StoreTransaction transaction;
-    transaction.conditions = configurationCondition(board);
     transaction.conditions.push_back({tombstoneKey(routed), 0});
     transaction.writes.push_back({workflowKey(workflow.id), workflow, 0, false});
     WorkflowProgress progress;
@@ -55,7 +65,6 @@
 void cancel(WorkflowBoard &board, const OpenCallerCall &call, const RoutedCall &routed)
 {
     StoreTransaction transaction;
-    transaction.conditions = configurationCondition(board);
     transaction.writes.push_back({workflowCancellationKey({routed.rest}), WorkflowCancellation{board.wallNow}, 0, false});
     write(board, call, std::move(transaction));
 }
@@ -65,7 +74,8 @@
     call.step = CallerStep::WritingTombstone;
     call.call.reset();
     if (hasTombstoneLease(board)) {
-        call.call = sendToStore(board, tombstoneTransaction(board, routed), board.tombstones.lease);
+        sendWrite(board, std::move(call), tombstoneTransaction(board, routed), board.tombstones.lease);
+        return;
     }
     putCall(board, std::move(call));
 }
@@ -88,6 +98,12 @@
     putCall(board, std::move(call));
 }
 
+bool awaitsProof(const WorkflowBoard &board, const OpenCallerCall &call)
+{
+    const bool isWrite = call.request.action != CallerAction::Query;
+    return board.view.provenAt < call.provenAfter || (isWrite && board.view.isCatchingUp && !isDecidable(board, call));
+}
+
 bool isWriting(const OpenCallerCall &call)
 {
     return call.step == CallerStep::Writing || call.step == CallerStep::WritingTombstone;
@@ -101,15 +117,19 @@
     return std::ranges::any_of(reply.entries, [](const StoreEntry &entry) { return std::holds_alternative<WorkflowTombstone>(entry.record); });
 }
 
-/// Proves the configuration again before the call is handled again, because a condition failed that nothing else explains.
-void proveAgain(WorkflowBoard &board, OpenCallerCall call)
+/// Handles the call again, because a condition failed that neither a workflow nor a tombstone explains.
+void handleAgain(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
 {
-    // Nothing was written, and no earlier copy can take effect any more, because it had the same conditions.
-    call.mayBeStored = false;
+    const auto configuration = std::ranges::find(reply.entries, queueConfigurationKey(), &StoreEntry::key);
+    if (call.requiredRevision != 0 && configuration != reply.entries.end() && configuration->revision > call.requiredRevision) {
+        // Nothing was written. Earlier copies required this revision or an older one, because a copy without the condition is only followed by such copies.
+        call.mayBeStored = false;
+    } else {
+        call.provenAfter = board.now;
+        board.view.nextProofAt = board.now;
+    }
     call.step = CallerStep::Proving;
     call.call.reset();
-    board.view.nextProofAt = board.now;
-    board.view.invalidatedAt = board.now;
     subscribeNoLaterThan(board.timers, "proof", board.now);
     putCall(board, std::move(call));
 }
@@ -136,7 +156,6 @@
 /// A condition failed: the workflow, its cancellation or its tombstone exists already, or the configuration has changed.
 void handleConflict(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
 {
-    countConfigurations(board, reply.entries, "write");
     for (const auto &entry : reply.entries) {
         if (const auto *workflow = std::get_if<Workflow>(&entry.record)) {
             handleStoredWorkflow(board, std::move(call), *workflow);
@@ -152,7 +171,7 @@
         refuse(board, call, RefusalReason::Cancelled, "the workflow was cancelled");
         return;
     }
-    proveAgain(board, std::move(call));
+    handleAgain(board, std::move(call), reply);
 }
 
 /// A condition of the tombstone failed: the workflow has been stored meanwhile, or the configuration has changed.
@@ -162,7 +181,7 @@
         return std::holds_alternative<Workflow>(entry.record) || std::holds_alternative<WorkflowProgress>(entry.record);
     });
     if (!exists) {
-        proveAgain(board, std::move(call));
+        handleAgain(board, std::move(call), reply);
         return;
     }
     call.mayBeStored = false;
@@ -205,14 +224,17 @@
     case StoreOutcome::Unknown:
         call.mayBeStored = true;
         call.retryAt = board.now;
-        if (++call.unansweredWrites >= maxUnansweredWrites) {
+        if (++call.unansweredWrites >= maxUnansweredWrites && !board.view.isCatchingUp) {
             refuse(board, call, RefusalReason::Timeout, "the store has not answered twice");
             return;
         }
         break;
     }
-    // Sending the write again with the same conditions shows whether an earlier copy took effect.
+    // Sending the write again shows whether an earlier copy took effect, because it requires that the workflow does not exist.
     call.call.reset();
+    if (awaitsProof(board, call)) {
+        call.step = CallerStep::Proving;
+    }
     putCall(board, std::move(call));
 }
 
--- a/workflow/callerwrites.h
+++ b/workflow/callerwrites.h
@@ -22,6 +22,10 @@
 /// Reads the progress record that the answer needs.
 void readProgress(WorkflowBoard &board, OpenCallerCall call, const RoutedCall &routed);
 
+/// True if the call has to wait for a proof beyond a fresh one: its last write failed without a cause that is known, or its write would most likely fail because
+/// the configuration is changing.
+bool awaitsProof(const WorkflowBoard &board, const OpenCallerCall &call);
+
 /// True while the call writes a workflow, a cancellation or a tombstone.
 bool isWriting(const OpenCallerCall &call);
 
--- a/workflow/proveconfiguration.cpp
+++ b/workflow/proveconfiguration.cpp
@@ -143,6 +143,11 @@
     }
 }
 
+bool containsConfiguration(const StoreReply &reply)
+{
+    return std::ranges::any_of(reply.entries, [](const StoreEntry &entry) { return std::holds_alternative<QueueConfiguration>(entry.record); });
+}
+
 /// Applies the current entries of the proof's keys as far as they are newer than what this host knows. Returns true if this host now knows all keys as they
 /// were when the proof was sent, or newer.
 bool applyConflict(WorkflowBoard &board, const StoreProof &proof, const StoreReply &reply)
@@ -238,18 +243,42 @@
     view.failedProofs = 0;
     view.proofError.clear();
     setReachable(board, true);
+    if (!isConflict || containsConfiguration(reply)) {
+        view.currentAt = std::max(view.currentAt, std::optional(proof.sentAt));
+    }
     if (!isDecided) {
         view.nextProofAt = board.now + pauseAfterCopy(board, proof);
         return;
     }
     view.provenAt = proof.sentAt;
     view.readRevision = std::max(view.readRevision, newestRevision(view));
-    const bool isInvalidated = view.invalidatedAt && view.provenAt < view.invalidatedAt;
     if (!isConflict && knownRevision(proof.conditions, queueConfigurationKey()) == view.revision) {
         view.isCatchingUp = false;
     }
     const auto pause = isConflict ? pauseAfterCopy(board, proof) : Duration{0};
-    view.nextProofAt = isInvalidated || view.isCatchingUp ? board.now + pause : proof.sentAt + board.self.limits.proofPeriod;
+    view.nextProofAt = view.isCatchingUp ? board.now + pause : proof.sentAt + board.self.limits.proofPeriod;
+}
+
+/// Adopts the configuration that the conflict of a caller's write has brought, instead of receiving it once more by a proof.
+void readWriteConflicts(WorkflowBoard &board)
+{
+    for (const auto &event : board.inbox) {
+        const auto *reply = std::get_if<StoreReply>(&event);
+        if (reply == nullptr || reply->outcome != StoreOutcome::Conflict || !containsConfiguration(*reply)) {
+            continue;
+        }
+        const auto row = std::ranges::find_if(board.calls.rows(), [&](const auto &open) { return open.second.call == reply->id; });
+        if (row == board.calls.rows().end()) {
+            continue;
+        }
+        countConfigurations(board, reply->entries, "write");
+        std::ranges::for_each(reply->entries, [&](const StoreEntry &entry) {
+            if (entry.key == queueConfigurationKey()) {
+                applyEntry(board, entry);
+            }
+        });
+        board.view.currentAt = std::max(board.view.currentAt, std::optional(row->second.sentAt));
+    }
 }
 
 /// Reads the answers to all proofs under way, newest first. An answer makes the older proofs superfluous.
@@ -321,6 +350,7 @@
             applyUpdate(board, update);
         }
     }
+    readWriteConflicts(board);
     auto &view = board.view;
     if (view.isCatchingUp && !wasCatchingUp) {
         view.nextProofAt = board.now;
--- a/workflow/tombstones.cpp
+++ b/workflow/tombstones.cpp
@@ -61,7 +61,7 @@
 {
     const RequestId id{routed.rest};
     StoreTransaction transaction;
-    transaction.conditions = {{queueConfigurationKey(), board.view.revision}, {workflowKey(id), 0}, {workflowProgressKey(id), 0}};
+    transaction.conditions = {{workflowKey(id), 0}, {workflowProgressKey(id), 0}};
     transaction.writes.push_back({tombstoneKey(routed), WorkflowTombstone{board.wallNow}, std::nullopt, true});
     return transaction;
 }
--- a/workflow/workflowboard.cpp
+++ b/workflow/workflowboard.cpp
@@ -68,8 +68,7 @@
 bool isProofFresh(const WorkflowBoard &board)
 {
     const auto &view = board.view;
-    const bool isInvalidated = view.invalidatedAt && view.provenAt < view.invalidatedAt;
-    return view.isLoaded && view.provenAt && !isInvalidated && board.now - *view.provenAt <= board.self.limits.maxProofAge;
+    return view.isLoaded && view.provenAt && board.now - *view.provenAt <= board.self.limits.maxProofAge;
 }
 
 void logDecision(WorkflowBoard &board, std::string step, std::string peer, std::string job, std::string message, bool isError)
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -157,15 +157,15 @@
     bool isRead = false;                ///< The whole configuration has been read at least once.
     bool isLoaded = false;              ///< The configuration has been read, and the operators have written one.
     std::optional<TimePoint> provenAt;  ///< Send time of the newest proof whose answer confirmed the configuration.
+    std::optional<TimePoint> currentAt; ///< At this time no configuration newer than the known one existed.
     std::optional<StoreProof> proof;    ///< The newest proof, until it is answered or counts as unanswered.
     std::vector<StoreProof> lateProofs; ///< Proofs that count as unanswered, but whose answers would still be read.
     TimePoint nextProofAt;
-    bool isCatchingUp = false; ///< The configuration has changed since the last confirmed proof, and may change faster than this host can receive it.
-    std::optional<TimePoint> invalidatedAt; ///< When the store last showed that something has changed; proofs sent before this time are no longer valid.
-    int failedProofs = 0;                   ///< Number of consecutive proofs without an answer.
-    std::string proofError;                 ///< Error of the last failed proof.
-    bool isStoreReachable = false;          ///< The store answers proofs; a single missing answer does not change this.
-    bool isUnreadable = false;              ///< The newest proof failed on an entry that cannot be decoded, so what this host knows may be out of date.
+    bool isCatchingUp = false;     ///< The configuration has changed since the last confirmed proof, and may change faster than this host can receive it.
+    int failedProofs = 0;          ///< Number of consecutive proofs without an answer.
+    std::string proofError;        ///< Error of the last failed proof.
+    bool isStoreReachable = false; ///< The store answers proofs; a single missing answer does not change this.
+    bool isUnreadable = false;     ///< The newest proof failed on an entry that cannot be decoded, so what this host knows may be out of date.
 
     friend bool operator==(const ConfigurationView &, const ConfigurationView &) = default;
 };
@@ -349,6 +349,9 @@
     TimePoint receivedAt;
     TimePoint answerBy;
     std::optional<CallId> call;
+    TimePoint sentAt;                     ///< When the newest write was sent.
+    Revision requiredRevision = 0;        ///< Revision of the configuration on which that write is conditional; zero if it is not.
+    std::optional<TimePoint> provenAfter; ///< The call needs a proof that was sent at this time or later.
     TimePoint retryAt;
     std::optional<Refusal> refusal; ///< Refusal that is delayed until other hosts have answered whether they are ready.
     bool mayBeStored = false;       ///< A write with an unknown outcome was sent.
