Stop catching up when the configuration has been removed

Reading showed that after a change and a removal of the configuration no proof would be confirmed, so that proofs would follow each other without a pause until one came back. A conflict without the configuration now ends the catching up.

--- a/workflow/proveconfiguration.cpp
+++ b/workflow/proveconfiguration.cpp
@@ -252,7 +252,9 @@
     }
     view.provenAt = proof.sentAt;
     view.readRevision = std::max(view.readRevision, newestRevision(view));
-    if (!isConflict && knownRevision(proof.conditions, queueConfigurationKey()) == view.revision) {
+    // The operators may have removed the configuration, in which case no proof is ever confirmed.
+    const bool isNewest = isConflict ? !containsConfiguration(reply) : knownRevision(proof.conditions, queueConfigurationKey()) == view.revision;
+    if (isNewest) {
         view.isCatchingUp = false;
     }
     const auto pause = isConflict ? pauseAfterCopy(board, proof) : Duration{0};
