Keep submissions that wait behind a received configuration

The host had received a configuration while the submission was open, and a proof had confirmed it by the time of the second timeout, so it no longer counted as catching up. A configuration that was received since the call shows that the store is reachable.

Names of the members of the test fixture follow the linter.

--- a/tests/testconfigurationstorm.cpp
+++ b/tests/testconfigurationstorm.cpp
@@ -40,13 +40,13 @@
     void writeVersion()
     {
         setKey("key-" + std::to_string(configuration.version), "hotels");
-        m_storedAt.emplace(configuration.version, now);
+        storedAt.emplace(configuration.version, now);
     }
 
     void submitEverywhere()
     {
         for (const auto &host : hosts) {
-            m_submissions.push_back({submit(id(++m_lastId), batch(1, {1'000, 1'000, 1}), {Duration{50}, {}}, host), now, host});
+            submissions.push_back({submit(id(++lastId), batch(1, {1'000, 1'000, 1}), {Duration{50}, {}}, host), now, host});
         }
     }
 
@@ -55,11 +55,11 @@
     {
         for (const auto &host : hosts) {
             const auto &view = board(host).view;
-            m_unproven += isProofFresh(board(host)) ? 0 : 1;
-            m_oldestProof = std::max(m_oldestProof, now - view.provenAt.value_or(TimePoint{}));
-            for (const auto &[version, storedAt] : m_storedAt) {
+            unproven += isProofFresh(board(host)) ? 0 : 1;
+            oldestProof = std::max(oldestProof, now - view.provenAt.value_or(TimePoint{}));
+            for (const auto &[version, storedSince] : storedAt) {
                 if (view.configuration.version < version) {
-                    m_slowest = std::max(m_slowest, now - storedAt);
+                    slowest = std::max(slowest, now - storedSince);
                 }
             }
         }
@@ -73,7 +73,7 @@
         auto nextVersion = begin;
         auto nextSubmission = begin;
         while (now < end) {
-            if (now >= nextVersion && static_cast<int>(m_storedAt.size()) < versions) {
+            if (now >= nextVersion && static_cast<int>(storedAt.size()) < versions) {
                 writeVersion();
                 nextVersion += versionPeriod;
             }
@@ -92,19 +92,19 @@
     }
 
     std::vector<std::string> hosts{"h1", "h2", "h3"};
-    std::vector<Submission> m_submissions;
-    std::map<long long, TimePoint> m_storedAt;
-    int m_unproven = 0; ///< Number of moments and hosts without a fresh proof.
-    Duration m_oldestProof{0};
-    Duration m_slowest{0}; ///< Longest time for which a host did not know a version that was stored.
-    int m_lastId = 0;
+    std::vector<Submission> submissions;
+    std::map<long long, TimePoint> storedAt;
+    int unproven = 0; ///< Number of moments and hosts without a fresh proof.
+    Duration oldestProof{0};
+    Duration slowest{0}; ///< Longest time for which a host did not know a version that was stored.
+    int lastId = 0;
 };
 
 // Guards against a host that cannot prove its configuration because versions are stored faster than it receives them: it refuses all callers meanwhile.
 TEST_F(ConfigurationStorm, proofStaysFreshWhileVersionsFollowEachOtherQuickly)
 {
     playSeries(false);
-    EXPECT_EQ(m_unproven, 0) << "oldest proof " << m_oldestProof.count() << " ms";
+    EXPECT_EQ(unproven, 0) << "oldest proof " << oldestProof.count() << " ms";
 }
 
 // Guards against a conflict that is discarded because the watch has been faster: it proves the keys as of its sending all the same.
@@ -129,7 +129,7 @@
 TEST_F(ConfigurationStorm, eachVersionOrANewerOneIsInForceInTime)
 {
     playSeries(false);
-    EXPECT_LE(m_slowest, applyBound);
+    EXPECT_LE(slowest, applyBound);
 }
 
 TEST_F(ConfigurationStorm, hostReceivesNoMoreCopiesThanVersions)
@@ -207,13 +207,13 @@
 TEST_F(ConfigurationStorm, submissionsAreAcceptedWithinTheirCallersTime)
 {
     playSeries(true);
-    ASSERT_FALSE(m_submissions.empty());
-    for (const auto &submission : m_submissions) {
+    ASSERT_FALSE(submissions.empty());
+    for (const auto &submission : submissions) {
         ASSERT_TRUE(isAnswered(submission.call)) << submission.host;
         const auto answer = answerTo(submission.call);
         EXPECT_FALSE(answer.refusal) << submission.host << " at " << submission.sentAt.time_since_epoch().count() << ": " << answer.refusal->message;
     }
-    EXPECT_LE(m_slowest, applyBound);
+    EXPECT_LE(slowest, applyBound);
 }
 
 // Guards against a submission that is accepted with a key that was removed before it was sent, although the host knows neither the removal nor the versions
@@ -226,10 +226,10 @@
     run(versionPeriod);
     removeKey("key-tailors");
     for (const auto &host : hosts) {
-        const auto answer = answerTo(submit(id(++m_lastId), batch(1, {1'000, 1'000, 1}), {}, host));
+        const auto answer = answerTo(submit(id(++lastId), batch(1, {1'000, 1'000, 1}), {}, host));
         ASSERT_TRUE(answer.refusal) << host;
         EXPECT_EQ(answer.refusal->reason, RefusalReason::Unauthorised) << host;
-        EXPECT_FALSE(storedState(id(m_lastId))) << host;
+        EXPECT_FALSE(storedState(id(lastId))) << host;
     }
 }
 
--- a/workflow/callerwrites.cpp
+++ b/workflow/callerwrites.cpp
@@ -14,8 +14,8 @@
 namespace
 {
 
-// Number of unanswered sendings of a write after which this host is probably cut off from the store. The caller is then better served by another host, which
-// can find out whether the write took effect. While the configuration changes, answers may only be waiting behind copies of it.
+// Number of unanswered sendings of a write after which this host is probably cut off from the store, unless it has received a configuration meanwhile. The
+// caller is then better served by another host, which can find out whether the write took effect.
 constexpr int maxUnansweredWrites = 2;
 
 /// True if the known configuration was in force after the call was received, so that it may decide the call.
@@ -192,6 +192,17 @@
 
 }
 
+namespace
+{
+
+/// True if the answer to the call's write may only be waiting behind copies of the configuration.
+bool mayWaitBehindCopies(const WorkflowBoard &board, const OpenCallerCall &call)
+{
+    return board.view.isCatchingUp || board.view.adoptedAt >= std::optional(call.receivedAt);
+}
+
+}
+
 void handleWriteReply(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
 {
     const bool isTombstone = call.step == CallerStep::WritingTombstone;
@@ -224,7 +235,7 @@
     case StoreOutcome::Unknown:
         call.mayBeStored = true;
         call.retryAt = board.now;
-        if (++call.unansweredWrites >= maxUnansweredWrites && !board.view.isCatchingUp) {
+        if (++call.unansweredWrites >= maxUnansweredWrites && !mayWaitBehindCopies(board, call)) {
             refuse(board, call, RefusalReason::Timeout, "the store has not answered twice");
             return;
         }
--- a/workflow/proveconfiguration.cpp
+++ b/workflow/proveconfiguration.cpp
@@ -28,6 +28,7 @@
         return;
     }
     view.revision = revision;
+    view.adoptedAt = board.now;
     // A proof brings only the newest version, the watch all of them. Without a proof, the watch is the only source.
     view.isCatchingUp = view.isLoaded && board.ownership.isKnown;
     if (configuration.version < view.configuration.version) {
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -151,6 +151,7 @@
 {
     QueueConfiguration configuration;
     Revision revision = 0;              ///< Revision of the configuration's key; zero if it has never been read.
+    std::optional<TimePoint> adoptedAt; ///< When the host received the known configuration.
     Revision readRevision = 0;          ///< All changes of the configuration and the evacuations up to this revision are known.
     std::vector<FormerCaps> formerCaps; ///< Caps of former configurations that may still be in force. A host that starts knows none.
     std::map<AvailabilityZoneId, Revision> evacuated;
