--- a/tests/fakestore.cpp
+++ b/tests/fakestore.cpp
@@ -177,9 +177,33 @@
         call.request);
 }
 
-void deliver(FakeStore &store, const HostId &host, TimePoint due, Event event)
+int configurationCopies(const std::vector<StoreEntry> &entries)
 {
-    store.deliveries.push_back({host, due, std::move(event)});
+    return static_cast<int>(std::ranges::count_if(entries, [](const StoreEntry &entry) { return std::holds_alternative<QueueConfiguration>(entry.record); }));
+}
+
+int configurationCopies(const Event &event)
+{
+    if (const auto *reply = std::get_if<StoreReply>(&event)) {
+        return configurationCopies(reply->entries);
+    }
+    const auto *change = std::get_if<StoreWatchEvent>(&event);
+    return change == nullptr ? 0 : configurationCopies(change->put);
+}
+
+/// Delivers the events of one answer once the link of the host has transferred them and everything that was sent before. Returns the time of the delivery.
+TimePoint deliver(FakeStore &store, const HostId &host, TimePoint due, std::vector<Event> events)
+{
+    int copies = 0;
+    std::ranges::for_each(events, [&](const Event &event) { copies += configurationCopies(event); });
+    store.copiesSent[host] += copies;
+    auto &busyUntil = store.linkBusyUntil[host];
+    due = std::max(due, busyUntil) + copies * store.faults.copyTime;
+    if (copies > 0 && store.faults.copyTime > Duration{0}) {
+        busyUntil = due;
+    }
+    std::ranges::for_each(events, [&](Event &event) { store.deliveries.push_back({host, due, std::move(event)}); });
+    return due;
 }
 
 /// The part of the change that concerns keys with the prefix.
@@ -196,9 +220,13 @@
 bool deliverChanges(FakeStore &store, const HostId &host, const std::string &prefix, FakeWatch &watch, TimePoint now)
 {
     if (!isReachable(store, host) || watch.reported < store.historyBegin) {
-        deliver(store, host, now, StoreWatchLost{"connection closed", prefix});
+        deliver(store, host, now, {StoreWatchLost{"connection closed", prefix}});
         return false;
     }
+    if (watch.receivingTo != TimePoint{} && now <= watch.receivingTo) {
+        return true;
+    }
+    std::vector<Event> answer;
     for (const auto &change : store.history) {
         if (change.revision <= watch.reported) {
             continue;
@@ -215,9 +243,13 @@
         const bool hasChanges = prefix.empty() || !part.put.empty() || !part.deleted.empty();
         const bool isSkipped = hasChanges && store.faults.skippingWatches.erase({host, prefix}) > 0;
         if (!isSkipped && hasChanges && !store.faults.areWatchesSilent && !store.faults.silentWatches.contains({host, prefix})) {
-            deliver(store, host, now + store.faults.watchLatency, part);
+            answer.emplace_back(std::move(part));
         }
     }
+    if (!answer.empty()) {
+        const auto deliveredAt = deliver(store, host, now + store.faults.watchLatency, std::move(answer));
+        watch.receivingTo = store.faults.copyTime > Duration{0} ? deliveredAt : watch.receivingTo;
+    }
     return true;
 }
 
@@ -277,7 +309,7 @@
     reply.id = call.id;
     const auto *range = std::get_if<StoreRange>(&call.request);
     const auto readLatency = range != nullptr && range->isPrefix ? store.faults.readLatency : Duration{0};
-    deliver(store, host, now + store.faults.latency + readLatency, std::move(reply));
+    deliver(store, host, now + store.faults.latency + readLatency, {std::move(reply)});
 }
 
 void updateSessionWatch(FakeStore &store, const HostId &host, bool isWatching, Revision watchRevision)
--- a/workflow/proveconfiguration.cpp
+++ b/workflow/proveconfiguration.cpp
@@ -3,6 +3,7 @@
 #include "organisationcap.h"
 
 #include <algorithm>
+#include <ranges>
 #include <string>
 #include <utility>
 
@@ -27,6 +28,9 @@
         return;
     }
     view.revision = revision;
+    view.adoptedAt = board.now;
+    // A proof brings only the newest version, the watch all of them. Without a proof, the watch is the only source.
+    view.isCatchingUp = view.isLoaded && board.ownership.isKnown;
     if (configuration.version < view.configuration.version) {
         logDecision(board,
                     "applyConfiguration",
@@ -107,22 +111,58 @@
     return conditions;
 }
 
-/// Applies the current entries of the conditions' keys as updates. The owner key is passed to claimDomain by `updates`.
-void applyConflict(WorkflowBoard &board, const StoreProof &proof, const StoreReply &reply)
+/// The revision of the condition's key that this host knows, zero if the key does not exist.
+Revision knownRevision(const std::vector<StoreCondition> &known, const StoreKey &key)
 {
-    MirrorUpdate changed{"config/", false, {}, {}, 0};
-    MirrorUpdate owner{domainOwnerKey().path, true, {}, {}, 0};
-    for (const auto &condition : proof.conditions) {
-        const auto entry = std::ranges::find(reply.entries, condition.key, &StoreEntry::key);
-        auto &update = condition.key == domainOwnerKey() ? owner : changed;
-        if (entry != reply.entries.end()) {
-            update.put.push_back(*entry);
-        } else if (&update == &changed && condition.revision != 0) {
-            update.deleted.push_back(condition.key);
+    const auto condition = std::ranges::find(known, key, &StoreCondition::key);
+    return condition == known.end() ? 0 : condition->revision;
+}
+
+/// True if it is certain whether the entry in the answer to a proof, null if the key is absent, or this host's knowledge is newer. What this host has learned
+/// since it sent the proof may be newer; revisions decide that unless the key is absent on one side.
+bool isOrderKnown(const StoreCondition &sent, Revision known, const StoreEntry *entry)
+{
+    return known == sent.revision || (known != 0 && entry != nullptr);
+}
+
+void applyConflictingKey(WorkflowBoard &board, const StoreCondition &sent, Revision known, const StoreEntry *entry)
+{
+    if (!isOrderKnown(sent, known, entry) || (entry != nullptr && entry->revision <= known) || (entry == nullptr && known == 0)) {
+        return;
+    }
+    if (sent.key == domainOwnerKey()) {
+        // The owner is claimDomain's to change.
+        MirrorUpdate owner{sent.key.path, true, {}, {}, 0};
+        if (entry != nullptr) {
+            owner.put.push_back(*entry);
         }
+        board.updates.push_back(std::move(owner));
+    } else if (entry != nullptr) {
+        applyEntry(board, *entry);
+    } else if (sent.key != queueConfigurationKey()) {
+        setEvacuated(board, {lastPathSegment(sent.key)}, std::nullopt);
     }
-    applyUpdate(board, changed);
-    board.updates.push_back(std::move(owner));
+}
+
+bool containsConfiguration(const StoreReply &reply)
+{
+    return std::ranges::any_of(reply.entries, [](const StoreEntry &entry) { return std::holds_alternative<QueueConfiguration>(entry.record); });
+}
+
+/// Applies the current entries of the proof's keys as far as they are newer than what this host knows. Returns true if this host now knows all keys as they
+/// were when the proof was sent, or newer.
+bool applyConflict(WorkflowBoard &board, const StoreProof &proof, const StoreReply &reply)
+{
+    const auto known = proofConditions(board);
+    return std::ranges::count_if(proof.conditions,
+                                 [&](const StoreCondition &sent) {
+                                     const auto found = std::ranges::find(reply.entries, sent.key, &StoreEntry::key);
+                                     const auto *entry = found == reply.entries.end() ? nullptr : &*found;
+                                     const auto revision = knownRevision(known, sent.key);
+                                     applyConflictingKey(board, sent, revision, entry);
+                                     return !isOrderKnown(sent, revision, entry);
+                                 })
+           == 0;
 }
 
 void setReachable(WorkflowBoard &board, bool isStoreReachable)
@@ -162,9 +202,23 @@
     view.nextProofAt = board.now + board.self.limits.storeRetry;
 }
 
+/// The pause after an answer that carried the configuration. It is as long as the answer took, so that the proofs leave half of a narrow link to other calls.
+Duration pauseAfterCopy(const WorkflowBoard &board, const StoreProof &proof)
+{
+    return std::min(board.now - proof.sentAt, board.self.limits.proofPeriod);
+}
+
+/// The newest revision among what this host knows of the configuration and the evacuations.
+Revision newestRevision(const ConfigurationView &view)
+{
+    const auto evacuations = view.evacuated | std::views::values;
+    return std::ranges::empty(evacuations) ? view.revision : std::max(view.revision, std::ranges::max(evacuations));
+}
+
 void noteMissedProof(WorkflowBoard &board, const std::string &error)
 {
     countFailure(board, error, "");
+    board.view.isCatchingUp = false; // Changes may still be reported by the watch.
     if (board.view.failedProofs >= missedProofs) {
         setReachable(board, false);
     }
@@ -177,29 +231,57 @@
     const bool isConflict = reply.outcome == StoreOutcome::Conflict;
     const bool isUnreadable = isConflict && !reply.error.empty();
     setUnreadable(board, isUnreadable, reply.error);
-    // What this host has learned since it sent the proof may be newer than the entries of the conflict.
-    const bool isOutdated = isConflict && proof.conditions != proofConditions(board);
     if (isConflict) {
         countConfigurations(board, reply.entries, "proof");
     }
-    count(board.counters, "proofs", isUnreadable ? "unreadable" : isOutdated ? "outdated" : isConflict ? "changed" : "confirmed");
-    if (isConflict && !isOutdated) {
-        applyConflict(board, proof, reply);
-    }
+    const bool isDecided = !isConflict || applyConflict(board, proof, reply);
+    count(board.counters, "proofs", isUnreadable ? "unreadable" : !isDecided ? "outdated" : isConflict ? "changed" : "confirmed");
     if (isUnreadable) {
         countFailure(board, reply.error, "unreadable");
+        view.nextProofAt = std::max(view.nextProofAt, board.now + pauseAfterCopy(board, proof));
         return;
     }
     view.failedProofs = 0;
     view.proofError.clear();
     setReachable(board, true);
-    if (isOutdated) {
-        view.nextProofAt = board.now;
+    if (!isConflict || containsConfiguration(reply)) {
+        view.currentAt = std::max(view.currentAt, std::optional(proof.sentAt));
+    }
+    if (!isDecided) {
+        view.nextProofAt = board.now + pauseAfterCopy(board, proof);
         return;
     }
     view.provenAt = proof.sentAt;
-    const bool isInvalidated = view.invalidatedAt && view.provenAt < view.invalidatedAt;
-    view.nextProofAt = isInvalidated ? board.now : proof.sentAt + board.self.limits.proofPeriod;
+    view.readRevision = std::max(view.readRevision, newestRevision(view));
+    // The operators may have removed the configuration, in which case no proof is ever confirmed.
+    const bool isNewest = isConflict ? !containsConfiguration(reply) : knownRevision(proof.conditions, queueConfigurationKey()) == view.revision;
+    if (isNewest) {
+        view.isCatchingUp = false;
+    }
+    const auto pause = isConflict ? pauseAfterCopy(board, proof) : Duration{0};
+    view.nextProofAt = view.isCatchingUp ? board.now + pause : proof.sentAt + board.self.limits.proofPeriod;
+}
+
+/// Adopts the configuration that the conflict of a caller's write has brought, instead of receiving it once more by a proof.
+void readWriteConflicts(WorkflowBoard &board)
+{
+    for (const auto &event : board.inbox) {
+        const auto *reply = std::get_if<StoreReply>(&event);
+        if (reply == nullptr || reply->outcome != StoreOutcome::Conflict || !containsConfiguration(*reply)) {
+            continue;
+        }
+        const auto row = std::ranges::find_if(board.calls.rows(), [&](const auto &open) { return open.second.call == reply->id; });
+        if (row == board.calls.rows().end()) {
+            continue;
+        }
+        countConfigurations(board, reply->entries, "write");
+        std::ranges::for_each(reply->entries, [&](const StoreEntry &entry) {
+            if (entry.key == queueConfigurationKey()) {
+                applyEntry(board, entry);
+            }
+        });
+        board.view.currentAt = std::max(board.view.currentAt, std::optional(row->second.sentAt));
+    }
 }
 
 /// Reads the answers to all proofs under way, newest first. An answer makes the older proofs superfluous.
@@ -231,11 +313,19 @@
     }
 }
 
+/// Time after which a proof without an answer no longer delays the next one. An answer that carries the configuration may take long, and a further proof would
+/// bring a further copy.
+Duration proofTimeout(const WorkflowBoard &board)
+{
+    const auto timeout = storeTimeout(board);
+    return timeoutWithLag(board, board.view.isCatchingUp ? std::max(timeout, board.self.limits.maxStoreTimeout) : timeout);
+}
+
 /// Stops waiting for the newest proof before its call ends, so that a connection that no longer responds delays the next proof no more than an answer would.
 void passOverLateProof(WorkflowBoard &board)
 {
     auto &view = board.view;
-    const auto timeout = timeoutWithLag(board, storeTimeout(board));
+    const auto timeout = proofTimeout(board);
     if (board.now < view.proof->sentAt + timeout) {
         subscribeNoLaterThan(board.timers, "proof", view.proof->sentAt + timeout);
         return;
@@ -256,15 +346,19 @@
 
 void proveConfiguration(WorkflowBoard &board)
 {
-    const auto updates = board.updates;
-    for (const auto &update : updates) {
+    const bool wasCatchingUp = board.view.isCatchingUp;
+    for (const auto &update : board.updates) {
         if (update.prefix == "config/") {
             countConfigurations(board, update.put, update.isSnapshot ? "read" : "watch");
             applyUpdate(board, update);
         }
     }
-    readProofReplies(board);
+    readWriteConflicts(board);
     auto &view = board.view;
+    if (view.isCatchingUp && !wasCatchingUp) {
+        view.nextProofAt = board.now;
+    }
+    readProofReplies(board);
     if (view.proof) {
         passOverLateProof(board);
     }
@@ -273,7 +367,7 @@
     }
     if (!view.proof && board.now >= view.nextProofAt) {
         sendProof(board);
-        subscribeNoLaterThan(board.timers, "proof", board.now + timeoutWithLag(board, storeTimeout(board)));
+        subscribeNoLaterThan(board.timers, "proof", board.now + proofTimeout(board));
     }
     if (!view.proof) {
         subscribeNoLaterThan(board.timers, "proof", view.nextProofAt);
