Answer clients that have ended their sending side beside older connections

A client that had ended only its sending side, and still read, got the end of the stream instead of its answer. The host logged the answer and had stored the submission; the end of the request was counted as `clientLeft`. It went wrong whenever the server had an older connection, also an idle one.

libmicrohttpd asks for the response of a resumed connection in its next run, after it has read from the connection. If it reads the end of the stream, it ends the request as left by its client. Only its oldest connection and those with a timeout of their own are asked before that. The former test had one connection and therefore passed.

A resumed connection now has a timeout of its own until its request has ended, so it is always asked before the next read.

Evidence (x86_64): the system calls of two such clients show `sendmsg` on the first connection and `recvfrom` = 0, `shutdown`, `close` on the second.

--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -26,6 +26,9 @@
 // Number of connections that are accepted in addition to `maxConnections`, so that their requests can be refused with a response.
 constexpr unsigned maxRefusedConnections = 64;
 
+// Timeout of a connection while it is being answered. `responseTimeout` ends the connection earlier.
+constexpr unsigned resumedTimeoutSeconds = 3'600;
+
 constexpr Duration sweepPeriod{1'000};
 
 /// True if the peer has closed or reset the connection and no bytes are left to read.
@@ -358,6 +361,9 @@
     request.disconnectWatch.reset();
     if (request.isSuspended) {
         request.isSuspended = false;
+        // A resumed connection whose client has ended its sending side gets its response only if libmicrohttpd asks for the response before it reads the end of
+        // the stream. It does so for its oldest connection and for those with a timeout of their own.
+        MHD_set_connection_option(request.connection, MHD_CONNECTION_OPTION_TIMEOUT, resumedTimeoutSeconds);
         MHD_resume_connection(request.connection);
         m_runTimer.startIn(Duration{0});
     }
@@ -446,6 +452,7 @@
     server.reportEnd(ended, code);
     server.m_requests.erase(ended.id);
     *request = nullptr;
+    MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
     if (auto *state = server.connectionOf(connection)) {
         state->request = 0;
         state->deadline = EventLoop::now() + server.m_limits.idleTimeout;
--- a/tests/testhttpserver.cpp
+++ b/tests/testhttpserver.cpp
@@ -4,7 +4,9 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <ctime>
+#include <deque>
 #include <thread>
 
 namespace sequoiastand
@@ -192,6 +194,24 @@
     EXPECT_TRUE(wait([this] { return m_server->openConnections() == 0; }));
 }
 
+// Guards against a response that libmicrohttpd drops because it reads the end of the client's stream first, which it does unless the connection is its oldest.
+TEST_F(HttpServerLimitsTest, clientThatEndsItsSendingSideGetsItsAnswerBesideOlderConnections)
+{
+    std::deque<RawClient> clients;
+    for (std::size_t number = 1; number <= 2; ++number) {
+        auto &client = clients.emplace_back(m_loop, m_server->port());
+        client.send(post("{}"));
+        ASSERT_TRUE(wait([&] { return m_requests.size() == number; }));
+        client.endSending();
+    }
+    m_loop.runUntil([] { return false; }, Duration{50});
+    std::ranges::for_each(m_ids, [this](HttpRequestId id) { m_server->respond(id, {.status = 200, .body = "done"}); });
+    for (auto &client : clients) {
+        EXPECT_TRUE(wait([&client] { return client.isClosedByPeer(); }));
+        EXPECT_TRUE(client.received().ends_with("done")) << client.received();
+    }
+}
+
 TEST_F(HttpServerLimitsTest, requestIsAnsweredThoughItsEndAndTheEndOfTheStreamArriveTogether)
 {
     RawClient client(m_loop, m_server->port());
