Check in the soak that each request is answered, beside changes in series

The soak could not show it: it changed the configuration seldom and by little, its hosts had fast links, and nothing looked at calls without an answer.

- UNANSWERED: a call that has reached its deadline of 3 s without an answer or a refusal.
LOST: a connection that a host ends after a request has arrived, seen by the proxy in front of the host.
A reset within 200 ms during a planned stop is excused, as by the check of planned stops; an orderly close is not, because it shows that the host has read the request.
- Excused are the kinds that keep the host or its link to the caller from answering: killed and suspended hosts, reset and delayed links of callers.
A deadline within a gap of the soak itself is excused, because an answer may have arrived unseen; the longest gap is printed.
- Kinds `configurationSeries` (seven versions with 1,400 further queues within some seconds, single changes before and after) and `overlappingSignals` (SIGTERM and SIGHUP in series, also to hosts that are stopping, while the configuration changes).
- `--links unequal` (10 Mbit/s for four in five hosts), `--counts N` (the first N faults of each kind).

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -77,6 +77,7 @@
     call.endedAt = EventLoop::now();
     call.status = isAnswered ? answer.status : 0;
     call.isNotSent = answer.outcome == HttpOutcome::NotSent;
+    call.error = answer.error;
     const bool isSuccess = call.status >= 200 && call.status < 300;
     if (call.action == CallerAction::Cancel && isCancelConfirmed(call)) {
         workflow.cancelConfirmedAt = workflow.cancelConfirmedAt.value_or(*call.endedAt);
--- a/soak/faultplan.cpp
+++ b/soak/faultplan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <iterator>
+#include <map>
 #include <random>
 #include <ranges>
 #include <utility>
@@ -13,7 +14,7 @@
 namespace
 {
 
-constexpr std::array<std::pair<FaultKind, std::string_view>, 51> names{{
+constexpr std::array<std::pair<FaultKind, std::string_view>, 53> names{{
     {FaultKind::KillHost, "killHost"},
     {FaultKind::KillOwner, "killOwner"},
     {FaultKind::KillAllHosts, "killAllHosts"},
@@ -65,6 +66,8 @@
     {FaultKind::StallStore, "stallStore"},
     {FaultKind::LapsedStore, "lapsedStore"},
     {FaultKind::SilenceAllLinks, "silenceAllLinks"},
+    {FaultKind::ConfigurationSeries, "configurationSeries"},
+    {FaultKind::OverlappingSignals, "overlappingSignals"},
 }};
 
 // Range of the time between the starts of two faults. Faults last up to eight seconds, so several overlap.
@@ -94,6 +97,22 @@
 // Refusals of the owner's transactions last longer than a job may stand still beside faults of single hosts.
 constexpr MillisecondRange refusalLengths{15'000, 25'000};
 
+// Series of configurations or signals last longer than a caller waits for an answer.
+constexpr MillisecondRange seriesLengths{4'000, 8'000};
+
+MillisecondRange lengthsOf(FaultKind kind)
+{
+    switch (kind) {
+    case FaultKind::RefuseOwnerWrites:
+        return refusalLengths;
+    case FaultKind::ConfigurationSeries:
+    case FaultKind::OverlappingSignals:
+        return seriesLengths;
+    default:
+        return {minLengthMs, maxLengthMs};
+    }
+}
+
 std::vector<PlannedFault>
 drawFaults(unsigned seed, Duration length, const std::vector<FaultKind> &kinds, MillisecondRange gaps, MillisecondRange lengths = {minLengthMs, maxLengthMs})
 {
@@ -157,6 +176,13 @@
     return plan;
 }
 
+std::vector<PlannedFault> withCount(std::vector<PlannedFault> plan, int count)
+{
+    std::map<FaultKind, int> counts;
+    std::erase_if(plan, [&](const PlannedFault &fault) { return count > 0 && ++counts[fault.kind] > count; });
+    return plan;
+}
+
 std::vector<PlannedFault> makeFaultPlan(unsigned seed, Duration length, const std::vector<FaultKind> &kinds)
 {
     std::vector<FaultKind> jointKinds;
@@ -164,8 +190,7 @@
     auto plan = drawFaults(seed, length, jointKinds, {minGapMs, maxGapMs});
     for (const auto kind : kinds | std::views::filter([](FaultKind each) { return each >= firstSeparateKind; })) {
         const auto number = static_cast<unsigned>(kind) - static_cast<unsigned>(firstSeparateKind) + 1;
-        const auto lengths = kind == FaultKind::RefuseOwnerWrites ? refusalLengths : MillisecondRange{minLengthMs, maxLengthMs};
-        std::ranges::copy(drawFaults(seed + number * separateSeedOffset, length, {kind}, {minSeparateGapMs, maxSeparateGapMs}, lengths),
+        std::ranges::copy(drawFaults(seed + number * separateSeedOffset, length, {kind}, {minSeparateGapMs, maxSeparateGapMs}, lengthsOf(kind)),
                           std::back_inserter(plan));
     }
     std::ranges::stable_sort(plan, {}, &PlannedFault::at);
--- a/soak/faultplan.h
+++ b/soak/faultplan.h
@@ -51,17 +51,19 @@
     ChangeConfiguration, ///< Writes several configuration versions in quick succession.
     CancelWave,
     CallerBurst,
-    OrdersAcrossCrash, ///< Delays a share of the orders and crashes a target meanwhile; its new instance executes the orders that are still to come.
-    ForeignEntries,    ///< Writes unusable entries beside the targets' registrations and removes them when the fault ends.
-    CancelUnanswered,  ///< Carries out a share of the writes that create workflows late, while callers cancel the submissions that are not answered.
-    LastingWork,       ///< Submits a task that lasts and whose runs end by themselves; callers cancel it at the end of the soak.
-    HalfCloseCallers,  ///< Ends the callers' sending side of a host's connections after each request, while the callers still read.
-    ManyEnds,          ///< Submits more short tasks than one list of ends holds, and holds back the answers of a target of theirs until they have ended.
-    RefuseOwnerWrites, ///< The store refuses the transactions of the host that owns the domain and serves its reads, watches and renewals.
-    TurnHostsAway,     ///< The store turns a third of the hosts away, the owner among them, with status 503, with status 429 or without an answer.
-    StallStore,        ///< The store stands still for up to a second, again and again, and then executes what it has received. No host counts as disturbed.
-    LapsedStore,       ///< The store is silent, and the targets' registrations and all leases end meanwhile.
-    SilenceAllLinks,   ///< At one moment, a share of the open connections of all hosts to the store and to the targets goes silent; new ones work.
+    OrdersAcrossCrash,   ///< Delays a share of the orders and crashes a target meanwhile; its new instance executes the orders that are still to come.
+    ForeignEntries,      ///< Writes unusable entries beside the targets' registrations and removes them when the fault ends.
+    CancelUnanswered,    ///< Carries out a share of the writes that create workflows late, while callers cancel the submissions that are not answered.
+    LastingWork,         ///< Submits a task that lasts and whose runs end by themselves; callers cancel it at the end of the soak.
+    HalfCloseCallers,    ///< Ends the callers' sending side of a host's connections after each request, while the callers still read.
+    ManyEnds,            ///< Submits more short tasks than one list of ends holds, and holds back the answers of a target of theirs until they have ended.
+    RefuseOwnerWrites,   ///< The store refuses the transactions of the host that owns the domain and serves its reads, watches and renewals.
+    TurnHostsAway,       ///< The store turns a third of the hosts away, the owner among them, with status 503, with status 429 or without an answer.
+    StallStore,          ///< The store stands still for up to a second, again and again, and then executes what it has received. No host counts as disturbed.
+    LapsedStore,         ///< The store is silent, and the targets' registrations and all leases end meanwhile.
+    SilenceAllLinks,     ///< At one moment, a share of the open connections of all hosts to the store and to the targets goes silent; new ones work.
+    ConfigurationSeries, ///< Writes large configurations in quick succession, and single changes before and after them.
+    OverlappingSignals,  ///< Sends SIGTERM and SIGHUP to hosts in series, also to hosts that are stopping, while the configuration changes.
 };
 
 std::string_view name(FaultKind kind);
@@ -91,6 +93,9 @@
 /// of the calm time at the latest.
 std::vector<PlannedFault> withCalmTimes(std::vector<PlannedFault> plan, Duration calm);
 
+/// The first faults of each kind, up to the given number; zero keeps all.
+std::vector<PlannedFault> withCount(std::vector<PlannedFault> plan, int count);
+
 /// Generates consecutive and overlapping faults of the given kinds in order of time. The same seed gives the same plan.
 std::vector<PlannedFault> makeFaultPlan(unsigned seed, Duration length, const std::vector<FaultKind> &kinds = allFaultKinds());
 
--- a/soak/injection.cpp
+++ b/soak/injection.cpp
@@ -1,12 +1,15 @@
 #include "injection.h"
 
 #include "callers.h"
+#include "configurationseries.h"
 #include "faulteffects.h"
+#include "hostsignals.h"
 #include "platform/standin/platformwriter.h"
 
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <iterator>
 #include <utility>
@@ -21,12 +24,6 @@
 constexpr int burstSize = 10;
 constexpr int cancelPercent = 50;
 
-// Upper bound from the start of a process until it handles signals, which takes a few milliseconds on an idle machine.
-constexpr Duration signalHandlerDelay{1'000};
-
-// Time between the stops of two hosts that are stopped in turn.
-constexpr Duration stopInterval{1'500};
-
 // Time between two configuration versions in quick succession.
 constexpr Duration versionInterval{150};
 
@@ -50,18 +47,6 @@
     return row->first;
 }
 
-void stop(SoakWorld &world, SoakHost &host)
-{
-    // SIGTERM would kill a process that has not installed its handler yet, so young processes are left alone.
-    if (host.step != ProcessStep::Up || EventLoop::now() - host.startedAt < signalHandlerDelay) {
-        return;
-    }
-    host.step = ProcessStep::Stopping;
-    host.stopSentAt = EventLoop::now();
-    world.history.plannedStops.push_back({host.place.id, host.stopSentAt, std::nullopt, 0});
-    sendSignal(host, SIGTERM);
-}
-
 void killHost(SoakHost &host)
 {
     if (host.step == ProcessStep::Up || host.step == ProcessStep::Paused) {
@@ -189,16 +174,6 @@
     return {{}, false, [&world, names] { std::ranges::for_each(names, [&world](const std::string &name) { removeItem(world.store, name); }); }};
 }
 
-Effect stopInTurn(SoakWorld &world)
-{
-    TimePoint when = EventLoop::now();
-    for (auto &host : world.hosts) {
-        runAt(world, when, [&world, &host] { stop(world, host); });
-        when += stopInterval;
-    }
-    return momentaryEffect({}, false);
-}
-
 Effect changeConfiguration(SoakWorld &world)
 {
     TimePoint when = EventLoop::now();
@@ -209,15 +184,6 @@
     return momentaryEffect({}, false);
 }
 
-Effect reload(SoakWorld &world, SoakHost &host)
-{
-    const auto status = writeSettings(host.place, ++world.settingsRevision);
-    if (status.ok() && host.step == ProcessStep::Up) {
-        sendSignal(host, SIGHUP);
-    }
-    return momentaryEffect(host.place.id, false);
-}
-
 /// Begins a fault of a host's process or of its connections.
 std::optional<Effect> beginHostFault(SoakWorld &world, const PlannedFault &fault)
 {
@@ -269,6 +235,8 @@
         return refuseWrites(world, owningHost);
     case FaultKind::TurnHostsAway:
         return turnHostsAway(world, owningHost, fault);
+    case FaultKind::OverlappingSignals:
+        return sendOverlappingSignals(world, fault);
     default:
         return std::nullopt;
     }
@@ -350,6 +318,8 @@
         return removeKey(world, fault.subject);
     case FaultKind::ChangeConfiguration:
         return changeConfiguration(world);
+    case FaultKind::ConfigurationSeries:
+        return changeConfigurationInSeries(world, fault);
     case FaultKind::CancelUnanswered:
         return delaySubmissions(world, fault);
     case FaultKind::LastingWork:
@@ -372,6 +342,19 @@
     }
 }
 
+/// True if the hosts that the fault affects cannot answer every request: their processes do not run, or their connections to callers are cut or late.
+bool excusesAnswers(FaultKind kind)
+{
+    constexpr std::array kinds{FaultKind::KillHost,
+                               FaultKind::KillOwner,
+                               FaultKind::KillAllHosts,
+                               FaultKind::PauseHost,
+                               FaultKind::PauseOwner,
+                               FaultKind::ResetCallers,
+                               FaultKind::DelayCallers};
+    return std::ranges::find(kinds, kind) != kinds.end();
+}
+
 }
 
 void inject(SoakWorld &world, const PlannedFault &fault)
@@ -386,7 +369,7 @@
         effect = beginOtherFault(world, fault);
     }
     if (effect->isDisturbance) {
-        world.history.disturbances.push_back({effect->host, now, now + fault.length});
+        world.history.disturbances.push_back({effect->host, now, now + fault.length, excusesAnswers(fault.kind)});
     }
     runAt(world, now + fault.length, std::move(effect->end));
 }
--- a/soak/processorquota.cpp
+++ b/soak/processorquota.cpp
@@ -63,9 +63,14 @@
 
 }
 
+bool isStrongHost(int number)
+{
+    return number % strongHostPeriod == 0;
+}
+
 double unequalShare(int number)
 {
-    return number % strongHostPeriod == 0 ? strongShare : weakShare;
+    return isStrongHost(number) ? strongShare : weakShare;
 }
 
 void enforceQuotas(SoakWorld &world)
--- a/soak/processorquota.h
+++ b/soak/processorquota.h
@@ -5,7 +5,10 @@
 namespace sequoiastand
 {
 
-/// The processor share of the host with the given number if the shares are unequal: every fifth host is strong, the others are weak.
+/// True for every fifth host; the others have a small share of a core and a slow link if shares and links are unequal.
+bool isStrongHost(int number);
+
+/// The processor share of the host with the given number if the shares are unequal.
 double unequalShare(int number);
 
 /// Suspends the hosts that have used up their share of a core, and resumes them once it allows them to go on. To be called every few milliseconds. Does nothing
--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -31,6 +31,9 @@
 // Number of chunks waiting for one end of a link at which the proxy stops reading from the other end, as a full TCP window would make it stop.
 constexpr std::size_t maxHeldChunks = 64;
 
+// Time that the bytes waiting for a limited link take to pass at which the proxy stops reading more. Connections then share the link.
+constexpr Duration maxLinkQueue{50};
+
 absl::Status errorAt(const std::string &step)
 {
     return absl::UnavailableError(absl::StrCat(step, ": ", std::strerror(errno)));
@@ -104,6 +107,16 @@
     m_faults = faults;
 }
 
+void Proxy::setRate(int bytesPerSecond)
+{
+    m_bytesPerSecond = bytesPerSecond;
+}
+
+std::vector<CutConnection> Proxy::takeCuts()
+{
+    return std::exchange(m_cuts, {});
+}
+
 void Proxy::resetConnections()
 {
     for (auto &link : m_links) {
@@ -184,6 +197,11 @@
     if (count < 0 && wouldBlock()) {
         return;
     }
+    if (count > 0 && &from == &link.server) {
+        link.request.reset();
+    } else if (&from == &link.server) {
+        noteCut(link, count == 0);
+    }
     if (count < 0) {
         // A reset by the sender discards bytes that a cut holds back.
         link.isBroken = true;
@@ -193,24 +211,59 @@
     if (link.isSilent) {
         return;
     }
-    forward(to, std::string{buffer.data(), static_cast<std::size_t>(count)});
+    to.toSend.push_back({passTime(laneTo(link, to), static_cast<std::size_t>(count)), std::string{buffer.data(), static_cast<std::size_t>(count)}});
     if (m_faults.halfCloses && &from == &link.client && count > 0) {
-        closeAfterRequest(link.server);
+        closeAfterRequest(link);
+    }
+}
+
+Proxy::Lane &Proxy::laneTo(const Link &link, const End &to)
+{
+    return &to == &link.server ? m_toServer : m_toClient;
+}
+
+TimePoint Proxy::passTime(Lane &lane, std::size_t bytes) const
+{
+    const auto now = EventLoop::now();
+    if (m_bytesPerSecond == 0) {
+        return now + m_faults.delay;
     }
+    constexpr double millisPerSecond = 1'000;
+    const LinkTime::duration length{static_cast<double>(bytes) * millisPerSecond / m_bytesPerSecond};
+    lane.busyUntil = std::max(lane.busyUntil, LinkTime{now}) + length;
+    return std::chrono::ceil<Duration>(lane.busyUntil) + m_faults.delay;
 }
 
-void Proxy::forward(End &to, std::string bytes)
+bool Proxy::isFull(const Lane &lane) const
 {
-    to.toSend.push_back({EventLoop::now() + m_faults.delay, std::move(bytes)});
+    return m_bytesPerSecond > 0 && lane.busyUntil > LinkTime{EventLoop::now() + maxLinkQueue};
 }
 
-void Proxy::closeAfterRequest(End &server)
+void Proxy::closeAfterRequest(Link &link)
 {
     // A request that arrives in several parts follows within this time.
     constexpr Duration requestTime{5};
     const auto isEnd = [](const Chunk &chunk) { return chunk.bytes.empty(); };
-    std::erase_if(server.toSend, isEnd);
-    server.toSend.push_back({EventLoop::now() + m_faults.delay + requestTime, std::string{}});
+    std::erase_if(link.server.toSend, isEnd);
+    link.server.toSend.push_back({passTime(m_toServer, 0) + requestTime, std::string{}});
+}
+
+void Proxy::noteRequest(Link &link, const std::string &bytes)
+{
+    const bool isRequest = std::ranges::any_of(std::array{"POST /", "GET /", "DELETE /"}, [&](const char *start) { return bytes.starts_with(start); });
+    if (isRequest) {
+        char byte = 0;
+        const bool isLate = recv(link.server.descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) == 0;
+        link.request = PendingRequest{bytes.substr(0, bytes.find(" HTTP/")), EventLoop::now(), isLate};
+    }
+}
+
+void Proxy::noteCut(Link &link, bool wasRead)
+{
+    if (link.request && !link.request->isLate && !link.client.hasEnded && !link.isSilent) {
+        m_cuts.push_back({link.request->line, link.request->deliveredAt, EventLoop::now(), wasRead});
+    }
+    link.request.reset();
 }
 
 bool Proxy::flush(Link &link, End &end)
@@ -223,6 +276,9 @@
             end.toSend.pop_front();
             continue;
         }
+        if (&end == &link.server) {
+            noteRequest(link, bytes);
+        }
         const auto count = send(end.descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
         if (count < 0) {
             return wouldBlock();
@@ -237,8 +293,8 @@
 
 void Proxy::watchEnds(Link &link)
 {
-    const auto eventsOf = [](const End &end, const End &other) {
-        const bool reads = !end.isConnecting && !end.hasEnded && other.toSend.size() < maxHeldChunks;
+    const auto eventsOf = [&](const End &end, const End &other) {
+        const bool reads = !end.isConnecting && !end.hasEnded && other.toSend.size() < maxHeldChunks && !isFull(laneTo(link, other));
         return (reads ? EV_READ : 0) | (end.isConnecting ? EV_WRITE : 0);
     };
     link.client.watch->watch(link.client.descriptor, eventsOf(link.client, link.server));
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -5,11 +5,14 @@
 
 #include <absl/status/status.h>
 
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace sequoiastand
 {
@@ -25,6 +28,17 @@
     friend bool operator==(const ProxyFaults &, const ProxyFaults &) = default;
 };
 
+/// An HTTP request that the server had received when it ended the connection without a response.
+struct CutConnection
+{
+    std::string request; ///< Method and path.
+    TimePoint deliveredAt;
+    TimePoint cutAt;
+    bool wasRead = false; ///< True if the server closed the connection in order, which it can only do after reading all bytes; false if it was reset.
+
+    friend bool operator==(const CutConnection &, const CutConnection &) = default;
+};
+
 /// TCP proxy on a free loopback port.
 class Proxy
 {
@@ -41,6 +55,12 @@
 
     void setFaults(const ProxyFaults &faults);
 
+    /// Limits the bytes that pass in each direction of all connections together, as the link of a host does. Zero means no limit.
+    void setRate(int bytesPerSecond);
+
+    /// Returns the requests that the server has cut off since the last call.
+    std::vector<CutConnection> takeCuts();
+
     /// Resets all open connections at both ends.
     void resetConnections();
 
@@ -60,6 +80,22 @@
         std::string bytes;
     };
 
+    /// The latest HTTP request of a connection, until the server responds to it.
+    struct PendingRequest
+    {
+        std::string line;
+        TimePoint deliveredAt;
+        bool isLate = false; ///< True if the server had closed the connection before the request could be sent.
+    };
+
+    using LinkTime = std::chrono::time_point<StepClock, std::chrono::duration<double, std::milli>>;
+
+    /// One direction of the link that all connections share.
+    struct Lane
+    {
+        LinkTime busyUntil; ///< When the bytes that have been received so far will have passed.
+    };
+
     struct End
     {
         int descriptor = -1;
@@ -74,13 +110,18 @@
     {
         End client;
         End server;
+        std::optional<PendingRequest> request;
         bool isSilent = false;
         bool isBroken = false;
     };
 
     void accept();
-    void forward(End &to, std::string bytes);
-    void closeAfterRequest(End &server);
+    Lane &laneTo(const Link &link, const End &to);
+    TimePoint passTime(Lane &lane, std::size_t bytes) const;
+    bool isFull(const Lane &lane) const;
+    void closeAfterRequest(Link &link);
+    static void noteRequest(Link &link, const std::string &bytes);
+    void noteCut(Link &link, bool wasRead);
     void onReady(Link &link, End &from, End &to, int events);
     void receive(Link &link, End &from, End &to);
     bool flush(Link &link, End &end);
@@ -92,6 +133,10 @@
     EventLoop &m_loop;
     std::string m_serverAddress;
     ProxyFaults m_faults;
+    int m_bytesPerSecond = 0;
+    Lane m_toServer;
+    Lane m_toClient;
+    std::vector<CutConnection> m_cuts;
     int m_listener = -1;
     int m_port = 0;
     SocketWatch m_watch;
--- a/soak/soakhistory.cpp
+++ b/soak/soakhistory.cpp
@@ -1,5 +1,7 @@
 #include "soakhistory.h"
 
+#include "answerchecks.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -331,6 +333,7 @@
     checkCancellations(history, bounds, faults);
     checkCancelledRuns(history, bounds, faults);
     checkPlannedStops(history, bounds, faults);
+    std::ranges::copy(checkAnswers(history, bounds), std::back_inserter(faults));
     checkReclaim(history, bounds, faults);
     checkUrgentWork(history, bounds, faults);
     for (const auto &end : history.unexpectedExits) {
--- a/soak/soakhistory.h
+++ b/soak/soakhistory.h
@@ -29,6 +29,7 @@
     bool isNotSent = false;           ///< True if the host has not read any byte of the request.
     std::optional<WorkflowState> state;
     bool hasUnfinishedTasks = false; ///< True if, when the answer arrived, some task had not finished on any target.
+    std::string error;               ///< Why the call has no answer.
 
     friend bool operator==(const ObservedCall &, const ObservedCall &) = default;
 };
@@ -79,10 +80,23 @@
     HostId host;
     TimePoint from;
     TimePoint until;
+    bool excusesAnswers = false; ///< True if the affected hosts need not answer the requests that are open meanwhile.
 
     friend bool operator==(const Disturbance &, const Disturbance &) = default;
 };
 
+/// A request that had arrived at a host when the host ended its connection without an answer.
+struct CutRequest
+{
+    HostId host;
+    std::string request; ///< Method and path.
+    TimePoint arrivedAt;
+    TimePoint cutAt;
+    bool wasRead = false; ///< True if the host had read all bytes that had arrived on the connection.
+
+    friend bool operator==(const CutRequest &, const CutRequest &) = default;
+};
+
 /// A planned stop of a host by SIGTERM.
 struct PlannedStop
 {
@@ -137,6 +151,8 @@
     std::vector<Withdrawal> targetsLeaving;
     std::vector<Withdrawal> keysRemoved;
     std::vector<Disturbance> disturbances;
+    std::vector<CutRequest> cutRequests;
+    std::vector<Period> observerGaps; ///< Periods in which the soak itself did not run, so that it has seen answers late.
     std::vector<PlannedStop> plannedStops;
     std::vector<UnexpectedExit> unexpectedExits;
     std::vector<Standstill> standstills;
@@ -161,6 +177,7 @@
     Duration reclaim{2'700};                        ///< Time from acceptance until guaranteed urgent work starts.
     Duration urgentStart{2'900};                    ///< Time from acceptance until all tasks of the first step of urgent work within the guarantee have begun.
     Duration callerTimeout{3'000};                  ///< Time after which a caller abandons a call.
+    Duration answerPassage{20};                     ///< Time after a gap of the soak until the answers that have arrived meanwhile have been seen.
     Duration standstill{3'000};                     ///< Time for which a workflow may stand still while all is calm.
     Duration calmBefore{4'000};                     ///< Time without a disturbance before a standstill counts.
     Duration standstillBesideFaultsOfHosts{14'000}; ///< Time for which a workflow may stand still while only single hosts are disturbed.
--- a/soak/soakmain.cpp
+++ b/soak/soakmain.cpp
@@ -17,6 +17,7 @@
 #include <csignal>
 #include <iostream>
 #include <iterator>
+#include <map>
 #include <string>
 
 namespace
@@ -28,7 +29,7 @@
 
 Usage:
     soak --program=<file> --folder=<path> [--seed=<n>] [--hosts=<n>] [--targets=<n>] [--seconds=<n>] [--only=<kinds>]
-         [--calm=<n>] [--shares=<kind>] [--rate=<n>] [--width=<n>] [--demands=<kind>]
+         [--counts=<n>] [--calm=<n>] [--shares=<kind>] [--links=<kind>] [--rate=<n>] [--width=<n>] [--demands=<kind>]
     soak --help
 
 Options:
@@ -39,9 +40,12 @@
     --targets=<n>     Targets, 4 to 400 [default: 12].
     --seconds=<n>     How long faults are injected [default: 20].
     --only=<kinds>    Names of the kinds of fault to inject, separated by commas, or "all"; default: all but ordersAcrossCrash,
-                      refuseOwnerWrites, turnHostsAway, stallStore, lapsedStore and silenceAllLinks.
+                      refuseOwnerWrites, turnHostsAway, stallStore, lapsedStore, silenceAllLinks, configurationSeries
+                      and overlappingSignals.
+    --counts=<n>      Number of faults of each kind at most; 0 for as many as the time leaves room for [default: 0].
     --calm=<n>        Seconds without new faults after each six seconds with faults; 0 for none [default: 0].
     --shares=<kind>   "whole": each host may use a core; "unequal": one in five half a core, the others 0.12 of one [default: whole].
+    --links=<kind>    "fast": no limit; "unequal": one in five has no limit, the others pass 10 Mbit/s in each direction [default: fast].
     --rate=<n>        Mean number of workflows submitted in a second [default: 3.333].
     --width=<n>       Largest number of tasks of a step [default: 6].
     --demands=<kind>  "none", or "mixed": steps require a label that half of the targets have, one rack, the rack of their data, or
@@ -107,7 +111,8 @@
 {
     runFor(world, warmUp);
     const auto begin = EventLoop::now();
-    for (const auto &fault : withCalmTimes(makeFaultPlan(world.options.seed, world.options.length, world.options.kinds), world.options.calm)) {
+    for (const auto &fault :
+         withCount(withCalmTimes(makeFaultPlan(world.options.seed, world.options.length, world.options.kinds), world.options.calm), world.options.count)) {
         runFor(world, std::max(Duration{0}, fault.at - (EventLoop::now() - begin)));
         std::cout << "fault " << (EventLoop::now().time_since_epoch().count()) << " " << name(fault.kind) << " subject " << fault.subject << " for "
                   << fault.length.count() << " ms\n";
@@ -163,15 +168,22 @@
     }
 }
 
-/// Prints all calls for the workflows that the faults name, so that the order of the callers' actions can be compared with the hosts' logs.
+void reportCall(const ObservedCall &call)
+{
+    std::cout << "call " << call.sentAt.time_since_epoch().count() << " to "
+              << (call.endedAt ? absl::StrCat(call.endedAt->time_since_epoch().count()) : "the end") << " " << name(call.action) << " " << call.workflow.value
+              << " at " << call.host.value << ": status " << call.status << (call.isNotSent ? ", not sent" : "")
+              << (call.error.empty() ? "" : ", " + call.error) << '\n';
+}
+
+/// Prints all calls for the workflows that the faults name, so that the order of the callers' actions can be compared with the hosts' logs, and the calls without
+/// an answer.
 void reportCalls(const SoakHistory &history, const std::vector<std::string> &faults)
 {
     for (const auto &call : history.calls) {
         const bool isNamed = std::ranges::any_of(faults, [&](const std::string &fault) { return absl::StrContains(fault, call.workflow.value); });
-        if (isNamed) {
-            std::cout << "call " << call.sentAt.time_since_epoch().count() << " to "
-                      << (call.endedAt ? absl::StrCat(call.endedAt->time_since_epoch().count()) : "the end") << " " << name(call.action) << " "
-                      << call.workflow.value << " at " << call.host.value << ": status " << call.status << (call.isNotSent ? ", not sent" : "") << '\n';
+        if (isNamed || call.status == 0) {
+            reportCall(call);
         }
     }
 }
@@ -196,6 +208,20 @@
     }
 }
 
+/// Prints how the calls ended, and how late this process was at most itself.
+void reportAnswers(const SoakHistory &history)
+{
+    std::map<int, int> counts;
+    std::ranges::for_each(history.calls, [&](const ObservedCall &call) { ++counts[call.status]; });
+    std::cout << "answers by status, 0 for none:";
+    for (const auto &[status, count] : counts) {
+        std::cout << ' ' << status << ' ' << count;
+    }
+    Duration longestGap{0};
+    std::ranges::for_each(history.observerGaps, [&](const Period &gap) { longestGap = std::max(longestGap, gap.until - gap.from); });
+    std::cout << "; " << history.cutRequests.size() << " requests cut off; longest gap of the soak " << longestGap.count() << " ms\n";
+}
+
 void report(const SoakWorld &world, const std::vector<std::string> &faults)
 {
     std::cout << "seed " << world.options.seed << ": " << world.workflows.size() << " workflows, " << world.history.calls.size() << " calls, "
@@ -224,6 +250,7 @@
     const auto faults = checkHistory(finishedHistory(world));
     reportLateOrders(world.targets);
     reportStandstills(world.history);
+    reportAnswers(world.history);
     reportCalls(world.history, faults);
     report(world, faults);
     return faults.empty() ? 0 : 1;
@@ -242,6 +269,8 @@
     options.targets = static_cast<int>(std::clamp(arguments.at("--targets").asLong(), 4L, 400L));
     options.length = Duration{arguments.at("--seconds").asLong() * 1'000};
     options.calm = Duration{std::max(0L, arguments.at("--calm").asLong()) * 1'000};
+    options.count = static_cast<int>(std::max(0L, arguments.at("--counts").asLong()));
+    options.hasUnequalLinks = arguments.at("--links").asString() == "unequal";
     options.hasUnequalHosts = arguments.at("--shares").asString() == "unequal";
     options.hasDemands = arguments.at("--demands").asString() == "mixed";
     options.hasLongWork = arguments.at("--demands").asString() == "processors";
--- a/soak/soakworld.cpp
+++ b/soak/soakworld.cpp
@@ -36,6 +36,11 @@
 // Time beyond the grace period after which a process that has not ended is killed.
 constexpr Duration gracePeriodMargin{1'000};
 
+// Time between two checks of the soak that counts as a gap; without load they are 5 to 10 ms apart.
+constexpr Duration leastGap{50};
+
+constexpr int weakLinkBytesPerSecond = 10'000'000 / 8;
+
 // Accelerators that a task of the random workload needs at most.
 constexpr int maxAcceleratorsPerTask = 4;
 
@@ -117,6 +122,10 @@
         host.place = {{absl::StrCat("h", number + 1)}, {zoneName(number)}, {{"a"}, {"b"}}, hostIp(number), host.storeLink->address(), world.options.folder};
         host.place.processorShare = world.options.hasUnequalHosts ? unequalShare(number) : 1;
         host.callerLink = std::make_unique<Proxy>(world.loop, callerAddress(host.place));
+        if (world.options.hasUnequalLinks && !isStrongHost(number)) {
+            host.storeLink->setRate(weakLinkBytesPerSecond);
+            host.callerLink->setRate(weakLinkBytesPerSecond);
+        }
         if (auto status = host.callerLink->listen(); !status.ok()) {
             return status;
         }
@@ -180,6 +189,24 @@
     }
 }
 
+void noteCutRequests(SoakWorld &world)
+{
+    for (const auto &host : world.hosts) {
+        for (const auto &cut : host.callerLink->takeCuts()) {
+            world.history.cutRequests.push_back({host.place.id, cut.request, cut.deliveredAt, cut.cutAt, cut.wasRead});
+        }
+    }
+}
+
+void noteGap(SoakWorld &world)
+{
+    const auto now = EventLoop::now();
+    const auto former = std::exchange(world.checkedAt, now);
+    if (former != TimePoint{} && now - former >= leastGap) {
+        world.history.observerGaps.push_back({former, now});
+    }
+}
+
 void runDueActions(SoakWorld &world)
 {
     while (!world.timeline.empty() && world.timeline.begin()->first <= EventLoop::now()) {
@@ -218,8 +245,10 @@
 
 void tick(SoakWorld &world)
 {
+    noteGap(world);
     tick(world.store);
     tick(world.targets);
+    noteCutRequests(world);
     writeHeartbeats(world);
     checkProcesses(world);
     enforceQuotas(world);
--- a/soak/soakworld.h
+++ b/soak/soakworld.h
@@ -117,7 +117,9 @@
     int targets = 12;
     Duration length{20'000};
     Duration calm{0};             ///< Time without new faults after each group of faults; zero injects faults all the time.
+    int count = 0;                ///< Number of faults of each kind; zero injects as many as the length leaves room for.
     bool hasUnequalHosts = false; ///< Hosts have shares of a core, as those of the users do, and are held to them.
+    bool hasUnequalLinks = false; ///< Most hosts have links of 10 Mbit/s, as most of the users' hosts do.
     Duration meanWorkGap{300};    ///< Mean time between two submissions.
     int maxTasks = 6;             ///< Largest number of tasks of a step.
     bool hasDemands = false;      ///< Steps demand a label, one rack, the rack of their data, or a limit of tasks on one target.
@@ -148,12 +150,14 @@
     std::map<FaultKind, int> injected; ///< Number of injected faults of each kind.
     long long heartbeats = 0;
     int settingsRevision = 0;
+    int openSeries = 0; ///< Number of series of configurations that are under way.
     bool sendsWork = true;
     bool acceptsRefusals = false;   ///< Callers do not repeat submissions that were refused.
     bool cancelsUnanswered = false; ///< Callers cancel submissions that are not answered, and do not repeat them.
     TimePoint nextWorkAt;
     std::map<TaskId, Standstill> standstills; ///< Tasks that last and workflows, by their first task, that stand still at the moment.
     TimePoint nextWorkSampleAt;
+    TimePoint checkedAt;            ///< When this process last executed the actions that were due.
     std::deque<FleetUse> recentUse; ///< Samples of about the last second, the newest at the end.
 };
 
--- a/tests/testsoakhistory.cpp
+++ b/tests/testsoakhistory.cpp
@@ -266,7 +266,26 @@
     for (unsigned seed = 1; seed <= 50; ++seed) {
         std::ranges::transform(makeFaultPlan(seed, Duration{20'000}), std::inserter(drawn, drawn.end()), &PlannedFault::kind);
     }
-    EXPECT_EQ(drawn.size(), static_cast<std::size_t>(FaultKind::SilenceAllLinks) + 1);
+    EXPECT_EQ(drawn.size(), static_cast<std::size_t>(FaultKind::OverlappingSignals) + 1);
+}
+
+// Guards against new kinds in the default soak, whose recorded seeds would then not repeat their faults.
+TEST_F(FaultPlan, seriesAreNotInjectedUnlessNamed)
+{
+    const auto kinds = defaultFaultKinds();
+    EXPECT_EQ(std::ranges::find(kinds, FaultKind::ConfigurationSeries), kinds.end());
+    EXPECT_EQ(std::ranges::find(kinds, FaultKind::OverlappingSignals), kinds.end());
+}
+
+TEST_F(FaultPlan, countKeepsTheFirstFaultsOfEachKind)
+{
+    const auto plan = makeFaultPlan(3, Duration{60'000}, {FaultKind::ConfigurationSeries, FaultKind::OverlappingSignals});
+    const auto kept = withCount(plan, 2);
+    const auto isSeries = [](const PlannedFault &fault) { return fault.kind == FaultKind::ConfigurationSeries; };
+    EXPECT_EQ(kept.size(), 4U);
+    EXPECT_EQ(std::ranges::count_if(kept, isSeries), 2);
+    EXPECT_EQ(*std::ranges::find_if(kept, isSeries), *std::ranges::find_if(plan, isSeries));
+    EXPECT_EQ(withCount(plan, 0), plan);
 }
 
 // Guards against a plan whose faults follow one another so closely that the bounds for calm times are never checked.
@@ -277,6 +296,118 @@
     EXPECT_TRUE(std::ranges::all_of(plan, [](const PlannedFault &fault) { return fault.at % Duration{18'000} + fault.length <= Duration{12'000}; }));
 }
 
+/// A history with a call that ends without an answer, and a host that may have been stopped or disturbed.
+struct SoakAnswers : SoakHistoryCheck
+{
+    void callWithoutAnswer(int sentMs, int endedMs)
+    {
+        history.calls.push_back(call(CallerAction::Query, sentMs, endedMs, 0));
+    }
+
+    void cutOff(int arrivedMs, int cutMs, bool wasRead)
+    {
+        history.cutRequests.push_back({{"h1"}, "GET /ordinary/00000000000000aa", at(arrivedMs), at(cutMs), wasRead});
+    }
+
+    void disturb(const std::string &host, int fromMs, int untilMs, bool excusesAnswers)
+    {
+        history.disturbances.push_back({{host}, at(fromMs), at(untilMs), excusesAnswers});
+    }
+};
+
+// Guards against a request beside changes of the configuration that got neither an answer nor a refusal.
+TEST_F(SoakAnswers, callWithoutAnswerAtItsDeadlineIsFound)
+{
+    callWithoutAnswer(2'000, 5'000);
+    EXPECT_THAT(checkHistory(history), testing::ElementsAre(testing::StartsWith("UNANSWERED")));
+}
+
+// Guards against an answer that is counted as missing because the soak itself did not run when it arrived.
+TEST_F(SoakAnswers, callWhoseDeadlineIsInAGapOfTheSoakIsExcused)
+{
+    callWithoutAnswer(2'000, 5'100);
+    history.observerGaps.push_back({at(4'900), at(5'100)});
+    EXPECT_THAT(checkHistory(history), testing::IsEmpty());
+}
+
+TEST_F(SoakAnswers, gapOfTheSoakThatEndsBeforeTheDeadlineIsNoExcuse)
+{
+    callWithoutAnswer(2'000, 5'000);
+    history.observerGaps.push_back({at(4'500), at(4'979)});
+    EXPECT_THAT(checkHistory(history), testing::ElementsAre(testing::StartsWith("UNANSWERED")));
+}
+
+TEST_F(SoakAnswers, refusalAtTheDeadlineIsAccepted)
+{
+    history.calls.push_back(call(CallerAction::Query, 2'000, 4'990, 503));
+    EXPECT_THAT(checkHistory(history), testing::IsEmpty());
+}
+
+TEST_F(SoakAnswers, callThatCouldNotBeSentIsAccepted)
+{
+    callWithoutAnswer(2'000, 5'000);
+    history.calls.back().isNotSent = true;
+    EXPECT_THAT(checkHistory(history), testing::IsEmpty());
+}
+
+// Guards against a check that excuses requests by faults which leave the host free to answer.
+TEST_F(SoakAnswers, disturbanceThatLeavesTheHostRunningIsNoExcuse)
+{
+    callWithoutAnswer(2'000, 5'000);
+    disturb("", 0, 60'000, false);
+    EXPECT_THAT(checkHistory(history), testing::ElementsAre(testing::StartsWith("UNANSWERED")));
+}
+
+TEST_F(SoakAnswers, callToAHostThatIsSuspendedMeanwhileIsExcused)
+{
+    callWithoutAnswer(2'000, 5'000);
+    disturb("h1", 4'000, 6'000, true);
+    EXPECT_THAT(checkHistory(history), testing::IsEmpty());
+}
+
+TEST_F(SoakAnswers, faultOfAnotherHostOrBeforeTheCallIsNoExcuse)
+{
+    callWithoutAnswer(2'000, 5'000);
+    disturb("h2", 0, 60'000, true);
+    disturb("h1", 0, 1'999, true);
+    EXPECT_THAT(checkHistory(history), testing::ElementsAre(testing::StartsWith("UNANSWERED")));
+}
+
+TEST_F(SoakAnswers, requestThatARunningHostCutsOffIsFound)
+{
+    cutOff(2'000, 2'001, false);
+    EXPECT_THAT(checkHistory(history), testing::ElementsAre(testing::StartsWith("LOST: h1: ended the connection")));
+}
+
+// Guards against requests that are read between the last answer and the end of a process.
+TEST_F(SoakAnswers, requestThatAPlannedStopHasReadAndCutsOffIsFound)
+{
+    history.plannedStops.push_back({{"h1"}, at(2'000), at(4'000), 0});
+    cutOff(3'990, 3'999, true);
+    EXPECT_THAT(checkHistory(history), testing::ElementsAre(testing::StartsWith("LOST: h1: ended the connection")));
+}
+
+TEST_F(SoakAnswers, unreadRequestThatArrivesJustBeforeTheEndOfAPlannedStopMayBeCutOff)
+{
+    history.plannedStops.push_back({{"h1"}, at(2'000), at(4'000), 0});
+    cutOff(3'800, 4'000, false);
+    EXPECT_THAT(checkHistory(history), testing::IsEmpty());
+}
+
+TEST_F(SoakAnswers, unreadRequestThatAPlannedStopLeavesForLongIsFound)
+{
+    history.plannedStops.push_back({{"h1"}, at(2'000), at(4'000), 0});
+    cutOff(3'799, 4'000, false);
+    EXPECT_THAT(checkHistory(history), testing::ElementsAre(testing::StartsWith("LOST: h1: ended the connection")));
+}
+
+TEST_F(SoakAnswers, requestThatAKilledHostCutsOffIsExcused)
+{
+    cutOff(2'000, 2'500, true);
+    disturb("h1", 2'499, 4'000, true);
+    EXPECT_THAT(checkHistory(history), testing::IsEmpty());
+}
+
 /// A workflow that stands still for some time in a history with disturbances.
 struct SoakStandstill : SoakHistoryCheck
 {
--- a/tests/testsoakproxy.cpp
+++ b/tests/testsoakproxy.cpp
@@ -4,6 +4,7 @@
 #include "soak/proxy.h"
 #include "tests/loopback.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 
@@ -162,6 +163,77 @@
     EXPECT_EQ(create("h2"), StoreOutcome::Conflict) << "the next request needs a new connection";
 }
 
+// Guards against a limit of the rate that passes bytes early, or loses some of a large answer.
+TEST_F(SoakProxy, limitedRateDelaysALargeAnswerAndKeepsItWhole)
+{
+    QueueConfiguration configuration;
+    configuration.version = 3;
+    configuration.keys.emplace(std::string(100'000, 'k'), OrganisationId{"tailors"});
+    configuration.organisations.emplace(OrganisationId{"tailors"}, OrganisationShare{{"tailors"}, 16});
+    putItem(store, configurationItemName(), configurationText(configuration));
+    proxy->setRate(500'000);
+    const auto begin = EventLoop::now();
+    EXPECT_EQ(ask(StoreRange{queueConfigurationKey(), false}, Duration{5'000})->entries.front().record, StoreRecord{configuration});
+    EXPECT_GE(EventLoop::now() - begin, Duration{200});
+}
+
+/// Connects a client to a scripted server through a proxy.
+struct SoakProxyCuts : testing::Test
+{
+    explicit SoakProxyCuts(ScriptedListener::Script script = {"", true})
+        : listener(loop, {std::move(script)})
+        , proxy(loop, listener.address())
+    {
+        EXPECT_TRUE(proxy.listen().ok());
+        const auto address = proxy.address();
+        int port = 0;
+        EXPECT_TRUE(absl::SimpleAtoi(address.substr(address.find(':') + 1), &port));
+        client = std::make_unique<RawClient>(loop, port);
+    }
+
+    EventLoop loop;
+    ScriptedListener listener;
+    Proxy proxy;
+    std::unique_ptr<RawClient> client;
+};
+
+TEST_F(SoakProxyCuts, requestThatTheServerReadsAndDoesNotAnswerIsNoted)
+{
+    client->send("GET /ordinary/1 HTTP/1.1\r\n\r\n");
+    loop.runUntil([this] { return client->isClosedByPeer(); }, testTimeout);
+    const auto cuts = proxy.takeCuts();
+    ASSERT_EQ(cuts.size(), 1U);
+    EXPECT_EQ(cuts.front().request, "GET /ordinary/1");
+    EXPECT_TRUE(cuts.front().wasRead);
+    EXPECT_TRUE(proxy.takeCuts().empty());
+}
+
+// Guards against a check that blames the server for the end of a connection that its client has left.
+TEST_F(SoakProxyCuts, requestWhoseClientLeavesIsNotNoted)
+{
+    client->send("GET /ordinary/1 HTTP/1.1\r\n\r\n");
+    client->reset();
+    loop.runUntil([this] { return listener.acceptedCount() == 1 && proxy.connectionCount() == 0; }, testTimeout);
+    EXPECT_TRUE(proxy.takeCuts().empty());
+}
+
+/// Connects a client to a server that answers and closes the connection.
+struct SoakProxyAnswers : SoakProxyCuts
+{
+    SoakProxyAnswers()
+        : SoakProxyCuts({"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true})
+    {
+    }
+};
+
+TEST_F(SoakProxyAnswers, answeredRequestIsNotNoted)
+{
+    client->send("GET /ordinary/1 HTTP/1.1\r\n\r\n");
+    loop.runUntil([this] { return client->isClosedByPeer(); }, testTimeout);
+    EXPECT_FALSE(client->received().empty());
+    EXPECT_TRUE(proxy.takeCuts().empty());
+}
+
 TEST_F(SoakProxy, silentAndBusyStoreHaveNoEffect)
 {
     store.faults.isSilent = true;
