--- a/workflow/callerwrites.cpp
+++ b/workflow/callerwrites.cpp
@@ -14,6 +14,12 @@
 namespace
 {
 
+/// True if the answer to the call's write may only be waiting behind copies of the configuration.
+bool mayWaitBehindCopies(const WorkflowBoard &board, const OpenCallerCall &call)
+{
+    return board.view.isCatchingUp || board.view.adoptedAt >= std::optional(call.receivedAt);
+}
+
 // Number of unanswered sendings of a write after which this host is probably cut off from the store, unless it has received a configuration meanwhile. The
 // caller is then better served by another host, which can find out whether the write took effect.
 constexpr int maxUnansweredWrites = 2;
@@ -192,17 +198,6 @@
 
 }
 
-namespace
-{
-
-/// True if the answer to the call's write may only be waiting behind copies of the configuration.
-bool mayWaitBehindCopies(const WorkflowBoard &board, const OpenCallerCall &call)
-{
-    return board.view.isCatchingUp || board.view.adoptedAt >= std::optional(call.receivedAt);
-}
-
-}
-
 void handleWriteReply(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
 {
     const bool isTombstone = call.step == CallerStep::WritingTombstone;
