Leave ids to the queue whose prefix they follow

Callers saw: 410 for accepted work after a configuration had added a queue with a longer prefix, for instance /a/7f beside /a/. Cancellations were refused too, and a submission that was sent again ran under a second id.

Cause: the longest prefix decided the queue even when the rest of the path was no id.

Change: a prefix that leaves an id, or nothing, comes before longer ones that do not. Ids have one length, so at most one prefix leaves an id.

--- a/core/queueconfiguration.h
+++ b/core/queueconfiguration.h
@@ -85,7 +85,8 @@
     friend bool operator==(const QueueConfiguration &, const QueueConfiguration &) = default;
 };
 
-/// Returns the queue with that host and the longest prefix of the path, or null.
+/// Returns the queue with that host and the longest prefix of the path, or null. A prefix that leaves a workflow's id, or nothing, comes before longer ones that
+/// do not: otherwise a new queue whose prefix goes on with digits would take over the ids of accepted workflows.
 const Queue *findQueue(const QueueConfiguration &configuration, std::string_view host, std::string_view path);
 
 }
--- a/tests/testcalleraccess.cpp
+++ b/tests/testcalleraccess.cpp
@@ -137,4 +137,59 @@
     EXPECT_EQ(fleet.starts[id(1)], 1);
 }
 
+/// Adds a queue whose prefix goes on with the first digits of the ids that the tests use.
+struct CallerAccessBesideALongerPrefix : CallerAccess
+{
+    void addQueue(bool isAnonymous)
+    {
+        auto longer = configuration.queues.at({"urgent"});
+        longer.id = {"longer"};
+        longer.prefix = "/urgent/00";
+        longer.isAnonymous = isAnonymous;
+        setQueue(longer);
+        run(Duration{500});
+    }
+};
+
+// Guards against showing accepted work as unknown after a configuration has added a queue whose longer prefix takes over its id.
+TEST_F(CallerAccessBesideALongerPrefix, workOfTheShorterPrefixIsQueriedAndCancelled)
+{
+    submitLong("/urgent/");
+    addQueue(false);
+    EXPECT_EQ(answerTo(query(id(1), "h2")).state, WorkflowState::Running);
+    EXPECT_EQ(refusalOf(cancel(id(1), "h2")), std::nullopt);
+    runUntil([&] { return storedState(id(1)) == WorkflowState::Cancelled; }, Duration{1'000});
+}
+
+TEST_F(CallerAccessBesideALongerPrefix, submissionSentAgainIsAcceptedOnce)
+{
+    submitLong("/urgent/");
+    addQueue(false);
+    EXPECT_EQ(refusalOf(submit(id(1), work(), {Duration{60'000}, {}}, "h2")), std::nullopt);
+    run(Duration{1'000});
+    EXPECT_EQ(fleet.starts[id(1)], 1);
+}
+
+TEST_F(CallerAccessBesideALongerPrefix, workOfEachPrefixIsReachedOnlyThere)
+{
+    addQueue(false);
+    submitLong("/urgent/00");
+    run(Duration{500});
+    EXPECT_EQ(answerTo(query(id(1), "h2", "/urgent/00")).state, WorkflowState::Running);
+    EXPECT_EQ(refusalOf(query(id(1), "h2", "/urgent/")), RefusalReason::NotFound);
+    EXPECT_EQ(refusalOf(countWaiting("/urgent/00", "h2")), std::nullopt);
+}
+
+// Guards against reaching an organisation's work without a key through an anonymous queue beside its own.
+TEST_F(CallerAccessBesideALongerPrefix, keyIsRequiredForWorkOfTheShorterPrefixBesideAnAnonymousQueue)
+{
+    submitLong("/urgent/");
+    addQueue(true);
+    callerKey = noKey;
+    EXPECT_EQ(refusalOf(query(id(1), "h2")), RefusalReason::Unauthorised);
+    EXPECT_EQ(refusalOf(cancel(id(1), "h2")), RefusalReason::Unauthorised);
+    EXPECT_EQ(refusalOf(query(id(1), "h2", "/urgent/00")), RefusalReason::NotFound);
+    EXPECT_EQ(storedState(id(1)), WorkflowState::Running);
+}
+
 }
--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -1,6 +1,7 @@
 #include "calleranswers.h"
 #include "callerwrites.h"
 #include "controllers.h"
+#include "core/requestid.h"
 #include "tombstones.h"
 
 #include <algorithm>
--- a/workflow/callerchecks.cpp
+++ b/workflow/callerchecks.cpp
@@ -1,5 +1,6 @@
 #include "callerchecks.h"
 
+#include "core/requestid.h"
 #include "organisationcap.h"
 
 #include <algorithm>
@@ -11,9 +12,8 @@
 namespace
 {
 
-// Limits of the platform's interface for callers.
+// Limit of the platform's interface for callers.
 constexpr std::size_t maxPayloadBytes = 4'000;
-constexpr std::size_t requestIdDigits = 16;
 
 Refusal notRun(RefusalReason reason, std::string message)
 {
@@ -43,7 +43,7 @@
 std::optional<std::string> findSubmissionError(const CallerRequest &request, const RoutedCall &routed)
 {
     if (!isRequestId(routed.rest)) {
-        return "the id is not " + std::to_string(requestIdDigits) + " hexadecimal digits";
+        return "the id is not 16 hexadecimal digits";
     }
     if (!request.specification) {
         return request.bodyError;
@@ -56,13 +56,6 @@
 
 }
 
-bool isRequestId(std::string_view text)
-{
-    return text.size() == requestIdDigits && std::ranges::all_of(text, [](char digit) {
-               return (digit >= '0' && digit <= '9') || (digit >= 'a' && digit <= 'f') || (digit >= 'A' && digit <= 'F');
-           });
-}
-
 std::variant<RoutedCall, Refusal> routeCall(const QueueConfiguration &configuration, const CallerRequest &request)
 {
     const auto *queue = findQueue(configuration, request.host, request.path);
--- a/workflow/callerchecks.h
+++ b/workflow/callerchecks.h
@@ -5,7 +5,6 @@
 
 #include <optional>
 #include <string>
-#include <string_view>
 #include <variant>
 
 namespace sequoiastand
@@ -21,9 +20,6 @@
     friend bool operator==(const RoutedCall &, const RoutedCall &) = default;
 };
 
-/// True for 16 hexadecimal digits.
-bool isRequestId(std::string_view text);
-
 /// The call's queue and organisation, or the refusal if the configuration does not allow the call.
 std::variant<RoutedCall, Refusal> routeCall(const QueueConfiguration &configuration, const CallerRequest &request);
 
