Refuse calls whose stored state cannot be decoded

Callers saw: 410 for a query, and a tombstone after a cancellation, when the host could not decode the stored state; for a submission that was sent again, 429 or 503, which promise that the work never runs.

Cause: an entry that cannot be decoded was treated like an absent one.

Evidence: CallerAccess.workWhoseStateCannotBeDecodedIsNotSaidToBeUnknown and submissionSentAgainWhoseWorkflowCannotBeDecodedIsAnsweredAsUnknown fail on and pass with this change (x86_64).

--- a/tests/testcalleraccess.cpp
+++ b/tests/testcalleraccess.cpp
@@ -192,4 +192,26 @@
     EXPECT_EQ(storedState(id(1)), WorkflowState::Running);
 }
 
+// Guards against showing accepted work as unknown because this host cannot decode its stored state.
+TEST_F(CallerAccess, workWhoseStateCannotBeDecodedIsNotSaidToBeUnknown)
+{
+    submitLong("/urgent/");
+    store.faults.undecodable.insert(workflowProgressKey(id(1)));
+    EXPECT_EQ(refusalOf(query(id(1), "h2")), RefusalReason::StoreUnavailable);
+    EXPECT_EQ(refusalOf(cancel(id(1), "h2")), RefusalReason::StoreUnavailable);
+    EXPECT_FALSE(store.rows.contains(workflowTombstoneKey(id(1), {"tailors"}, {"urgent"})));
+    store.faults.undecodable.clear();
+    EXPECT_EQ(answerTo(query(id(1), "h2")).state, WorkflowState::Running);
+}
+
+// Guards against a refusal that says a stored workflow never runs, because this host cannot decode what it met in the store.
+TEST_F(CallerAccess, submissionSentAgainWhoseWorkflowCannotBeDecodedIsAnsweredAsUnknown)
+{
+    submitLong("/urgent/");
+    store.faults.undecodable.insert(workflowKey(id(1)));
+    const auto answer = answerTo(submit(id(1), work(), {Duration{60'000}, {}}, "h2"));
+    ASSERT_TRUE(answer.refusal);
+    EXPECT_EQ(answer.refusal->run, RequestEffect::Unknown);
+}
+
 }
--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -135,6 +135,10 @@
         return;
     }
     const auto *progress = reply.entries.empty() ? nullptr : std::get_if<WorkflowProgress>(&reply.entries.front().record);
+    if (progress == nullptr && (!reply.entries.empty() || !reply.error.empty())) {
+        refuse(board, call, RefusalReason::StoreUnavailable, "the stored state of the workflow cannot be decoded: " + reply.error);
+        return;
+    }
     if (progress == nullptr && call.request.action == CallerAction::Cancel) {
         excludeSubmission(board, call, *routed);
         return;
--- a/workflow/callerwrites.cpp
+++ b/workflow/callerwrites.cpp
@@ -177,6 +177,10 @@
         refuse(board, call, RefusalReason::Cancelled, "the workflow was cancelled");
         return;
     }
+    if (!reply.error.empty()) {
+        refuse(board, call, RefusalReason::Timeout, "an entry that the write depends on cannot be decoded: " + reply.error);
+        return;
+    }
     handleAgain(board, std::move(call), reply);
 }
 
