Do not promise that a stored submission will not run

Callers saw: 401 or 404, which promise that the work does not run, for a submission that was sent again after a newer configuration had removed its key or queue, although the first copy was stored.

Cause: a conflict with the stored workflow was checked against the newest configuration without noting that the workflow may be the caller's own.

Evidence: two tests of WriteBesideAChange fail on and pass with this change (x86_64). A lower maxBodyBytes and a new cap beside an unanswered first copy are tested too; they passed before.

--- a/workflow/callerwrites.cpp
+++ b/workflow/callerwrites.cpp
@@ -143,6 +143,8 @@
 /// Answers a submission whose id belongs to a stored workflow. Only the same submission is accepted; any other one would be told of success and never run.
 void handleStoredWorkflow(WorkflowBoard &board, OpenCallerCall call, const Workflow &stored)
 {
+    // The workflow may be the caller's own, sent once more. If a newer configuration refuses the caller, the answer must not say that it will not run.
+    call.mayBeStored = true;
     const auto routed = route(board, call);
     if (!routed) {
         return;
