Pause between reads of a summary that is not stored

The store saw: one read of the summary at each step of a host, for as long as no owner had stored a summary and a count of waiting jobs was open.

Cause: a successful read without a summary sent the call back to the start, which read again at once.

--- a/tests/testcallerproof.cpp
+++ b/tests/testcallerproof.cpp
@@ -287,4 +287,22 @@
     EXPECT_TRUE(isReady(board("h2")));
 }
 
+// Guards against reading the summary at every step, for as long as none is stored, until the caller's deadline.
+TEST_F(CallerProof, countWithoutAStoredSummaryWaitsBetweenReads)
+{
+    kill("h1");
+    kill("h2");
+    removeRow(store, domainSummaryKey(), now);
+    start("h2");
+    run(Duration{100});
+    const auto callsBefore = store.calls;
+    const auto call = countWaiting("/urgent/", "h2");
+    constexpr int retries = 4;
+    run(retries * settings.limits.storeRetry);
+    constexpr int otherCalls = 6;
+    EXPECT_LE(store.calls - callsBefore, retries + otherCalls);
+    EXPECT_FALSE(isAnswered(call));
+    EXPECT_FALSE(answerTo(call).refusal) << "the owner has stored a summary by then";
+}
+
 }
--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -116,10 +116,14 @@
     const bool isRead = reply->outcome == StoreOutcome::Applied;
     for (auto &call : waiting) {
         call.call.reset();
-        if (isRead) {
+        if (!isRead) {
+            refuse(board, call, RefusalReason::StoreUnavailable, "the store does not answer");
+        } else if (copy.summary) {
             handle(board, call);
         } else {
-            refuse(board, call, RefusalReason::StoreUnavailable, "the store does not answer");
+            // No owner has stored a summary yet.
+            call.retryAt = board.now + board.self.limits.storeRetry;
+            putCall(board, std::move(call));
         }
     }
 }
@@ -168,7 +172,9 @@
     if (!routed) {
         return;
     }
-    if (call.step == CallerStep::Reading) {
+    if (call.step == CallerStep::Reading && routed->rest.empty()) {
+        answerWaiting(board, call, *routed);
+    } else if (call.step == CallerStep::Reading) {
         readProgress(board, call, *routed);
     } else if (call.step == CallerStep::WritingTombstone) {
         writeTombstone(board, call, *routed);
