Answer callers before their deadlines in spite of timer lag

Callers saw: a request that ended at its deadline with neither an answer nor a refusal, on hosts of 0.12 cores while large configurations arrive.

Cause: the answer was due 150 ms before the deadline, however late the host ran its timers, and a refusal then waited up to readinessTimeout (120 ms) and the lag again for the other hosts.

Change: latestAnswer() subtracts the mean lag and its recent peak from the time that is left; other hosts are asked so early that their answers are known by then, and no wait of a refusal outlasts it.

--- a/tests/domaincallers.cpp
+++ b/tests/domaincallers.cpp
@@ -17,7 +17,7 @@
 {
     request.id = {m_nextCall++};
     request.host = queueHost;
-    request.answerTimeout = Duration{3'000};
+    request.answerTimeout = callerTimeout;
     if (request.key.empty()) {
         request.key = callerKey;
     }
--- a/tests/domainfixture.cpp
+++ b/tests/domainfixture.cpp
@@ -332,10 +332,7 @@
         } else if (const auto *request = std::get_if<AdviceRequest>(&message)) {
             ask(id, *request);
         } else if (const auto *check = std::get_if<ReadinessCheck>(&message)) {
-            const auto checked = m_hosts.find(check->host.value);
-            const bool isUp = checked != m_hosts.end() && checked->second.isUp && !checked->second.isPaused;
-            host.inbox.emplace_back(
-                ReadinessReply{check->id, isUp && (check->isForOwnership ? isFitToOwn(checked->second.board) : isReady(checked->second.board))});
+            checkReadiness(id, *check);
         } else {
             const auto &answer = std::get<CallerAnswer>(message);
             m_answers.insert_or_assign(answer.id, answer);
@@ -442,8 +439,30 @@
     m_delayedReplies.push_back({host, needed < order.timeout ? answer : timeout, now + std::min(needed, order.timeout)});
 }
 
+/// Answers a readiness check, or reports its timeout if that comes first.
+void DomainTest::checkReadiness(const std::string &host, const ReadinessCheck &check)
+{
+    const auto checked = m_hosts.find(check.host.value);
+    const bool isUp = checked != m_hosts.end() && checked->second.isUp && !checked->second.isPaused;
+    const bool isReadyInTime =
+        isUp && readinessDelay < check.timeout && (check.isForOwnership ? isFitToOwn(checked->second.board) : isReady(checked->second.board));
+    const ReadinessReply answer{check.id, isReadyInTime};
+    if (readinessDelay == Duration{0}) {
+        m_hosts.at(host).inbox.emplace_back(answer);
+    } else {
+        m_delayedReadiness.push_back({host, answer, now + std::min(readinessDelay, check.timeout)});
+    }
+}
+
 void DomainTest::deliverDelayedReplies()
 {
+    for (const auto &delayed : std::exchange(m_delayedReadiness, {})) {
+        if (now >= delayed.due) {
+            m_hosts.at(delayed.host).inbox.emplace_back(delayed.reply);
+        } else {
+            m_delayedReadiness.push_back(delayed);
+        }
+    }
     for (const auto &delayed : std::exchange(m_delayedReplies, {})) {
         if (now >= delayed.due) {
             reply(delayed.host, delayed.reply);
--- a/tests/domainfixture.h
+++ b/tests/domainfixture.h
@@ -98,6 +98,8 @@
     TimePoint now{Duration{1'000'000}};
     WallTime wallNow{Duration{1'700'000'000'000}};
     std::string callerKey = "key-tailors";    ///< API key of the following calls.
+    Duration callerTimeout{3'000};            ///< Time for which the callers of the following calls wait.
+    Duration readinessDelay{0};               ///< Time in which hosts answer readiness checks.
     bool losesStartAnswers = false;           ///< Starts take effect, but their answers are lost.
     Duration startDelay{0};                   ///< Delay after which starts are executed; delayed starts are not answered.
     Duration paceDelay{0};                    ///< Delay after which pace orders are executed; delayed pace orders are not answered.
@@ -140,6 +142,13 @@
         TimePoint due;
     };
 
+    struct DelayedReadiness
+    {
+        std::string host;
+        ReadinessReply reply;
+        TimePoint due;
+    };
+
     struct OpenQuestion
     {
         std::string host;
@@ -165,6 +174,7 @@
     void deliverLateOrders();
     void answerLate(const std::string &host, const TargetOrder &order, const TargetOrderReply &answer);
     void deliverDelayedReplies();
+    void checkReadiness(const std::string &host, const ReadinessCheck &check);
     void answerHolds();
     void answerQuestions();
     void ask(const std::string &host, const AdviceRequest &request);
@@ -180,6 +190,7 @@
     std::vector<LateOrder> m_lateOrders;
     std::vector<WaitingHold> m_holds;
     std::vector<DelayedReply> m_delayedReplies;
+    std::vector<DelayedReadiness> m_delayedReadiness;
     std::vector<OpenQuestion> m_questions;
     TimePoint m_nextHeartbeat;
     unsigned long long m_nextCall = 1'000'000;
--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -15,12 +15,6 @@
 namespace
 {
 
-// Time that a caller without a deadline is assumed to wait.
-constexpr Duration defaultAnswerTimeout{3'000};
-
-// Time for the answer to reach the caller before the caller's deadline.
-constexpr Duration answerMargin{150};
-
 // Delay before the state of a workflow that has not ended is read a second time. The end of a task is stored about 10 ms after it happens. Callers that learn
 // of the end elsewhere query at once, and would query again only much later.
 constexpr Duration rereadDelay{25};
@@ -151,7 +145,8 @@
         refuse(board, call, RefusalReason::NotFound, "no workflow has this id");
         return;
     }
-    if (call.request.action == CallerAction::Query && !hasEnded(progress->state) && !call.hasRereadState) {
+    const bool hasTimeToReread = board.now + rereadDelay < latestAnswer(board, call);
+    if (call.request.action == CallerAction::Query && !hasEnded(progress->state) && !call.hasRereadState && hasTimeToReread) {
         OpenCallerCall again = call;
         again.hasRereadState = true;
         again.call.reset();
@@ -188,7 +183,7 @@
 void continueCall(WorkflowBoard &board, const OpenCallerCall &call)
 {
     if (call.step == CallerStep::Refusing) {
-        if (areReadinessAnswersFresh(board) || board.now >= call.answerBy) {
+        if (areReadinessAnswersFresh(board) || board.now >= latestAnswer(board, call)) {
             answerRefusal(board, call);
         }
         return;
@@ -201,9 +196,12 @@
         }
         return;
     }
-    if (board.now >= call.answerBy) {
+    if (board.now >= latestAnswer(board, call)) {
         const bool isWriteUnderWay = isWriting(call) && call.call;
-        refuse(board, call, isWriteUnderWay ? RefusalReason::Timeout : RefusalReason::StoreUnavailable, "the store has not answered in time");
+        refuse(board,
+               call,
+               isWriteUnderWay ? RefusalReason::Timeout : RefusalReason::StoreUnavailable,
+               call.step == CallerStep::Proving ? "the configuration has not been proven in time" : "the store has not answered in time");
     } else if (call.step == CallerStep::Proving && !board.view.isStoreReachable) {
         // The call is refused even if the proof is still fresh: a request sent now would most likely be lost, and the caller could not tell whether it was
         // accepted.
@@ -221,6 +219,27 @@
     }
 }
 
+/// When other hosts are asked whether they could serve the caller: so early that their answers are known when the call has to be answered.
+TimePoint askOthersAt(const WorkflowBoard &board, const OpenCallerCall &call)
+{
+    return latestAnswer(board, call) - readinessTimeout(board);
+}
+
+/// When the call has to be considered again, even if nothing happens before.
+TimePoint nextTime(const WorkflowBoard &board, const OpenCallerCall &call)
+{
+    auto next = latestAnswer(board, call);
+    if (call.step == CallerStep::Refusing) {
+        return next;
+    }
+    const auto askAt = askOthersAt(board, call);
+    next = std::min(next, board.now < askAt ? askAt : nextReadinessRound(board));
+    const bool waitsForRetry =
+        !call.call
+        && (call.step == CallerStep::Reading || call.step == CallerStep::Writing || (call.step == CallerStep::WritingTombstone && hasTombstoneLease(board)));
+    return waitsForRetry ? std::min(next, call.retryAt) : next;
+}
+
 void openCalls(WorkflowBoard &board)
 {
     for (const auto &event : board.inbox) {
@@ -228,8 +247,6 @@
             OpenCallerCall call;
             call.request = *request;
             call.receivedAt = board.now;
-            const auto timeout = request->answerTimeout > Duration{0} ? request->answerTimeout : defaultAnswerTimeout;
-            call.answerBy = board.now + std::max(timeout - answerMargin, timeout / 2);
             putCall(board, std::move(call));
         } else if (const auto *abandoned = std::get_if<CallAbandoned>(&event)) {
             board.calls.erase(abandoned->id);
@@ -248,17 +265,17 @@
     std::vector<OpenCallerCall> open;
     std::ranges::transform(board.calls.rows(), std::back_inserter(open), [](const auto &row) { return row.second; });
     for (const auto &call : open) {
-        const bool waitsForSummary = isSummaryRead(board, call) && board.now < call.answerBy;
-        if (!waitsForSummary && board.calls.contains(call.request.id)) {
+        if (!board.calls.contains(call.request.id)) {
+            continue;
+        }
+        if (call.step != CallerStep::Refusing && board.now >= askOthersAt(board, call)) {
+            askOtherHosts(board);
+        }
+        if (!isSummaryRead(board, call) || board.now >= latestAnswer(board, call)) {
             continueCall(board, call);
         }
     }
-    for (const auto &[id, call] : board.calls.rows()) {
-        const bool waitsForRetry = !call.call
-                                   && (call.step == CallerStep::Reading || call.step == CallerStep::Writing
-                                       || (call.step == CallerStep::WritingTombstone && hasTombstoneLease(board)));
-        subscribeNoLaterThan(board.timers, "calls", waitsForRetry ? std::min(call.retryAt, call.answerBy) : call.answerBy);
-    }
+    std::ranges::for_each(board.calls.rows(), [&](const auto &row) { subscribeNoLaterThan(board.timers, "calls", nextTime(board, row.second)); });
 }
 
 }
--- a/workflow/calleranswers.cpp
+++ b/workflow/calleranswers.cpp
@@ -11,6 +11,16 @@
 namespace
 {
 
+// Time that a caller without a deadline is assumed to wait.
+constexpr Duration defaultAnswerTimeout{3'000};
+
+// Time for the answer to reach the caller before the caller's deadline, at most a quarter of the time for which the caller waits.
+constexpr Duration answerMargin{150};
+constexpr int timeoutsPerMargin = 4;
+
+// A call is tried for at least this part of the caller's timeout, also by a host whose lag exceeds it.
+constexpr int timeoutsPerLeastPeriod = 4;
+
 /// The owner that this host knows, and since when.
 std::string ownerText(const Ownership &ownership, TimePoint now)
 {
@@ -23,6 +33,16 @@
 
 }
 
+TimePoint latestAnswer(const WorkflowBoard &board, const OpenCallerCall &call)
+{
+    const auto timeout = call.request.answerTimeout > Duration{0} ? call.request.answerTimeout : defaultAnswerTimeout;
+    const auto margin = std::min(answerMargin, timeout / timeoutsPerMargin);
+    // The caller has waited for one lag before its request is read, and the timer that ends the call may fire as late as any timer recently.
+    const auto lag = std::chrono::duration_cast<Duration>(board.lag.mean + board.lag.peak);
+    const auto period = std::max(timeout - margin - lag, timeout / timeoutsPerLeastPeriod);
+    return std::min(call.answerBy, call.receivedAt + period);
+}
+
 void putCall(WorkflowBoard &board, OpenCallerCall call)
 {
     const CallId id = call.request.id;
@@ -84,18 +104,18 @@
 
 void refuseUnavailable(WorkflowBoard &board, OpenCallerCall call, Refusal refusal)
 {
+    call.refusal = std::move(refusal);
+    // All readiness checks have ended by then, even if this host reads the answers too late to use them.
+    const auto answerBy = std::min(latestAnswer(board, call), board.now + readinessTimeout(board));
     askOtherHosts(board);
-    if (!areReadinessAnswersFresh(board)) {
-        call.refusal = std::move(refusal);
-        call.step = CallerStep::Refusing;
-        call.call.reset();
-        // All readiness checks have ended by then, even if this host reads the answers too late to use them.
-        call.answerBy = board.now + timeoutWithLag(board, board.self.limits.readinessTimeout);
-        putCall(board, std::move(call));
+    if (areReadinessAnswersFresh(board) || board.now >= answerBy) {
+        answerRefusal(board, call);
         return;
     }
-    call.refusal = std::move(refusal);
-    answerRefusal(board, call);
+    call.step = CallerStep::Refusing;
+    call.call.reset();
+    call.answerBy = answerBy;
+    putCall(board, std::move(call));
 }
 
 void answerRefusal(WorkflowBoard &board, const OpenCallerCall &call)
--- a/workflow/calleranswers.h
+++ b/workflow/calleranswers.h
@@ -12,6 +12,9 @@
 /// Retry delay for callers that another host can serve, or that may send the request again at once. Zero is reserved for refusals where a retry cannot succeed.
 constexpr Duration retryAtOnce{1};
 
+/// Latest time of the call's answer, so that it reaches the caller before the deadline in spite of this host's present timer lag.
+TimePoint latestAnswer(const WorkflowBoard &board, const OpenCallerCall &call);
+
 /// Inserts or replaces the row of the call.
 void putCall(WorkflowBoard &board, OpenCallerCall call);
 
@@ -22,7 +25,7 @@
 std::string storedState(const WorkflowProgress &progress);
 
 /// Refuses a call that this host cannot serve now. If another host is ready, the caller is told to retry at once, otherwise after a delay. If it is not known
-/// whether another host is ready, the other hosts are asked first, and the call waits in step `Refusing` until they have answered or `answerBy` has passed.
+/// whether another host is ready, the other hosts are asked first, and the call waits in step `Refusing` until they have answered or latestAnswer() has passed.
 void refuseUnavailable(WorkflowBoard &board, OpenCallerCall call, Refusal refusal);
 
 /// Answers a call in step `Refusing` from what is known of the other hosts.
--- a/workflow/handover.cpp
+++ b/workflow/handover.cpp
@@ -112,7 +112,7 @@
     better = inRandomOrderOfEquals(board, std::move(better));
     better.resize(std::min(better.size(), isUrgent ? maxUrgentSuccessorChecks : maxSuccessorChecks));
     for (const auto &record : better) {
-        ReadinessCheck check{takeCallId(board), record.host, record.peerAddress, true, timeoutWithLag(board, board.self.limits.readinessTimeout)};
+        ReadinessCheck check{takeCallId(board), record.host, record.peerAddress, true, readinessTimeout(board)};
         ownership.successorChecks.emplace(check.id, record.host);
         board.outbox.emplace_back(std::move(check));
     }
--- a/workflow/hostdirectory.cpp
+++ b/workflow/hostdirectory.cpp
@@ -109,6 +109,17 @@
     }
 }
 
+/// Maximum age of a round of readiness checks and of its answers. A host with timer lag reads the answers late, and would otherwise never have a recent one.
+Duration readinessAge(const WorkflowBoard &board)
+{
+    return timeoutWithLag(board, board.self.limits.readinessAge);
+}
+
+bool isRoundRecent(const WorkflowBoard &board)
+{
+    return board.directory.checkedAt && board.now < nextReadinessRound(board);
+}
+
 void handleReadinessReplies(WorkflowBoard &board)
 {
     auto &directory = board.directory;
@@ -125,23 +136,33 @@
 
 }
 
+Duration readinessTimeout(const WorkflowBoard &board)
+{
+    return timeoutWithLag(board, board.self.limits.readinessTimeout);
+}
+
 bool areReadinessAnswersFresh(const WorkflowBoard &board)
 {
     const auto &directory = board.directory;
-    const bool isRecent = directory.checkedAt && board.now - *directory.checkedAt <= board.self.limits.readinessAge;
-    return isRecent && (directory.checks.empty() || (directory.lastReadyAt && *directory.lastReadyAt >= *directory.checkedAt));
+    return isRoundRecent(board) && (directory.checks.empty() || (directory.lastReadyAt && *directory.lastReadyAt >= *directory.checkedAt));
 }
 
 bool isAnotherHostReady(const WorkflowBoard &board)
 {
     const auto &directory = board.directory;
-    return directory.lastReadyAt && board.now - *directory.lastReadyAt <= board.self.limits.readinessAge;
+    return directory.lastReadyAt && board.now - *directory.lastReadyAt <= readinessAge(board);
+}
+
+TimePoint nextReadinessRound(const WorkflowBoard &board)
+{
+    const auto &checkedAt = board.directory.checkedAt;
+    return checkedAt ? *checkedAt + readinessAge(board) + Duration{1} : board.now;
 }
 
 void askOtherHosts(WorkflowBoard &board)
 {
     auto &directory = board.directory;
-    if (directory.checkedAt && board.now - *directory.checkedAt <= board.self.limits.readinessAge) {
+    if (isRoundRecent(board)) {
         return;
     }
     directory.checkedAt = board.now;
@@ -156,7 +177,7 @@
         others.resize(maxReadinessChecks);
     }
     for (const auto &record : others) {
-        ReadinessCheck check{takeCallId(board), record.host, record.peerAddress, false, timeoutWithLag(board, board.self.limits.readinessTimeout)};
+        ReadinessCheck check{takeCallId(board), record.host, record.peerAddress, false, readinessTimeout(board)};
         directory.checks.insert(check.id);
         board.outbox.emplace_back(std::move(check));
     }
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -348,7 +348,7 @@
     CallerRequest request;
     CallerStep step = CallerStep::Proving;
     TimePoint receivedAt;
-    TimePoint answerBy;
+    TimePoint answerBy = TimePoint::max(); ///< Limit of the time of the answer, beside the one that the caller's deadline sets.
     std::optional<CallId> call;
     TimePoint sentAt;                     ///< When the newest write was sent.
     Revision requiredRevision = 0;        ///< Revision of the configuration on which that write is conditional; zero if it is not.
@@ -413,6 +413,7 @@
 struct LoopLag
 {
     std::chrono::microseconds mean{0}; ///< Mean over about a second. A mean in whole milliseconds would never fall, because the steps are short.
+    std::chrono::microseconds peak{0}; ///< Largest lag, which fades within some seconds.
     TimePoint measuredAt;
 
     friend bool operator==(const LoopLag &, const LoopLag &) = default;
@@ -498,6 +499,12 @@
 /// True if a proof has confirmed the configuration recently enough to act on it.
 bool isProofFresh(const WorkflowBoard &board);
 
+/// Time from a readiness check to the last moment at which its answer is read.
+Duration readinessTimeout(const WorkflowBoard &board);
+
+/// When the latest round of readiness checks is no longer recent.
+TimePoint nextReadinessRound(const WorkflowBoard &board);
+
 /// Sends readiness checks to some other hosts, unless the latest round is recent.
 void askOtherHosts(WorkflowBoard &board);
 
--- a/workflow/workflowstep.cpp
+++ b/workflow/workflowstep.cpp
@@ -14,7 +14,10 @@
 // Time over which the timer lag is averaged.
 constexpr std::chrono::duration<double> lagWindow{1.0};
 
-// The lag of one step is limited to twice the mean plus this time, which is one period of the processor quota. The single very large lag of a host that was
+// Time over which the largest lag fades. Lags of a host with little processor time come with bursts of work, such as new configurations.
+constexpr std::chrono::duration<double> peakWindow{5.0};
+
+// The lag of one step is limited to twice the mean (or the peak) plus this time, which is one period of the processor quota. The single very large lag of a host that was
 // suspended then raises the mean only a little, whereas the repeated lags of a host without processor time raise it fully.
 constexpr Duration lagRise{100};
 
@@ -39,8 +42,12 @@
     if (!due || *due > now) {
         return lag;
     }
-    const double weight = std::min(1.0, std::chrono::duration<double>(now - lag.measuredAt) / lagWindow);
-    const auto late = std::min<std::chrono::microseconds>(now - std::max(*due, previousStep), 2 * lag.mean + lagRise);
+    const auto elapsed = std::chrono::duration<double>(now - lag.measuredAt);
+    const double weight = std::min(1.0, elapsed / lagWindow);
+    const std::chrono::microseconds whole = now - std::max(*due, previousStep);
+    const auto late = std::min<std::chrono::microseconds>(whole, 2 * lag.mean + lagRise);
+    const auto faded = std::chrono::duration_cast<std::chrono::microseconds>(lag.peak * std::max(0.0, 1.0 - elapsed / peakWindow));
+    lag.peak = std::max(faded, std::min<std::chrono::microseconds>(whole, 2 * lag.peak + lagRise));
     lag.mean += std::chrono::duration_cast<std::chrono::microseconds>((late - lag.mean) * weight);
     lag.measuredAt = now;
     return lag;
