Refuse calls whose proof is late while other hosts are ready

Callers saw: submissions kept until just before their deadline by a host that had had no proof of its configuration for seconds, while other hosts could have served them.

Cause: a call in CallerStep::Proving waited until its answer was due.

Change: a call whose proof has not come within the time in which the store answers a host that is well is refused with a retry at once, provided that at least half of the hosts asked are ready; otherwise it waits, because a retry would most likely wait as well. A call that waits for a newer proof while a recent one exists is not refused.

--- a/tests/testcallerdeadline.cpp
+++ b/tests/testcallerdeadline.cpp
@@ -140,6 +140,71 @@
     EXPECT_FALSE(answerTo(query(id(1), "h2"), callerTimeout).refusal);
 }
 
+// Guards against keeping a caller until its deadline although another host could serve it.
+TEST_F(CallerDeadline, callWhoseProofIsLateIsRefusedSoonIfAnotherHostIsReady)
+{
+    delayProof(never);
+    const auto before = now;
+    const auto refusal = answerTo(submit(id(1), work(), {}, "h2")).refusal;
+    ASSERT_TRUE(refusal);
+    EXPECT_EQ(refusal->run, RequestEffect::NotRun);
+    EXPECT_LT(refusal->retryAfter, Duration{100});
+    EXPECT_LT(now - before, settings.limits.storeTimeout + Duration{50});
+}
+
+// Guards against keeping callers longer the later the store answers their host.
+TEST_F(CallerDeadline, callWhoseProofIsLateIsRefusedSoonByAHostWithALateStore)
+{
+    delayProof(never);
+    const Duration late{1'000};
+    board("h2").storeAnswers = {late, late};
+    const auto before = now;
+    ASSERT_TRUE(answerTo(submit(id(1), work(), {}, "h2")).refusal);
+    EXPECT_LT(now - before, settings.limits.storeTimeout + Duration{50});
+}
+
+TEST_F(CallerDeadline, callIsServedAfterTheGapOfOneLateProof)
+{
+    delayProof(settings.limits.storeTimeout - Duration{50});
+    EXPECT_FALSE(answerTo(submit(id(1), work(), {}, "h2")).refusal);
+}
+
+// Guards against hosts that refuse in turn, so that callers use up their retries while a proof would have come in time.
+TEST_F(CallerDeadline, callWaitsForItsProofWhileNoHostIsReady)
+{
+    addHost("h3", "b");
+    run(Duration{1'500});
+    const std::vector<std::string> hosts{"h1", "h2", "h3"};
+    std::vector<CallId> calls;
+    for (const auto &host : hosts) {
+        delayProof(Duration{1'500}, host);
+        calls.push_back(submit(id(static_cast<int>(calls.size()) + 1), work(), {}, host));
+    }
+    std::ranges::for_each(calls, [this](CallId call) { EXPECT_FALSE(answerTo(call).refusal); });
+}
+
+TEST_F(CallerDeadline, callWaitsForItsProofWhileMostHostsAreNotReady)
+{
+    addHost("h3", "b");
+    addHost("h4", "b");
+    run(Duration{1'500});
+    delayProof(Duration{2'500}, "h3");
+    delayProof(Duration{2'500}, "h4");
+    delayProof(Duration{1'500});
+    EXPECT_FALSE(answerTo(submit(id(1), work(), {}, "h2")).refusal);
+}
+
+TEST_F(CallerDeadline, callWhoseProofIsLateIsRefusedOnceAnotherHostIsReady)
+{
+    delayProof(Duration{1'000}, "h1");
+    delayProof(never);
+    const auto before = now;
+    const auto refusal = answerTo(submit(id(1), work(), {}, "h2")).refusal;
+    ASSERT_TRUE(refusal);
+    EXPECT_LT(refusal->retryAfter, Duration{100});
+    EXPECT_LT(now - before, Duration{1'000} + settings.limits.readinessAge + Duration{50});
+}
+
 // Guards against a planned stop that cuts off calls which wait for a proof.
 TEST_F(CallerDeadline, callThatWaitsForItsProofAtAPlannedStopIsAnsweredBeforeTheHostIsIdle)
 {
--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -180,6 +180,13 @@
     }
 }
 
+/// From this time on the call's proof counts as late. Every proof can be late for a moment, so the call waits for the time in which the store answers a host
+/// that is well, however long this host has to wait for the store.
+TimePoint proofLateAt(const WorkflowBoard &board, const OpenCallerCall &call)
+{
+    return call.provingSince + timeoutWithLag(board, board.self.limits.storeTimeout);
+}
+
 void continueCall(WorkflowBoard &board, const OpenCallerCall &call)
 {
     if (call.step == CallerStep::Refusing) {
@@ -210,6 +217,8 @@
         refuse(board, call, RefusalReason::StoreUnavailable, "the newest configuration cannot be decoded");
     } else if (call.step == CallerStep::Proving && isProofFresh(board) && !awaitsProof(board, call)) {
         handle(board, call);
+    } else if (call.step == CallerStep::Proving && !isProofFresh(board) && board.now >= proofLateAt(board, call) && areMostOtherHostsReady(board)) {
+        refuse(board, call, RefusalReason::StoreUnavailable, "the proof of the configuration is late, and other hosts are ready");
     } else if (call.step == CallerStep::WritingTombstone && !call.call && !hasTombstoneLease(board)) {
         if (!board.tombstones.grant) {
             refuse(board, call, RefusalReason::StoreUnavailable, "the store has granted no lease");
@@ -219,10 +228,12 @@
     }
 }
 
-/// When other hosts are asked whether they could serve the caller: so early that their answers are known when the call has to be answered.
+/// When other hosts are asked whether they could serve the caller: so early that their answers are known when the call has to be answered, and once its proof
+/// is late.
 TimePoint askOthersAt(const WorkflowBoard &board, const OpenCallerCall &call)
 {
-    return latestAnswer(board, call) - readinessTimeout(board);
+    const auto last = latestAnswer(board, call) - readinessTimeout(board);
+    return call.step == CallerStep::Proving && !isProofFresh(board) ? std::min(last, proofLateAt(board, call)) : last;
 }
 
 /// When the call has to be considered again, even if nothing happens before.
@@ -247,6 +258,7 @@
             OpenCallerCall call;
             call.request = *request;
             call.receivedAt = board.now;
+            call.provingSince = board.now;
             putCall(board, std::move(call));
         } else if (const auto *abandoned = std::get_if<CallAbandoned>(&event)) {
             board.calls.erase(abandoned->id);
--- a/workflow/callerwrites.cpp
+++ b/workflow/callerwrites.cpp
@@ -135,6 +135,7 @@
         board.view.nextProofAt = board.now;
     }
     call.step = CallerStep::Proving;
+    call.provingSince = board.now;
     call.call.reset();
     subscribeNoLaterThan(board.timers, "proof", board.now);
     putCall(board, std::move(call));
@@ -246,6 +247,7 @@
     call.call.reset();
     if (awaitsProof(board, call)) {
         call.step = CallerStep::Proving;
+        call.provingSince = board.now;
     }
     putCall(board, std::move(call));
 }
--- a/workflow/hostdirectory.cpp
+++ b/workflow/hostdirectory.cpp
@@ -130,6 +130,7 @@
         }
         if (reply->isReady) {
             directory.lastReadyAt = board.now;
+            ++directory.ready;
         }
     }
 }
@@ -153,6 +154,12 @@
     return directory.lastReadyAt && board.now - *directory.lastReadyAt <= readinessAge(board);
 }
 
+bool areMostOtherHostsReady(const WorkflowBoard &board)
+{
+    const auto &directory = board.directory;
+    return isRoundRecent(board) && directory.ready > 0 && 2 * directory.ready >= directory.asked;
+}
+
 TimePoint nextReadinessRound(const WorkflowBoard &board)
 {
     const auto &checkedAt = board.directory.checkedAt;
@@ -167,6 +174,7 @@
     }
     directory.checkedAt = board.now;
     directory.checks.clear();
+    directory.ready = 0;
     std::vector<HostRecord> others;
     std::ranges::transform(directory.hosts, std::back_inserter(others), [](const auto &row) { return row.second; });
     // Hosts of other zones come first, because an outage that affects this host often affects its whole zone.
@@ -181,6 +189,7 @@
         directory.checks.insert(check.id);
         board.outbox.emplace_back(std::move(check));
     }
+    directory.asked = others.size();
 }
 
 void followHosts(WorkflowBoard &board)
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -348,6 +348,7 @@
     CallerRequest request;
     CallerStep step = CallerStep::Proving;
     TimePoint receivedAt;
+    TimePoint provingSince;                ///< When the call began to wait for a fresh proof.
     TimePoint answerBy = TimePoint::max(); ///< Limit of the time of the answer, beside the one that the caller's deadline sets.
     std::optional<CallId> call;
     TimePoint sentAt;                     ///< When the newest write was sent.
@@ -403,6 +404,8 @@
     long long lease = 0;
     TimePoint nextCallAt;
     std::set<CallId> checks;              ///< Unanswered readiness checks of the latest round.
+    std::size_t asked = 0;                ///< Number of readiness checks in the latest round.
+    std::size_t ready = 0;                ///< Number of hosts that have answered them that they are ready.
     std::optional<TimePoint> checkedAt;   ///< When the latest round of readiness checks began.
     std::optional<TimePoint> lastReadyAt; ///< When another host last answered that it is ready.
 
@@ -513,6 +516,9 @@
 
 bool isAnotherHostReady(const WorkflowBoard &board);
 
+/// True if at least half of the hosts that were asked in a recent round are ready.
+bool areMostOtherHostsReady(const WorkflowBoard &board);
+
 /// Adds a line to the log. `job` may be empty.
 void logDecision(WorkflowBoard &board, std::string step, std::string peer, std::string job, std::string message, bool isError = false);
 
