--- a/workflow/callerwrites.cpp
+++ b/workflow/callerwrites.cpp
@@ -14,6 +14,12 @@
 namespace
 {
 
+/// True if the answer to the call's write may only be waiting behind copies of the configuration.
+bool mayWaitBehindCopies(const WorkflowBoard &board, const OpenCallerCall &call)
+{
+    return board.view.isCatchingUp || board.view.adoptedAt >= std::optional(call.receivedAt);
+}
+
 // Number of unanswered sendings of a write after which this host is probably cut off from the store, unless it has received a configuration meanwhile. The
 // caller is then better served by another host, which can find out whether the write took effect.
 constexpr int maxUnansweredWrites = 2;
@@ -129,6 +135,7 @@
         board.view.nextProofAt = board.now;
     }
     call.step = CallerStep::Proving;
+    call.provingSince = board.now;
     call.call.reset();
     subscribeNoLaterThan(board.timers, "proof", board.now);
     putCall(board, std::move(call));
@@ -137,6 +144,8 @@
 /// Answers a submission whose id belongs to a stored workflow. Only the same submission is accepted; any other one would be told of success and never run.
 void handleStoredWorkflow(WorkflowBoard &board, OpenCallerCall call, const Workflow &stored)
 {
+    // The workflow may be the caller's own, sent once more. If a newer configuration refuses the caller, the answer must not say that it will not run.
+    call.mayBeStored = true;
     const auto routed = route(board, call);
     if (!routed) {
         return;
@@ -171,6 +180,10 @@
         refuse(board, call, RefusalReason::Cancelled, "the workflow was cancelled");
         return;
     }
+    if (!reply.error.empty()) {
+        refuse(board, call, RefusalReason::Timeout, "an entry that the write depends on cannot be decoded: " + reply.error);
+        return;
+    }
     handleAgain(board, std::move(call), reply);
 }
 
@@ -192,17 +205,6 @@
 
 }
 
-namespace
-{
-
-/// True if the answer to the call's write may only be waiting behind copies of the configuration.
-bool mayWaitBehindCopies(const WorkflowBoard &board, const OpenCallerCall &call)
-{
-    return board.view.isCatchingUp || board.view.adoptedAt >= std::optional(call.receivedAt);
-}
-
-}
-
 void handleWriteReply(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
 {
     const bool isTombstone = call.step == CallerStep::WritingTombstone;
@@ -245,6 +247,7 @@
     call.call.reset();
     if (awaitsProof(board, call)) {
         call.step = CallerStep::Proving;
+        call.provingSince = board.now;
     }
     putCall(board, std::move(call));
 }
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -348,7 +348,8 @@
     CallerRequest request;
     CallerStep step = CallerStep::Proving;
     TimePoint receivedAt;
-    TimePoint answerBy;
+    TimePoint provingSince;                ///< When the call began to wait for a fresh proof.
+    TimePoint answerBy = TimePoint::max(); ///< Limit of the time of the answer, beside the one that the caller's deadline sets.
     std::optional<CallId> call;
     TimePoint sentAt;                     ///< When the newest write was sent.
     Revision requiredRevision = 0;        ///< Revision of the configuration on which that write is conditional; zero if it is not.
@@ -403,6 +404,8 @@
     long long lease = 0;
     TimePoint nextCallAt;
     std::set<CallId> checks;              ///< Unanswered readiness checks of the latest round.
+    std::size_t asked = 0;                ///< Number of readiness checks in the latest round.
+    std::size_t ready = 0;                ///< Number of hosts that have answered them that they are ready.
     std::optional<TimePoint> checkedAt;   ///< When the latest round of readiness checks began.
     std::optional<TimePoint> lastReadyAt; ///< When another host last answered that it is ready.
 
@@ -413,6 +416,7 @@
 struct LoopLag
 {
     std::chrono::microseconds mean{0}; ///< Mean over about a second. A mean in whole milliseconds would never fall, because the steps are short.
+    std::chrono::microseconds peak{0}; ///< Largest lag, which fades within some seconds.
     TimePoint measuredAt;
 
     friend bool operator==(const LoopLag &, const LoopLag &) = default;
@@ -498,6 +502,12 @@
 /// True if a proof has confirmed the configuration recently enough to act on it.
 bool isProofFresh(const WorkflowBoard &board);
 
+/// Time from a readiness check to the last moment at which its answer is read.
+Duration readinessTimeout(const WorkflowBoard &board);
+
+/// When the latest round of readiness checks is no longer recent.
+TimePoint nextReadinessRound(const WorkflowBoard &board);
+
 /// Sends readiness checks to some other hosts, unless the latest round is recent.
 void askOtherHosts(WorkflowBoard &board);
 
@@ -506,6 +516,9 @@
 
 bool isAnotherHostReady(const WorkflowBoard &board);
 
+/// True if at least half of the hosts that were asked in a recent round are ready.
+bool areMostOtherHostsReady(const WorkflowBoard &board);
+
 /// Adds a line to the log. `job` may be empty.
 void logDecision(WorkflowBoard &board, std::string step, std::string peer, std::string job, std::string message, bool isError = false);
 
