Accept connections again after a full HTTP server has emptied

A listener that once had as many connections as it allows accepted no other any more after these had been closed, until the process was restarted: readiness, metrics and callers alike got no answer.

A full libmicrohttpd takes its listening socket out of its epoll set and puts it back at the start of its next run. It is run only when that epoll set is ready or one of its timers is due. If all connections are closed in one run, nothing is watched any more and no other run comes. Now the server runs it once more after each run that has closed a connection.

--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -192,8 +192,9 @@
 void HttpServer::runDaemon()
 {
     MHD_run(m_daemon);
-    if (std::exchange(m_hasRefusedTarget, false)) {
-        // libmicrohttpd closes such a connection in its next run only.
+    // libmicrohttpd closes a connection with a refused target in its next run only, and in that run it also begins to accept again if all connections that it
+    // allows were open and some have been closed.
+    while (std::exchange(m_needsAnotherRun, false)) {
         MHD_run(m_daemon);
     }
     MHD_UNSIGNED_LONG_LONG waitMs = 0;
@@ -467,6 +468,7 @@
         m_drain.add(found->second->descriptor);
     }
     m_connections.erase(found);
+    m_needsAnotherRun = true;
 }
 
 void HttpServer::onConnectionRaw(void *self, MHD_Connection *connection, void **, MHD_ConnectionNotificationCode code)
@@ -497,7 +499,7 @@
     }
     if (!isTargetWithinLimits(uri, server.m_limits)) {
         server.refuse(*raw, connection, HttpLimit::HeaderTooLarge);
-        server.m_hasRefusedTarget = true;
+        server.m_needsAnotherRun = true;
     }
     return raw;
 }
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -117,7 +117,7 @@
     std::map<HttpRequestId, std::unique_ptr<Request>> m_requests;
     std::map<MHD_Connection *, std::unique_ptr<Connection>> m_connections;
     HttpRequestId m_nextId = 1;
-    bool m_hasRefusedTarget = false;
+    bool m_needsAnotherRun = false;
 };
 
 }
