Decode a limited number of peer frames before each step

Eight peers that sent 20,000 frames of 20 bytes each, 3 MB in all, brought the process to 378 MB. All complete frames of a connection were decoded as soon as they had been read, and an event takes more than a hundred times as much memory as the smallest frame. The step that handles events runs only after all sockets have been read.

A connection now decodes 64 frames a turn of the loop and reads no more bytes while complete frames wait, so the events that wait for a step are bounded by the number of connections.

Unit tests show that no frame of a burst is lost, also if its sender closes, and that the events of a burst are spread over turns.

--- a/net/peerlistener.cpp
+++ b/net/peerlistener.cpp
@@ -24,12 +24,17 @@
 // holds the total number of received frames.
 constexpr std::size_t maxQueuedAcknowledgementBytes = std::size_t{64} * 1024;
 
+// Frames that are decoded from a connection before the next step handles them. An event takes a hundred times as much memory as the smallest frame, so events
+// of all frames that a connection holds could exhaust the memory.
+constexpr int framesPerTurn = 64;
+
 }
 
 struct PeerListener::IncomingConnection
 {
-    IncomingConnection(EventLoop &loop, SocketWatch::Callback onReady, Timer::Callback onIdle)
+    IncomingConnection(EventLoop &loop, SocketWatch::Callback onReady, Timer::Callback onTurn, Timer::Callback onIdle)
         : watch(loop, std::move(onReady))
+        , turnTimer(loop, std::move(onTurn))
         , idleTimer(loop, std::move(onIdle))
     {
     }
@@ -45,7 +50,9 @@
     std::string input;
     std::string output;
     long long receivedFrames = 0;
+    ReadResult end = ReadResult::WouldBlock; ///< How the last read ended.
     SocketWatch watch;
+    Timer turnTimer; ///< Active while complete frames wait to be decoded; no more bytes are read meanwhile.
     Timer idleTimer;
 };
 
@@ -111,7 +118,10 @@
         }
         setNoDelay(descriptor);
         auto link = std::make_unique<IncomingConnection>(
-            m_loop, [this, descriptor](int events) { onIncomingReady(descriptor, events); }, [this, descriptor] { closeIncoming(descriptor, "idle"); });
+            m_loop,
+            [this, descriptor](int events) { onIncomingReady(descriptor, events); },
+            [this, descriptor] { handleInput(*m_incoming.at(descriptor)); },
+            [this, descriptor] { closeIncoming(descriptor, "idle"); });
         link->descriptor = descriptor;
         link->address = toString(address);
         link->watch.watch(descriptor, EV_READ);
@@ -125,26 +135,37 @@
     auto &link = *m_incoming.at(descriptor);
     if ((events & EV_READ) != 0) {
         link.idleTimer.startIn(m_limits.idle);
-        const auto end = readAvailable(link.input, descriptor, maxPeerFrameBytes);
-        if (!handleFrames(link)) {
-            return;
-        }
-        if (end != ReadResult::WouldBlock) {
-            closeIncoming(descriptor, end == ReadResult::Closed && link.input.empty() ? std::string{} : "connection closed within a frame");
-            return;
-        }
+        link.end = readAvailable(link.input, descriptor, maxPeerFrameBytes);
+        handleInput(link);
+        return;
+    }
+    acknowledge(link);
+}
+
+void PeerListener::handleInput(IncomingConnection &link)
+{
+    const auto handled = handleFrames(link);
+    if (!handled) {
+        return;
+    }
+    if (*handled == framesPerTurn) {
+        link.turnTimer.startIn(Duration{0});
+    } else if (link.end != ReadResult::WouldBlock) {
+        closeIncoming(link.descriptor, link.end == ReadResult::Closed && link.input.empty() ? std::string{} : "connection closed within a frame");
+        return;
     }
     acknowledge(link);
 }
 
-bool PeerListener::handleFrames(IncomingConnection &link)
+std::optional<int> PeerListener::handleFrames(IncomingConnection &link)
 {
     std::size_t begin = 0;
-    while (true) {
+    int handled = 0;
+    for (; handled < framesPerTurn; ++handled) {
         auto read = decodePeerFrame(std::string_view(link.input).substr(begin), link.peerName());
         if (!read.ok()) {
             closeIncoming(link.descriptor, std::string(read.status().message()));
-            return false;
+            return std::nullopt;
         }
         if (!*read) {
             break;
@@ -152,7 +173,7 @@
         auto &frame = (*read)->frame;
         if (frame.sender.value.empty() || frame.sender == m_self || (!link.sender.value.empty() && frame.sender != link.sender)) {
             closeIncoming(link.descriptor, absl::StrCat("unexpected sender \"", frame.sender.value, "\""));
-            return false;
+            return std::nullopt;
         }
         link.sender = frame.sender;
         begin += (*read)->byteCount;
@@ -165,7 +186,7 @@
     if (begin > 0 && link.output.size() < maxQueuedAcknowledgementBytes) {
         link.output += encodePeerFrame({m_self, std::nullopt, link.receivedFrames});
     }
-    return true;
+    return handled;
 }
 
 void PeerListener::acknowledge(IncomingConnection &link)
@@ -178,7 +199,7 @@
         }
         link.output.erase(0, static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
     }
-    link.watch.watch(link.descriptor, EV_READ | (link.output.empty() ? 0 : EV_WRITE));
+    link.watch.watch(link.descriptor, (link.turnTimer.isActive() ? 0 : EV_READ) | (link.output.empty() ? 0 : EV_WRITE));
 }
 
 void PeerListener::closeIncoming(int descriptor, const std::string &reason)
--- a/net/peerlistener.h
+++ b/net/peerlistener.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace sequoiastand
@@ -46,7 +47,10 @@
 
     void onAccept();
     void onIncomingReady(int descriptor, int events);
-    bool handleFrames(IncomingConnection &link);
+    void handleInput(IncomingConnection &link);
+
+    /// Handles complete frames up to the limit of a turn and returns their number. Returns nothing if it has closed the connection.
+    std::optional<int> handleFrames(IncomingConnection &link);
     void acknowledge(IncomingConnection &link);
     void closeIncoming(int descriptor, const std::string &reason);
 
--- a/tests/testpeerlink.cpp
+++ b/tests/testpeerlink.cpp
@@ -6,6 +6,8 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace sequoiastand
 {
 
@@ -144,6 +146,44 @@
     EXPECT_EQ(1U, m_events.size());
 }
 
+// Guards against frames that are lost, or left unread, when more arrive at once than are handled before the next step.
+TEST_F(PeerLinkPair, framesBeyondATurnArriveAlsoAfterTheirSenderHasClosed)
+{
+    constexpr int count = 1'000;
+    std::string frames;
+    for (int number = 0; number < count; ++number) {
+        frames += encodePeerFrame({{"c1"}, Handover{{"a"}, number}, std::nullopt});
+    }
+    RawClient client(m_loop, m_listener.port());
+    client.send(frames);
+    client.endSending();
+
+    ASSERT_TRUE(wait([this] { return m_events.size() == count; }));
+    EXPECT_EQ(Event(PeerMessageReceived{{"c1"}, Handover{{"a"}, count - 1}}), m_events.back());
+    EXPECT_TRUE(wait([this] { return m_listener.connectionCount() == 0; }));
+    EXPECT_TRUE(m_errors.empty());
+}
+
+// Guards against a burst of small frames that takes a hundred times its size as events before any of them is handled.
+TEST_F(PeerLinkPair, eventsOfABurstAreSpreadOverTurnsOfTheLoop)
+{
+    std::string frames;
+    for (int number = 0; number < 1'000; ++number) {
+        frames += encodePeerFrame({{"c1"}, Handover{{"a"}, number}, std::nullopt});
+    }
+    RawClient client(m_loop, m_listener.port());
+    client.send(frames);
+
+    std::size_t handled = 0;
+    std::size_t mostAtOnce = 0;
+    ASSERT_TRUE(wait([&] {
+        mostAtOnce = std::max(mostAtOnce, m_events.size() - handled);
+        handled = m_events.size();
+        return handled == 1'000;
+    }));
+    EXPECT_LE(mostAtOnce, 128U);
+}
+
 TEST_F(PeerLinkPair, connectionBeyondTheLimitIsClosed)
 {
     RawClient first(m_loop, m_listener.port());
