Close peer connections without frames for new ones

No peer reached a host whose peer listener was held by 64 connections that sent nothing: each was kept for 60 s, and every new one was closed at once, also that of a peer.

The listener closed the newest connection, whatever the others had done. Now a connection that has never sent a frame, then one that has sent none for 10 s, gives way to a new one, the longest silent first. A new connection is refused only while all others send frames. The decision is a free function (net/peerintake). Peers send heartbeats every second or so and connect again when closed, so they displace a crowd and keep their place. The number of connections can be set (peers.maxConnections, 64 as before), and counters tell replaced from refused connections.

--- a/app/settings.cpp
+++ b/app/settings.cpp
@@ -90,6 +90,11 @@
     reader.read("idleTimeoutMs", http.idleTimeout, Duration{10}, hours{1});
 }
 
+void readPeers(SettingsReader &reader, PeerListenerLimits &peers)
+{
+    reader.read("maxConnections", peers.maxConnections, std::size_t{1}, std::size_t{10'000});
+}
+
 void readLog(SettingsReader &reader, LogSettings &log)
 {
     reader.read("file", log.file, {[](const std::string &text) { return !text.empty(); }, "the path of a file"});
@@ -169,6 +174,7 @@
         true);
     reader.readObject("hostList", [&](SettingsReader &nested) { nested.read("address", loop.hostListAddress, addressRule, true); });
     reader.readObject("http", [&](SettingsReader &nested) { readHttp(nested, loop.http); });
+    reader.readObject("peers", [&](SettingsReader &nested) { readPeers(nested, loop.peerListener); });
     reader.readObject("limits", [&](SettingsReader &nested) { readLimits(nested, loop.host.limits); });
     reader.read("bootstrapAdministratorTokenHash", loop.callers.bootstrapAdministratorTokenHash, hashRule);
 }
--- a/net/hostloop.cpp
+++ b/net/hostloop.cpp
@@ -195,6 +195,8 @@
                            {"httpOpenRequests", static_cast<double>(m_server.openRequests())},
                            {"clientOpenCalls", static_cast<double>(m_http.openCalls())},
                            {"peerIncomingConnections", static_cast<double>(m_peerListener.connectionCount())},
+                           {"peerConnectionsRefused", static_cast<double>(m_peerListener.connectionEnds().refused)},
+                           {"peerConnectionsReplaced", static_cast<double>(m_peerListener.connectionEnds().replaced)},
                            {"storeWatchOpen", m_store.isWatching() ? 1 : 0}});
 }
 
--- a/net/peerlistener.cpp
+++ b/net/peerlistener.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <iterator>
 #include <utility>
 
 namespace sequoiastand
@@ -50,6 +51,7 @@
     std::string input;
     std::string output;
     long long receivedFrames = 0;
+    TimePoint progressAt = EventLoop::now(); ///< When the latest frame was complete, or the connection was accepted.
     ReadResult end = ReadResult::WouldBlock; ///< How the last read ended.
     SocketWatch watch;
     Timer turnTimer; ///< Active while complete frames wait to be decoded; no more bytes are read meanwhile.
@@ -111,7 +113,8 @@
         if (descriptor < 0) {
             return;
         }
-        if (m_incoming.size() >= m_limits.maxConnections) {
+        if (m_incoming.size() >= m_limits.maxConnections && !makeRoom()) {
+            ++m_ends.refused;
             m_reportError("acceptPeer", toString(address), absl::StrCat("refused: ", m_incoming.size(), " connections are open"));
             ::close(descriptor);
             continue;
@@ -130,6 +133,27 @@
     }
 }
 
+std::vector<PeerIntake> PeerListener::intakes() const
+{
+    std::vector<PeerIntake> connections;
+    std::ranges::transform(m_incoming, std::back_inserter(connections), [](const auto &row) {
+        const auto &link = *row.second;
+        return PeerIntake{link.descriptor, link.receivedFrames > 0, link.progressAt};
+    });
+    return connections;
+}
+
+bool PeerListener::makeRoom()
+{
+    const auto descriptor = connectionToReplace(intakes(), EventLoop::now());
+    if (!descriptor) {
+        return false;
+    }
+    ++m_ends.replaced;
+    closeIncoming(*descriptor, absl::StrCat("closed for a new connection: ", m_incoming.size(), " connections are open"));
+    return true;
+}
+
 void PeerListener::onIncomingReady(int descriptor, int events)
 {
     auto &link = *m_incoming.at(descriptor);
@@ -178,6 +202,7 @@
         link.sender = frame.sender;
         begin += (*read)->byteCount;
         ++link.receivedFrames;
+        link.progressAt = EventLoop::now();
         if (frame.message) {
             m_post(PeerMessageReceived{frame.sender, *std::move(frame.message)});
         }
--- a/net/peerlistener.h
+++ b/net/peerlistener.h
@@ -3,6 +3,7 @@
 #include "core/identifier.h"
 #include "eventloop.h"
 #include "eventsink.h"
+#include "peerintake.h"
 
 #include <absl/status/status.h>
 
@@ -10,18 +11,28 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace sequoiastand
 {
 
 struct PeerListenerLimits
 {
-    Duration idle{60'000}; ///< Time without data after which a connection is closed; peers send a heartbeat at least every few seconds.
-    std::size_t maxConnections = 64;
+    Duration idle{60'000};           ///< Time without data after which a connection is closed; peers send a heartbeat at least every few seconds.
+    std::size_t maxConnections = 64; ///< Beyond this number, a connection that sends no frames gives way to a new one.
 
     friend bool operator==(const PeerListenerLimits &, const PeerListenerLimits &) = default;
 };
 
+/// Number of incoming connections that were closed or refused to keep within the limits.
+struct PeerConnectionEnds
+{
+    long long refused = 0;  ///< As many peers as allowed were connected.
+    long long replaced = 0; ///< A connection without frames was closed for a new one.
+
+    friend bool operator==(const PeerConnectionEnds &, const PeerConnectionEnds &) = default;
+};
+
 /// Incoming connections from the other entry hosts. Each message is posted as a PeerMessageReceived event; only acknowledgements are sent back. A malformed
 /// frame closes its connection.
 class PeerListener
@@ -42,9 +53,19 @@
         return m_incoming.size();
     }
 
+    const PeerConnectionEnds &connectionEnds() const
+    {
+        return m_ends;
+    }
+
 private:
     struct IncomingConnection;
 
+    std::vector<PeerIntake> intakes() const;
+
+    /// Closes a connection to make room for a new one. Returns false if all connections are in use by peers.
+    bool makeRoom();
+
     void onAccept();
     void onIncomingReady(int descriptor, int events);
     void handleInput(IncomingConnection &link);
@@ -62,6 +83,7 @@
     int m_listener = -1;
     SocketWatch m_listenerWatch;
     std::map<int, std::unique_ptr<IncomingConnection>> m_incoming;
+    PeerConnectionEnds m_ends;
 };
 
 }
