Read a peer frame of the maximum size to its end

A frame of the maximum size (64 MiB) of which the last bytes came late kept the process busy for ever: the loop did not sleep any more, and the frame was never read to its end.

The listener stopped reading once it held as many bytes as a frame may have without its length field, four bytes before the end of the largest frame. The socket stayed readable, so the loop called it again at once. Now each turn reads up to 64 KiB more than the connection holds, whatever it holds. The length field is checked as soon as it has arrived, so the connection still cannot hold more than one frame and 64 KiB.

PeerLinkPair.frameOfTheMaximumSizeIsReadToItsEnd was red (the connection was not closed for its malformed message within 10 s) and is green (x86_64).

--- a/net/peerlistener.cpp
+++ b/net/peerlistener.cpp
@@ -25,6 +25,9 @@
 // holds the total number of received frames.
 constexpr std::size_t maxQueuedAcknowledgementBytes = std::size_t{64} * 1024;
 
+// Bytes that are read from a connection before all others have their turn.
+constexpr std::size_t readBytesPerTurn = std::size_t{64} * 1024;
+
 // Frames that are decoded from a connection before the next step handles them. An event takes a hundred times as much memory as the smallest frame, so events
 // of all frames that a connection holds could exhaust the memory.
 constexpr int framesPerTurn = 64;
@@ -159,7 +162,7 @@
     auto &link = *m_incoming.at(descriptor);
     if ((events & EV_READ) != 0) {
         link.idleTimer.startIn(m_limits.idle);
-        link.end = readAvailable(link.input, descriptor, maxPeerFrameBytes);
+        link.end = readAvailable(link.input, descriptor, link.input.size() + readBytesPerTurn);
         handleInput(link);
         return;
     }
--- a/tests/testpeerlink.cpp
+++ b/tests/testpeerlink.cpp
@@ -135,6 +135,24 @@
     EXPECT_TRUE(m_events.empty());
 }
 
+// Guards against a loop that never sleeps: a frame of the maximum size that was read up to its last bytes was neither read on nor closed.
+TEST_F(PeerLinkPair, frameOfTheMaximumSizeIsReadToItsEnd)
+{
+    const std::string head("\x04\x00\x00\x00\x01", 5);
+    static_assert(maxPeerFrameBytes == 0x0400'0000);
+    RawClient client(m_loop, m_listener.port());
+    client.send(head);
+    const std::string piece(std::size_t{64} * 1024, '\xff');
+    for (std::size_t sent = 2; sent < maxPeerFrameBytes; sent += piece.size()) {
+        client.send(piece.substr(0, maxPeerFrameBytes - sent));
+        m_loop.runUntil([] { return false; }, Duration{1});
+    }
+    client.send("x");
+
+    ASSERT_TRUE(wait([&client] { return client.isClosedByPeer(); }));
+    EXPECT_THAT(m_errors, Contains(HasSubstr("readPeerFrame: 127.0.0.1:")));
+}
+
 // Guards against a host that sends messages in the name of another host.
 TEST_F(PeerLinkPair, changedSenderClosesTheConnection)
 {
