Limit what a peer sends instead of acknowledgements

A host connects to the address that a heartbeat names. Whoever listens there could send frames of up to 64 MiB on that connection, and stop before their end: each link kept them, and links are as many as the hosts that heartbeats have named.

Only acknowledgements of about 20 bytes are sent on such a connection. One that holds more than 64 KiB of an incomplete frame is now closed, and its messages are dropped as with any other failure.

PeerLinkPair.largeFrameInsteadOfAnAcknowledgementClosesTheConnection was red (the link failed only for the missing acknowledgement, after 10 s) and is green (x86_64).

--- a/net/peerlink.cpp
+++ b/net/peerlink.cpp
@@ -16,6 +16,14 @@
 namespace sequoiastand
 {
 
+namespace
+{
+
+// Bytes of an incomplete frame that a peer may send on an outgoing connection. Only acknowledgements of about 20 bytes are expected there.
+constexpr std::size_t maxAcknowledgementBytes = std::size_t{64} * 1024;
+
+}
+
 struct PeerLinks::OutgoingConnection
 {
     OutgoingConnection(EventLoop &loop, SocketWatch::Callback onReady, Timer::Callback onRetry, Timer::Callback onTimeout)
@@ -163,7 +171,7 @@
 
 bool PeerLinks::readAcknowledgements(OutgoingConnection &link)
 {
-    const auto end = readAvailable(link.input, link.descriptor, maxPeerFrameBytes);
+    const auto end = readAvailable(link.input, link.descriptor, link.input.size() + maxAcknowledgementBytes);
     while (true) {
         const auto read = decodePeerFrame(link.input, link.peerName());
         if (!read.ok()) {
@@ -181,6 +189,10 @@
         }
         link.input.erase(0, (*read)->byteCount);
     }
+    if (link.input.size() > maxAcknowledgementBytes) {
+        fail(link, "sendPeer", absl::StrCat("more than ", maxAcknowledgementBytes, " bytes without an acknowledgement"));
+        return false;
+    }
     if (end != ReadResult::WouldBlock) {
         fail(link, "sendPeer", end == ReadResult::Closed ? "closed by the peer" : std::strerror(errno));
         return false;
--- a/tests/testpeerlink.cpp
+++ b/tests/testpeerlink.cpp
@@ -103,6 +103,17 @@
     EXPECT_TRUE(wait([&unresponsive] { return unresponsive.acceptedCount() == 2; }));
 }
 
+// Guards against a peer, or another process at its address, that fills the host's memory with a frame where only acknowledgements are expected.
+TEST_F(PeerLinkPair, largeFrameInsteadOfAnAcknowledgementClosesTheConnection)
+{
+    const std::string head("\x04\x00\x00\x00\x01", 5);
+    ScriptedListener peer(m_loop, {{.answer = head + std::string(std::size_t{100} * 1024, 'x')}});
+    m_links.send({{"b1"}, peer.address(), heartbeatOf("a1")});
+
+    ASSERT_TRUE(wait([this] { return !m_errors.empty(); }));
+    EXPECT_EQ("sendPeer: b1 (" + peer.address() + "): more than 65536 bytes without an acknowledgement", m_errors[0]);
+}
+
 TEST_F(PeerLinkPair, refusedConnectIsReportedWithThePeerAndTriedAgain)
 {
     const auto address = loopbackAddress(closedPort());
