Bound the bytes that all peer connections hold

Six peer connections that each stopped a byte short of a frame of 64 MiB brought the process to 523 MB; 64 connections are allowed. Each buffer was bounded, all of them together were not. Besides, a buffer doubled whenever it was full, also at its last bytes, and kept its size after its frame.

All connections together now hold up to 65 MiB (peers.receiveBudgetBytes), so one frame of the maximum size still passes. Beyond it, connections that hold more than an equal share are closed, those that have never sent a frame first, then those that have sent none for 10 s, the largest first: small frames are never cut off for a large one. The decision is a free function (net/peerintake). From 1 MiB on, a buffer is extended to the length of its frame at once, so its bytes are not held twice, and it is released after the frame. A gauge shows the bytes held, and a counter the connections that were closed.

--- a/app/settings.cpp
+++ b/app/settings.cpp
@@ -93,6 +93,7 @@
 void readPeers(SettingsReader &reader, PeerListenerLimits &peers)
 {
     reader.read("maxConnections", peers.maxConnections, std::size_t{1}, std::size_t{10'000});
+    reader.read("receiveBudgetBytes", peers.receiveBudgetBytes, std::size_t{1024} * 1024, std::size_t{1024} * 1024 * 1024);
 }
 
 void readLog(SettingsReader &reader, LogSettings &log)
--- a/net/hostloop.cpp
+++ b/net/hostloop.cpp
@@ -197,6 +197,8 @@
                            {"peerIncomingConnections", static_cast<double>(m_peerListener.connectionCount())},
                            {"peerConnectionsRefused", static_cast<double>(m_peerListener.connectionEnds().refused)},
                            {"peerConnectionsReplaced", static_cast<double>(m_peerListener.connectionEnds().replaced)},
+                           {"peerConnectionsOverBudget", static_cast<double>(m_peerListener.connectionEnds().overBudget)},
+                           {"peerReceivedBytesHeld", static_cast<double>(m_peerListener.heldBytes())},
                            {"storeWatchOpen", m_store.isWatching() ? 1 : 0}});
 }
 
--- a/net/peerintake.cpp
+++ b/net/peerintake.cpp
@@ -1,6 +1,8 @@
 #include "peerintake.h"
 
 #include <algorithm>
+#include <numeric>
+#include <ranges>
 #include <tuple>
 
 namespace sequoiastand
@@ -26,4 +28,17 @@
     return least->descriptor;
 }
 
+std::optional<int> connectionOverBudget(const std::vector<PeerIntake> &connections, std::size_t budgetBytes, TimePoint now)
+{
+    const auto addBytes = [](std::size_t sum, const PeerIntake &connection) { return sum + connection.heldBytes; };
+    if (std::accumulate(connections.begin(), connections.end(), std::size_t{0}, addBytes) <= budgetBytes) {
+        return std::nullopt;
+    }
+    // The sum exceeds the budget, so at least one connection holds more than an equal share.
+    const auto equalShare = budgetBytes / connections.size();
+    auto largeOnes = connections | std::views::filter([equalShare](const PeerIntake &connection) { return connection.heldBytes > equalShare; });
+    const auto claim = [now](const PeerIntake &connection) { return std::tuple(!connection.hasSentFrame, isStalled(connection, now), connection.heldBytes); };
+    return std::ranges::max_element(largeOnes, {}, claim)->descriptor;
+}
+
 }
--- a/net/peerintake.h
+++ b/net/peerintake.h
@@ -13,6 +13,7 @@
 struct PeerIntake
 {
     int descriptor = -1;
+    std::size_t heldBytes = 0; ///< Received bytes of a frame that is not complete.
     bool hasSentFrame = false; ///< True once a frame was complete.
     TimePoint progressAt;      ///< When the latest frame was complete, or the connection was accepted.
 
@@ -26,4 +27,8 @@
 /// have never sent one. Nothing if all others are peers that send frames; the new connection is then refused.
 std::optional<int> connectionToReplace(const std::vector<PeerIntake> &connections, TimePoint now);
 
+/// The connection to close while all together hold more bytes than allowed. Of those that hold more than an equal share, one that has never sent a frame comes
+/// before one that has, a stalled one before one that is not, and among equal ones the one that holds the most bytes. Nothing if the bytes are within the budget.
+std::optional<int> connectionOverBudget(const std::vector<PeerIntake> &connections, std::size_t budgetBytes, TimePoint now);
+
 }
--- a/net/peerlistener.cpp
+++ b/net/peerlistener.cpp
@@ -13,6 +13,7 @@
 #include <cerrno>
 #include <cstring>
 #include <iterator>
+#include <numeric>
 #include <utility>
 
 namespace sequoiastand
@@ -25,13 +26,25 @@
 // holds the total number of received frames.
 constexpr std::size_t maxQueuedAcknowledgementBytes = std::size_t{64} * 1024;
 
-// Bytes that are read from a connection before all others have their turn.
+// Bytes that are read from a connection before all others have their turn, and before the budget of all connections is checked.
 constexpr std::size_t readBytesPerTurn = std::size_t{64} * 1024;
 
+// Size from which a buffer is extended to the length of its frame at once, and released after the frame. Doubling a large buffer would hold its bytes twice
+// while they are copied, and smaller buffers would be extended for bytes that may never arrive.
+constexpr std::size_t largeBufferBytes = std::size_t{1024} * 1024;
+
 // Frames that are decoded from a connection before the next step handles them. An event takes a hundred times as much memory as the smallest frame, so events
 // of all frames that a connection holds could exhaust the memory.
 constexpr int framesPerTurn = 64;
 
+void reserveFrame(std::string &input)
+{
+    const auto frameBytes = announcedPeerFrameBytes(input);
+    if (input.size() >= largeBufferBytes && frameBytes) {
+        input.reserve(*frameBytes + readBytesPerTurn);
+    }
+}
+
 }
 
 struct PeerListener::IncomingConnection
@@ -141,7 +154,7 @@
     std::vector<PeerIntake> connections;
     std::ranges::transform(m_incoming, std::back_inserter(connections), [](const auto &row) {
         const auto &link = *row.second;
-        return PeerIntake{link.descriptor, link.receivedFrames > 0, link.progressAt};
+        return PeerIntake{link.descriptor, link.input.size(), link.receivedFrames > 0, link.progressAt};
     });
     return connections;
 }
@@ -157,13 +170,29 @@
     return true;
 }
 
+std::size_t PeerListener::heldBytes() const
+{
+    return std::accumulate(
+        m_incoming.begin(), m_incoming.end(), std::size_t{0}, [](std::size_t sum, const auto &row) { return sum + row.second->input.size(); });
+}
+
+void PeerListener::keepWithinBudget()
+{
+    while (const auto closed = connectionOverBudget(intakes(), m_limits.receiveBudgetBytes, EventLoop::now())) {
+        ++m_ends.overBudget;
+        closeIncoming(*closed, absl::StrCat("closed within a frame: all connections together hold more than ", m_limits.receiveBudgetBytes, " bytes"));
+    }
+}
+
 void PeerListener::onIncomingReady(int descriptor, int events)
 {
     auto &link = *m_incoming.at(descriptor);
     if ((events & EV_READ) != 0) {
         link.idleTimer.startIn(m_limits.idle);
+        reserveFrame(link.input);
         link.end = readAvailable(link.input, descriptor, link.input.size() + readBytesPerTurn);
         handleInput(link);
+        keepWithinBudget();
         return;
     }
     acknowledge(link);
@@ -211,6 +240,9 @@
         }
     }
     link.input.erase(0, begin);
+    if (begin > 0 && link.input.capacity() > largeBufferBytes) {
+        link.input.shrink_to_fit();
+    }
     if (begin > 0 && link.output.size() < maxQueuedAcknowledgementBytes) {
         link.output += encodePeerFrame({m_self, std::nullopt, link.receivedFrames});
     }
--- a/net/peerlistener.h
+++ b/net/peerlistener.h
@@ -20,6 +20,7 @@
 {
     Duration idle{60'000};           ///< Time without data after which a connection is closed; peers send a heartbeat at least every few seconds.
     std::size_t maxConnections = 64; ///< Beyond this number, a connection that sends no frames gives way to a new one.
+    std::size_t receiveBudgetBytes = std::size_t{65} * 1024 * 1024; ///< Bytes that all connections may hold; a frame of the maximum size fits.
 
     friend bool operator==(const PeerListenerLimits &, const PeerListenerLimits &) = default;
 };
@@ -27,8 +28,9 @@
 /// Number of incoming connections that were closed or refused to keep within the limits.
 struct PeerConnectionEnds
 {
-    long long refused = 0;  ///< As many peers as allowed were connected.
-    long long replaced = 0; ///< A connection without frames was closed for a new one.
+    long long refused = 0;    ///< As many peers as allowed were connected.
+    long long replaced = 0;   ///< A connection without frames was closed for a new one.
+    long long overBudget = 0; ///< All connections together held more bytes than allowed.
 
     friend bool operator==(const PeerConnectionEnds &, const PeerConnectionEnds &) = default;
 };
@@ -53,6 +55,9 @@
         return m_incoming.size();
     }
 
+    /// Number of received bytes that are not decoded yet, most of them of incomplete frames.
+    std::size_t heldBytes() const;
+
     const PeerConnectionEnds &connectionEnds() const
     {
         return m_ends;
@@ -66,6 +71,9 @@
     /// Closes a connection to make room for a new one. Returns false if all connections are in use by peers.
     bool makeRoom();
 
+    /// Closes connections until the others hold no more bytes than allowed.
+    void keepWithinBudget();
+
     void onAccept();
     void onIncomingReady(int descriptor, int events);
     void handleInput(IncomingConnection &link);
--- a/tests/testpeerlink.cpp
+++ b/tests/testpeerlink.cpp
@@ -164,6 +164,25 @@
     EXPECT_THAT(m_errors, Contains(HasSubstr("readPeerFrame: 127.0.0.1:")));
 }
 
+// Guards against peers that lose an unfinished frame to a client that has started a larger one.
+TEST_F(PeerLinkPair, clientWithoutFramesIsClosedForThePeerWhenBothExceedTheBudget)
+{
+    PeerListener listener(
+        m_loop, {"b1"}, {.receiveBudgetBytes = std::size_t{200} * 1024}, [this](Event event) { m_events.push_back(std::move(event)); }, errorSink());
+    ASSERT_TRUE(listener.listen("127.0.0.1:0").ok());
+    const std::string head("\x00\x10\x00\x00\x01", 5);
+    RawClient peer(m_loop, listener.port());
+    peer.send(encodePeerFrame({{"c1"}, heartbeatOf("c1"), std::nullopt}) + head + std::string(std::size_t{120} * 1024, 'x'));
+    ASSERT_TRUE(wait([&] { return listener.heldBytes() > std::size_t{120} * 1024; }));
+    RawClient client(m_loop, listener.port());
+    client.send(head + std::string(std::size_t{110} * 1024, 'x'));
+
+    ASSERT_TRUE(wait([&client] { return client.isClosedByPeer(); }));
+    EXPECT_FALSE(peer.isClosedByPeer());
+    EXPECT_LE(listener.heldBytes(), std::size_t{200} * 1024);
+    EXPECT_EQ(PeerConnectionEnds{.overBudget = 1}, listener.connectionEnds());
+}
+
 // Guards against a host that sends messages in the name of another host.
 TEST_F(PeerLinkPair, changedSenderClosesTheConnection)
 {
--- a/wire/peerframe.cpp
+++ b/wire/peerframe.cpp
@@ -60,6 +60,14 @@
     return bytes + body;
 }
 
+std::optional<std::size_t> announcedPeerFrameBytes(std::string_view bytes)
+{
+    if (bytes.size() < lengthBytes) {
+        return std::nullopt;
+    }
+    return lengthBytes + readLength(bytes);
+}
+
 absl::StatusOr<std::optional<DecodedPeerFrame>> decodePeerFrame(std::string_view bytes, std::string_view peer)
 {
     if (bytes.size() < lengthBytes) {
--- a/wire/peerframe.h
+++ b/wire/peerframe.h
@@ -36,6 +36,9 @@
 /// Encodes the frame as a length of 4 bytes in network byte order, a version byte, and a Thrift structure in the compact protocol.
 std::string encodePeerFrame(const PeerFrame &frame);
 
+/// The size of the encoded frame at the start of the bytes, as its length field gives it. Nothing if the field is incomplete.
+std::optional<std::size_t> announcedPeerFrameBytes(std::string_view bytes);
+
 /// Decodes the frame at the start of the bytes. Returns nothing if the frame is incomplete; the status of a malformed frame names the peer.
 absl::StatusOr<std::optional<DecodedPeerFrame>> decodePeerFrame(std::string_view bytes, std::string_view peer);
 
