Limit the store calls that are relayed for one peer

Three peers that each asked 40 times for 1 MB of the store brought a host to 175 to 258 MB and 95 descriptors. Every relayed call was sent to the store at once, however many were under way, with whatever timeout the peer gave it.

A host relays up to 8 calls of a peer at a time; a peer has a transaction, a read and a lease call under way at most. Calls beyond that are answered as not sent, which is true, and are counted. The timeout of a relayed call is at most that of the host's own calls, and never the zero that stands for none.

A unit test checks the limit, the refusals and the timeouts.

--- a/core/storecalls.cpp
+++ b/core/storecalls.cpp
@@ -13,6 +13,8 @@
 constexpr int failuresBeforeRelay = 2;
 /// Delay after a call's timeout until the call is overdue. The front end answers each call by its timeout, but the step that handles the answer may be late.
 constexpr Duration overdueMargin{500};
+/// Number of calls that are relayed for one peer at a time. A peer has a transaction, a read and a lease call under way at most.
+constexpr std::ptrdiff_t maxRelayedCallsPerPeer = 8;
 constexpr int maxRetryBudget = 100;
 constexpr int retryCost = 10;
 constexpr Duration firstRetryBound{100};
@@ -33,6 +35,22 @@
     return reply;
 }
 
+void sendRelayReply(Blackboard &board, const HostId &to, const StoreRelayReply &reply)
+{
+    const auto *peer = board.peers.find(to);
+    board.outbox.emplace_back(PeerSend{to, peer == nullptr ? "" : peer->address, reply});
+}
+
+void refuseRelay(Blackboard &board, const HostId &from, const StoreRelay &request)
+{
+    StoreReply reply;
+    reply.id = request.call.id;
+    reply.outcome = StoreOutcome::NotSent;
+    reply.error = "too many calls of this host are being relayed";
+    count(board.counters, "storeCalls", "refusedForPeer");
+    sendRelayReply(board, from, {request.id, reply});
+}
+
 }
 
 std::optional<HostId> relayPeer(const Blackboard &board)
@@ -149,8 +167,13 @@
         if (request == nullptr) {
             continue;
         }
+        if (std::ranges::count(relayed, received.from, [](const auto &entry) { return entry.second.from; }) >= maxRelayedCallsPerPeer) {
+            refuseRelay(board, received.from, *request);
+            continue;
+        }
         StoreCall call = request->call;
         call.id = takeCallId(board);
+        call.timeout = std::clamp(call.timeout, Duration{1}, board.self.limits.storeCallTimeout);
         relayed.insert_or_assign(call.id, RelayedCall{received.from, request->id, request->call.id, board.now + call.timeout + overdueMargin});
         count(board.counters, "storeCalls", "forPeer");
         board.outbox.emplace_back(std::move(call));
@@ -163,8 +186,7 @@
         const RelayedCall origin = found->second;
         relayed.erase(found);
         reply.id = origin.call;
-        const auto *peer = board.peers.find(origin.from);
-        board.outbox.emplace_back(PeerSend{origin.from, peer == nullptr ? "" : peer->address, StoreRelayReply{origin.relay, reply}});
+        sendRelayReply(board, origin.from, {origin.relay, reply});
     }
     std::erase_if(relayed, [&board](const auto &entry) { return board.now >= entry.second.expiresAt; });
 }
--- a/tests/teststoresync.cpp
+++ b/tests/teststoresync.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace sequoiastand
 {
 
@@ -278,4 +280,28 @@
     EXPECT_EQ((board().counters.values[{"storeCalls", "relayed"}]), relayed);
 }
 
+// Guards against a host that runs out of memory, or overloads the store, because a peer asks for more relayed calls than it waits for.
+TEST_F(StoreRelayService, callsBeyondTheLimitOfAPeerAreNotSent)
+{
+    std::vector<Event> requests;
+    for (unsigned long long number = 1; number <= 20; ++number) {
+        requests.emplace_back(PeerMessageReceived{{"a1"}, StoreRelay{{number}, {{100 + number}, StoreRange{key("r1")}, 0, Duration{3'600'000}}}});
+    }
+    auto &relay = boardOf(cluster, "b1");
+    step(relay, requests, cluster.now, cluster.wallNow);
+
+    const auto isRefused = [](const OutgoingMessage &message) {
+        const auto *sent = std::get_if<PeerSend>(&message);
+        const auto *reply = sent == nullptr ? nullptr : std::get_if<StoreRelayReply>(&sent->message);
+        return reply != nullptr && reply->reply.outcome == StoreOutcome::NotSent;
+    };
+    const auto isLong = [&relay](const OutgoingMessage &message) {
+        const auto *call = std::get_if<StoreCall>(&message);
+        return call != nullptr && call->timeout > relay.self.limits.storeCallTimeout;
+    };
+    EXPECT_EQ(8U, relay.store.relayed.size());
+    EXPECT_EQ(12, std::ranges::count_if(relay.outbox, isRefused));
+    EXPECT_TRUE(std::ranges::none_of(relay.outbox, isLong));
+}
+
 }
