Bound the bytes queued for all peers together

A host queued up to 64 MiB for each peer that did not read, and a peer is whoever sends a heartbeat, so the queues of a few of them exceeded the memory of a small machine.

The limit of 64 MiB now holds for all peers together. While it is reached, a connection with little in its queue still takes small frames (64 KiB), so that heartbeats are not dropped because another peer does not read. The rule is a free function with a test. A gauge shows the bytes queued, and a counter the messages dropped.

PeerLinkPair.messagesForAllPeersTogetherAreKeptWithinTheLimit is red if the limit is compared with the bytes of one link only, as before (none of two messages dropped), and green (x86_64). No crowd test reaches the limit, since relayed calls are limited.

--- a/net/hostloop.cpp
+++ b/net/hostloop.cpp
@@ -199,6 +199,8 @@
                            {"peerConnectionsReplaced", static_cast<double>(m_peerListener.connectionEnds().replaced)},
                            {"peerConnectionsOverBudget", static_cast<double>(m_peerListener.connectionEnds().overBudget)},
                            {"peerReceivedBytesHeld", static_cast<double>(m_peerListener.heldBytes())},
+                           {"peerQueuedBytes", static_cast<double>(m_peers.queuedBytes())},
+                           {"peerMessagesDropped", static_cast<double>(m_peers.droppedMessages())},
                            {"storeWatchOpen", m_store.isWatching() ? 1 : 0}});
 }
 
--- a/net/peerlink.cpp
+++ b/net/peerlink.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <numeric>
 #include <utility>
 
 namespace sequoiastand
@@ -22,6 +23,14 @@
 // Bytes of an incomplete frame that a peer may send on an outgoing connection. Only acknowledgements of about 20 bytes are expected there.
 constexpr std::size_t maxAcknowledgementBytes = std::size_t{64} * 1024;
 
+// Part of the allowed bytes that each connection may queue whatever the others hold.
+constexpr std::size_t reservedQueueFraction = 1'024;
+
+}
+
+bool mayQueueFrame(std::size_t frameBytes, const PeerQueueBytes &queued, std::size_t maxQueuedBytes)
+{
+    return queued.onAllLinks + frameBytes <= maxQueuedBytes || queued.onLink + frameBytes <= maxQueuedBytes / reservedQueueFraction;
 }
 
 struct PeerLinks::OutgoingConnection
@@ -78,6 +87,12 @@
     return std::ranges::any_of(m_outgoing, [](const auto &row) { return row.second->descriptor >= 0 && !row.second->queue.empty(); });
 }
 
+std::size_t PeerLinks::queuedBytes() const
+{
+    return std::accumulate(
+        m_outgoing.begin(), m_outgoing.end(), std::size_t{0}, [](std::size_t sum, const auto &row) { return sum + row.second->queuedBytes; });
+}
+
 void PeerLinks::send(const PeerSend &message)
 {
     auto &slot = m_outgoing[message.peer];
@@ -107,8 +122,12 @@
         link.address = message.address;
     }
     auto frame = encodePeerFrame({m_self, message.message, std::nullopt});
-    if (frame.size() > maxPeerFrameBytes || link.queuedBytes + frame.size() > m_limits.maxQueuedBytes) {
-        m_reportError("sendPeer", link.peerName(), absl::StrCat("message of ", frame.size(), " bytes dropped: ", link.queuedBytes, " bytes are queued"));
+    const PeerQueueBytes queued{link.queuedBytes, queuedBytes()};
+    if (frame.size() > maxPeerFrameBytes || !mayQueueFrame(frame.size(), queued, m_limits.maxQueuedBytes)) {
+        ++m_droppedMessages;
+        m_reportError("sendPeer",
+                      link.peerName(),
+                      absl::StrCat("message of ", frame.size(), " bytes dropped: ", queued.onLink, " bytes are queued, ", queued.onAllLinks, " for all peers"));
         return;
     }
     link.queuedBytes += frame.size();
--- a/tests/testpeerlink.cpp
+++ b/tests/testpeerlink.cpp
@@ -135,6 +135,29 @@
     EXPECT_THAT(m_errors[0], HasSubstr("bytes dropped"));
 }
 
+// Guards against heartbeats that are dropped because another peer does not read its messages.
+TEST_F(PeerLinkPair, smallFrameIsQueuedOnAnEmptyLinkWhateverTheOthersHold)
+{
+    constexpr std::size_t limit = std::size_t{1024} * 1024;
+    EXPECT_TRUE(mayQueueFrame(1'000, {.onLink = 0, .onAllLinks = limit}, limit));
+    EXPECT_FALSE(mayQueueFrame(1'000, {.onLink = 1'000, .onAllLinks = limit}, limit));
+    EXPECT_FALSE(mayQueueFrame(2'000, {.onLink = 0, .onAllLinks = limit}, limit));
+    EXPECT_TRUE(mayQueueFrame(2'000, {.onLink = 100'000, .onAllLinks = limit - 2'000}, limit));
+}
+
+// Guards against messages for several peers that together take more memory than the limit, though those for each one do not.
+TEST_F(PeerLinkPair, messagesForAllPeersTogetherAreKeptWithinTheLimit)
+{
+    Offer offer;
+    offer.specification.payload = std::string(2'500, 'x');
+    const auto address = loopbackAddress(closedPort());
+    m_links.send({{"c1"}, address, offer});
+    m_links.send({{"d1"}, address, offer});
+
+    EXPECT_LE(m_links.queuedBytes(), 4'096U);
+    EXPECT_EQ(1, m_links.droppedMessages());
+}
+
 TEST_F(PeerLinkPair, malformedFrameClosesTheConnectionAndNamesThePeer)
 {
     RawClient client(m_loop, m_listener.port());
