Answer health and metrics on connections above the limit

A zone domain's host whose callers held all connections that it allows answered 503 to /healthz and /metrics, so it was taken for dead and could not be observed while it served its callers.

The server accepts 64 connections above the limit, only to refuse their requests, whatever these asked for. It can now be given paths that are served on them too; such a connection is closed after its response.

--- a/net/callerapi.cpp
+++ b/net/callerapi.cpp
@@ -21,6 +21,8 @@
 constexpr Duration overduePeriod{1'000};
 constexpr std::size_t maxNameBytes = 128;
 constexpr int statusHeaderTooLarge = 431;
+constexpr std::string_view healthPath = "/healthz";
+constexpr std::string_view metricsPath = "/metrics";
 constexpr std::string_view jobsPath = "/v1/jobs/";
 constexpr std::string_view resultSuffix = "/result";
 const std::string bootstrapOperator = "bootstrap";
@@ -120,6 +122,7 @@
         count(m_board.counters, "refusals", std::string(name(refusal.reason)));
         return refusalResponse(refusal);
     });
+    m_server.setAlwaysServedPaths({std::string(healthPath), std::string(metricsPath)});
     m_overdueTimer.startIn(overduePeriod);
 }
 
@@ -141,9 +144,9 @@
 void CallerApi::onRequest(HttpRequestId id, const HttpRequest &request)
 {
     const std::string_view path = request.path;
-    if (path == "/healthz" && request.method == "GET") {
+    if (path == healthPath && request.method == "GET") {
         answerHealth(id);
-    } else if (path == "/metrics" && request.method == "GET") {
+    } else if (path == metricsPath && request.method == "GET") {
         m_server.respond(id, {.contentType = "text/plain; version=0.0.4", .body = m_metricsText ? m_metricsText() : std::string{}});
     } else if (path == "/v1/statements" && request.method == "POST") {
         runStatements(id, request);
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -109,6 +109,11 @@
     m_limitResponse = std::move(response);
 }
 
+void HttpServer::setAlwaysServedPaths(std::set<std::string, std::less<>> paths)
+{
+    m_alwaysServedPaths = std::move(paths);
+}
+
 void HttpServer::setEndHandler(EndHandler handler)
 {
     m_endHandler = std::move(handler);
@@ -251,7 +256,7 @@
         },
         &request.request);
     const auto *state = connectionOf(connection);
-    if (state != nullptr && state->isAboveLimit) {
+    if (state != nullptr && state->isAboveLimit && !m_alwaysServedPaths.contains(request.request.path)) {
         request.response = limitResponse(HttpLimit::TooManyConnections);
     } else if (const char *length = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Content-Length")) {
         if (std::strtoull(length, nullptr, 10) > m_limits.maxBodyBytes) {
@@ -329,7 +334,8 @@
     const auto &answer = *request.response;
     auto *response = MHD_create_response_from_buffer(answer.body.size(), const_cast<char *>(answer.body.data()), MHD_RESPMEM_MUST_COPY);
     MHD_add_response_header(response, "Content-Type", answer.contentType.c_str());
-    if (answer.closesConnection) {
+    auto *state = connectionOf(connection);
+    if (answer.closesConnection || (state != nullptr && state->isAboveLimit)) {
         MHD_add_response_header(response, "Connection", "close");
     }
     if (answer.retryAfter > Duration{0}) {
@@ -338,7 +344,7 @@
     const auto result = MHD_queue_response(connection, static_cast<unsigned>(answer.status), response);
     MHD_destroy_response(response);
     request.isResponseQueued = result == MHD_YES;
-    if (auto *state = connectionOf(connection)) {
+    if (state != nullptr) {
         state->deadline = EventLoop::now() + m_limits.responseTimeout;
     }
     return result;
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,9 @@
     /// Sets the function that returns the response to a request that exceeds a limit.
     void setLimitResponse(LimitResponse response);
 
+    /// Sets the paths that are served also on connections above the limit, which are closed after the response.
+    void setAlwaysServedPaths(std::set<std::string, std::less<>> paths);
+
     /// Sets the handler that is called when a connection has finished with a request, also with one that was not read completely.
     void setEndHandler(EndHandler handler);
 
@@ -109,6 +113,7 @@
     LimitResponse m_limitResponse;
     EndHandler m_endHandler;
     std::vector<std::string> m_readHeaders;
+    std::set<std::string, std::less<>> m_alwaysServedPaths;
     MHD_Daemon *m_daemon = nullptr;
     SocketWatch m_watch;
     Timer m_runTimer;
