Keep one connection free above the limit of an HTTP server

No health, metrics or readiness request was answered, nor any other refused, while clients held all connections that a listener allows and the 64 that it accepts to refuse them. New ones waited in the backlog for as long as the others stayed idle: 10 s for one that sends nothing.

When the last of these connections is accepted, the oldest one above the limit is now closed, so there is always room for the next: it is refused, or answered if its path is always served, and then closed. Connections within the limit are left alone. A counter shows how often this happens.

Connections are told apart by the order of their acceptance.

--- a/net/hostloop.cpp
+++ b/net/hostloop.cpp
@@ -192,6 +192,7 @@
                           {{"processCpuSeconds", seconds(usage.ru_utime) + seconds(usage.ru_stime)},
                            {"processPeakMemoryBytes", static_cast<double>(usage.ru_maxrss) * 1024},
                            {"httpConnections", static_cast<double>(m_server.openConnections())},
+                           {"httpConnectionsDisplaced", static_cast<double>(m_server.displacedConnections())},
                            {"httpOpenRequests", static_cast<double>(m_server.openRequests())},
                            {"clientOpenCalls", static_cast<double>(m_http.openCalls())},
                            {"peerIncomingConnections", static_cast<double>(m_peerListener.connectionCount())},
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -12,6 +12,7 @@
 #include <cerrno>
 #include <chrono>
 #include <optional>
+#include <ranges>
 #include <utility>
 
 namespace sequoiastand
@@ -41,9 +42,11 @@
 struct HttpServer::Connection
 {
     int descriptor = -1;
+    unsigned long long number = 0;     ///< Counts up in the order of acceptance.
     std::optional<TimePoint> deadline; ///< Deadline of the current phase: idle, receiving or sending; none while a request is being handled.
     bool isAboveLimit = false;
     bool isTimedOut = false;
+    bool isDisplaced = false;  ///< It was closed for a new connection.
     HttpRequestId request = 0; ///< The request that is being received or answered; 0 if there is none.
 };
 
@@ -224,6 +227,18 @@
     m_sweepTimer.startIn(std::min(sweepPeriod, m_limits.requestTimeout));
 }
 
+void HttpServer::displaceOldestAboveLimit()
+{
+    auto candidates =
+        m_connections | std::views::values | std::views::filter([](const auto &connection) { return connection->isAboveLimit && !connection->isDisplaced; });
+    const auto oldest = std::ranges::min_element(candidates, {}, [](const auto &connection) { return connection->number; });
+    if (oldest != candidates.end()) {
+        ++m_displacedConnections;
+        (*oldest)->isDisplaced = true;
+        ::shutdown((*oldest)->descriptor, SHUT_RDWR);
+    }
+}
+
 HttpServer::Connection *HttpServer::connectionOf(MHD_Connection *connection) const
 {
     const auto found = m_connections.find(connection);
@@ -485,10 +500,15 @@
         return;
     }
     auto state = std::make_unique<Connection>();
+    state->number = server.m_nextConnectionNumber++;
     state->descriptor = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
     state->deadline = EventLoop::now() + server.m_limits.requestTimeout;
     state->isAboveLimit = server.m_connections.size() >= server.m_limits.maxConnections;
     server.m_connections.emplace(connection, std::move(state));
+    // libmicrohttpd accepts no connection beyond this number, so that one place is kept free for a request that is always served.
+    if (server.m_connections.size() >= server.m_limits.maxConnections + maxRefusedConnections) {
+        server.displaceOldestAboveLimit();
+    }
 }
 
 void *HttpServer::onUriRaw(void *self, const char *uri, MHD_Connection *connection)
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -83,12 +83,19 @@
         return m_connections.size() + m_drain.size();
     }
 
+    /// Number of connections above the limit that were closed for a new one.
+    long long displacedConnections() const
+    {
+        return m_displacedConnections;
+    }
+
 private:
     struct Request;
     struct Connection;
 
     void runDaemon();
     void closeTimedOutConnections();
+    void displaceOldestAboveLimit();
     MHD_Result onAccess(Request &request, MHD_Connection *connection, const char *method, const char *path, const char *data, std::size_t *size);
     void readHead(Request &request, MHD_Connection *connection, const char *method, const char *path);
     HttpResponse limitResponse(HttpLimit limit) const;
@@ -122,6 +129,8 @@
     std::map<HttpRequestId, std::unique_ptr<Request>> m_requests;
     std::map<MHD_Connection *, std::unique_ptr<Connection>> m_connections;
     HttpRequestId m_nextId = 1;
+    unsigned long long m_nextConnectionNumber = 1;
+    long long m_displacedConnections = 0;
     bool m_needsAnotherRun = false;
 };
 
