--- a/net/hostloop.cpp
+++ b/net/hostloop.cpp
@@ -192,9 +192,16 @@
                           {{"processCpuSeconds", seconds(usage.ru_utime) + seconds(usage.ru_stime)},
                            {"processPeakMemoryBytes", static_cast<double>(usage.ru_maxrss) * 1024},
                            {"httpConnections", static_cast<double>(m_server.openConnections())},
+                           {"httpConnectionsDisplaced", static_cast<double>(m_server.displacedConnections())},
                            {"httpOpenRequests", static_cast<double>(m_server.openRequests())},
                            {"clientOpenCalls", static_cast<double>(m_http.openCalls())},
                            {"peerIncomingConnections", static_cast<double>(m_peerListener.connectionCount())},
+                           {"peerConnectionsRefused", static_cast<double>(m_peerListener.connectionEnds().refused)},
+                           {"peerConnectionsReplaced", static_cast<double>(m_peerListener.connectionEnds().replaced)},
+                           {"peerConnectionsOverBudget", static_cast<double>(m_peerListener.connectionEnds().overBudget)},
+                           {"peerReceivedBytesHeld", static_cast<double>(m_peerListener.heldBytes())},
+                           {"peerQueuedBytes", static_cast<double>(m_peers.queuedBytes())},
+                           {"peerMessagesDropped", static_cast<double>(m_peers.droppedMessages())},
                            {"storeWatchOpen", m_store.isWatching() ? 1 : 0}});
 }
 
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -12,6 +12,7 @@
 #include <cerrno>
 #include <chrono>
 #include <optional>
+#include <ranges>
 #include <utility>
 
 namespace sequoiastand
@@ -44,9 +45,11 @@
 struct HttpServer::Connection
 {
     int descriptor = -1;
+    unsigned long long number = 0;     ///< Counts up in the order of acceptance.
     std::optional<TimePoint> deadline; ///< Deadline of the current phase: idle, receiving or sending; none while a request is being handled.
     bool isAboveLimit = false;
     bool isTimedOut = false;
+    bool isDisplaced = false;  ///< It was closed for a new connection.
     HttpRequestId request = 0; ///< The request that is being received or answered; 0 if there is none.
 };
 
@@ -112,6 +115,11 @@
     m_limitResponse = std::move(response);
 }
 
+void HttpServer::setAlwaysServedPaths(std::set<std::string, std::less<>> paths)
+{
+    m_alwaysServedPaths = std::move(paths);
+}
+
 void HttpServer::setEndHandler(EndHandler handler)
 {
     m_endHandler = std::move(handler);
@@ -195,8 +203,9 @@
 void HttpServer::runDaemon()
 {
     MHD_run(m_daemon);
-    if (std::exchange(m_hasRefusedTarget, false)) {
-        // libmicrohttpd closes such a connection in its next run only.
+    // libmicrohttpd closes a connection with a refused target in its next run only, and in that run it also begins to accept again if all connections that it
+    // allows were open and some have been closed.
+    while (std::exchange(m_needsAnotherRun, false)) {
         MHD_run(m_daemon);
     }
     MHD_UNSIGNED_LONG_LONG waitMs = 0;
@@ -221,6 +230,18 @@
     m_sweepTimer.startIn(std::min(sweepPeriod, m_limits.requestTimeout));
 }
 
+void HttpServer::displaceOldestAboveLimit()
+{
+    auto candidates =
+        m_connections | std::views::values | std::views::filter([](const auto &connection) { return connection->isAboveLimit && !connection->isDisplaced; });
+    const auto oldest = std::ranges::min_element(candidates, {}, [](const auto &connection) { return connection->number; });
+    if (oldest != candidates.end()) {
+        ++m_displacedConnections;
+        (*oldest)->isDisplaced = true;
+        ::shutdown((*oldest)->descriptor, SHUT_RDWR);
+    }
+}
+
 HttpServer::Connection *HttpServer::connectionOf(MHD_Connection *connection) const
 {
     const auto found = m_connections.find(connection);
@@ -253,7 +274,7 @@
         },
         &request.request);
     const auto *state = connectionOf(connection);
-    if (state != nullptr && state->isAboveLimit) {
+    if (state != nullptr && state->isAboveLimit && !m_alwaysServedPaths.contains(request.request.path)) {
         request.response = limitResponse(HttpLimit::TooManyConnections);
     } else if (const char *length = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Content-Length")) {
         if (std::strtoull(length, nullptr, 10) > m_limits.maxBodyBytes) {
@@ -331,7 +352,8 @@
     const auto &answer = *request.response;
     auto *response = MHD_create_response_from_buffer(answer.body.size(), const_cast<char *>(answer.body.data()), MHD_RESPMEM_MUST_COPY);
     MHD_add_response_header(response, "Content-Type", answer.contentType.c_str());
-    if (answer.closesConnection) {
+    auto *state = connectionOf(connection);
+    if (answer.closesConnection || (state != nullptr && state->isAboveLimit)) {
         MHD_add_response_header(response, "Connection", "close");
     }
     if (answer.retryAfter > Duration{0}) {
@@ -340,7 +362,7 @@
     const auto result = MHD_queue_response(connection, static_cast<unsigned>(answer.status), response);
     MHD_destroy_response(response);
     request.isResponseQueued = result == MHD_YES;
-    if (auto *state = connectionOf(connection)) {
+    if (state != nullptr) {
         state->deadline = EventLoop::now() + m_limits.responseTimeout;
     }
     return result;
@@ -474,6 +496,7 @@
         m_drain.add(found->second->descriptor);
     }
     m_connections.erase(found);
+    m_needsAnotherRun = true;
 }
 
 void HttpServer::onConnectionRaw(void *self, MHD_Connection *connection, void **, MHD_ConnectionNotificationCode code)
@@ -484,10 +507,15 @@
         return;
     }
     auto state = std::make_unique<Connection>();
+    state->number = server.m_nextConnectionNumber++;
     state->descriptor = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
     state->deadline = EventLoop::now() + server.m_limits.requestTimeout;
     state->isAboveLimit = server.m_connections.size() >= server.m_limits.maxConnections;
     server.m_connections.emplace(connection, std::move(state));
+    // libmicrohttpd accepts no connection beyond this number, so that one place is kept free for a request that is always served.
+    if (server.m_connections.size() >= server.m_limits.maxConnections + maxRefusedConnections) {
+        server.displaceOldestAboveLimit();
+    }
 }
 
 void *HttpServer::onUriRaw(void *self, const char *uri, MHD_Connection *connection)
@@ -504,7 +532,7 @@
     }
     if (!isTargetWithinLimits(uri, server.m_limits)) {
         server.refuse(*raw, connection, HttpLimit::HeaderTooLarge);
-        server.m_hasRefusedTarget = true;
+        server.m_needsAnotherRun = true;
     }
     return raw;
 }
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,9 @@
     /// Sets the function that returns the response to a request that exceeds a limit.
     void setLimitResponse(LimitResponse response);
 
+    /// Sets the paths that are served also on connections above the limit, which are closed after the response.
+    void setAlwaysServedPaths(std::set<std::string, std::less<>> paths);
+
     /// Sets the handler that is called when a connection has finished with a request, also with one that was not read completely.
     void setEndHandler(EndHandler handler);
 
@@ -79,12 +83,19 @@
         return m_connections.size() + m_drain.size();
     }
 
+    /// Number of connections above the limit that were closed for a new one.
+    long long displacedConnections() const
+    {
+        return m_displacedConnections;
+    }
+
 private:
     struct Request;
     struct Connection;
 
     void runDaemon();
     void closeTimedOutConnections();
+    void displaceOldestAboveLimit();
     MHD_Result onAccess(Request &request, MHD_Connection *connection, const char *method, const char *path, const char *data, std::size_t *size);
     void readHead(Request &request, MHD_Connection *connection, const char *method, const char *path);
     HttpResponse limitResponse(HttpLimit limit) const;
@@ -109,6 +120,7 @@
     LimitResponse m_limitResponse;
     EndHandler m_endHandler;
     std::vector<std::string> m_readHeaders;
+    std::set<std::string, std::less<>> m_alwaysServedPaths;
     MHD_Daemon *m_daemon = nullptr;
     SocketWatch m_watch;
     Timer m_runTimer;
@@ -117,7 +129,9 @@
     std::map<HttpRequestId, std::unique_ptr<Request>> m_requests;
     std::map<MHD_Connection *, std::unique_ptr<Connection>> m_connections;
     HttpRequestId m_nextId = 1;
-    bool m_hasRefusedTarget = false;
+    unsigned long long m_nextConnectionNumber = 1;
+    long long m_displacedConnections = 0;
+    bool m_needsAnotherRun = false;
 };
 
 }
--- a/net/peerlink.cpp
+++ b/net/peerlink.cpp
@@ -11,11 +11,28 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <numeric>
 #include <utility>
 
 namespace sequoiastand
 {
 
+namespace
+{
+
+// Bytes of an incomplete frame that a peer may send on an outgoing connection. Only acknowledgements of about 20 bytes are expected there.
+constexpr std::size_t maxAcknowledgementBytes = std::size_t{64} * 1024;
+
+// Part of the allowed bytes that each connection may queue whatever the others hold.
+constexpr std::size_t reservedQueueFraction = 1'024;
+
+}
+
+bool mayQueueFrame(std::size_t frameBytes, const PeerQueueBytes &queued, std::size_t maxQueuedBytes)
+{
+    return queued.onAllLinks + frameBytes <= maxQueuedBytes || queued.onLink + frameBytes <= maxQueuedBytes / reservedQueueFraction;
+}
+
 struct PeerLinks::OutgoingConnection
 {
     OutgoingConnection(EventLoop &loop, SocketWatch::Callback onReady, Timer::Callback onRetry, Timer::Callback onTimeout)
@@ -70,6 +87,12 @@
     return std::ranges::any_of(m_outgoing, [](const auto &row) { return row.second->descriptor >= 0 && !row.second->queue.empty(); });
 }
 
+std::size_t PeerLinks::queuedBytes() const
+{
+    return std::accumulate(
+        m_outgoing.begin(), m_outgoing.end(), std::size_t{0}, [](std::size_t sum, const auto &row) { return sum + row.second->queuedBytes; });
+}
+
 void PeerLinks::send(const PeerSend &message)
 {
     auto &slot = m_outgoing[message.peer];
@@ -99,8 +122,12 @@
         link.address = message.address;
     }
     auto frame = encodePeerFrame({m_self, message.message, std::nullopt});
-    if (frame.size() > maxPeerFrameBytes || link.queuedBytes + frame.size() > m_limits.maxQueuedBytes) {
-        m_reportError("sendPeer", link.peerName(), absl::StrCat("message of ", frame.size(), " bytes dropped: ", link.queuedBytes, " bytes are queued"));
+    const PeerQueueBytes queued{link.queuedBytes, queuedBytes()};
+    if (frame.size() > maxPeerFrameBytes || !mayQueueFrame(frame.size(), queued, m_limits.maxQueuedBytes)) {
+        ++m_droppedMessages;
+        m_reportError("sendPeer",
+                      link.peerName(),
+                      absl::StrCat("message of ", frame.size(), " bytes dropped: ", queued.onLink, " bytes are queued, ", queued.onAllLinks, " for all peers"));
         return;
     }
     link.queuedBytes += frame.size();
@@ -163,7 +190,7 @@
 
 bool PeerLinks::readAcknowledgements(OutgoingConnection &link)
 {
-    const auto end = readAvailable(link.input, link.descriptor, maxPeerFrameBytes);
+    const auto end = readAvailable(link.input, link.descriptor, link.input.size() + maxAcknowledgementBytes);
     while (true) {
         const auto read = decodePeerFrame(link.input, link.peerName());
         if (!read.ok()) {
@@ -181,6 +208,10 @@
         }
         link.input.erase(0, (*read)->byteCount);
     }
+    if (link.input.size() > maxAcknowledgementBytes) {
+        fail(link, "sendPeer", absl::StrCat("more than ", maxAcknowledgementBytes, " bytes without an acknowledgement"));
+        return false;
+    }
     if (end != ReadResult::WouldBlock) {
         fail(link, "sendPeer", end == ReadResult::Closed ? "closed by the peer" : std::strerror(errno));
         return false;
--- a/net/peerlistener.cpp
+++ b/net/peerlistener.cpp
@@ -12,6 +12,8 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <iterator>
+#include <numeric>
 #include <utility>
 
 namespace sequoiastand
@@ -24,12 +26,32 @@
 // holds the total number of received frames.
 constexpr std::size_t maxQueuedAcknowledgementBytes = std::size_t{64} * 1024;
 
+// Bytes that are read from a connection before all others have their turn, and before the budget of all connections is checked.
+constexpr std::size_t readBytesPerTurn = std::size_t{64} * 1024;
+
+// Size from which a buffer is extended to the length of its frame at once, and released after the frame. Doubling a large buffer would hold its bytes twice
+// while they are copied, and smaller buffers would be extended for bytes that may never arrive.
+constexpr std::size_t largeBufferBytes = std::size_t{1024} * 1024;
+
+// Frames that are decoded from a connection before the next step handles them. An event takes a hundred times as much memory as the smallest frame, so events
+// of all frames that a connection holds could exhaust the memory.
+constexpr int framesPerTurn = 64;
+
+void reserveFrame(std::string &input)
+{
+    const auto frameBytes = announcedPeerFrameBytes(input);
+    if (input.size() >= largeBufferBytes && frameBytes) {
+        input.reserve(*frameBytes + readBytesPerTurn);
+    }
+}
+
 }
 
 struct PeerListener::IncomingConnection
 {
-    IncomingConnection(EventLoop &loop, SocketWatch::Callback onReady, Timer::Callback onIdle)
+    IncomingConnection(EventLoop &loop, SocketWatch::Callback onReady, Timer::Callback onTurn, Timer::Callback onIdle)
         : watch(loop, std::move(onReady))
+        , turnTimer(loop, std::move(onTurn))
         , idleTimer(loop, std::move(onIdle))
     {
     }
@@ -45,7 +67,10 @@
     std::string input;
     std::string output;
     long long receivedFrames = 0;
+    TimePoint progressAt = EventLoop::now(); ///< When the latest frame was complete, or the connection was accepted.
+    ReadResult end = ReadResult::WouldBlock; ///< How the last read ended.
     SocketWatch watch;
+    Timer turnTimer; ///< Active while complete frames wait to be decoded; no more bytes are read meanwhile.
     Timer idleTimer;
 };
 
@@ -104,14 +129,18 @@
         if (descriptor < 0) {
             return;
         }
-        if (m_incoming.size() >= m_limits.maxConnections) {
+        if (m_incoming.size() >= m_limits.maxConnections && !makeRoom()) {
+            ++m_ends.refused;
             m_reportError("acceptPeer", toString(address), absl::StrCat("refused: ", m_incoming.size(), " connections are open"));
             ::close(descriptor);
             continue;
         }
         setNoDelay(descriptor);
         auto link = std::make_unique<IncomingConnection>(
-            m_loop, [this, descriptor](int events) { onIncomingReady(descriptor, events); }, [this, descriptor] { closeIncoming(descriptor, "idle"); });
+            m_loop,
+            [this, descriptor](int events) { onIncomingReady(descriptor, events); },
+            [this, descriptor] { handleInput(*m_incoming.at(descriptor)); },
+            [this, descriptor] { closeIncoming(descriptor, "idle"); });
         link->descriptor = descriptor;
         link->address = toString(address);
         link->watch.watch(descriptor, EV_READ);
@@ -120,31 +149,79 @@
     }
 }
 
+std::vector<PeerIntake> PeerListener::intakes() const
+{
+    std::vector<PeerIntake> connections;
+    std::ranges::transform(m_incoming, std::back_inserter(connections), [](const auto &row) {
+        const auto &link = *row.second;
+        return PeerIntake{link.descriptor, link.input.size(), link.receivedFrames > 0, link.progressAt};
+    });
+    return connections;
+}
+
+bool PeerListener::makeRoom()
+{
+    const auto descriptor = connectionToReplace(intakes(), EventLoop::now());
+    if (!descriptor) {
+        return false;
+    }
+    ++m_ends.replaced;
+    closeIncoming(*descriptor, absl::StrCat("closed for a new connection: ", m_incoming.size(), " connections are open"));
+    return true;
+}
+
+std::size_t PeerListener::heldBytes() const
+{
+    return std::accumulate(
+        m_incoming.begin(), m_incoming.end(), std::size_t{0}, [](std::size_t sum, const auto &row) { return sum + row.second->input.size(); });
+}
+
+void PeerListener::keepWithinBudget()
+{
+    while (const auto closed = connectionOverBudget(intakes(), m_limits.receiveBudgetBytes, EventLoop::now())) {
+        ++m_ends.overBudget;
+        closeIncoming(*closed, absl::StrCat("closed within a frame: all connections together hold more than ", m_limits.receiveBudgetBytes, " bytes"));
+    }
+}
+
 void PeerListener::onIncomingReady(int descriptor, int events)
 {
     auto &link = *m_incoming.at(descriptor);
     if ((events & EV_READ) != 0) {
         link.idleTimer.startIn(m_limits.idle);
-        const auto end = readAvailable(link.input, descriptor, maxPeerFrameBytes);
-        if (!handleFrames(link)) {
-            return;
-        }
-        if (end != ReadResult::WouldBlock) {
-            closeIncoming(descriptor, end == ReadResult::Closed && link.input.empty() ? std::string{} : "connection closed within a frame");
-            return;
-        }
+        reserveFrame(link.input);
+        link.end = readAvailable(link.input, descriptor, link.input.size() + readBytesPerTurn);
+        handleInput(link);
+        keepWithinBudget();
+        return;
     }
     acknowledge(link);
 }
 
-bool PeerListener::handleFrames(IncomingConnection &link)
+void PeerListener::handleInput(IncomingConnection &link)
+{
+    const auto handled = handleFrames(link);
+    if (!handled) {
+        return;
+    }
+    if (*handled == framesPerTurn) {
+        link.turnTimer.startIn(Duration{0});
+    } else if (link.end != ReadResult::WouldBlock) {
+        closeIncoming(link.descriptor, link.end == ReadResult::Closed && link.input.empty() ? std::string{} : "connection closed within a frame");
+        return;
+    }
+    acknowledge(link);
+}
+
+std::optional<int> PeerListener::handleFrames(IncomingConnection &link)
 {
     std::size_t begin = 0;
-    while (true) {
+    int handled = 0;
+    for (; handled < framesPerTurn; ++handled) {
         auto read = decodePeerFrame(std::string_view(link.input).substr(begin), link.peerName());
         if (!read.ok()) {
             closeIncoming(link.descriptor, std::string(read.status().message()));
-            return false;
+            return std::nullopt;
         }
         if (!*read) {
             break;
@@ -152,20 +229,24 @@
         auto &frame = (*read)->frame;
         if (frame.sender.value.empty() || frame.sender == m_self || (!link.sender.value.empty() && frame.sender != link.sender)) {
             closeIncoming(link.descriptor, absl::StrCat("unexpected sender \"", frame.sender.value, "\""));
-            return false;
+            return std::nullopt;
         }
         link.sender = frame.sender;
         begin += (*read)->byteCount;
         ++link.receivedFrames;
+        link.progressAt = EventLoop::now();
         if (frame.message) {
             m_post(PeerMessageReceived{frame.sender, *std::move(frame.message)});
         }
     }
     link.input.erase(0, begin);
+    if (begin > 0 && link.input.capacity() > largeBufferBytes) {
+        link.input.shrink_to_fit();
+    }
     if (begin > 0 && link.output.size() < maxQueuedAcknowledgementBytes) {
         link.output += encodePeerFrame({m_self, std::nullopt, link.receivedFrames});
     }
-    return true;
+    return handled;
 }
 
 void PeerListener::acknowledge(IncomingConnection &link)
@@ -178,7 +259,7 @@
         }
         link.output.erase(0, static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
     }
-    link.watch.watch(link.descriptor, EV_READ | (link.output.empty() ? 0 : EV_WRITE));
+    link.watch.watch(link.descriptor, (link.turnTimer.isActive() ? 0 : EV_READ) | (link.output.empty() ? 0 : EV_WRITE));
 }
 
 void PeerListener::closeIncoming(int descriptor, const std::string &reason)
