--- a/soak/hostprocess.cpp
+++ b/soak/hostprocess.cpp
@@ -65,19 +65,22 @@
 {
     nlohmann::json zones = nlohmann::json::array();
     std::ranges::transform(place.availabilityZones, std::back_inserter(zones), &AvailabilityZoneId::value);
-    const nlohmann::json settings{{"host",
-                                   {{"id", place.id.value},
-                                    {"availabilityZone", place.availabilityZone.value},
-                                    {"httpAddress", callerAddress(place)},
-                                    {"readinessAddress", readinessAddress(place)},
-                                    {"metricsAddress", addressOf(place, metricsPort)},
-                                    {"processorShare", place.processorShare}}},
-                                  {"serviceDomain",
-                                   {{"storeAddress", place.storeAddress},
-                                    {"availabilityZones", zones},
-                                    {"gracePeriodS", place.gracePeriod.count() / 1'000},
-                                    // Hosts reload this value while they run, and no check of the soak depends on it.
-                                    {"limits", {{"statusRetentionS", 120 + revision}}}}}};
+    nlohmann::json settings{{"host",
+                             {{"id", place.id.value},
+                              {"availabilityZone", place.availabilityZone.value},
+                              {"httpAddress", callerAddress(place)},
+                              {"readinessAddress", readinessAddress(place)},
+                              {"metricsAddress", addressOf(place, metricsPort)},
+                              {"processorShare", place.processorShare}}},
+                            {"serviceDomain",
+                             {{"storeAddress", place.storeAddress},
+                              {"availabilityZones", zones},
+                              {"gracePeriodS", place.gracePeriod.count() / 1'000},
+                              // Hosts reload this value while they run, and no check of the soak depends on it.
+                              {"limits", {{"statusRetentionS", 120 + revision}}}}}};
+    if (place.maxConnections > 0) {
+        settings["http"]["maxConnections"] = place.maxConnections;
+    }
     // Hosts may read the file at any time, so it is replaced atomically.
     const auto file = settingsFile(place);
     const auto newFile = file + ".new";
--- a/soak/hostprocess.h
+++ b/soak/hostprocess.h
@@ -25,6 +25,7 @@
     std::string folder;       ///< Folder of the host's settings and log.
     Duration gracePeriod{6'000};
     double processorShare = 1; ///< Share of a core that the host may use.
+    int maxConnections = 0;    ///< Limit of the callers' connections; zero leaves the default.
 
     friend bool operator==(const HostPlace &, const HostPlace &) = default;
 };
--- a/soak/soakworld.cpp
+++ b/soak/soakworld.cpp
@@ -116,6 +116,7 @@
         }
         host.place = {{absl::StrCat("h", number + 1)}, {zoneName(number)}, {{"a"}, {"b"}}, hostIp(number), host.storeLink->address(), world.options.folder};
         host.place.processorShare = world.options.hasUnequalHosts ? unequalShare(number) : 1;
+        host.place.maxConnections = world.options.maxConnections;
         host.callerLink = std::make_unique<Proxy>(world.loop, callerAddress(host.place));
         if (auto status = host.callerLink->listen(); !status.ok()) {
             return status;
--- a/soak/soakworld.h
+++ b/soak/soakworld.h
@@ -118,6 +118,7 @@
     Duration length{20'000};
     Duration calm{0};             ///< Time without new faults after each group of faults; zero injects faults all the time.
     bool hasUnequalHosts = false; ///< Hosts have shares of a core, as those of the users do, and are held to them.
+    int maxConnections = 0;       ///< Limit of the callers' connections to a host; zero leaves the default.
     Duration meanWorkGap{300};    ///< Mean time between two submissions.
     int maxTasks = 6;             ///< Largest number of tasks of a step.
     bool hasDemands = false;      ///< Steps demand a label, one rack, the rack of their data, or a limit of tasks on one target.
