Bound the memory of request bodies over all connections

Hosts ended for lack of memory while many clients sent large bodies that stopped just short of their end. Each connection could hold a body of up to http.maxBodyBytes, in a buffer of up to twice its size, and nothing bounded all of them together; a body also stayed in memory until its request was answered.

The listener for callers now has one budget for all bodies, http.receiveBudgetBytes. Its default is 8,192 bytes for each of the allowed connections, 12 MB with 1,500, and never less than two bodies of the largest size, so a single legal request always fits; ordinary bodies have less than 5,000 bytes. When a further piece does not fit, incomplete requests are refused with 503: first those without progress for a second, then the others, the largest first. They have not been handled, so the refusal is true. The decision is a free function over plain values.

A body is received in blocks of at most 16 KiB, so none is copied while it grows, and it is released once it is decoded; until the answer it counts with its size, because the decoded submission takes about as much.

--- a/app/settings.cpp
+++ b/app/settings.cpp
@@ -85,6 +85,7 @@
 {
     reader.read("maxConnections", http.maxConnections, 1U, 20'000U);
     reader.read("maxBodyBytes", http.maxBodyBytes, std::size_t{1}, std::size_t{1024} * 1024);
+    reader.read("receiveBudgetBytes", http.receiveBudgetBytes, std::size_t{0}, std::size_t{1024} * 1024 * 1024);
     reader.read("requestTimeoutMs", http.requestTimeout, Duration{10}, minutes{10});
     reader.read("responseTimeoutMs", http.responseTimeout, Duration{10}, minutes{10});
     reader.read("idleTimeoutMs", http.idleTimeout, Duration{10}, hours{1});
--- a/net/callerapi.cpp
+++ b/net/callerapi.cpp
@@ -113,10 +113,13 @@
             return response;
         }
         const bool isBody = limit == HttpLimit::BodyTooLarge;
+        const bool isBudget = limit == HttpLimit::ReceiveBudget;
         const Refusal refusal{isBody ? RefusalReason::BodyTooLarge : RefusalReason::TooManyConnections,
                               RequestEffect::NotRun,
                               isBody ? Duration{0} : Duration{1'000},
-                              isBody ? "the body has more than 1 MB" : "this host has too many connections; try another host"};
+                              isBody     ? "the body has more than 1 MB"
+                              : isBudget ? "this host receives too many large requests; try another host"
+                                         : "this host has too many connections; try another host"};
         count(m_board.counters, "refusals", std::string(name(refusal.reason)));
         return refusalResponse(refusal);
     });
--- a/net/hostloop.cpp
+++ b/net/hostloop.cpp
@@ -193,6 +193,7 @@
                            {"processPeakMemoryBytes", static_cast<double>(usage.ru_maxrss) * 1024},
                            {"httpConnections", static_cast<double>(m_server.openConnections())},
                            {"httpOpenRequests", static_cast<double>(m_server.openRequests())},
+                           {"receivedBytesHeld", static_cast<double>(m_server.heldBytes())},
                            {"clientOpenCalls", static_cast<double>(m_http.openCalls())},
                            {"peerIncomingConnections", static_cast<double>(m_peerListener.connectionCount())},
                            {"storeWatchOpen", m_store.isWatching() ? 1 : 0}});
--- a/net/httplimits.cpp
+++ b/net/httplimits.cpp
@@ -1,6 +1,9 @@
 #include "httplimits.h"
 
+#include "receivebudget.h"
+
 #include <algorithm>
+#include <array>
 
 namespace sequoiastand
 {
@@ -20,6 +23,9 @@
 // libmicrohttpd extends its read buffer by this much when the pool is nearly full. The rest of the buffer may hold bytes of the next request.
 constexpr std::size_t readBufferIncrement = 128;
 
+// Ordinary bodies have less than 5,000 bytes. With 1,500 connections this is 12 MB beside 31 MB for their headers.
+constexpr std::size_t receiveBudgetPerConnection = std::size_t{8} * 1024;
+
 bool isWithinPool(std::size_t readBytes, std::size_t records, const HttpServerLimits &limits)
 {
     const auto poolBytes = connectionPoolBytes(limits);
@@ -28,6 +34,18 @@
 
 }
 
+std::string_view name(HttpLimit limit)
+{
+    static constexpr std::array<std::string_view, 4> names{"bodyTooLarge", "headerTooLarge", "tooManyConnections", "receiveBudget"};
+    return names.at(static_cast<std::size_t>(limit));
+}
+
+std::size_t receiveBudget(const HttpServerLimits &limits)
+{
+    const auto budget = limits.receiveBudgetBytes > 0 ? limits.receiveBudgetBytes : limits.maxConnections * receiveBudgetPerConnection;
+    return std::max(budget, 2 * (limits.maxBodyBytes + maxBodyBlockBytes));
+}
+
 HttpResponse defaultLimitResponse(HttpLimit limit)
 {
     switch (limit) {
@@ -35,6 +53,8 @@
         return {.status = MHD_HTTP_CONTENT_TOO_LARGE, .contentType = "text/plain", .body = "body too large\n"};
     case HttpLimit::HeaderTooLarge:
         return {.status = MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, .contentType = "text/plain", .body = "header too large\n"};
+    case HttpLimit::ReceiveBudget:
+        return {.status = MHD_HTTP_SERVICE_UNAVAILABLE, .contentType = "text/plain", .body = "too many large requests\n", .retryAfter = Duration{1'000}};
     case HttpLimit::TooManyConnections:
         break;
     }
--- a/net/httplimits.h
+++ b/net/httplimits.h
@@ -14,10 +14,11 @@
 {
     std::size_t maxBodyBytes = std::size_t{1024} * 1024;
     std::size_t maxHeaderBytes = std::size_t{16} * 1024;
-    unsigned maxConnections = 1'500;  ///< With 3,000 connections and two of six hosts down, each host has 750 on average; this is twice as many.
-    Duration requestTimeout{10'000};  ///< Time limit from the first line of a request to its last byte.
-    Duration responseTimeout{30'000}; ///< Time limit for sending a response to a slow client.
-    Duration idleTimeout{75'000};     ///< Time after which a connection without a request is closed.
+    unsigned maxConnections = 1'500;    ///< With 3,000 connections and two of six hosts down, each host has 750 on average; this is twice as many.
+    std::size_t receiveBudgetBytes = 0; ///< Bytes of all bodies that are being received or answered; zero derives it from `maxConnections`.
+    Duration requestTimeout{10'000};    ///< Time limit from the first line of a request to its last byte.
+    Duration responseTimeout{30'000};   ///< Time limit for sending a response to a slow client.
+    Duration idleTimeout{75'000};       ///< Time after which a connection without a request is closed.
 
     friend bool operator==(const HttpServerLimits &, const HttpServerLimits &) = default;
 };
@@ -28,8 +29,14 @@
     BodyTooLarge,
     HeaderTooLarge,
     TooManyConnections,
+    ReceiveBudget, ///< The bodies of all requests together take more memory than allowed.
 };
 
+std::string_view name(HttpLimit limit);
+
+/// The memory for the bodies of all requests. It suffices for at least two bodies of the largest size.
+std::size_t receiveBudget(const HttpServerLimits &limits);
+
 /// The response to a request over a limit if no other is set.
 HttpResponse defaultLimitResponse(HttpLimit limit);
 
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -1,6 +1,7 @@
 #include "httpserver.h"
 
 #include "core/errors.h"
+#include "receivebudget.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/strip.h>
@@ -60,7 +61,11 @@
     bool isRead = false;    ///< The last byte of the body was read.
     bool hasClientLeft = false;
     std::optional<TimePoint> handledAt;
+    bool isDiscarded = false; ///< Its body was released to make room for other requests.
+    ReceivedBody body;        ///< Empty once the request is handled.
     std::size_t bodyBytes = 0;
+    std::size_t heldBytes = 0; ///< The request's part of the receive budget.
+    TimePoint lastProgress;
     std::optional<HttpResponse> response;
     std::unique_ptr<SocketWatch> disconnectWatch;
 };
@@ -109,6 +114,11 @@
     m_limitResponse = std::move(response);
 }
 
+void HttpServer::setRefusalHandler(RefusalHandler handler)
+{
+    m_refusalHandler = std::move(handler);
+}
+
 void HttpServer::setEndHandler(EndHandler handler)
 {
     m_endHandler = std::move(handler);
@@ -261,6 +271,9 @@
 
 HttpResponse HttpServer::limitResponse(HttpLimit limit) const
 {
+    if (m_refusalHandler) {
+        m_refusalHandler(limit);
+    }
     auto response = m_limitResponse ? m_limitResponse(limit) : defaultLimitResponse(limit);
     response.closesConnection = true;
     return response;
@@ -278,7 +291,7 @@
 
 MHD_Result HttpServer::onAccess(Request &request, MHD_Connection *connection, const char *method, const char *path, const char *data, std::size_t *size)
 {
-    if (request.isRefused) {
+    if (request.isRefused || request.isDiscarded) {
         return MHD_NO;
     }
     if (!request.isHeadRead) {
@@ -289,13 +302,9 @@
         return request.response ? queueResponse(request, connection) : MHD_YES;
     }
     if (*size > 0) {
-        request.bodyBytes += *size;
-        if (request.bodyBytes > m_limits.maxBodyBytes) {
-            return refuse(request, connection, HttpLimit::BodyTooLarge);
-        }
-        request.request.body.append(data, *size);
+        const auto result = receive(request, connection, {data, *size});
         *size = 0;
-        return MHD_YES;
+        return result;
     }
     request.isRead = true;
     if (!request.isHandled && !isHeaderWithinLimits(connection, m_limits)) {
@@ -303,18 +312,78 @@
         return refuse(request, connection, HttpLimit::HeaderTooLarge);
     }
     if (!request.isHandled && !request.response) {
-        request.isHandled = true;
-        request.handledAt = EventLoop::now();
-        if (auto *state = connectionOf(connection)) {
-            state->deadline.reset();
-        }
-        if (m_handler) {
-            m_handler(request.id, request.request);
-        }
+        handle(request, connection);
     }
     return request.response ? queueResponse(request, connection) : waitForResponse(request, connection);
 }
 
+MHD_Result HttpServer::receive(Request &request, MHD_Connection *connection, std::string_view bytes)
+{
+    request.bodyBytes += bytes.size();
+    if (request.bodyBytes > m_limits.maxBodyBytes) {
+        return refuse(request, connection, HttpLimit::BodyTooLarge);
+    }
+    if (!makeRoom(request, allocationFor(request.body, bytes.size()))) {
+        return refuse(request, connection, HttpLimit::ReceiveBudget);
+    }
+    append(request.body, bytes);
+    setHeldBytes(request, request.body.allocatedBytes);
+    request.lastProgress = EventLoop::now();
+    return MHD_YES;
+}
+
+void HttpServer::handle(Request &request, MHD_Connection *connection)
+{
+    request.isHandled = true;
+    request.handledAt = EventLoop::now();
+    if (auto *state = connectionOf(connection)) {
+        state->deadline.reset();
+    }
+    request.request.body = takeText(request.body);
+    if (m_handler) {
+        m_handler(request.id, request.request);
+    }
+    // What the handler has decoded takes about as much memory as the body until the request is answered.
+    setHeldBytes(request, request.response ? 0 : request.bodyBytes);
+    request.request.body = {};
+}
+
+bool HttpServer::makeRoom(const Request &request, std::size_t bytes)
+{
+    if (m_heldBytes + bytes <= receiveBudget(m_limits)) {
+        return true;
+    }
+    std::vector<HeldRequest> held;
+    std::ranges::transform(m_requests, std::back_inserter(held), [&](const auto &row) {
+        const auto &other = *row.second;
+        const bool isSender = other.id == request.id;
+        return HeldRequest{other.id, other.heldBytes + (isSender ? bytes : 0), isSender ? EventLoop::now() : other.lastProgress, other.isHandled};
+    });
+    const auto refused = requestsToRefuse(std::move(held), receiveBudget(m_limits), EventLoop::now());
+    const auto sender = std::ranges::find(refused, request.id);
+    std::for_each(refused.begin(), sender, [this](HttpRequestId id) { refuseIncomplete(*m_requests.at(id)); });
+    return sender == refused.end();
+}
+
+void HttpServer::refuseIncomplete(Request &request)
+{
+    refuse(request, request.connection, HttpLimit::ReceiveBudget);
+    request.isDiscarded = true;
+    request.body = {};
+    setHeldBytes(request, 0);
+    // The connection is closed when its client sends more or closes it, and at the deadline.
+    if (auto *state = connectionOf(request.connection)) {
+        ::shutdown(state->descriptor, SHUT_WR);
+        state->deadline = EventLoop::now() + sweepPeriod;
+    }
+}
+
+void HttpServer::setHeldBytes(Request &request, std::size_t bytes)
+{
+    m_heldBytes = m_heldBytes - request.heldBytes + bytes;
+    request.heldBytes = bytes;
+}
+
 MHD_Result HttpServer::waitForResponse(Request &request, MHD_Connection *connection)
 {
     request.isSuspended = true;
@@ -350,6 +419,7 @@
         return;
     }
     found->second->response = std::move(response);
+    setHeldBytes(*found->second, 0);
     resume(*found->second);
 }
 
@@ -439,7 +509,8 @@
     if (*request == nullptr) {
         return;
     }
-    const auto &ended = *static_cast<Request *>(*request);
+    auto &ended = *static_cast<Request *>(*request);
+    server.setHeldBytes(ended, 0);
     if (ended.isHandled && !ended.response && server.m_disconnectHandler) {
         server.m_disconnectHandler(ended.id);
     }
@@ -461,6 +532,7 @@
     // libmicrohttpd does not report the end of a request whose header it could not read.
     if (const auto request = m_requests.find(found->second->request); request != m_requests.end()) {
         reportEnd(*request->second, MHD_REQUEST_TERMINATED_WITH_ERROR);
+        setHeldBytes(*request->second, 0);
         m_requests.erase(request);
     }
     if (!isClosedByPeer(found->second->descriptor)) {
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sequoiastand
@@ -28,6 +29,7 @@
     using Handler = std::function<void(HttpRequestId, const HttpRequest &)>;
     using DisconnectHandler = std::function<void(HttpRequestId)>;
     using LimitResponse = std::function<HttpResponse(HttpLimit)>;
+    using RefusalHandler = std::function<void(HttpLimit)>;
     using EndHandler = std::function<void(const HttpRequestSummary &)>;
 
     HttpServer(EventLoop &loop, HttpServerLimits limits);
@@ -47,6 +49,9 @@
     /// Sets the function that returns the response to a request that exceeds a limit.
     void setLimitResponse(LimitResponse response);
 
+    /// Sets the handler that is called for each request that is refused because it exceeds a limit.
+    void setRefusalHandler(RefusalHandler handler);
+
     /// Sets the handler that is called when a connection has finished with a request, also with one that was not read completely.
     void setEndHandler(EndHandler handler);
 
@@ -79,6 +84,12 @@
         return m_connections.size() + m_drain.size();
     }
 
+    /// Bytes of all bodies that are being received or answered.
+    std::size_t heldBytes() const
+    {
+        return m_heldBytes;
+    }
+
 private:
     struct Request;
     struct Connection;
@@ -89,6 +100,13 @@
     void readHead(Request &request, MHD_Connection *connection, const char *method, const char *path);
     HttpResponse limitResponse(HttpLimit limit) const;
     MHD_Result refuse(Request &request, MHD_Connection *connection, HttpLimit limit);
+    MHD_Result receive(Request &request, MHD_Connection *connection, std::string_view bytes);
+    void handle(Request &request, MHD_Connection *connection);
+
+    /// Refuses incomplete requests until the bytes fit into the budget. Returns false if the request itself is to be refused.
+    bool makeRoom(const Request &request, std::size_t bytes);
+    void refuseIncomplete(Request &request);
+    void setHeldBytes(Request &request, std::size_t bytes);
     MHD_Result waitForResponse(Request &request, MHD_Connection *connection);
     MHD_Result queueResponse(Request &request, MHD_Connection *connection);
     void resume(Request &request);
@@ -107,6 +125,7 @@
     Handler m_handler;
     DisconnectHandler m_disconnectHandler;
     LimitResponse m_limitResponse;
+    RefusalHandler m_refusalHandler;
     EndHandler m_endHandler;
     std::vector<std::string> m_readHeaders;
     MHD_Daemon *m_daemon = nullptr;
@@ -116,6 +135,7 @@
     ConnectionDrain m_drain;
     std::map<HttpRequestId, std::unique_ptr<Request>> m_requests;
     std::map<MHD_Connection *, std::unique_ptr<Connection>> m_connections;
+    std::size_t m_heldBytes = 0;
     HttpRequestId m_nextId = 1;
     bool m_hasRefusedTarget = false;
 };
