Bound the decoded size of submissions

Clients that sent legal bodies of the smallest possible steps took many times the memory of their bodies: 250,000 bytes of "{}," are 83,000 steps, each of which is decoded into a JSON value and a step of about 280 bytes before the limit of 64 steps is checked. 140 such clients brought a host to 226 MB, and to 380 MB with the receive budget alone, and no ordinary request was served within 20 s.

The largest legal submission, 64 steps with all fields that depend on all earlier ones, has less than 4,000 values. The refusals are 400, as for other invalid submissions, so nothing has run.

A test reads the largest legal submission.

--- a/core/workflow.cpp
+++ b/core/workflow.cpp
@@ -14,7 +14,6 @@
 {
 
 // These limits keep sums over all tasks of a workflow within 32 bits, and a record within the maximum value size of the store.
-constexpr int maxSteps = 64;
 constexpr int maxTasksPerWorkflow = 10'000;
 constexpr int maxOccurrences = 10'000;
 
@@ -83,8 +82,8 @@
 
 std::optional<std::string> findSpecificationError(const WorkflowSpecification &specification)
 {
-    if (specification.steps.empty() || specification.steps.size() > maxSteps) {
-        return absl::StrCat("a workflow must have 1 to ", maxSteps, " steps");
+    if (specification.steps.empty() || specification.steps.size() > maxWorkflowSteps) {
+        return absl::StrCat("a workflow must have 1 to ", maxWorkflowSteps, " steps");
     }
     if (specification.schedule.count < 0 || specification.schedule.count > maxOccurrences || specification.schedule.interval < Duration{0}) {
         return absl::StrCat("a schedule may have up to ", maxOccurrences, " times");
--- a/core/workflow.h
+++ b/core/workflow.h
@@ -6,6 +6,7 @@
 #include "time.h"
 
 #include <compare>
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -14,6 +15,8 @@
 namespace sequoiastand
 {
 
+constexpr std::size_t maxWorkflowSteps = 64;
+
 /// One step of a workflow, which consists of equal tasks.
 struct StepSpecification
 {
--- a/tests/testplatformfront.cpp
+++ b/tests/testplatformfront.cpp
@@ -1,5 +1,6 @@
 #include "platform/callerport.h"
 #include "platform/platformrecords.h"
+#include "wire/jsonfields.h"
 
 #include <gtest/gtest.h>
 
@@ -80,6 +81,39 @@
     EXPECT_FALSE(errorOf("").empty());
 }
 
+// Guards against a submission whose decoded steps or values take many times the memory of its body.
+TEST_F(PlatformFront, submissionOfTooManyStepsOrValuesIsRefused)
+{
+    std::string steps = "{}";
+    std::string values = "0";
+    for (std::size_t count = 0; count < maxWorkflowSteps; ++count) {
+        steps += ",{}";
+    }
+    for (std::size_t count = 0; count < maxStrictJsonValues; ++count) {
+        values += ",0";
+    }
+    EXPECT_NE(errorOf(R"({"spec":"p","steps":[)" + steps + "]}").find("steps"), std::string::npos);
+    EXPECT_NE(errorOf(R"({"spec":"p","steps":[{}],"unknown":[)" + values + "]}").find("values"), std::string::npos);
+}
+
+// Guards against limits on steps and values that refuse the largest legal submission.
+TEST_F(PlatformFront, submissionOfAllStepsThatDependOnAllEarlierOnesIsRead)
+{
+    std::string steps;
+    std::string after;
+    for (std::size_t number = 0; number < maxWorkflowSteps; ++number) {
+        steps += (number > 0 ? "," : "")
+                 + std::string{R"({"count":1,"cpu":1,"memMb":1,"gpu":1,"estimateMs":1,"savesProgress":true,"gang":true,"sameRack":true,)"}
+                 + R"("requiredLabel":"l","affinity":"r","maxPerServer":1,"speculative":false,"longRunning":false,"image":"i","targetMs":1,"fills":false,)"
+                 + R"("maxUnavailable":1,"after":[)" + after + "]}";
+        after += (number > 0 ? "," : "") + std::to_string(number);
+    }
+    const auto read = readSubmission(R"({"spec":",[{","steps":[)" + steps + "]}");
+    ASSERT_TRUE(read.ok()) << read.status().message();
+    EXPECT_EQ(maxWorkflowSteps, read->steps.size());
+    EXPECT_FALSE(findSpecificationError(*read));
+}
+
 TEST_F(PlatformFront, deeplyNestedBodyIsRefusedAndDoesNotExhaustTheStack)
 {
     std::string body = R"({"spec":"p","steps":)";
--- a/tests/testuntrustedclients.cpp
+++ b/tests/testuntrustedclients.cpp
@@ -125,7 +125,7 @@
         peer.sin_family = AF_INET;
         peer.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
         inet_pton(AF_INET, address.substr(0, colon).c_str(), &peer.sin_addr);
-        ::connect(m_descriptor, reinterpret_cast<const sockaddr *>(&peer), sizeof peer);
+        m_isRefused = ::connect(m_descriptor, reinterpret_cast<const sockaddr *>(&peer), sizeof peer) != 0 && errno != EINPROGRESS;
     }
 
     ~Client()
--- a/wire/jsonfields.cpp
+++ b/wire/jsonfields.cpp
@@ -64,9 +64,16 @@
     return plain;
 }
 
-/// True if objects and arrays are nested no deeper than `maxJsonDepth`. Brackets inside strings do not count.
-bool isWithinDepthLimit(std::string_view text)
+/// Extent of a JSON text, counted without decoding it. Characters inside strings do not count.
+struct JsonExtent
 {
+    int depth = 0;          ///< Maximum nesting depth of objects and arrays.
+    std::size_t values = 1; ///< Upper bound of the number of values.
+};
+
+JsonExtent extentOf(std::string_view text)
+{
+    JsonExtent extent;
     int depth = 0;
     bool isInString = false;
     for (std::size_t position = 0; position < text.size(); ++position) {
@@ -76,14 +83,15 @@
         } else if (isInString && character == '\\') {
             ++position;
         } else if (!isInString && (character == '{' || character == '[')) {
-            if (++depth > maxJsonDepth) {
-                return false;
-            }
+            extent.depth = std::max(extent.depth, ++depth);
+            ++extent.values;
         } else if (!isInString && (character == '}' || character == ']')) {
             --depth;
+        } else if (!isInString && character == ',') {
+            ++extent.values;
         }
     }
-    return true;
+    return extent;
 }
 
 /// A parser callback that finds duplicate keys; the parser itself keeps the last value without an error.
@@ -223,9 +231,13 @@
 absl::StatusOr<nlohmann::json> parseJson(std::string_view text, std::string_view what, JsonSyntax form)
 {
     const std::string uncommented = form == JsonSyntax::WithComments ? withoutComments(text) : std::string{};
-    if (!isWithinDepthLimit(form == JsonSyntax::WithComments ? std::string_view{uncommented} : text)) {
+    const auto extent = extentOf(form == JsonSyntax::WithComments ? std::string_view{uncommented} : text);
+    if (extent.depth > maxJsonDepth) {
         return absl::InvalidArgumentError(std::string{what} + ": more than " + std::to_string(maxJsonDepth) + " nested objects or arrays");
     }
+    if (form == JsonSyntax::Strict && extent.values > maxStrictJsonValues) {
+        return absl::InvalidArgumentError(std::string{what} + ": more than " + std::to_string(maxStrictJsonValues) + " values");
+    }
     try {
         if (form == JsonSyntax::Plain) {
             return nlohmann::json::parse(text);
--- a/wire/jsonfields.h
+++ b/wire/jsonfields.h
@@ -125,13 +125,17 @@
 enum class JsonSyntax
 {
     Plain,        ///< The last value of a duplicate key is used.
-    Strict,       ///< An object with a duplicate key is an error.
+    Strict,       ///< For requests of callers: an object with a duplicate key is an error, and so are more than `maxStrictJsonValues` values.
     WithComments, ///< The same as Strict, but comments are allowed and skipped.
 };
 
 /// Maximum nesting depth of objects and arrays that parseJson() accepts. It bounds the stack of the parser and of other recursive code.
 constexpr int maxJsonDepth = 64;
 
+/// Maximum number of values in the text of a caller. A decoded value takes many times the memory of its text. A submission of 64 steps with all their fields
+/// that depend on all earlier steps has less than 4,000.
+constexpr std::size_t maxStrictJsonValues = 16'384;
+
 /// Parses text. An error message begins with `what` and names the position of a syntax error.
 absl::StatusOr<nlohmann::json> parseJson(std::string_view text, std::string_view what, JsonSyntax form = JsonSyntax::Plain);
 
