Scale the descriptors for refused and closing connections

A host that was allowed 150 connections had up to 324 descriptors while 400 clients connected: 64 connections more were accepted in order to refuse them, and 128 closed ones were kept until their clients had read the last response, whatever http.maxConnections was.

Both numbers are now a part of http.maxConnections, a sixteenth and an eighth, with the former numbers as upper limits, which the default of 1,500 keeps.

--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -24,8 +24,17 @@
 // After its response, the rest of a refused body is read and discarded up to this multiple of the limit, so that the client receives the response.
 constexpr std::size_t discardedBodyFactor = 16;
 
-// Number of connections that are accepted in addition to `maxConnections`, so that their requests can be refused with a response.
-constexpr unsigned maxRefusedConnections = 64;
+/// Number of connections that are accepted in addition to `maxConnections`, so that their requests can be refused with a response.
+unsigned refusedConnections(const HttpServerLimits &limits)
+{
+    return std::clamp(limits.maxConnections / 16, 8U, 64U);
+}
+
+/// Number of closed connections whose clients may still read the last response. Each keeps a descriptor beside those of the open connections.
+std::size_t drainedConnections(const HttpServerLimits &limits)
+{
+    return std::clamp(limits.maxConnections / 8, 16U, 128U);
+}
 
 constexpr Duration sweepPeriod{1'000};
 
@@ -76,7 +85,7 @@
     , m_watch(loop, [this](int) { runDaemon(); })
     , m_runTimer(loop, [this] { runDaemon(); })
     , m_sweepTimer(loop, [this] { closeTimedOutConnections(); })
-    , m_drain(loop, {.maxDiscardedBytes = discardedBodyFactor * limits.maxBodyBytes})
+    , m_drain(loop, {.maxConnections = drainedConnections(limits), .maxDiscardedBytes = discardedBodyFactor * limits.maxBodyBytes})
 {
 }
 
@@ -143,7 +152,7 @@
                                 MHD_OPTION_LISTENING_ADDRESS_REUSE,
                                 1U,
                                 MHD_OPTION_CONNECTION_LIMIT,
-                                m_limits.maxConnections + maxRefusedConnections,
+                                m_limits.maxConnections + refusedConnections(m_limits),
                                 MHD_OPTION_CONNECTION_MEMORY_LIMIT,
                                 connectionPoolBytes(m_limits),
                                 MHD_OPTION_NOTIFY_COMPLETED,
