Return free memory to the operating system after a crowd

After a crowd of clients had left, the memory that it had used stayed resident, because the allocator keeps free blocks between those in use; it was lacking for whatever the machine had to do next. The listener now returns free memory one second after 4 MiB of bodies and connections have been released, at most once a second. Ordinary bodies of less than 5,000 bytes reach this after hundreds of requests only.

--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/match.h>
 #include <absl/strings/strip.h>
 #include <arpa/inet.h>
+#include <malloc.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -38,6 +39,10 @@
 
 constexpr Duration sweepPeriod{1'000};
 
+// The allocator keeps free memory between blocks that are in use. Returning it takes milliseconds, so it is done rarely and only after a crowd.
+constexpr std::size_t returnedBytes = std::size_t{4} * 1024 * 1024;
+constexpr Duration memoryReturnDelay{1'000};
+
 /// True if the peer has closed or reset the connection and no bytes are left to read.
 bool isClosedByPeer(int descriptor)
 {
@@ -85,6 +90,7 @@
     , m_watch(loop, [this](int) { runDaemon(); })
     , m_runTimer(loop, [this] { runDaemon(); })
     , m_sweepTimer(loop, [this] { closeTimedOutConnections(); })
+    , m_memoryTimer(loop, [this] { returnMemory(); })
     , m_drain(loop, {.maxConnections = drainedConnections(limits), .maxDiscardedBytes = discardedBodyFactor * limits.maxBodyBytes})
 {
 }
@@ -389,10 +395,25 @@
 
 void HttpServer::setHeldBytes(Request &request, std::size_t bytes)
 {
+    noteReleased(request.heldBytes - std::min(request.heldBytes, bytes));
     m_heldBytes = m_heldBytes - request.heldBytes + bytes;
     request.heldBytes = bytes;
 }
 
+void HttpServer::noteReleased(std::size_t bytes)
+{
+    m_releasedBytes += bytes;
+    if (m_releasedBytes >= returnedBytes && !m_memoryTimer.isActive()) {
+        m_memoryTimer.startIn(memoryReturnDelay);
+    }
+}
+
+void HttpServer::returnMemory()
+{
+    m_releasedBytes = 0;
+    malloc_trim(0);
+}
+
 MHD_Result HttpServer::waitForResponse(Request &request, MHD_Connection *connection)
 {
     request.isSuspended = true;
@@ -548,6 +569,7 @@
         m_drain.add(found->second->descriptor);
     }
     m_connections.erase(found);
+    noteReleased(connectionPoolBytes(m_limits));
 }
 
 void HttpServer::onConnectionRaw(void *self, MHD_Connection *connection, void **, MHD_ConnectionNotificationCode code)
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -107,6 +107,10 @@
     bool makeRoom(const Request &request, std::size_t bytes);
     void refuseIncomplete(Request &request);
     void setHeldBytes(Request &request, std::size_t bytes);
+
+    /// Schedules the return of free memory to the operating system once much has been released.
+    void noteReleased(std::size_t bytes);
+    void returnMemory();
     MHD_Result waitForResponse(Request &request, MHD_Connection *connection);
     MHD_Result queueResponse(Request &request, MHD_Connection *connection);
     void resume(Request &request);
@@ -132,10 +136,12 @@
     SocketWatch m_watch;
     Timer m_runTimer;
     Timer m_sweepTimer;
+    Timer m_memoryTimer;
     ConnectionDrain m_drain;
     std::map<HttpRequestId, std::unique_ptr<Request>> m_requests;
     std::map<MHD_Connection *, std::unique_ptr<Connection>> m_connections;
     std::size_t m_heldBytes = 0;
+    std::size_t m_releasedBytes = 0; ///< Bytes that were released since free memory was last returned to the operating system.
     HttpRequestId m_nextId = 1;
     bool m_hasRefusedTarget = false;
 };
