Test that bodies that stop short are refused truly

The test guards the decision of the receive budget at the listener: a body that stops short is refused with 503 and never handled, an ordinary request beside it is answered, and nothing is held once the clients have left.

--- a/tests/testhttprefusal.cpp
+++ b/tests/testhttprefusal.cpp
@@ -4,8 +4,11 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
+#include <memory>
+#include <vector>
 
 namespace sequoiastand
 {
@@ -17,6 +20,7 @@
 using testing::StartsWith;
 
 constexpr std::size_t maxBodyBytes = 4'096;
+const HttpServerLimits limits{.maxBodyBytes = maxBodyBytes, .maxHeaderBytes = 4'096, .receiveBudgetBytes = 1}; // The smallest budget: two bodies.
 
 const std::string announcedHeader = "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 400000\r\n\r\n";
 const std::string chunkedHeader = "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -39,7 +43,7 @@
 {
 protected:
     HttpRefusalTest()
-        : m_server(m_loop, {.maxBodyBytes = maxBodyBytes, .maxHeaderBytes = 4'096})
+        : m_server(m_loop, limits)
     {
         m_server.setHandler([this](HttpRequestId id, const HttpRequest &request) {
             m_requests.push_back(request);
@@ -112,6 +116,30 @@
     EXPECT_TRUE(wait([this] { return m_server.openConnections() == 0; }));
 }
 
+// Guards against bodies that stop short of their end and keep the memory that ordinary requests need, and against a refusal of a request that has run.
+TEST_F(HttpRefusalTest, bodiesThatStopShortAreRefusedWhenTheirMemoryIsNeeded)
+{
+    const std::size_t count = receiveBudget(limits) / maxBodyBytes;
+    std::vector<std::unique_ptr<RawClient>> clients;
+    const auto isRefused = [](const auto &client) { return client->received().starts_with("HTTP/1.1 503"); };
+    for (std::size_t number = 0; number < count + 1; ++number) {
+        clients.push_back(std::make_unique<RawClient>(m_loop, m_server.port()));
+        clients.back()->send(post(maxBodyBytes).substr(0, maxBodyBytes));
+    }
+    ASSERT_TRUE(wait([&] { return std::ranges::any_of(clients, isRefused); }));
+    EXPECT_LE(m_server.heldBytes(), receiveBudget(limits));
+    const auto refused = std::ranges::find_if(clients, isRefused);
+    (*refused)->send(std::string(maxBodyBytes, 'x'));
+
+    RawClient ordinary(m_loop, m_server.port());
+    ordinary.send(post(100));
+    EXPECT_TRUE(wait([&ordinary] { return ordinary.received().ends_with("done"); }));
+    EXPECT_TRUE(wait([&] { return (*refused)->isClosedByPeer(); }));
+    EXPECT_EQ(1U, m_requests.size());
+    clients.clear();
+    EXPECT_TRUE(wait([this] { return m_server.heldBytes() == 0; }));
+}
+
 // Guards against a body that is refused although it only reaches the limit.
 TEST_F(HttpRefusalTest, bodyThatEndsAtTheLimitIsAnswered)
 {
