--- a/net/hostloop.cpp
+++ b/net/hostloop.cpp
@@ -194,6 +194,7 @@
                            {"httpConnections", static_cast<double>(m_server.openConnections())},
                            {"httpConnectionsDisplaced", static_cast<double>(m_server.displacedConnections())},
                            {"httpOpenRequests", static_cast<double>(m_server.openRequests())},
+                           {"receivedBytesHeld", static_cast<double>(m_server.heldBytes())},
                            {"clientOpenCalls", static_cast<double>(m_http.openCalls())},
                            {"peerIncomingConnections", static_cast<double>(m_peerListener.connectionCount())},
                            {"peerConnectionsRefused", static_cast<double>(m_peerListener.connectionEnds().refused)},
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -1,10 +1,12 @@
 #include "httpserver.h"
 
 #include "core/errors.h"
+#include "receivebudget.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/strip.h>
 #include <arpa/inet.h>
+#include <malloc.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -24,14 +26,27 @@
 // After its response, the rest of a refused body is read and discarded up to this multiple of the limit, so that the client receives the response.
 constexpr std::size_t discardedBodyFactor = 16;
 
-// Number of connections that are accepted in addition to `maxConnections`, so that their requests can be refused with a response.
-constexpr unsigned maxRefusedConnections = 64;
+/// Number of connections that are accepted in addition to `maxConnections`, so that their requests can be refused with a response.
+unsigned refusedConnections(const HttpServerLimits &limits)
+{
+    return std::clamp(limits.maxConnections / 16, 8U, 64U);
+}
+
+/// Number of closed connections whose clients may still read the last response. Each keeps a descriptor beside those of the open connections.
+std::size_t drainedConnections(const HttpServerLimits &limits)
+{
+    return std::clamp(limits.maxConnections / 8, 16U, 128U);
+}
 
 // Timeout of a connection while it is being answered. `responseTimeout` ends the connection earlier.
 constexpr unsigned resumedTimeoutSeconds = 3'600;
 
 constexpr Duration sweepPeriod{1'000};
 
+// The allocator keeps free memory between blocks that are in use. Returning it takes milliseconds, so it is done rarely and only after a crowd.
+constexpr std::size_t returnedBytes = std::size_t{4} * 1024 * 1024;
+constexpr Duration memoryReturnDelay{1'000};
+
 /// True if the peer has closed or reset the connection and no bytes are left to read.
 bool isClosedByPeer(int descriptor)
 {
@@ -66,7 +81,11 @@
     bool isRead = false;    ///< The last byte of the body was read.
     bool hasClientLeft = false;
     std::optional<TimePoint> handledAt;
+    bool isDiscarded = false; ///< Its body was released to make room for other requests.
+    ReceivedBody body;        ///< Empty once the request is handled.
     std::size_t bodyBytes = 0;
+    std::size_t heldBytes = 0; ///< The request's part of the receive budget.
+    TimePoint lastProgress;
     std::optional<HttpResponse> response;
     std::unique_ptr<SocketWatch> disconnectWatch;
 };
@@ -77,7 +96,8 @@
     , m_watch(loop, [this](int) { runDaemon(); })
     , m_runTimer(loop, [this] { runDaemon(); })
     , m_sweepTimer(loop, [this] { closeTimedOutConnections(); })
-    , m_drain(loop, {.maxDiscardedBytes = discardedBodyFactor * limits.maxBodyBytes})
+    , m_memoryTimer(loop, [this] { returnMemory(); })
+    , m_drain(loop, {.maxConnections = drainedConnections(limits), .maxDiscardedBytes = discardedBodyFactor * limits.maxBodyBytes})
 {
 }
 
@@ -120,6 +140,11 @@
     m_alwaysServedPaths = std::move(paths);
 }
 
+void HttpServer::setRefusalHandler(RefusalHandler handler)
+{
+    m_refusalHandler = std::move(handler);
+}
+
 void HttpServer::setEndHandler(EndHandler handler)
 {
     m_endHandler = std::move(handler);
@@ -144,7 +169,7 @@
                                 MHD_OPTION_LISTENING_ADDRESS_REUSE,
                                 1U,
                                 MHD_OPTION_CONNECTION_LIMIT,
-                                m_limits.maxConnections + maxRefusedConnections,
+                                m_limits.maxConnections + refusedConnections(m_limits),
                                 MHD_OPTION_CONNECTION_MEMORY_LIMIT,
                                 connectionPoolBytes(m_limits),
                                 MHD_OPTION_NOTIFY_COMPLETED,
@@ -285,6 +310,9 @@
 
 HttpResponse HttpServer::limitResponse(HttpLimit limit) const
 {
+    if (m_refusalHandler) {
+        m_refusalHandler(limit);
+    }
     auto response = m_limitResponse ? m_limitResponse(limit) : defaultLimitResponse(limit);
     response.closesConnection = true;
     return response;
@@ -302,7 +330,7 @@
 
 MHD_Result HttpServer::onAccess(Request &request, MHD_Connection *connection, const char *method, const char *path, const char *data, std::size_t *size)
 {
-    if (request.isRefused) {
+    if (request.isRefused || request.isDiscarded) {
         return MHD_NO;
     }
     if (!request.isHeadRead) {
@@ -313,13 +341,9 @@
         return request.response ? queueResponse(request, connection) : MHD_YES;
     }
     if (*size > 0) {
-        request.bodyBytes += *size;
-        if (request.bodyBytes > m_limits.maxBodyBytes) {
-            return refuse(request, connection, HttpLimit::BodyTooLarge);
-        }
-        request.request.body.append(data, *size);
+        const auto result = receive(request, connection, {data, *size});
         *size = 0;
-        return MHD_YES;
+        return result;
     }
     request.isRead = true;
     if (!request.isHandled && !isHeaderWithinLimits(connection, m_limits)) {
@@ -327,18 +351,93 @@
         return refuse(request, connection, HttpLimit::HeaderTooLarge);
     }
     if (!request.isHandled && !request.response) {
-        request.isHandled = true;
-        request.handledAt = EventLoop::now();
-        if (auto *state = connectionOf(connection)) {
-            state->deadline.reset();
-        }
-        if (m_handler) {
-            m_handler(request.id, request.request);
-        }
+        handle(request, connection);
     }
     return request.response ? queueResponse(request, connection) : waitForResponse(request, connection);
 }
 
+MHD_Result HttpServer::receive(Request &request, MHD_Connection *connection, std::string_view bytes)
+{
+    request.bodyBytes += bytes.size();
+    if (request.bodyBytes > m_limits.maxBodyBytes) {
+        return refuse(request, connection, HttpLimit::BodyTooLarge);
+    }
+    if (!makeRoom(request, allocationFor(request.body, bytes.size()))) {
+        return refuse(request, connection, HttpLimit::ReceiveBudget);
+    }
+    append(request.body, bytes);
+    setHeldBytes(request, request.body.allocatedBytes);
+    request.lastProgress = EventLoop::now();
+    return MHD_YES;
+}
+
+void HttpServer::handle(Request &request, MHD_Connection *connection)
+{
+    request.isHandled = true;
+    request.handledAt = EventLoop::now();
+    if (auto *state = connectionOf(connection)) {
+        state->deadline.reset();
+    }
+    request.request.body = takeText(request.body);
+    if (m_handler) {
+        m_handler(request.id, request.request);
+    }
+    // What the handler has decoded takes about as much memory as the body until the request is answered.
+    setHeldBytes(request, request.response ? 0 : request.bodyBytes);
+    request.request.body = {};
+}
+
+bool HttpServer::makeRoom(const Request &request, std::size_t bytes)
+{
+    if (m_heldBytes + bytes <= receiveBudget(m_limits)) {
+        return true;
+    }
+    std::vector<HeldRequest> held;
+    std::ranges::transform(m_requests, std::back_inserter(held), [&](const auto &row) {
+        const auto &other = *row.second;
+        const bool isSender = other.id == request.id;
+        return HeldRequest{other.id, other.heldBytes + (isSender ? bytes : 0), isSender ? EventLoop::now() : other.lastProgress, other.isHandled};
+    });
+    const auto refused = requestsToRefuse(std::move(held), receiveBudget(m_limits), EventLoop::now());
+    const auto sender = std::ranges::find(refused, request.id);
+    std::for_each(refused.begin(), sender, [this](HttpRequestId id) { refuseIncomplete(*m_requests.at(id)); });
+    return sender == refused.end();
+}
+
+void HttpServer::refuseIncomplete(Request &request)
+{
+    refuse(request, request.connection, HttpLimit::ReceiveBudget);
+    request.isDiscarded = true;
+    request.body = {};
+    setHeldBytes(request, 0);
+    // The connection is closed when its client sends more or closes it, and at the deadline.
+    if (auto *state = connectionOf(request.connection)) {
+        ::shutdown(state->descriptor, SHUT_WR);
+        state->deadline = EventLoop::now() + sweepPeriod;
+    }
+}
+
+void HttpServer::setHeldBytes(Request &request, std::size_t bytes)
+{
+    noteReleased(request.heldBytes - std::min(request.heldBytes, bytes));
+    m_heldBytes = m_heldBytes - request.heldBytes + bytes;
+    request.heldBytes = bytes;
+}
+
+void HttpServer::noteReleased(std::size_t bytes)
+{
+    m_releasedBytes += bytes;
+    if (m_releasedBytes >= returnedBytes && !m_memoryTimer.isActive()) {
+        m_memoryTimer.startIn(memoryReturnDelay);
+    }
+}
+
+void HttpServer::returnMemory()
+{
+    m_releasedBytes = 0;
+    malloc_trim(0);
+}
+
 MHD_Result HttpServer::waitForResponse(Request &request, MHD_Connection *connection)
 {
     request.isSuspended = true;
@@ -375,6 +474,7 @@
         return;
     }
     found->second->response = std::move(response);
+    setHeldBytes(*found->second, 0);
     resume(*found->second);
 }
 
@@ -467,7 +567,8 @@
     if (*request == nullptr) {
         return;
     }
-    const auto &ended = *static_cast<Request *>(*request);
+    auto &ended = *static_cast<Request *>(*request);
+    server.setHeldBytes(ended, 0);
     if (ended.isHandled && !ended.response && server.m_disconnectHandler) {
         server.m_disconnectHandler(ended.id);
     }
@@ -490,6 +591,7 @@
     // libmicrohttpd does not report the end of a request whose header it could not read.
     if (const auto request = m_requests.find(found->second->request); request != m_requests.end()) {
         reportEnd(*request->second, MHD_REQUEST_TERMINATED_WITH_ERROR);
+        setHeldBytes(*request->second, 0);
         m_requests.erase(request);
     }
     if (!isClosedByPeer(found->second->descriptor)) {
@@ -497,6 +599,7 @@
     }
     m_connections.erase(found);
     m_needsAnotherRun = true;
+    noteReleased(connectionPoolBytes(m_limits));
 }
 
 void HttpServer::onConnectionRaw(void *self, MHD_Connection *connection, void **, MHD_ConnectionNotificationCode code)
@@ -513,7 +616,7 @@
     state->isAboveLimit = server.m_connections.size() >= server.m_limits.maxConnections;
     server.m_connections.emplace(connection, std::move(state));
     // libmicrohttpd accepts no connection beyond this number, so that one place is kept free for a request that is always served.
-    if (server.m_connections.size() >= server.m_limits.maxConnections + maxRefusedConnections) {
+    if (server.m_connections.size() >= server.m_limits.maxConnections + refusedConnections(server.m_limits)) {
         server.displaceOldestAboveLimit();
     }
 }
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sequoiastand
@@ -29,6 +30,7 @@
     using Handler = std::function<void(HttpRequestId, const HttpRequest &)>;
     using DisconnectHandler = std::function<void(HttpRequestId)>;
     using LimitResponse = std::function<HttpResponse(HttpLimit)>;
+    using RefusalHandler = std::function<void(HttpLimit)>;
     using EndHandler = std::function<void(const HttpRequestSummary &)>;
 
     HttpServer(EventLoop &loop, HttpServerLimits limits);
@@ -51,6 +53,9 @@
     /// Sets the paths that are served also on connections above the limit, which are closed after the response.
     void setAlwaysServedPaths(std::set<std::string, std::less<>> paths);
 
+    /// Sets the handler that is called for each request that is refused because it exceeds a limit.
+    void setRefusalHandler(RefusalHandler handler);
+
     /// Sets the handler that is called when a connection has finished with a request, also with one that was not read completely.
     void setEndHandler(EndHandler handler);
 
@@ -89,6 +94,12 @@
         return m_displacedConnections;
     }
 
+    /// Bytes of all bodies that are being received or answered.
+    std::size_t heldBytes() const
+    {
+        return m_heldBytes;
+    }
+
 private:
     struct Request;
     struct Connection;
@@ -100,6 +111,17 @@
     void readHead(Request &request, MHD_Connection *connection, const char *method, const char *path);
     HttpResponse limitResponse(HttpLimit limit) const;
     MHD_Result refuse(Request &request, MHD_Connection *connection, HttpLimit limit);
+    MHD_Result receive(Request &request, MHD_Connection *connection, std::string_view bytes);
+    void handle(Request &request, MHD_Connection *connection);
+
+    /// Refuses incomplete requests until the bytes fit into the budget. Returns false if the request itself is to be refused.
+    bool makeRoom(const Request &request, std::size_t bytes);
+    void refuseIncomplete(Request &request);
+    void setHeldBytes(Request &request, std::size_t bytes);
+
+    /// Schedules the return of free memory to the operating system once much has been released.
+    void noteReleased(std::size_t bytes);
+    void returnMemory();
     MHD_Result waitForResponse(Request &request, MHD_Connection *connection);
     MHD_Result queueResponse(Request &request, MHD_Connection *connection);
     void resume(Request &request);
@@ -118,6 +140,7 @@
     Handler m_handler;
     DisconnectHandler m_disconnectHandler;
     LimitResponse m_limitResponse;
+    RefusalHandler m_refusalHandler;
     EndHandler m_endHandler;
     std::vector<std::string> m_readHeaders;
     std::set<std::string, std::less<>> m_alwaysServedPaths;
@@ -125,9 +148,12 @@
     SocketWatch m_watch;
     Timer m_runTimer;
     Timer m_sweepTimer;
+    Timer m_memoryTimer;
     ConnectionDrain m_drain;
     std::map<HttpRequestId, std::unique_ptr<Request>> m_requests;
     std::map<MHD_Connection *, std::unique_ptr<Connection>> m_connections;
+    std::size_t m_heldBytes = 0;
+    std::size_t m_releasedBytes = 0; ///< Bytes that were released since free memory was last returned to the operating system.
     HttpRequestId m_nextId = 1;
     unsigned long long m_nextConnectionNumber = 1;
     long long m_displacedConnections = 0;
--- a/soak/soakworld.h
+++ b/soak/soakworld.h
@@ -120,6 +120,7 @@
     int count = 0;                ///< Number of faults of each kind; zero injects as many as the length leaves room for.
     bool hasUnequalHosts = false; ///< Hosts have shares of a core, as those of the users do, and are held to them.
     bool hasUnequalLinks = false; ///< Most hosts have links of 10 Mbit/s, as most of the users' hosts do.
+    int maxConnections = 0;       ///< Limit of the callers' connections to a host; zero leaves the default.
     Duration meanWorkGap{300};    ///< Mean time between two submissions.
     int maxTasks = 6;             ///< Largest number of tasks of a step.
     bool hasDemands = false;      ///< Steps demand a label, one rack, the rack of their data, or a limit of tasks on one target.
