Answer a submission as unknown if its stored copy may be its own

Callers saw: 409 with the promise that the work does not run, for a submission whose first copy was stored without an answer, when the key or the prefix had meanwhile moved to another organisation or queue.

Cause: handleStoredWorkflow() took any workflow that the caller may not access for another caller's.

WriteBesideAChange.submissionWhoseKeyMovesToAnotherOrganisationIsNotSaidToBeNotRun and submissionWhosePrefixMovesToAnotherQueueIsNotSaidToBeNotRun fail on and pass with this change (x86_64).

--- a/tests/testwritesbesidechanges.cpp
+++ b/tests/testwritesbesidechanges.cpp
@@ -88,4 +88,22 @@
     expectNoClaimThatItHasNotRun(call);
 }
 
+TEST_F(WriteBesideAChange, submissionWhoseKeyMovesToAnotherOrganisationIsNotSaidToBeNotRun)
+{
+    const auto call = submitWithLostAnswer();
+    setKey("key-tailors", "hotels");
+    expectNoClaimThatItHasNotRun(call);
+}
+
+TEST_F(WriteBesideAChange, submissionWhosePrefixMovesToAnotherQueueIsNotSaidToBeNotRun)
+{
+    const auto call = submitWithLostAnswer();
+    auto other = configuration.queues.at({"urgent"});
+    configuration.queues.at({"urgent"}).prefix = "/urgent-former/";
+    other.id = {"urgent-2"};
+    configuration.queues[{"urgent-2"}] = other;
+    setKey("key-late", "hotels");
+    expectNoClaimThatItHasNotRun(call);
+}
+
 }
--- a/workflow/callerwrites.cpp
+++ b/workflow/callerwrites.cpp
@@ -144,6 +144,7 @@
 /// Answers a submission whose id belongs to a stored workflow. Only the same submission is accepted; any other one would be told of success and never run.
 void handleStoredWorkflow(WorkflowBoard &board, OpenCallerCall call, const Workflow &stored)
 {
+    const bool hasUnansweredCopy = call.mayBeStored;
     // The workflow may be the caller's own, sent once more. If a newer configuration refuses the caller, the answer must not say that it will not run.
     call.mayBeStored = true;
     const auto routed = route(board, call);
@@ -155,7 +156,8 @@
         answer(board, call, {});
         return;
     }
-    call.mayBeStored = false; // An earlier copy of this write would have failed with the same conflict.
+    // A workflow with the same specification may be an earlier copy of this write, if the key or the prefix now belongs to another organisation or queue.
+    call.mayBeStored = hasUnansweredCopy && stored.specification == *call.request.specification;
     refuse(board,
            call,
            RefusalReason::RequestIdReused,
