Do not promise that a tombstone is not written after a lost answer

Callers saw: 429, which promises that a cancellation has no effect, although an unanswered copy of its tombstone was stored; a later submission of the id is refused as cancelled.

Cause: excludeSubmission() refused for the limit of tombstones without regard to OpenCallerCall::mayBeStored.

LateSubmissions.cancellingWhoseTombstoneMayBeStoredIsNotSaidToBeNotRun fails on and passes with this change (x86_64).

--- a/tests/testlatesubmissions.cpp
+++ b/tests/testlatesubmissions.cpp
@@ -222,4 +222,30 @@
     EXPECT_TRUE(hasTombstone(id(2)));
 }
 
+// Guards against a refusal that says a tombstone was not written although an unanswered copy of it is stored.
+TEST_F(LateSubmissions, cancellingWhoseTombstoneMayBeStoredIsNotSaidToBeNotRun)
+{
+    answerTo(cancel(id(2), "h2"));
+    run(Duration{200});
+    auto &own = board("h2");
+    own.tombstones.nextAt = now + settings.limits.maxTombstoneBurst * settings.limits.tombstonePeriod;
+    own.view.nextProofAt = now + Duration{900};
+    own.view.proof.reset();
+    store.faults.answersToLose = 50;
+    const auto call = cancel(id(1), "h2");
+    bool isProving = false;
+    while (!isProving && !isAnswered(call)) {
+        own.view.isCatchingUp = true;
+        own.view.currentAt.reset();
+        run(tick);
+        isProving = !own.calls.isEmpty() && own.calls.rows().begin()->second.step == CallerStep::Proving && own.calls.rows().begin()->second.mayBeStored;
+    }
+    ASSERT_TRUE(isProving);
+    store.faults.answersToLose = 0;
+    own.tombstones.nextAt = now + settings.limits.maxTombstoneBurst * settings.limits.tombstonePeriod + Duration{3'000}; // Other cancellations.
+    const auto refusal = answerTo(call).refusal;
+    ASSERT_TRUE(refusal && hasTombstone(id(1)));
+    EXPECT_TRUE(refusal->reason == RefusalReason::NotFound || refusal->run == RequestEffect::Unknown) << refusal->message;
+}
+
 }
--- a/workflow/callerwrites.cpp
+++ b/workflow/callerwrites.cpp
@@ -90,7 +90,8 @@
 {
     if (const auto wait = takeTombstone(board); wait > Duration{0}) {
         const auto retryAfter = wait + takeJitter(board, board.self.limits.retryAfter);
-        answer(board, call, {{}, Refusal{RefusalReason::QuotaExceeded, RequestEffect::NotRun, retryAfter, "too many unknown workflows are cancelled"}, {}, {}});
+        const auto effect = call.mayBeStored ? RequestEffect::Unknown : RequestEffect::NotRun;
+        answer(board, call, {{}, Refusal{RefusalReason::QuotaExceeded, effect, retryAfter, "too many unknown workflows are cancelled"}, {}, {}});
         return;
     }
     requestTombstoneLease(board);
