Test a decided submission that is executed after its key was removed

Found by the review: removed the condition on the configuration from decided submissions, so nothing bounds when a delayed copy takes effect.

--- a/tests/testlatesubmissions.cpp
+++ b/tests/testlatesubmissions.cpp
@@ -222,6 +222,25 @@
     EXPECT_TRUE(hasTombstone(id(2)));
 }
 
+// Guards against a write without the condition that is executed after the caller's key was removed.
+TEST_F(LateSubmissions, writeOfADecidedSubmissionHasNoEffectAfterItsKeyWasRemoved)
+{
+    auto &own = board("h2");
+    own.view.provenAt.reset();
+    own.view.proof.reset();
+    own.view.lateProofs.clear();
+    own.view.nextProofAt = now + Duration{200};
+    store.faults.delay = Duration{8'000};
+    store.faults.writesToDelay = 2;
+    const auto call = submit(id(1), work(), {Duration{60'000}, {}}, "h2");
+    runUntil([&] { return !store.lateCalls.empty(); }, Duration{2'000});
+    removeKey("key-tailors");
+    EXPECT_EQ(answerTo(call).refusal->run, RequestEffect::Unknown);
+    run(Duration{11'000});
+    EXPECT_FALSE(storedState(id(1)));
+    EXPECT_EQ(fleet.starts[id(1)], 0);
+}
+
 // Guards against a refusal that says a tombstone was not written although an unanswered copy of it is stored.
 TEST_F(LateSubmissions, cancellingWhoseTombstoneMayBeStoredIsNotSaidToBeNotRun)
 {
