--- a/workflow/calleranswers.cpp
+++ b/workflow/calleranswers.cpp
@@ -1,6 +1,7 @@
 #include "calleranswers.h"
 
 #include <algorithm>
+#include <array>
 #include <ranges>
 #include <utility>
 #include <variant>
@@ -33,6 +34,12 @@
 
 }
 
+std::string_view name(CallerStep step)
+{
+    static constexpr std::array<std::string_view, 5> names{"proving", "reading", "writing", "writingTombstone", "refusing"};
+    return names.at(static_cast<std::size_t>(step));
+}
+
 TimePoint latestAnswer(const WorkflowBoard &board, const OpenCallerCall &call)
 {
     const auto timeout = call.request.answerTimeout > Duration{0} ? call.request.answerTimeout : defaultAnswerTimeout;
@@ -104,6 +111,7 @@
 
 void refuseUnavailable(WorkflowBoard &board, OpenCallerCall call, Refusal refusal)
 {
+    call.refusedStep = call.step;
     call.refusal = std::move(refusal);
     // All readiness checks have ended by then, even if this host reads the answers too late to use them.
     const auto answerBy = std::min(latestAnswer(board, call), board.now + readinessTimeout(board));
@@ -122,7 +130,9 @@
 {
     Refusal refusal = *call.refusal;
     refusal.retryAfter = isAnotherHostReady(board) ? retryAtOnce : board.self.limits.retryAfter;
-    answer(board, call, {{}, std::move(refusal), {}, {}});
+    const std::string step(name(call.refusedStep));
+    count(board.counters, "callsUnavailable", std::string(name(call.request.action)) + " " + step);
+    answer(board, call, {{}, std::move(refusal), {}, {}}, ", " + step);
 }
 
 void refuse(WorkflowBoard &board, const OpenCallerCall &call, RefusalReason reason, const std::string &message)
--- a/workflow/calleranswers.h
+++ b/workflow/calleranswers.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace sequoiastand
 {
@@ -12,6 +13,9 @@
 /// Retry delay for callers that another host can serve, or that may send the request again at once. Zero is reserved for refusals where a retry cannot succeed.
 constexpr Duration retryAtOnce{1};
 
+/// Name of the step in log lines and counters.
+std::string_view name(CallerStep step);
+
 /// Latest time of the call's answer, so that it reaches the caller before the deadline in spite of this host's present timer lag.
 TimePoint latestAnswer(const WorkflowBoard &board, const OpenCallerCall &call);
 
--- a/workflow/followstore.cpp
+++ b/workflow/followstore.cpp
@@ -70,6 +70,7 @@
     if (reply->outcome != StoreOutcome::Applied) {
         logDecision(
             board, "readStore", prefix, "", "read failed, next try in " + std::to_string(board.self.limits.storeRetry.count()) + " ms: " + reply->error, true);
+        count(board.counters, "readsFailed", prefix);
         mirror.step = MirrorStep::Off;
         mirror.retryAt = board.now + board.self.limits.storeRetry;
         mirror.failingSince = mirror.failingSince.value_or(board.now);
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -355,10 +355,11 @@
     Revision requiredRevision = 0;        ///< Revision of the configuration on which that write is conditional; zero if it is not.
     std::optional<TimePoint> provenAfter; ///< The call needs a proof that was sent at this time or later.
     TimePoint retryAt;
-    std::optional<Refusal> refusal; ///< Refusal that is delayed until other hosts have answered whether they are ready.
-    bool mayBeStored = false;       ///< A write with an unknown outcome was sent.
-    int unansweredWrites = 0;       ///< Number of times that the write was sent and not answered.
-    bool hasRereadState = false;    ///< The state has been scheduled to be read a second time.
+    CallerStep refusedStep = CallerStep::Proving; ///< The step in which the call was refused.
+    std::optional<Refusal> refusal;               ///< Refusal that is delayed until other hosts have answered whether they are ready.
+    bool mayBeStored = false;                     ///< A write with an unknown outcome was sent.
+    int unansweredWrites = 0;                     ///< Number of times that the write was sent and not answered.
+    bool hasRereadState = false;                  ///< The state has been scheduled to be read a second time.
 
     friend bool operator==(const OpenCallerCall &, const OpenCallerCall &) = default;
 };
