Extend calls of the store while their answers arrive

Cause: calls, polls and reads of the store had to end within a fixed time (1.2 s; 0.75 s for a poll after a failed one), however much their answers carried. An answer that takes longer than that, alone or beside another copy, was given up shortly before its end and requested anew, for ever. Two proofs without an answer made the store count as lost, so calls were refused and the configuration was not read again.

Change: a call whose answer arrives is extended by up to 1.2 s after its latest bytes, 30 s at most.

With the three parts taken out, HttpClientCall.answerThatArrives..., LargeConfiguration.* and SoakProxy.largeAnswer... fail. The fake store no longer lets a watch poll again before its host has seen the last answer, as StorePort does not either.

--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -24,6 +24,9 @@
 // calls under way, and the next call to that peer has to open a new one.
 constexpr long maxConnections = 100;
 
+// Limit on a call whose timeout is extended while its answer arrives. The largest answers take some seconds on the narrowest links.
+constexpr Duration maxExtendedTime{30'000};
+
 // Ended transfers that are kept for later calls.
 constexpr std::size_t maxIdleTransfers = 32;
 
@@ -34,6 +37,8 @@
     HttpClient *client = nullptr;
     unsigned long long id = 0;
     TimePoint startedAt;
+    Duration stallTimeout{0};
+    std::optional<TimePoint> extendedTo; ///< Deadline that the received bytes have set.
     CURL *easy = nullptr;
     curl_slist *headers = nullptr;
     long bufferBytes = 0;
@@ -134,6 +139,7 @@
     transfer->body = {};
     transfer->requestBody = {};
     transfer->sentBodyBytes = 0;
+    transfer->extendedTo.reset();
     transfer->onData = {};
     transfer->onEnd = {};
     idle.push_back(std::move(transfer));
@@ -144,6 +150,7 @@
     auto transfer = takeTransfer(call.bufferBytes);
     transfer->id = m_nextId++;
     transfer->startedAt = EventLoop::now();
+    transfer->stallTimeout = call.stallTimeout;
     transfer->address = call.address;
     transfer->requestBody = call.body;
     transfer->sendBefore = call.sendBefore;
@@ -236,7 +243,12 @@
     m_deadlines.erase(m_deadlines.begin(), end);
     for (const auto id : overdue) {
         const auto found = m_transfers.find(id);
-        if (found != m_transfers.end()) {
+        if (found == m_transfers.end()) {
+            continue;
+        }
+        if (found->second->extendedTo > std::optional(EventLoop::now())) {
+            m_deadlines.emplace(*found->second->extendedTo, id);
+        } else {
             finish(*found->second, CURLE_OPERATION_TIMEDOUT);
         }
     }
@@ -350,6 +362,9 @@
 {
     auto &transfer = *static_cast<Transfer *>(owner);
     const std::size_t bytes = size * count;
+    if (transfer.stallTimeout > Duration{0}) {
+        transfer.extendedTo = std::min(EventLoop::now() + transfer.stallTimeout, transfer.startedAt + maxExtendedTime);
+    }
     if (transfer.onData) {
         transfer.onData(std::string(data, bytes));
         return bytes;
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -23,6 +23,7 @@
     std::string body;
     std::string bearerToken;
     Duration timeout{0};                   ///< Time limit for the whole call; zero means none, for streams.
+    Duration stallTimeout{0};              ///< If positive, the limit is extended while the body arrives, up to this time after its latest bytes.
     std::vector<std::string> headers;      ///< Additional headers, as "Name: value".
     bool opensConnection = false;          ///< Opens a new connection for the call.
     bool closesConnection = false;         ///< Closes the connection after the call, for addresses that are called rarely.
--- a/tests/domainfixture.cpp
+++ b/tests/domainfixture.cpp
@@ -301,6 +301,13 @@
 
 void DomainTest::stepHost(const std::string &id, Host &host)
 {
+    for (const auto &beginning : takeBeginnings(store, {id}, now)) {
+        // The store client keeps a call open while its answer arrives.
+        if (const auto call = host.storeCalls.find(beginning.call); call != host.storeCalls.end()) {
+            call->second = now + beginning.transferTime + tick;
+            host.inbox.emplace_back(StoreAnswerBegun{beginning.call});
+        }
+    }
     for (auto &event : takeStoreEvents(store, {id}, now)) {
         // The store client drops answers to calls that have timed out.
         const auto *answer = std::get_if<StoreReply>(&event);
--- a/tests/fakestore.cpp
+++ b/tests/fakestore.cpp
@@ -198,9 +198,15 @@
     std::ranges::for_each(events, [&](const Event &event) { copies += configurationCopies(event); });
     store.copiesSent[host] += copies;
     auto &busyUntil = store.linkBusyUntil[host];
+    const auto begin = due;
     due = std::max(due, busyUntil) + copies * store.faults.copyTime;
     if (copies > 0 && store.faults.copyTime > Duration{0}) {
         busyUntil = due;
+        for (const auto &event : events) {
+            if (const auto *reply = std::get_if<StoreReply>(&event)) {
+                store.beginnings.push_back({host, begin, reply->id, due - begin});
+            }
+        }
     }
     std::ranges::for_each(events, [&](Event &event) { store.deliveries.push_back({host, due, std::move(event)}); });
     return due;
@@ -223,7 +229,9 @@
         deliver(store, host, now, {StoreWatchLost{"connection closed", prefix}});
         return false;
     }
-    if (watch.receivingTo != TimePoint{} && now <= watch.receivingTo) {
+    // As in StorePort, the host can close the watch of the configuration before the next request is sent.
+    constexpr Duration pollPause{5};
+    if (watch.receivingTo != TimePoint{} && now <= watch.receivingTo + pollPause) {
         return true;
     }
     std::vector<Event> answer;
@@ -366,6 +374,19 @@
     return events;
 }
 
+std::vector<FakeBeginning> takeBeginnings(FakeStore &store, const HostId &host, TimePoint now)
+{
+    std::vector<FakeBeginning> begun;
+    std::erase_if(store.beginnings, [&](const FakeBeginning &beginning) {
+        const bool isDue = beginning.host == host && beginning.due <= now;
+        if (isDue) {
+            begun.push_back(beginning);
+        }
+        return isDue;
+    });
+    return begun;
+}
+
 void putRow(FakeStore &store, const StoreKey &key, const StoreRecord &record, TimePoint now)
 {
     expireLeases(store, now);
--- a/tests/fakestore.h
+++ b/tests/fakestore.h
@@ -69,6 +69,15 @@
     Event event;
 };
 
+/// The moment at which the answer to a call begins to arrive at a host, if it carries copies of the configuration. All answers share the link.
+struct FakeBeginning
+{
+    HostId host;
+    TimePoint due;
+    CallId call;
+    Duration transferTime{0};
+};
+
 /// In-memory fake of the platform's store with typed records, on virtual time.
 struct FakeStore
 {
@@ -83,6 +92,7 @@
     std::vector<FakeLateCall> lateCalls;
     Revision historyBegin = 0; ///< Watches that have not reached this revision are lost.
     std::deque<FakeDelivery> deliveries;
+    std::deque<FakeBeginning> beginnings;
     std::map<StoreKey, int> appliedWrites; ///< Number of writes to each key.
     int calls = 0;
     std::map<HostId, TimePoint> linkBusyUntil; ///< Time until which copies of the queue configuration occupy the host's link.
@@ -107,6 +117,9 @@
 /// Removes and returns the events due for the host: answers, watch events and lost watches.
 std::vector<Event> takeStoreEvents(FakeStore &store, const HostId &host, TimePoint now);
 
+/// Removes and returns the answers that begin to arrive at the host now.
+std::vector<FakeBeginning> takeBeginnings(FakeStore &store, const HostId &host, TimePoint now);
+
 /// Writes a row on behalf of another client.
 void putRow(FakeStore &store, const StoreKey &key, const StoreRecord &record, TimePoint now);
 
--- a/tests/testhttpclient.cpp
+++ b/tests/testhttpclient.cpp
@@ -74,11 +74,12 @@
 class HttpClientCall : public testing::Test
 {
 protected:
-    HttpAnswer call(const std::string &address, Duration timeout = testTimeout, bool isRetryable = false)
+    HttpAnswer call(const std::string &address, Duration timeout = testTimeout, bool isRetryable = false, Duration stallTimeout = {})
     {
         std::optional<HttpAnswer> answer;
         HttpCall request{.address = address, .path = "/v1/x", .body = "{}", .timeout = timeout};
         request.isRetryable = isRetryable;
+        request.stallTimeout = stallTimeout;
         m_client.send(request, [&answer](const HttpAnswer &received) { answer = received; });
         EXPECT_TRUE(m_loop.runUntil([&answer] { return answer.has_value(); }, testTimeout));
         return answer.value_or(HttpAnswer{});
@@ -110,6 +111,32 @@
     EXPECT_FALSE(answer.error.empty());
 }
 
+// Guards against a large answer that is given up on a slow link shortly before its end, again and again.
+TEST_F(HttpClientCall, answerThatArrivesForLongerThanTheTimeoutIsReturned)
+{
+    constexpr int parts = 10;
+    ScriptedListener server(m_loop, {{"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(parts + 1) + "\r\n\r\nx"}});
+    int sent = 0;
+    Timer timer(m_loop, [&] {
+        server.sendOnLastConnection("x");
+        if (++sent < parts) {
+            timer.startIn(unansweredTimeout / 3);
+        }
+    });
+    timer.startIn(unansweredTimeout / 3);
+    const auto answer = call(server.address(), unansweredTimeout, false, unansweredTimeout);
+    EXPECT_EQ((HttpAnswer{HttpOutcome::Answered, 200, std::string(parts + 1, 'x'), ""}), answer);
+}
+
+// Guards against a call that stays open for ever because its answer has begun.
+TEST_F(HttpClientCall, answerThatStopsArrivingIsUnknown)
+{
+    ScriptedListener server(m_loop, {{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nx"}});
+    const auto answer = call(server.address(), unansweredTimeout, false, unansweredTimeout);
+    EXPECT_EQ(HttpOutcome::Unknown, answer.outcome);
+    EXPECT_EQ("x", answer.body);
+}
+
 TEST_F(HttpClientCall, timeoutAfterTheRequestIsUnknown)
 {
     ScriptedListener server(m_loop, {});
--- /dev/null
+++ b/tests/testlargeconfiguration.cpp
@@ -0,0 +1,85 @@
+#include "tests/domainfixture.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace sequoiastand
+{
+
+/// Hosts that receive a copy of the configuration for longer than the store may be silent.
+struct LargeConfiguration : DomainTest
+{
+    static constexpr Duration copyTime{1'600};
+    static constexpr Duration applyBound{3'000};
+
+    LargeConfiguration()
+    {
+        addTargets(4); // With more of them, the owner would read everything again whenever their registrations pause.
+        std::ranges::for_each(hosts, [this](const std::string &host) { addHost(host); });
+        run(Duration{2'000});
+        store.faults.copyTime = copyTime;
+    }
+
+    std::vector<std::string> hosts{"h1", "h2", "h3"};
+};
+
+// Guards against a host that starts and never receives the configuration, so that it refuses all queries: each read was given up shortly before its end.
+TEST_F(LargeConfiguration, hostThatStartsReceivesTheConfiguration)
+{
+    addHost("h4");
+    run(copyTime + Duration{500});
+    EXPECT_TRUE(board("h4").view.isLoaded);
+    EXPECT_TRUE(isReady(board("h4")));
+}
+
+// Guards against accepted work that nobody can ask about after all hosts have started again.
+TEST_F(LargeConfiguration, queryIsAnsweredAfterAllHostsHaveStartedAgain)
+{
+    ASSERT_FALSE(answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{50}, {}}, "h1")).refusal);
+    std::ranges::for_each(hosts, [this](const std::string &host) {
+        kill(host);
+        start(host);
+    });
+    run(copyTime + Duration{1'000});
+    for (const auto &host : hosts) {
+        EXPECT_FALSE(answerTo(query(id(1), host)).refusal) << host;
+    }
+}
+
+// Guards against a change that a host with a narrow link never learns of, and against a host that counts a store as lost that is sending it a large answer.
+TEST_F(LargeConfiguration, changeIsInForceWithinTheBoundAndTheStoreStaysReachable)
+{
+    run(Duration{500});
+    setKey("key-large", "hotels");
+    const auto end = now + applyBound + copyTime;
+    while (now < end) {
+        run(tick);
+        for (const auto &host : hosts) {
+            ASSERT_TRUE(board(host).view.isStoreReachable) << host;
+        }
+    }
+    for (const auto &host : hosts) {
+        EXPECT_EQ(board(host).view.configuration.version, configuration.version) << host;
+        EXPECT_TRUE(isProofFresh(board(host))) << host;
+    }
+}
+
+// Guards against a host that is behind for ever, because it asks for a further copy before the last one has arrived.
+TEST_F(LargeConfiguration, seriesIsInForceOnceItsNewestVersionHasBeenReceived)
+{
+    constexpr int versions = 6;
+    constexpr Duration period{200};
+    for (int version = 0; version < versions; ++version) {
+        setKey("key-" + std::to_string(version), "hotels");
+        run(period);
+    }
+    // At most the copy under way, the one whose request crosses the last version, and that version.
+    run(3 * copyTime + applyBound);
+    for (const auto &host : hosts) {
+        EXPECT_EQ(board(host).view.configuration.version, configuration.version) << host;
+        EXPECT_TRUE(isProofFresh(board(host))) << host;
+    }
+}
+
+}
--- a/tests/testsoakproxy.cpp
+++ b/tests/testsoakproxy.cpp
@@ -26,7 +26,11 @@
             loop,
             http,
             proxy->address(),
-            [this](WorkflowEvent event) { events.push_back(std::move(event)); },
+            [this](WorkflowEvent event) {
+                if (std::holds_alternative<StoreReply>(event)) {
+                    events.push_back(std::move(event));
+                }
+            },
             [](const std::string &, const std::string &, const std::string &) {});
     }
 
@@ -177,6 +181,26 @@
     EXPECT_GE(EventLoop::now() - begin, Duration{200});
 }
 
+// Guards against a host with a narrow link that never receives the configuration, because each call ends before the answer does.
+TEST_F(SoakProxy, largeAnswerThatArrivesForLongerThanTheTimeoutIsReceived)
+{
+    QueueConfiguration configuration;
+    configuration.version = 3;
+    configuration.keys.emplace(std::string(200'000, 'k'), OrganisationId{"tailors"});
+    configuration.organisations.emplace(OrganisationId{"tailors"}, OrganisationShare{{"tailors"}, 16});
+    putItem(store, configurationItemName(), configurationText(configuration));
+    proxy->setRate(200'000);
+    constexpr Duration timeout{400};
+    const auto begin = EventLoop::now();
+    for (const auto &request : {StoreRange{{"config/"}, true}, StoreRange{queueConfigurationKey(), false}}) {
+        const auto reply = ask(request, timeout);
+        ASSERT_TRUE(reply);
+        ASSERT_FALSE(reply->entries.empty()) << reply->error;
+        EXPECT_EQ(reply->entries.front().record, StoreRecord{configuration});
+    }
+    EXPECT_GE(EventLoop::now() - begin, 2 * timeout);
+}
+
 /// Connects a client to a scripted server through a proxy.
 struct SoakProxyCuts : testing::Test
 {
--- a/tests/teststoreport.cpp
+++ b/tests/teststoreport.cpp
@@ -45,6 +45,22 @@
     unsigned long long m_nextCall = 1;
 };
 
+/// A store on loopback that sends the second half of a large answer when the test says so.
+struct StorePortLargeAnswer : testing::Test
+{
+    static constexpr std::size_t largeBytes = 40'000;
+
+    EventLoop loop;
+    HttpClient http{loop};
+    std::vector<WorkflowEvent> events;
+    ScriptedListener store{loop, {{"HTTP/1.1 404 Not Found\r\nContent-Length: " + std::to_string(2 * largeBytes) + "\r\n\r\n" + std::string(largeBytes, ' ')}}};
+    StorePort port{loop,
+                   http,
+                   store.address(),
+                   [this](WorkflowEvent event) { events.push_back(std::move(event)); },
+                   [](const std::string &, const std::string &, const std::string &) {}};
+};
+
 /// A watch of a store on loopback that refuses the first two requests, answers the third, and does not answer the fourth.
 struct StorePortWatch : testing::Test
 {
@@ -144,6 +160,19 @@
     EXPECT_TRUE(events.empty());
 }
 
+// Guards against a store that seems silent while a large answer arrives from it.
+TEST_F(StorePortLargeAnswer, arrivalIsReportedOnceBeforeTheAnswer)
+{
+    port.send({CallId{7}, StoreRange{queueConfigurationKey(), false}, 0, testTimeout});
+    EXPECT_TRUE(loop.runUntil([&] { return !events.empty(); }, testTimeout));
+    ASSERT_EQ(events.size(), 1U);
+    EXPECT_EQ(std::get<StoreAnswerBegun>(events.front()).id, CallId{7});
+    store.sendOnLastConnection(std::string(largeBytes, ' '));
+    EXPECT_TRUE(loop.runUntil([&] { return events.size() > 1; }, testTimeout));
+    ASSERT_EQ(events.size(), 2U);
+    EXPECT_EQ(std::get<StoreReply>(events.back()).id, CallId{7});
+}
+
 // Guards against telling a caller that its request will not run, although the store may apply the first copy of the transaction later.
 TEST_F(StorePortCalls, transactionOnAConnectionThatClosesHasAnUnknownOutcome)
 {
--- a/workflow/proveconfiguration.cpp
+++ b/workflow/proveconfiguration.cpp
@@ -284,6 +284,36 @@
     }
 }
 
+/// Notes the proofs whose answers have begun to arrive. They show that the store answers, and a further proof would bring a further copy of the configuration
+/// over the same link.
+void noteArrivingProofs(WorkflowBoard &board)
+{
+    auto &view = board.view;
+    for (const auto &event : board.inbox) {
+        const auto *begun = std::get_if<StoreAnswerBegun>(&event);
+        if (begun == nullptr) {
+            continue;
+        }
+        const auto late = std::ranges::find(view.lateProofs, begun->id, &StoreProof::call);
+        const bool isCurrent = view.proof && view.proof->call == begun->id;
+        if (isCurrent) {
+            view.proof->isArriving = true;
+        } else if (late != view.lateProofs.end()) {
+            late->isArriving = true;
+        }
+        if (isCurrent || late != view.lateProofs.end()) {
+            view.failedProofs = 0;
+            view.proofError.clear();
+            setReachable(board, true);
+        }
+    }
+}
+
+bool isProofArriving(const ConfigurationView &view)
+{
+    return (view.proof && view.proof->isArriving) || std::ranges::any_of(view.lateProofs, &StoreProof::isArriving);
+}
+
 /// Reads the answers to all proofs under way, newest first. An answer makes the older proofs superfluous.
 void readProofReplies(WorkflowBoard &board)
 {
@@ -325,6 +355,9 @@
 void passOverLateProof(WorkflowBoard &board)
 {
     auto &view = board.view;
+    if (isProofArriving(view)) {
+        return;
+    }
     const auto timeout = proofTimeout(board);
     if (board.now < view.proof->sentAt + timeout) {
         subscribeNoLaterThan(board.timers, "proof", view.proof->sentAt + timeout);
@@ -339,7 +372,7 @@
     const auto conditions = proofConditions(board);
     const auto call = sendToStore(board, StoreTransaction{{}, conditions}, 0, std::max(storeTimeout(board), board.self.limits.maxStoreTimeout));
     std::get<StoreCall>(board.outbox.back()).opensConnection = !board.view.lateProofs.empty();
-    board.view.proof = StoreProof{call, board.now, conditions};
+    board.view.proof = StoreProof{call, board.now, conditions, false};
 }
 
 }
@@ -358,11 +391,12 @@
     if (view.isCatchingUp && !wasCatchingUp) {
         view.nextProofAt = board.now;
     }
+    noteArrivingProofs(board);
     readProofReplies(board);
     if (view.proof) {
         passOverLateProof(board);
     }
-    if (!view.isLoaded || !board.ownership.isKnown) {
+    if (!view.isLoaded || !board.ownership.isKnown || isProofArriving(view)) {
         return;
     }
     if (!view.proof && board.now >= view.nextProofAt) {
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -74,9 +74,18 @@
     friend bool operator==(const StoreWatchCondition &, const StoreWatchCondition &) = default;
 };
 
+/// Reports that a large answer of the store has begun to arrive. Its call ends by itself if no further part of it arrives.
+struct StoreAnswerBegun
+{
+    CallId id;
+
+    friend bool operator==(const StoreAnswerBegun &, const StoreAnswerBegun &) = default;
+};
+
 using WorkflowEvent = std::variant<CallerRequest,
                                    CallAbandoned,
                                    StoreReply,
+                                   StoreAnswerBegun,
                                    StoreWatchEvent,
                                    StoreWatchLost,
                                    StoreWatchCondition,
@@ -133,6 +142,7 @@
     CallId call;
     TimePoint sentAt;
     std::vector<StoreCondition> conditions;
+    bool isArriving = false; ///< Its answer, which carries the configuration, has begun to arrive.
 
     friend bool operator==(const StoreProof &, const StoreProof &) = default;
 };
