End idle connections before a planned stop ends the process

Callers saw a connection end without a byte of an answer when their request arrived on an open, idle connection as a host finished its planned stop.

Cause: DomainLoop exited as soon as no request was open, 1.2 s before the end of the grace period, and left idle connections to the exit. The system closed them; a request that arrived meanwhile was reset or lost, and its client could not tell whether it had been handled.

A request that crosses the end is discarded without reaching the handler, and its client reads the refusal as its answer, so that the answer is true in any order of events. Bytes that had arrived before are read and answered first. Clients with an idle connection see unread data and the end of the stream, and don't use it again (RFC 9112, 9.2).

--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "core/errors.h"
 #include "receivebudget.h"
+#include "socketio.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/strip.h>
@@ -47,6 +48,13 @@
 constexpr std::size_t returnedBytes = std::size_t{4} * 1024 * 1024;
 constexpr Duration memoryReturnDelay{1'000};
 
+/// True if the connection is open and no bytes are left to read.
+bool hasNothingToRead(int descriptor)
+{
+    char byte = 0;
+    return ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && wouldBlock(errno);
+}
+
 /// True if the peer has closed or reset the connection and no bytes are left to read.
 bool isClosedByPeer(int descriptor)
 {
@@ -65,6 +73,7 @@
     bool isAboveLimit = false;
     bool isTimedOut = false;
     bool isDisplaced = false;  ///< It was closed for a new connection.
+    bool isEnded = false;      ///< The sending side has ended after a response to any request that may still arrive.
     HttpRequestId request = 0; ///< The request that is being received or answered; 0 if there is none.
 };
 
@@ -218,6 +227,20 @@
     m_runTimer.startIn(Duration{0});
 }
 
+void HttpServer::endIdleConnections(const HttpResponse &response)
+{
+    const auto text = closingResponseText(response, false);
+    for (const auto &connection : m_connections | std::views::values) {
+        if (connection->request != 0 || connection->isEnded || !hasNothingToRead(connection->descriptor)) {
+            continue;
+        }
+        // After the end of the stream alone, a client whose request has crossed it could not tell whether the request was handled.
+        static_cast<void>(::send(connection->descriptor, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT));
+        ::shutdown(connection->descriptor, SHUT_WR);
+        connection->isEnded = true;
+    }
+}
+
 void HttpServer::poll()
 {
     // libmicrohttpd resumes a connection in one run and sends its response in the next.
@@ -632,6 +655,7 @@
     if (auto *state = server.connectionOf(connection)) {
         state->request = raw->id;
         state->deadline = EventLoop::now() + server.m_limits.requestTimeout;
+        raw->isRefused = state->isEnded;
     }
     if (!isTargetWithinLimits(uri, server.m_limits)) {
         server.refuse(*raw, connection, HttpLimit::HeaderTooLarge);
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -69,6 +69,10 @@
     /// Accepts the connections that wait in the backlog and no others; open requests are still answered.
     void stopAccepting();
 
+    /// Sends the response on each connection without a request and ends the sending side. A request that arrives there afterwards is discarded without reaching
+    /// the handler, and its client reads this response as the answer, so the response must be a refusal that says that the request has not run.
+    void endIdleConnections(const HttpResponse &response);
+
     /// Reads and sends what is ready now, without waiting for the event loop.
     void poll();
 
--- a/tests/testdomainloop.cpp
+++ b/tests/testdomainloop.cpp
@@ -1,6 +1,7 @@
 #include "loopback.h"
 #include "platform/domainloop.h"
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include <memory>
@@ -46,4 +47,42 @@
     EXPECT_TRUE(loadBalancer.received().ends_with("{}")) << loadBalancer.received();
 }
 
+class DomainLoopStop : public DomainLoopReadiness
+{
+protected:
+    DomainLoopStop()
+    {
+        m_port = closedPort();
+        m_settings.domain.callerAddress = loopbackAddress(m_port);
+        m_settings.gracePeriod = Duration{2'000};
+        m_host = std::make_unique<DomainLoop>(m_loop, m_settings, [](const LogEntry &) {});
+        m_host->setStoppedHandler([this] { m_isStopped = true; });
+        EXPECT_TRUE(m_host->start().ok());
+    }
+
+    int m_port = 0;
+    bool m_isStopped = false;
+    std::unique_ptr<DomainLoop> m_host;
+};
+
+// Guards against a request without an answer on a connection that was idle when the process exited.
+TEST_F(DomainLoopStop, idleConnectionIsEndedWithARefusalBeforeTheProcessExits)
+{
+    RawClient idle(m_loop, m_port);
+    m_host->requestStop();
+    ASSERT_TRUE(m_loop.runUntil([&] { return m_isStopped || idle.isClosedByPeer(); }, testTimeout));
+    EXPECT_FALSE(m_isStopped) << "the process must not exit while a client may send a request";
+    EXPECT_THAT(idle.received(), testing::StartsWith("HTTP/1.1 503"));
+    idle.close();
+    ASSERT_TRUE(m_loop.runUntil([this] { return m_isStopped; }, testTimeout));
+}
+
+// Guards against a host that is killed because a client does not close its idle connection.
+TEST_F(DomainLoopStop, stopFinishesWithinTheGracePeriodThoughAClientKeepsItsConnection)
+{
+    RawClient idle(m_loop, m_port);
+    m_host->requestStop();
+    EXPECT_TRUE(m_loop.runUntil([this] { return m_isStopped; }, m_settings.gracePeriod));
+}
+
 }
--- a/tests/testhttpserver.cpp
+++ b/tests/testhttpserver.cpp
@@ -301,4 +301,41 @@
     EXPECT_TRUE(wait([&] { return unused.received().ends_with("done") && incomplete.received().ends_with("done"); }));
 }
 
+// Guards against a client that cannot tell whether its request was handled, because the request crossed the end of its idle connection.
+TEST_F(HttpServerLimitsTest, requestThatCrossesTheEndOfItsIdleConnectionIsRefusedOnce)
+{
+    RawClient client(m_loop, m_server->port());
+    RawClient busy(m_loop, m_server->port());
+    client.send(post("{}"));
+    ASSERT_TRUE(wait([this] { return m_requests.size() == 1; }));
+    busy.send(post("{}"));
+    ASSERT_TRUE(wait([this] { return m_requests.size() == 2; }));
+    m_server->respond(m_ids[0], {.body = "done"});
+    ASSERT_TRUE(wait([&] { return client.received().ends_with("done"); }));
+
+    m_server->endIdleConnections({.status = 503, .body = "stopping"});
+    m_server->endIdleConnections({.status = 503, .body = "stopping"});
+    client.send(post("{}"));
+
+    ASSERT_TRUE(wait([&] { return client.isClosedByPeer() && m_server->openConnections() == 1; }));
+    EXPECT_TRUE(client.received().ends_with("stopping"));
+    EXPECT_EQ(client.received().find("HTTP/1.1 503"), client.received().rfind("HTTP/1.1 503"));
+    EXPECT_EQ(m_requests.size(), 2U) << "a request that was refused must not be handled";
+    EXPECT_EQ(m_ends.back().end, HttpRequestEnd::Answered);
+    m_server->respond(m_ids[1], {.body = "done"});
+    EXPECT_TRUE(wait([&busy] { return busy.received().ends_with("done"); }));
+}
+
+// Guards against a request that is refused unread although it had arrived before its connection was ended.
+TEST_F(HttpServerLimitsTest, requestInTheSocketBufferIsHandledWhenIdleConnectionsEnd)
+{
+    RawClient client(m_loop, m_server->port());
+    ASSERT_TRUE(wait([this] { return m_server->openConnections() == 1; }));
+    client.send(post("{}"));
+    m_server->endIdleConnections({.status = 503, .body = "stopping"});
+    ASSERT_TRUE(wait([this] { return m_requests.size() == 1; }));
+    m_server->respond(m_ids[0], {.body = "done"});
+    EXPECT_TRUE(wait([&client] { return client.received().ends_with("done"); }));
+}
+
 }
