Test that calls of the store are extended and proofs not repeated

Hosts with narrow links refused all callers because each answer with the configuration was given up shortly before its end.

StorePortSlowAnswer sends the end of an answer after the timeout of a call and of a page of a prefix. LargeConfiguration counts the copies that a change brings, with answers that begin before and after the next proof is due.

--- a/tests/testlargeconfiguration.cpp
+++ b/tests/testlargeconfiguration.cpp
@@ -82,4 +82,50 @@
     }
 }
 
+// Guards against a proof that counts as missed, or is repeated, although its answer arrives: each further proof brings a further copy over the same link.
+TEST_F(LargeConfiguration, proofWhoseAnswerArrivesIsNeitherMissedNorRepeated)
+{
+    constexpr int copies = 2; // One by the watch, one by a proof.
+    store.copiesSent.clear();
+    setKey("key-large", "hotels");
+    const auto end = now + applyBound + copyTime;
+    while (now < end) {
+        run(tick);
+        for (const auto &host : hosts) {
+            ASSERT_EQ(board(host).view.failedProofs, 0) << host;
+        }
+    }
+    for (const auto &host : hosts) {
+        EXPECT_LE(store.copiesSent[{host}], copies) << host;
+    }
+}
+
+// Guards against a proof that is sent although the answer to one that had counted as missed arrives.
+TEST_F(LargeConfiguration, noProofIsSentWhileTheAnswerToALateOneArrives)
+{
+    constexpr int copies = 2; // One by the watch, one by the late proof.
+    store.copiesSent.clear();
+    store.faults.latency = settings.limits.storeTimeout + settings.limits.storeRetry / 2;
+    setKey("key-large", "hotels");
+    run(applyBound + copies * copyTime);
+    for (const auto &host : hosts) {
+        EXPECT_LE(store.copiesSent[{host}], copies) << host;
+        EXPECT_TRUE(isProofFresh(board(host))) << host;
+    }
+}
+
+// Guards against proofs without end on a link on which an answer begins to arrive only after the next proof has been sent.
+TEST_F(LargeConfiguration, noFurtherProofIsSentOnceTheAnswerToALateOneArrives)
+{
+    constexpr int copies = 3; // One by the watch, two by the proofs that are sent before an answer begins.
+    store.copiesSent.clear();
+    store.faults.latency = settings.limits.storeTimeout + 2 * settings.limits.storeRetry;
+    setKey("key-large", "hotels");
+    run(applyBound + copies * copyTime);
+    for (const auto &host : hosts) {
+        EXPECT_LE(store.copiesSent[{host}], copies) << host;
+        EXPECT_TRUE(isProofFresh(board(host))) << host;
+    }
+}
+
 }
--- a/tests/teststoreport.cpp
+++ b/tests/teststoreport.cpp
@@ -61,6 +61,37 @@
                    [](const std::string &, const std::string &, const std::string &) {}};
 };
 
+/// A store on loopback whose answer begins to arrive within the timeout of the call, and ends after it.
+struct StorePortSlowAnswer : testing::Test
+{
+    static constexpr Duration callTimeout{150};
+    static constexpr Duration rest{400}; ///< Time until the last byte is sent.
+
+    static std::string page(const std::string &fields)
+    {
+        const auto body = R"({"currentRev":4,)" + fields + "}";
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body.substr(0, body.size() - 1);
+    }
+
+    void awaitEvent()
+    {
+        lastByte.startIn(rest);
+        EXPECT_TRUE(loop.runUntil([&] { return !events.empty(); }, testTimeout));
+        ASSERT_EQ(events.size(), 1U);
+    }
+
+    EventLoop loop;
+    HttpClient http{loop};
+    std::vector<WorkflowEvent> events;
+    ScriptedListener store{loop, {{page(R"("items":[])")}}};
+    Timer lastByte{loop, [this] { store.sendOnLastConnection("}"); }};
+    StorePort port{loop,
+                   http,
+                   store.address(),
+                   [this](WorkflowEvent event) { events.push_back(std::move(event)); },
+                   [](const std::string &, const std::string &, const std::string &) {}};
+};
+
 /// A watch of a store on loopback that refuses the first two requests, answers the third, and does not answer the fourth.
 struct StorePortWatch : testing::Test
 {
@@ -173,6 +204,22 @@
     EXPECT_EQ(std::get<StoreReply>(events.back()).id, CallId{7});
 }
 
+// Guards against calls that are given up shortly before the end of their answers, again and again, because their timeout is not extended.
+TEST_F(StorePortSlowAnswer, answerToACallIsReceived)
+{
+    port.send({CallId{7}, StoreRange{queueConfigurationKey(), false}, 0, callTimeout});
+    awaitEvent();
+    EXPECT_EQ(std::get<StoreReply>(events.front()).outcome, StoreOutcome::Applied);
+}
+
+// Guards against a prefix that is never read because each page is given up shortly before its end.
+TEST_F(StorePortSlowAnswer, pageOfAPrefixIsReceived)
+{
+    port.send({CallId{7}, StoreRange{{"config/"}, true}, 0, callTimeout});
+    awaitEvent();
+    EXPECT_EQ(std::get<StoreReply>(events.front()).outcome, StoreOutcome::Applied);
+}
+
 // Guards against telling a caller that its request will not run, although the store may apply the first copy of the transaction later.
 TEST_F(StorePortCalls, transactionOnAConnectionThatClosesHasAnUnknownOutcome)
 {
