--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -17,6 +17,9 @@
 // The largest response is a full read of the store, which is below 20 MB at the intended system size.
 constexpr std::size_t maxAnswerBytes = std::size_t{64} * 1024 * 1024;
 
+// An answer that is larger may take long to arrive.
+constexpr std::size_t largeAnswerBytes = std::size_t{32} * 1024;
+
 // Idle time after which a connection is no longer reused. It is well below a minute, after which load balancers and agents close idle connections.
 constexpr long maxIdleSeconds = 20;
 
@@ -48,6 +51,7 @@
     std::string body;
     std::optional<TimePoint> sendBefore;
     DataCallback onData;
+    LargeAnswerCallback onLargeAnswer;
     AnswerCallback onEnd;
 
     Transfer() = default;
@@ -87,14 +91,14 @@
     curl_global_cleanup();
 }
 
-void HttpClient::send(const HttpCall &call, AnswerCallback callback)
+void HttpClient::send(const HttpCall &call, AnswerCallback callback, LargeAnswerCallback onLargeAnswer)
 {
-    start(call, {}, std::move(callback));
+    start(call, {}, std::move(onLargeAnswer), std::move(callback));
 }
 
 unsigned long long HttpClient::open(const HttpCall &call, DataCallback onData, AnswerCallback onEnd)
 {
-    return start(call, std::move(onData), std::move(onEnd));
+    return start(call, std::move(onData), {}, std::move(onEnd));
 }
 
 std::unique_ptr<HttpClient::Transfer> HttpClient::takeTransfer(long bufferBytes)
@@ -141,11 +145,12 @@
     transfer->sentBodyBytes = 0;
     transfer->extendedTo.reset();
     transfer->onData = {};
+    transfer->onLargeAnswer = {};
     transfer->onEnd = {};
     idle.push_back(std::move(transfer));
 }
 
-unsigned long long HttpClient::start(const HttpCall &call, DataCallback onData, AnswerCallback onEnd)
+unsigned long long HttpClient::start(const HttpCall &call, DataCallback onData, LargeAnswerCallback onLargeAnswer, AnswerCallback onEnd)
 {
     auto transfer = takeTransfer(call.bufferBytes);
     transfer->id = m_nextId++;
@@ -155,6 +160,7 @@
     transfer->requestBody = call.body;
     transfer->sendBefore = call.sendBefore;
     transfer->onData = std::move(onData);
+    transfer->onLargeAnswer = std::move(onLargeAnswer);
     transfer->onEnd = std::move(onEnd);
     auto *easy = transfer->easy;
     curl_easy_setopt(easy, CURLOPT_URL, ("http://" + call.address + call.path).c_str());
@@ -246,8 +252,9 @@
         if (found == m_transfers.end()) {
             continue;
         }
-        if (found->second->extendedTo > std::optional(EventLoop::now())) {
-            m_deadlines.emplace(*found->second->extendedTo, id);
+        const auto extendedTo = found->second->extendedTo.value_or(TimePoint{});
+        if (extendedTo > EventLoop::now()) {
+            m_deadlines.emplace(extendedTo, id);
         } else {
             finish(*found->second, CURLE_OPERATION_TIMEDOUT);
         }
@@ -373,6 +380,9 @@
         return 0;
     }
     transfer.body.append(data, bytes);
+    if (transfer.onLargeAnswer && transfer.body.size() > largeAnswerBytes) {
+        std::exchange(transfer.onLargeAnswer, {})();
+    }
     return bytes;
 }
 
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -63,14 +63,16 @@
 public:
     using AnswerCallback = std::function<void(const HttpAnswer &)>;
     using DataCallback = std::function<void(const std::string &)>;
+    using LargeAnswerCallback = std::function<void()>;
 
     explicit HttpClient(EventLoop &loop);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    /// Sends the call. The event loop runs the callback exactly once, after send() has returned.
-    void send(const HttpCall &call, AnswerCallback callback);
+    /// Sends the call. The event loop runs the callback exactly once, after send() has returned. Before that, it runs `onLargeAnswer` once if more than 32 KiB of
+    /// the answer have arrived.
+    void send(const HttpCall &call, AnswerCallback callback, LargeAnswerCallback onLargeAnswer = {});
 
     /// Opens a stream and returns its id. `onData` receives the body as it arrives; `onEnd` runs once, unless the stream is closed first.
     unsigned long long open(const HttpCall &call, DataCallback onData, AnswerCallback onEnd);
@@ -106,7 +108,7 @@
         TimePoint answeredAt; ///< When it answered a call last.
     };
 
-    unsigned long long start(const HttpCall &call, DataCallback onData, AnswerCallback onEnd);
+    unsigned long long start(const HttpCall &call, DataCallback onData, LargeAnswerCallback onLargeAnswer, AnswerCallback onEnd);
     std::unique_ptr<Transfer> takeTransfer(long bufferBytes);
     void keepTransfer(std::unique_ptr<Transfer> transfer);
     void onSocketReady(curl_socket_t descriptor, int events);
