Put a handover off while runs of a lost target have not lapsed

Cause: a run that a former owner recorded on a target that does not answer counts as lapsed only 10.5 s after the ownership of the present owner began, because that owner does not know which leases were extended. Each change of owner starts this wait anew, and a handover to a stronger host took place after 3 s, whatever the owner waited for. It could also take place just after the runs were counted as lost, before that was stored.

Change: a handover that only serves the domain's speed is put off while the owner waits for such runs, 10.5 s after the begin of its ownership at most, and until the next check of successors after that. An owner that lacks processor time or fails at a duty still hands over at once.

Evidence: UnevenHosts.handoverIsPutOffWhileRunsOfALostTargetHaveNotLapsed fails on (the run has not started again 11.5 s after the take-over) and passes with this change; without the pause after the wait it fails as well, because the successor adopts the runs that were just counted as lost (x86_64).

--- a/tests/testdomainownership.cpp
+++ b/tests/testdomainownership.cpp
@@ -321,6 +321,24 @@
     runUntil([&] { return owner() == "h4"; }, Duration{8'000});
 }
 
+// Guards against a handover to a stronger host in which the tasks of a lost target wait for the longest lease of a former owner all over again.
+TEST_F(UnevenHosts, handoverIsPutOffWhileRunsOfALostTargetHaveNotLapsed)
+{
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{60'000}, {}}));
+    runUntil([&] { return isAtWork(fleet, id(1)); }, Duration{1'000});
+    const auto lost = std::ranges::find_if(fleet.targets, [](const auto &row) { return !row.second.running.empty(); })->first.value;
+    cutOff(lost);
+    unregister(lost);
+    kill("h2");
+    kill("h4");
+    runUntil([&] { return !owner().empty(); }, Duration{5'000});
+    settings.processorShare = 0.5;
+    start("h4");
+    // The model also records an objection if the first run is still running when the second one starts.
+    runUntil([&] { return fleet.starts[id(1)] == 2; }, Duration{11'500});
+    runUntil([&] { return owner() == "h4"; }, Duration{5'000});
+}
+
 TEST_F(UnevenHosts, weakOwnerKeepsTheDomainFromAStrongHostThatIsNotReady)
 {
     kill("h2");
--- a/workflow/handover.cpp
+++ b/workflow/handover.cpp
@@ -1,6 +1,7 @@
 #include "controllers.h"
 #include "ownerduties.h"
 #include "ownershipchange.h"
+#include "targetlease.h"
 
 #include <algorithm>
 #include <iterator>
@@ -69,6 +70,17 @@
     return duty && (*duty != OwnerDuty::CommitProgress || areChangesRare(board));
 }
 
+/// True if the owner waits for runs of a former owner to lapse on targets that have not answered it. A successor would wait anew, because it does not know
+/// which leases this owner has extended and takes each of them to have been extended until its own ownership began.
+bool awaitsLapses(const WorkflowBoard &board)
+{
+    const bool isOver = board.now >= board.ownership.ownedSince + maxFormerOwnerLease(board.self.limits);
+    return !isOver && std::ranges::any_of(board.runs.usedTargets(), [&](const auto &row) {
+        const auto *target = board.targets.find(row.first);
+        return target != nullptr && !target->hasAnsweredOwner && board.now < latestLapseAt(*target);
+    });
+}
+
 /// Hosts that are better suited to own the domain, the one with the most processor time first. Any other host is, if this one fails at a duty.
 std::vector<HostRecord> betterHosts(const WorkflowBoard &board)
 {
@@ -147,6 +159,14 @@
     if (!hasAuthority(board) || board.now < ownership.ownedSince + minOwnershipTime) {
         return;
     }
+    const bool isUrgent = lacksProcessorTime(board) || failsAtDuty(board);
+    if (!isUrgent && awaitsLapses(board)) {
+        // After the wait, the owner needs this time to store where the tasks run next.
+        ownership.successorChecks.clear();
+        ownership.nextSuccessorCheckAt = board.now + checkPeriod;
+        subscribeNoLaterThan(board.timers, "handover", ownership.nextSuccessorCheckAt);
+        return;
+    }
     if (const auto successor = readySuccessor(board)) {
         const bool fails = failsAtDuty(board);
         const auto reason =
@@ -159,7 +179,7 @@
         ownership.unfitUntil = fails ? board.now + unfitTime : ownership.unfitUntil;
         return;
     }
-    if (lacksProcessorTime(board) || failsAtDuty(board)) {
+    if (isUrgent) {
         ownership.nextSuccessorCheckAt = std::min(ownership.nextSuccessorCheckAt, board.now + urgentCheckPeriod);
     }
     if (board.now >= ownership.nextSuccessorCheckAt) {
