List runs on unregistered targets that wait after a change of owner

Cause, not mended: the targets of the zone lost power at 40.7 s, and their registrations ended from 43.6 s on. An owner that stays still has their addresses. It is refused there by the next instances (421) once the zone is back and gives the runs up at 45.8 to 48 s. An owner that begins later reads only the ids of the targets with the runs, so it cannot ask and waits 10.5 s from the begin of its ownership.

The test fails: the run has not started again 3 s after the take-over. With any address in the row of the unregistered target it passes.

--- a/tests/testdomainownership.cpp
+++ b/tests/testdomainownership.cpp
@@ -241,6 +241,20 @@
     EXPECT_FALSE(fleet.targets.at({place}).running.contains({{id(1), 0, 0}, 0}));
 }
 
+// Guards against a new owner that cannot ask about a run because its target's registration has ended, although another instance answers at the address.
+TEST_F(DomainOwnership, runOnARestartedTargetWithoutRegistrationStartsSoonUnderTheNextOwner)
+{
+    answerTo(submit(id(1), batch(1, {1'000, 1'000, 1}), {Duration{60'000}, {}}));
+    runUntil([&] { return isAtWork(fleet, id(1)); }, Duration{1'000});
+    const auto place = std::ranges::find_if(fleet.targets, [](const auto &row) { return !row.second.running.empty(); })->first.value;
+    const auto former = owner();
+    kill(former);
+    crash(place);
+    unregister(place);
+    runUntil([&] { return !owner().empty(); }, Duration{5'000});
+    runUntil([&] { return fleet.starts[id(1)] == 2; }, Duration{3'000});
+}
+
 TEST_F(DomainOwnership, allHostsKilledTogetherResumeTheWork)
 {
     answerTo(submit(id(1), gang(4, {4'000, 8'000, 4}), {Duration{4'000}, {}}));
