Answer open calls when a zone domain's host reaches its stop limit

Callers saw their connection cut without an answer if the core had not answered their call when the time for a planned stop of a zone domain's host ended, for instance while the store was silent.

Cause: HostLoop ended the event loop at the deadline whatever was open, while DomainLoop refuses what is left. The calls are now refused with "shuttingDown", with the effect "unknown" if they may have had one, as the core refuses open waits at the same limit; the responses are written before the process exits, the connection is closed after them, and the number of calls is logged. Refusing overdue calls uses the same function.

--- a/net/callerapi.cpp
+++ b/net/callerapi.cpp
@@ -9,6 +9,8 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <iterator>
+#include <ranges>
 #include <utility>
 #include <vector>
 
@@ -389,6 +391,27 @@
     m_post(CallAbandoned{call});
 }
 
+void CallerApi::abandon(const std::vector<CallId> &calls, RefusalReason reason, Duration retryAfter, const std::string &message)
+{
+    for (const auto call : calls) {
+        const auto request = m_open.extract(call).mapped();
+        m_callOfRequest.erase(request.request);
+        count(m_board.counters, "refusals", std::string(name(reason)));
+        const auto effect = request.mayHaveEffect ? RequestEffect::Unknown : RequestEffect::NotRun;
+        auto response = refusalResponse({reason, effect, retryAfter, message});
+        response.closesConnection = reason == RefusalReason::ShuttingDown;
+        m_server.respond(request.request, std::move(response));
+        m_post(CallAbandoned{call});
+    }
+}
+
+void CallerApi::endOpenCalls()
+{
+    std::vector<CallId> calls;
+    std::ranges::copy(m_open | std::views::keys, std::back_inserter(calls));
+    abandon(calls, RefusalReason::ShuttingDown, Duration{0}, "this host is stopping; send the request with the same id to another host");
+}
+
 void CallerApi::answerOverdueCalls()
 {
     const auto now = EventLoop::now();
@@ -398,18 +421,7 @@
             overdue.push_back(call);
         }
     }
-    for (const auto call : overdue) {
-        const auto request = m_open.at(call);
-        m_open.erase(call);
-        m_callOfRequest.erase(request.request);
-        count(m_board.counters, "refusals", std::string(name(RefusalReason::Timeout)));
-        m_server.respond(request.request,
-                         refusalResponse({RefusalReason::Timeout,
-                                          request.mayHaveEffect ? RequestEffect::Unknown : RequestEffect::NotRun,
-                                          Duration{1'000},
-                                          "the call timed out; retry it with the same request id"}));
-        m_post(CallAbandoned{call});
-    }
+    abandon(overdue, RefusalReason::Timeout, Duration{1'000}, "the call timed out; retry it with the same request id");
     m_overdueTimer.startIn(overduePeriod);
 }
 
--- a/net/callerapi.h
+++ b/net/callerapi.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace sequoiastand
 {
@@ -69,6 +70,9 @@
 
     void answerStatement(CallId id, const StatementAnswer &answer);
 
+    /// Refuses each open call because the host exits now.
+    void endOpenCalls();
+
     std::size_t openCalls() const
     {
         return m_open.size();
@@ -98,6 +102,9 @@
     void refuseUnknownToken(HttpRequestId id, const std::string &message);
     void answerOverdueCalls();
 
+    /// Refuses calls that the core has not answered.
+    void abandon(const std::vector<CallId> &calls, RefusalReason reason, Duration retryAfter, const std::string &message);
+
     HttpServer &m_server;
     Blackboard &m_board;
     CallerApiSettings m_settings;
--- a/net/hostloop.cpp
+++ b/net/hostloop.cpp
@@ -175,7 +175,13 @@
 {
     // A request in a socket's buffer would be lost if the process exited now.
     m_server.poll();
-    if (isEverythingAnswered() || EventLoop::now() >= m_stopDeadline) {
+    const bool isTimeOver = EventLoop::now() >= m_stopDeadline;
+    if (isTimeOver && m_callers.openCalls() > 0) {
+        m_log({"stop", "", "", std::to_string(m_callers.openCalls()) + " calls are not answered within the time limit of a stop", true});
+        m_callers.endOpenCalls();
+        m_server.poll();
+    }
+    if (isTimeOver || isEverythingAnswered()) {
         if (m_onStopped) {
             m_onStopped();
         }
--- a/tests/testhostloop.cpp
+++ b/tests/testhostloop.cpp
@@ -74,6 +74,7 @@
         settings.host.availabilityZone = {"a"};
         settings.host.httpAddress = "127.0.0.1:0";
         settings.host.peerAddress = "127.0.0.1:0";
+        settings.host.limits.stopLimit = Duration{100};
         settings.store.addresses = {m_store.address()};
         return settings;
     }
@@ -119,4 +120,23 @@
     EXPECT_TRUE(m_store.requests().empty());
 }
 
+// Guards against a request whose connection is cut because the core has not answered it when the time for a planned stop ends.
+TEST_F(HostLoopPath, callThatIsOpenAtTheStopLimitIsAnsweredBeforeTheProcessExits)
+{
+    bool isStopped = false;
+    m_host.setStoppedHandler([&isStopped] { isStopped = true; });
+    RawClient client(m_loop, m_host.httpPort());
+    client.send("DELETE /v1/jobs/tie-1 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + callerToken + "\r\n\r\n");
+    ASSERT_TRUE(m_loop.runUntil([this] { return m_host.callers().openCalls() == 1; }, testTimeout));
+
+    m_host.requestStop();
+    ASSERT_TRUE(m_loop.runUntil([&isStopped] { return isStopped; }, testTimeout));
+
+    EXPECT_EQ(m_host.callers().openCalls(), 0U);
+    m_loop.runUntil([&client] { return client.isClosedByPeer(); }, Duration{500});
+    EXPECT_THAT(client.received(), testing::StartsWith("HTTP/1.1 503"));
+    EXPECT_THAT(client.received(), HasSubstr(R"("reason":"shuttingDown")"));
+    EXPECT_THAT(client.received(), HasSubstr(R"("run":"unknown")"));
+}
+
 }
