Limit the reads of the store that callers have under way

What callers saw: with 1,400 clients that query at once, the host used 2,828 descriptors, two for each client, and the answers to its own calls came behind those to the callers' reads. On a link that carries one such answer in 4 ms, 1,400 queries cost the owner its proofs or its authority, and then every caller of that host was refused.

Cause: each query and cancellation sent its read at once, and HttpClient opens a connection for each call that finds none idle.

Change: reads of progress records wait in the new step AwaitingRead and are sent by sendCallerReads, at most 64 under way, in the order of the times by which the calls have to be answered. Reads whose callers have left count until the transport reports their end. A read serves all calls that wait for the same record when it is sent, never one that came later. While calls wait, an open workflow's state is not read a second time. A waiting call is refused with 503 when its time ends, or at once when the store stops answering; when its proof becomes too old, it waits for the next one, so a key that was withdrawn is not served.

A limit in HttpClient with classes of priority was considered: it would queue calls whose timeouts run already, cannot know the callers' deadlines or which reads are alike, and needs sockets to test. Calls of the owner (lease, proofs, commits, watches) are not limited.

--- a/tests/fakestore.cpp
+++ b/tests/fakestore.cpp
@@ -192,14 +192,15 @@
 }
 
 /// Delivers the events of one answer once the link of the host has transferred them and everything that was sent before. Returns the time of the delivery.
-TimePoint deliver(FakeStore &store, const HostId &host, TimePoint due, std::vector<Event> events)
+TimePoint deliver(FakeStore &store, const HostId &host, TimePoint due, std::vector<Event> events, Duration readTime = Duration{0})
 {
     int copies = 0;
     std::ranges::for_each(events, [&](const Event &event) { copies += configurationCopies(event); });
     store.copiesSent[host] += copies;
     auto &busyUntil = store.linkBusyUntil[host];
-    due = std::max(due, busyUntil) + copies * store.faults.copyTime;
-    if (copies > 0 && store.faults.copyTime > Duration{0}) {
+    const auto transferTime = copies * store.faults.copyTime + readTime;
+    due = std::max(due, busyUntil) + transferTime;
+    if (transferTime > Duration{0}) {
         busyUntil = due;
     }
     std::ranges::for_each(events, [&](Event &event) { store.deliveries.push_back({host, due, std::move(event)}); });
@@ -309,7 +310,8 @@
     reply.id = call.id;
     const auto *range = std::get_if<StoreRange>(&call.request);
     const auto readLatency = range != nullptr && range->isPrefix ? store.faults.readLatency : Duration{0};
-    deliver(store, host, now + store.faults.latency + readLatency, {std::move(reply)});
+    const auto readTime = range != nullptr && !range->isPrefix ? store.faults.readTime : Duration{0};
+    deliver(store, host, now + store.faults.latency + readLatency, {std::move(reply)}, readTime);
 }
 
 void updateSessionWatch(FakeStore &store, const HostId &host, bool isWatching, Revision watchRevision)
--- a/tests/fakestore.h
+++ b/tests/fakestore.h
@@ -35,6 +35,7 @@
     int writesToDelay = 0; ///< Number of next transactions with writes that are answered as Unknown and take effect after `delay`.
     Duration delay{2'000};
     Duration copyTime{0};           ///< Time for which a copy of the queue configuration occupies the link of the host that receives it.
+    Duration readTime{0};           ///< Time for which the answer to a read of a single key occupies the link of the host that receives it.
     std::set<StoreKey> undecodable; ///< Keys whose values no host can decode: answers leave them out with an error, and watches report them as removed.
 };
 
@@ -85,7 +86,7 @@
     std::deque<FakeDelivery> deliveries;
     std::map<StoreKey, int> appliedWrites; ///< Number of writes to each key.
     int calls = 0;
-    std::map<HostId, TimePoint> linkBusyUntil; ///< Time until which copies of the queue configuration occupy the host's link.
+    std::map<HostId, TimePoint> linkBusyUntil; ///< Time until which copies of the queue configuration and answers to reads occupy the host's link.
     std::map<HostId, int> copiesSent;          ///< Copies of the queue configuration that were sent to the host.
 };
 
--- a/tests/testuntrustedclients.cpp
+++ b/tests/testuntrustedclients.cpp
@@ -67,9 +67,9 @@
     return text;
 }
 
-std::string requestHead(const std::string &method, const std::string &headers)
+std::string requestHead(const std::string &method, const std::string &headers, const std::string &workflow = "5c0e7a21d94b36f8")
 {
-    return method + " /ordinary/5c0e7a21d94b36f8 HTTP/1.1\r\nHost: press.example\r\nAuthorization: Bearer key-tailors\r\n" + headers;
+    return method + " /ordinary/" + workflow + " HTTP/1.1\r\nHost: press.example\r\nAuthorization: Bearer key-tailors\r\n" + headers;
 }
 
 std::string announcedPost(std::size_t announcedBytes, const std::string &body)
@@ -231,12 +231,22 @@
         return true;
     }
 
+    void connectClient(std::shared_ptr<const std::string> text, bool readsAnswers)
+    {
+        crowd.push_back(std::make_unique<Client>(callerAddress(host().place), std::move(text), readsAnswers));
+    }
+
     /// Connects the clients and lets them send side by side until the host takes no more.
     void sendFromCrowd(const std::string &text, bool readsAnswers = false, std::size_t clients = clientCount)
     {
         const auto shared = std::make_shared<const std::string>(text);
         peak = useOf(host().process);
-        std::generate_n(std::back_inserter(crowd), clients, [&] { return std::make_unique<Client>(callerAddress(host().place), shared, readsAnswers); });
+        std::ranges::for_each(std::views::iota(std::size_t{0}, clients), [&](std::size_t) { connectClient(shared, readsAnswers); });
+        sendUntilStalled();
+    }
+
+    void sendUntilStalled()
+    {
         auto lastProgress = EventLoop::now();
         const auto hasStopped = [&] {
             const auto sending = std::ranges::count_if(crowd, &Client::sendPiece);
@@ -365,6 +375,25 @@
     expectHostIsSound();
 }
 
+// Guards against a connection to the store for each query that waits for a slow store, which doubles the descriptors that callers use.
+TEST_F(UntrustedClients, queriesOfManyWorkflowsTakeFewConnectionsToTheStore)
+{
+    constexpr Duration slowStore{300};
+    constexpr std::size_t maxReads = 64;
+    constexpr std::size_t ownCalls = 16; // Calls of the host itself beside those under way at the start.
+    world.store.faults.latency = slowStore;
+    peak = useOf(host().process);
+    for (std::size_t number = 0; number < clientCount; ++number) {
+        const auto workflow = std::to_string(1'000'000'000'000'000ULL + number);
+        connectClient(std::make_shared<const std::string>(repeated(requestHead("GET", "\r\n", workflow), 200)), true);
+    }
+    sendUntilStalled();
+    EXPECT_LE(peak.descriptors, atStart.descriptors + clientCount + maxReads + ownCalls);
+    crowd.clear();
+    world.store.faults.latency = PlatformStoreFaults{}.latency;
+    expectHostIsSound();
+}
+
 // Guards against memory for large requests that clients send before they have the answers to earlier ones.
 TEST_F(UntrustedClients, pipelinedSubmissionsLeaveTheHostSound)
 {
--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -1,4 +1,5 @@
 #include "calleranswers.h"
+#include "callerreads.h"
 #include "callerwrites.h"
 #include "controllers.h"
 #include "core/requestid.h"
@@ -145,10 +146,12 @@
         refuse(board, call, RefusalReason::NotFound, "no workflow has this id");
         return;
     }
-    const bool hasTimeToReread = board.now + rereadDelay < latestAnswer(board, call);
-    if (call.request.action == CallerAction::Query && !hasEnded(progress->state) && !call.hasRereadState && hasTimeToReread) {
+    // While other calls wait, the second read would take the place of one of theirs.
+    const bool mayReread = board.now + rereadDelay < latestAnswer(board, call) && waitingCallerReads(board) == 0;
+    if (call.request.action == CallerAction::Query && !hasEnded(progress->state) && !call.hasRereadState && mayReread) {
         OpenCallerCall again = call;
         again.hasRereadState = true;
+        again.step = CallerStep::AwaitingRead;
         again.call.reset();
         again.retryAt = board.now + rereadDelay;
         putCall(board, std::move(again));
@@ -163,15 +166,15 @@
 
 void resend(WorkflowBoard &board, const OpenCallerCall &call)
 {
+    if (call.step == CallerStep::Reading) {
+        handle(board, call);
+        return;
+    }
     const auto routed = route(board, call);
     if (!routed) {
         return;
     }
-    if (call.step == CallerStep::Reading && routed->rest.empty()) {
-        answerWaiting(board, call, *routed);
-    } else if (call.step == CallerStep::Reading) {
-        readProgress(board, call, *routed);
-    } else if (call.step == CallerStep::WritingTombstone) {
+    if (call.step == CallerStep::WritingTombstone) {
         writeTombstone(board, call, *routed);
     } else if (call.request.action == CallerAction::Submit) {
         submit(board, call, *routed);
@@ -180,6 +183,26 @@
     }
 }
 
+/// Checks again whether the call may be served. The proof may become too old while many reads are waiting.
+void continueWaiting(WorkflowBoard &board, OpenCallerCall call)
+{
+    if (!board.view.isStoreReachable) {
+        refuse(board, call, RefusalReason::StoreUnavailable, "the store does not answer");
+    } else if (!isProofFresh(board)) {
+        call.step = CallerStep::Proving;
+        call.provingSince = board.now;
+        putCall(board, std::move(call));
+    }
+}
+
+std::string lateAnswerText(const OpenCallerCall &call)
+{
+    if (call.step == CallerStep::Proving) {
+        return "the configuration has not been proven in time";
+    }
+    return call.step == CallerStep::AwaitingRead ? "the state could not be read in time" : "the store has not answered in time";
+}
+
 /// From this time on the call's proof counts as late. Every proof can be late for a moment, so the call waits for the time in which the store answers a host
 /// that is well, however long this host has to wait for the store.
 TimePoint proofLateAt(const WorkflowBoard &board, const OpenCallerCall &call)
@@ -205,10 +228,9 @@
     }
     if (board.now >= latestAnswer(board, call)) {
         const bool isWriteUnderWay = isWriting(call) && call.call;
-        refuse(board,
-               call,
-               isWriteUnderWay ? RefusalReason::Timeout : RefusalReason::StoreUnavailable,
-               call.step == CallerStep::Proving ? "the configuration has not been proven in time" : "the store has not answered in time");
+        refuse(board, call, isWriteUnderWay ? RefusalReason::Timeout : RefusalReason::StoreUnavailable, lateAnswerText(call));
+    } else if (call.step == CallerStep::AwaitingRead) {
+        continueWaiting(board, call);
     } else if (call.step == CallerStep::Proving && !board.view.isStoreReachable) {
         // The call is refused even if the proof is still fresh: a request sent now would most likely be lost, and the caller could not tell whether it was
         // accepted.
@@ -245,6 +267,10 @@
     }
     const auto askAt = askOthersAt(board, call);
     next = std::min(next, board.now < askAt ? askAt : nextReadinessRound(board));
+    if (call.step == CallerStep::AwaitingRead) {
+        // A call whose read is due waits for the end of another read.
+        return call.retryAt > board.now ? std::min(next, call.retryAt) : next;
+    }
     const bool waitsForRetry =
         !call.call
         && (call.step == CallerStep::Reading || call.step == CallerStep::Writing || (call.step == CallerStep::WritingTombstone && hasTombstoneLease(board)));
@@ -271,6 +297,7 @@
 void answerCallers(WorkflowBoard &board)
 {
     openCalls(board);
+    followCallerReads(board);
     followTombstoneLease(board);
     refreshSummary(board);
     handleSummaryReply(board);
@@ -287,6 +314,7 @@
             continueCall(board, call);
         }
     }
+    sendCallerReads(board);
     std::ranges::for_each(board.calls.rows(), [&](const auto &row) { subscribeNoLaterThan(board.timers, "calls", nextTime(board, row.second)); });
 }
 
--- a/workflow/callerwrites.cpp
+++ b/workflow/callerwrites.cpp
@@ -1,6 +1,7 @@
 #include "callerwrites.h"
 
 #include "calleranswers.h"
+#include "callerreads.h"
 #include "tombstones.h"
 
 #include <algorithm>
@@ -98,13 +99,6 @@
     writeTombstone(board, call, routed);
 }
 
-void readProgress(WorkflowBoard &board, OpenCallerCall call, const RoutedCall &routed)
-{
-    call.step = CallerStep::Reading;
-    call.call = sendToStore(board, StoreRange{workflowProgressKey({routed.rest}), false});
-    putCall(board, std::move(call));
-}
-
 bool awaitsProof(const WorkflowBoard &board, const OpenCallerCall &call)
 {
     const bool isWrite = call.request.action != CallerAction::Query;
--- a/workflow/callerwrites.h
+++ b/workflow/callerwrites.h
@@ -19,9 +19,6 @@
 /// Sends the write of the tombstone, or waits for the lease that it needs.
 void writeTombstone(WorkflowBoard &board, OpenCallerCall call, const RoutedCall &routed);
 
-/// Reads the progress record that the answer needs.
-void readProgress(WorkflowBoard &board, OpenCallerCall call, const RoutedCall &routed);
-
 /// True if the call has to wait for a proof beyond a fresh one: its last write failed without a cause that is known, or its write would most likely fail because
 /// the configuration is changing.
 bool awaitsProof(const WorkflowBoard &board, const OpenCallerCall &call);
--- a/workflow/controllers.h
+++ b/workflow/controllers.h
@@ -90,7 +90,7 @@
 void checkDuties(WorkflowBoard &board);
 
 /// Answers callers: checks the key and the queue, then reads or writes the records that the answer needs.
-/// Reads `view` and the events; writes `calls` and `summary`.
+/// Reads `view` and the events; writes `calls`, `callerReads` and `summary`.
 void answerCallers(WorkflowBoard &board);
 
 }
--- a/workflow/domainsettings.h
+++ b/workflow/domainsettings.h
@@ -47,6 +47,7 @@
     Duration retryAfter{1'000};       ///< Retry delay for callers whose request was refused for a temporary reason that affects all hosts.
     Duration readinessAge{300};       ///< Maximum age of another host's answer that it is ready.
     Duration readinessTimeout{120};   ///< Timeout of a readiness check, which delays the refusal of a caller. Hosts answer within a few milliseconds.
+    int maxCallerReads = 64;          ///< Limit on reads for callers under way. It lies below the 100 connections that HttpClient keeps open for reuse.
     Duration tombstoneLease{300'000}; ///< Lease of tombstones. A tombstone lives for at least half of it, longer than a write can be late after an outage.
     Duration tombstonePeriod{50};     ///< Mean time between two tombstones that a host writes; each of them is a write call, of which the store takes few.
     int maxTombstoneBurst = 40;       ///< Number of tombstones that a host may write without a pause.
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -336,6 +336,7 @@
 enum class CallerStep
 {
     Proving,          ///< The call waits for a fresh proof of the configuration.
+    AwaitingRead,     ///< The call waits until the workflow's progress may be read.
     Reading,          ///< The record that the answer needs is being read.
     Writing,          ///< The workflow or the cancellation is being written.
     WritingTombstone, ///< The workflow to cancel does not exist, and a tombstone is being written, or waits for its lease.
@@ -351,6 +352,7 @@
     TimePoint provingSince;                ///< When the call began to wait for a fresh proof.
     TimePoint answerBy = TimePoint::max(); ///< Limit of the time of the answer, beside the one that the caller's deadline sets.
     std::optional<CallId> call;
+    RequestId workflow;                   ///< The workflow whose progress is read.
     TimePoint sentAt;                     ///< When the newest write was sent.
     Revision requiredRevision = 0;        ///< Revision of the configuration on which that write is conditional; zero if it is not.
     std::optional<TimePoint> provenAfter; ///< The call needs a proof that was sent at this time or later.
@@ -451,6 +453,7 @@
     CommitChain chain;
     std::map<OwnerDuty, OverdueDuty> overdueDuties; ///< Written by checkDuties.
     Table<CallId, OpenCallerCall> calls;
+    std::set<CallId> callerReads; ///< Reads of progress records under way, also those whose callers have left. Written by answerCallers.
     SummaryCopy summary;
     TombstoneWriter tombstones; ///< Written by answerCallers.
     HostDirectory directory;
