--- a/tests/fakestore.cpp
+++ b/tests/fakestore.cpp
@@ -192,18 +192,19 @@
 }
 
 /// Delivers the events of one answer once the link of the host has transferred them and everything that was sent before. Returns the time of the delivery.
-TimePoint deliver(FakeStore &store, const HostId &host, TimePoint due, std::vector<Event> events)
+TimePoint deliver(FakeStore &store, const HostId &host, TimePoint due, std::vector<Event> events, Duration readTime = Duration{0})
 {
     int copies = 0;
     std::ranges::for_each(events, [&](const Event &event) { copies += configurationCopies(event); });
     store.copiesSent[host] += copies;
     auto &busyUntil = store.linkBusyUntil[host];
     const auto begin = due;
-    due = std::max(due, busyUntil) + copies * store.faults.copyTime;
-    if (copies > 0 && store.faults.copyTime > Duration{0}) {
+    const auto transferTime = copies * store.faults.copyTime + readTime;
+    due = std::max(due, busyUntil) + transferTime;
+    if (transferTime > Duration{0}) {
         busyUntil = due;
         for (const auto &event : events) {
-            if (const auto *reply = std::get_if<StoreReply>(&event)) {
+            if (const auto *reply = std::get_if<StoreReply>(&event); reply != nullptr && copies > 0) {
                 store.beginnings.push_back({host, begin, reply->id, due - begin});
             }
         }
@@ -317,7 +318,8 @@
     reply.id = call.id;
     const auto *range = std::get_if<StoreRange>(&call.request);
     const auto readLatency = range != nullptr && range->isPrefix ? store.faults.readLatency : Duration{0};
-    deliver(store, host, now + store.faults.latency + readLatency, {std::move(reply)});
+    const auto readTime = range != nullptr && !range->isPrefix ? store.faults.readTime : Duration{0};
+    deliver(store, host, now + store.faults.latency + readLatency, {std::move(reply)}, readTime);
 }
 
 void updateSessionWatch(FakeStore &store, const HostId &host, bool isWatching, Revision watchRevision)
