--- a/tests/testplatformfuzz.cpp
+++ b/tests/testplatformfuzz.cpp
@@ -103,4 +103,12 @@
     });
 }
 
+TEST_F(PlatformFuzz, refusalsOfTargetsAreRead)
+{
+    check("refusal", [] {
+        const TargetOrder stop{CallId{3}, {"i-1"}, "10.0.0.9:80", 7, StopRun{}, Duration{500}};
+        decodeTargetReply(stop, *rc::gen::element(200, 400, 409, 421, 429, 500, 503), mutated(R"({"clockMs":4,"reason":"room","extra":[1,null]})"));
+    });
+}
+
 }
--- a/tests/testplatformtargets.cpp
+++ b/tests/testplatformtargets.cpp
@@ -136,4 +136,15 @@
     EXPECT_EQ(decodeTargetReply(holdOrder(), 400, "").outcome, OrderOutcome::Refused);
 }
 
+// Guards against a host that ends because a target gives the reason of a refusal in another form than a text.
+TEST_F(PlatformTargetCodec, refusalWhoseReasonIsNoTextIsInvalid)
+{
+    for (const auto *reason : {"null", "5", "[]", "{}", "true"}) {
+        const auto reply = decodeTargetReply(holdOrder(), 409, std::string(R"({"clockMs":4,"reason":)") + reason + "}");
+        EXPECT_EQ(reply.outcome, OrderOutcome::Refused) << reason;
+        EXPECT_EQ(reply.refusal, OrderRefusal::Invalid) << reason;
+        EXPECT_EQ(reply.clock, TargetClock{4}) << reason;
+    }
+}
+
 }
