Serve callers once the configuration alone is proven

Callers saw 503, or no state within 3 s, from every host while the store was well: as long as the owner or an evacuation in the answer to a proof could not be decoded ("the newest configuration cannot be decoded"), and as long as it could not be decided for each proof whether an evacuation was older than what the host knew (proofs "outdated").

Cause: a call waited for a proof of all entries, although callers need only the queues and keys. The answer to a proof that failed on another entry, or was not decided, contains the configuration and proves it as well.

Now calls look at the newest time at which the configuration was in force (`currentAt`, which decided submissions already use), and only a configuration that is missing from such an answer counts as unreadable. `provenAt` is renewed as before, so starts, claims and readiness still need all entries. A withdrawn key is refused as early as before, because the same answers bring the configuration that no longer holds it.

--- a/tests/testcallerdeadline.cpp
+++ b/tests/testcallerdeadline.cpp
@@ -20,6 +20,7 @@
     {
         auto &view = board(host).view;
         view.provenAt.reset();
+        view.currentAt.reset();
         view.proof.reset();
         view.lateProofs.clear();
         view.nextProofAt = now + delay;
--- a/tests/testcallerproof.cpp
+++ b/tests/testcallerproof.cpp
@@ -132,6 +132,7 @@
 {
     auto &own = board("h1");
     own.view.provenAt.reset();
+    own.view.currentAt.reset();
     own.view.proof.reset();
     own.view.nextProofAt = now + Duration{2'000};
     const auto call = submit(id(1), batch(1, {1'000, 1'000, 1}));
--- a/tests/testlatesubmissions.cpp
+++ b/tests/testlatesubmissions.cpp
@@ -131,6 +131,7 @@
 {
     auto &own = board("h2");
     own.view.provenAt.reset();
+    own.view.currentAt.reset();
     own.view.proof.reset();
     own.view.nextProofAt = now + Duration{300}; // Short enough for the proof not to count as late, which would refuse the submission.
     const auto submission = submit(id(1), work(), {}, "h2");
@@ -227,6 +228,7 @@
 {
     auto &own = board("h2");
     own.view.provenAt.reset();
+    own.view.currentAt.reset();
     own.view.proof.reset();
     own.view.lateProofs.clear();
     own.view.nextProofAt = now + Duration{200};
--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -47,7 +47,7 @@
     submit(board, call, routed);
 }
 
-/// Handles a call once there is a fresh proof of the configuration.
+/// Handles a call once there is a fresh proof of the configuration. The owner and the evacuations do not matter to callers.
 void handle(WorkflowBoard &board, const OpenCallerCall &call)
 {
     const auto routed = route(board, call);
@@ -215,9 +215,9 @@
         refuse(board, call, RefusalReason::StoreUnavailable, board.view.isLoaded ? "the store does not answer" : "the host has no configuration yet");
     } else if (call.step == CallerStep::Proving && board.view.isUnreadable) {
         refuse(board, call, RefusalReason::StoreUnavailable, "the newest configuration cannot be decoded");
-    } else if (call.step == CallerStep::Proving && isProofFresh(board) && !awaitsProof(board, call)) {
+    } else if (call.step == CallerStep::Proving && isConfigurationFresh(board) && !awaitsProof(board, call)) {
         handle(board, call);
-    } else if (call.step == CallerStep::Proving && !isProofFresh(board) && board.now >= proofLateAt(board, call) && areMostOtherHostsReady(board)) {
+    } else if (call.step == CallerStep::Proving && !isConfigurationFresh(board) && board.now >= proofLateAt(board, call) && areMostOtherHostsReady(board)) {
         refuse(board, call, RefusalReason::StoreUnavailable, "the proof of the configuration is late, and other hosts are ready");
     } else if (call.step == CallerStep::WritingTombstone && !call.call && !hasTombstoneLease(board)) {
         if (!board.tombstones.grant) {
@@ -233,7 +233,7 @@
 TimePoint askOthersAt(const WorkflowBoard &board, const OpenCallerCall &call)
 {
     const auto last = latestAnswer(board, call) - readinessTimeout(board);
-    return call.step == CallerStep::Proving && !isProofFresh(board) ? std::min(last, proofLateAt(board, call)) : last;
+    return call.step == CallerStep::Proving && !isConfigurationFresh(board) ? std::min(last, proofLateAt(board, call)) : last;
 }
 
 /// When the call has to be considered again, even if nothing happens before.
--- a/workflow/calleranswers.cpp
+++ b/workflow/calleranswers.cpp
@@ -33,6 +33,17 @@
 
 }
 
+std::optional<TimePoint> configurationProvenAt(const ConfigurationView &view)
+{
+    return std::max(view.provenAt, view.currentAt);
+}
+
+bool isConfigurationFresh(const WorkflowBoard &board)
+{
+    const auto provenAt = configurationProvenAt(board.view);
+    return board.view.isLoaded && provenAt && board.now - *provenAt <= board.self.limits.maxProofAge;
+}
+
 TimePoint latestAnswer(const WorkflowBoard &board, const OpenCallerCall &call)
 {
     const auto timeout = call.request.answerTimeout > Duration{0} ? call.request.answerTimeout : defaultAnswerTimeout;
@@ -60,7 +71,8 @@
     if (timeout > Duration{0} && took >= timeout) {
         count(board.counters, "answersAfterDeadline", outcome);
     }
-    const auto age = board.view.provenAt ? std::to_string((board.now - *board.view.provenAt).count()) : "unknown";
+    const auto provenAt = configurationProvenAt(board.view);
+    const auto age = provenAt ? std::to_string((board.now - *provenAt).count()) : "unknown";
     logDecision(board,
                 "answerCall",
                 call.request.host,
--- a/workflow/calleranswers.h
+++ b/workflow/calleranswers.h
@@ -12,6 +12,12 @@
 /// Retry delay for callers that another host can serve, or that may send the request again at once. Zero is reserved for refusals where a retry cannot succeed.
 constexpr Duration retryAtOnce{1};
 
+/// The newest time at which the known configuration is known to have been in force, whether or not the owner and the evacuations were known as well.
+std::optional<TimePoint> configurationProvenAt(const ConfigurationView &view);
+
+/// True if the configuration alone has been proven recently enough to serve callers.
+bool isConfigurationFresh(const WorkflowBoard &board);
+
 /// Latest time of the call's answer, so that it reaches the caller before the deadline in spite of this host's present timer lag.
 TimePoint latestAnswer(const WorkflowBoard &board, const OpenCallerCall &call);
 
--- a/workflow/proveconfiguration.cpp
+++ b/workflow/proveconfiguration.cpp
@@ -227,16 +227,21 @@
 void handleProofAnswer(WorkflowBoard &board, const StoreProof &proof, const StoreReply &reply)
 {
     auto &view = board.view;
-    // The error of a conflict names an entry that cannot be decoded. The known configuration may then hold a key that has been withdrawn.
+    // The error of a conflict names an entry that cannot be decoded. Unless the configuration is another entry, a key that it holds may have been withdrawn.
     const bool isConflict = reply.outcome == StoreOutcome::Conflict;
-    const bool isUnreadable = isConflict && !reply.error.empty();
-    setUnreadable(board, isUnreadable, reply.error);
+    const bool isIncomplete = isConflict && !reply.error.empty();
+    const bool hasConfiguration = !isConflict || containsConfiguration(reply);
+    setUnreadable(board, isIncomplete && !hasConfiguration, reply.error);
     if (isConflict) {
         countConfigurations(board, reply.entries, "proof");
     }
     const bool isDecided = !isConflict || applyConflict(board, proof, reply);
-    count(board.counters, "proofs", isUnreadable ? "unreadable" : !isDecided ? "outdated" : isConflict ? "changed" : "confirmed");
-    if (isUnreadable) {
+    count(board.counters, "proofs", isIncomplete ? "unreadable" : !isDecided ? "outdated" : isConflict ? "changed" : "confirmed");
+    if (hasConfiguration) {
+        view.currentAt = std::max(view.currentAt, std::optional(proof.sentAt));
+        setReachable(board, true);
+    }
+    if (isIncomplete) {
         countFailure(board, reply.error, "unreadable");
         view.nextProofAt = std::max(view.nextProofAt, board.now + pauseAfterCopy(board, proof));
         return;
@@ -244,9 +249,6 @@
     view.failedProofs = 0;
     view.proofError.clear();
     setReachable(board, true);
-    if (!isConflict || containsConfiguration(reply)) {
-        view.currentAt = std::max(view.currentAt, std::optional(proof.sentAt));
-    }
     if (!isDecided) {
         view.nextProofAt = board.now + pauseAfterCopy(board, proof);
         return;
