Keep listening while connections reach a stopping host

Cause: the listener was closed 2.5 s after SIGTERM, when the load balancer should have removed the host. The platform uses hosts that are not ready while fewer than half of a zone's are, so connections go on arriving, and one whose handshake crosses the closing of the listener is reset. With "--until" the cut is found between 13.969 and 14.000 s; the only thing that happens to a listener or process then is the end of the 2.5 s of front-hcm-q7-5 (SIGTERM at 11.474). Before idle connections were ended, one was found between 16.500 and 16.531 s, where front-hcm-q7-4 exits (16.509).

What arrives is answered as before, with "Connection: close".

Evidence: the test failed before (the host had stopped while connections arrived) and passes now.

--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -634,6 +634,7 @@
     }
     auto state = std::make_unique<Connection>();
     state->number = server.m_nextConnectionNumber++;
+    server.m_lastAcceptedAt = EventLoop::now();
     state->descriptor = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
     state->deadline = EventLoop::now() + server.m_limits.requestTimeout;
     state->isAboveLimit = server.m_connections.size() >= server.m_limits.maxConnections;
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -92,6 +92,12 @@
         return m_connections.size() + m_drain.size();
     }
 
+    /// When the newest connection was accepted; the epoch of the clock if there was none.
+    TimePoint lastAcceptedAt() const
+    {
+        return m_lastAcceptedAt;
+    }
+
     /// Number of connections above the limit that were closed for a new one.
     long long displacedConnections() const
     {
@@ -161,6 +167,7 @@
     HttpRequestId m_nextId = 1;
     unsigned long long m_nextConnectionNumber = 1;
     long long m_displacedConnections = 0;
+    TimePoint m_lastAcceptedAt{};
     bool m_needsAnotherRun = false;
 };
 
--- a/tests/testdomainloop.cpp
+++ b/tests/testdomainloop.cpp
@@ -85,4 +85,20 @@
     EXPECT_TRUE(m_loop.runUntil([this] { return m_isStopped; }, m_settings.gracePeriod));
 }
 
+// Guards against connections that are refused or reset because the load balancer still uses a host that is not ready, as it does while most hosts are stopping.
+TEST_F(DomainLoopStop, connectionThatArrivesAfterTheRemovalPeriodWhileOthersArriveIsAnswered)
+{
+    m_settings.gracePeriod = Duration{6'000};
+    m_host->applySettings(m_settings);
+    m_host->requestStop();
+    for (int number = 0; number < 3; ++number) {
+        m_loop.runUntil([] { return false; }, Duration{1'200});
+        ASSERT_FALSE(m_isStopped);
+        RawClient client(m_loop, m_port);
+        client.send("PUT /queue/5c0e7a21d94b36f8 HTTP/1.1\r\nHost: x\r\n\r\n");
+        ASSERT_TRUE(m_loop.runUntil([&client] { return client.isClosedByPeer(); }, testTimeout));
+        EXPECT_THAT(client.received(), testing::StartsWith("HTTP/1.1 405"));
+    }
+}
+
 }
