Fence late writes for callers whose keys were withdrawn

Callers saw: a submission that was answered "unknown" was stored and started 8 s later, although its key had been removed meanwhile.

Cause: since a call that was decided by a received configuration is written without a condition on it, so a copy that the store executes late always takes effect.

Change: such writes are conditional on a small record, domain/owner/accessfence, which the owner replaces once it knows of a configuration in which a key is missing or belongs to another organisation. Hosts learn of it by the watch of the owner key and by conflicts. A host that knows no fence uses the condition on the configuration; one that has not received the fenced configuration waits for it. A conflict leads to a new check of the call, and a refusal says that nothing was stored only if all unanswered copies had a condition on the key that has changed.

A lease of each host was weighed (docs/platform.md, section 3): it needs renewals by every host at all times and a grant by every host for each withdrawal; the fence takes one write for each withdrawal.

Why it works: whichever host wrote the copy, also one that is cut off, the copy requires a revision that no longer exists after the owner's write. Without an owner a copy can still be stored until the next one has written.

--- a/core/storerecord.cpp
+++ b/core/storerecord.cpp
@@ -100,6 +100,11 @@
     return {"domain/commit"};
 }
 
+StoreKey accessFenceKey()
+{
+    return {domainOwnerKey().path + "/accessfence"};
+}
+
 StoreKey domainSummaryKey()
 {
     return {"domain/summary"};
--- a/core/storerecord.h
+++ b/core/storerecord.h
@@ -118,6 +118,15 @@
     friend bool operator==(const CommitMark &, const CommitMark &) = default;
 };
 
+/// The owner replaces this record once it knows of a configuration that withdraws keys. Writes for callers are conditional on its revision, so that a copy that
+/// the store executes late has no effect.
+struct AccessFence
+{
+    Revision configuration = 0; ///< Revision of the configuration for which the owner wrote the record. Only hosts that know it may use the record.
+
+    friend bool operator==(const AccessFence &, const AccessFence &) = default;
+};
+
 /// Capacity and labels that at least one target of a service has or recently had.
 struct TargetShape
 {
@@ -157,6 +166,7 @@
                                  WorkflowTombstone,
                                  DomainOwner,
                                  CommitMark,
+                                 AccessFence,
                                  DomainSummary,
                                  QueueConfiguration,
                                  ZoneEvacuation,
@@ -287,6 +297,9 @@
 StoreKey workflowProgressKey(const RequestId &id);
 StoreKey domainOwnerKey();
 StoreKey commitMarkKey();
+
+/// Key of the access fence. It begins with the owner's key, so that the hosts' watches of the owner report it too.
+StoreKey accessFenceKey();
 StoreKey domainSummaryKey();
 StoreKey queueConfigurationKey();
 StoreKey zoneEvacuationKey(const AvailabilityZoneId &zone);
--- a/tests/testplatformfuzz.cpp
+++ b/tests/testplatformfuzz.cpp
@@ -72,6 +72,7 @@
         {workflowProgressKey({"ab"}), R"({"state":"running","occurrences":[[0,[[[false,1,0,"",["i",3]]]]]],"finished":0})"},
         {domainSummaryKey(), R"({"waiting":{"q":3},"shapes":[{"service":"s","milliCpu":5,"labels":[],"seenAtMs":4}]})"},
         {domainOwnerKey(), R"({"host":"h","incarnation":4})"},
+        {accessFenceKey(), R"({"configuration":4})"},
     };
     for (const auto &[key, text] : records) {
         check(key.path, [key = key, text = text] { readPlatformRecord(key, mutated(text)).status().IgnoreError(); });
--- a/tests/teststorejson.cpp
+++ b/tests/teststorejson.cpp
@@ -38,7 +38,8 @@
                                                           {configurationCommandKey({"c1"}), change},
                                                           {zoneOwnerKey({"a"}), ZoneOwner{{"a1"}, 2, 3}},
                                                           {hostKey({"a1"}), HostRecord{{"a1"}, {"a"}, "127.0.0.1:1", "127.0.0.1:2", 4}},
-                                                          {ledgerKey(WallTime{}, {"a"}, 1), LedgerBatch{{job}}}};
+                                                          {ledgerKey(WallTime{}, {"a"}, 1), LedgerBatch{{job}}},
+                                                          {accessFenceKey(), AccessFence{7}}};
     const std::vector<ConfigurationItem> items{Organisation{{"kask"}, 7, "ab"},
                                                Guarantee{"g", {"kask"}, {"a"}, {8, 2, 3, 4}},
                                                AvailabilityZone{{"a"}, "harju", true, Duration{5}, Duration{6}},
--- a/wire/recordjson.cpp
+++ b/wire/recordjson.cpp
@@ -242,6 +242,9 @@
     if (path == "domain/commit") {
         return commitMarkFromJson(json);
     }
+    if (path == accessFenceKey().path) {
+        return accessFenceFromJson(json);
+    }
     if (path == "domain/summary") {
         return domainSummaryFromJson(json);
     }
--- a/wire/workflowjson.cpp
+++ b/wire/workflowjson.cpp
@@ -322,6 +322,16 @@
     return {json.at("token").get<Revision>(), json.at("batch").get<long long>()};
 }
 
+nlohmann::json toJson(const AccessFence &record)
+{
+    return {{"configuration", record.configuration}};
+}
+
+AccessFence accessFenceFromJson(const nlohmann::json &json)
+{
+    return {json.at("configuration").get<Revision>()};
+}
+
 nlohmann::json toJson(const DomainSummary &record)
 {
     Json waiting = Json::object();
--- a/wire/workflowjson.h
+++ b/wire/workflowjson.h
@@ -16,6 +16,7 @@
 nlohmann::json toJson(const WorkflowTombstone &record);
 nlohmann::json toJson(const DomainOwner &record);
 nlohmann::json toJson(const CommitMark &record);
+nlohmann::json toJson(const AccessFence &record);
 nlohmann::json toJson(const DomainSummary &record);
 
 // Each of the following functions throws nlohmann::json::exception if a required field is missing or has another type;
@@ -27,6 +28,7 @@
 WorkflowTombstone workflowTombstoneFromJson(const nlohmann::json &json);
 DomainOwner domainOwnerFromJson(const nlohmann::json &json);
 CommitMark commitMarkFromJson(const nlohmann::json &json);
+AccessFence accessFenceFromJson(const nlohmann::json &json);
 DomainSummary domainSummaryFromJson(const nlohmann::json &json);
 
 }
--- a/workflow/callerwrites.cpp
+++ b/workflow/callerwrites.cpp
@@ -1,5 +1,6 @@
 #include "callerwrites.h"
 
+#include "accessfence.h"
 #include "calleranswers.h"
 #include "tombstones.h"
 
@@ -30,13 +31,15 @@
     return board.view.currentAt >= std::optional(call.receivedAt);
 }
 
-/// Sends the write. If the known configuration may have been replaced before the call was received, the write is conditional on its revision.
+/// Sends the write. If the known configuration may have been replaced before the call was received, the write is conditional on its revision. Otherwise it is
+/// conditional on the access fence, so that a copy that is executed late has no effect once keys have been withdrawn.
 void sendWrite(WorkflowBoard &board, OpenCallerCall call, StoreTransaction transaction, long long lease)
 {
-    call.requiredRevision = isDecidable(board, call) ? 0 : board.view.revision;
-    if (call.requiredRevision != 0) {
-        transaction.conditions.push_back({queueConfigurationKey(), call.requiredRevision});
-    }
+    const auto fence = isDecidable(board, call) ? accessFenceCondition(board) : std::nullopt;
+    const auto condition = fence.value_or(StoreCondition{queueConfigurationKey(), board.view.revision});
+    call.isFenced = fence.has_value();
+    call.requiredRevision = condition.revision;
+    transaction.conditions.push_back(condition);
     call.sentAt = board.now;
     call.call = sendToStore(board, std::move(transaction), lease);
     putCall(board, std::move(call));
@@ -108,7 +111,7 @@
 bool awaitsProof(const WorkflowBoard &board, const OpenCallerCall &call)
 {
     const bool isWrite = call.request.action != CallerAction::Query;
-    return board.view.provenAt < call.provenAfter || (isWrite && board.view.isCatchingUp && !isDecidable(board, call));
+    return board.view.provenAt < call.provenAfter || (isWrite && (isFencedOut(board) || (board.view.isCatchingUp && !isDecidable(board, call))));
 }
 
 bool isWriting(const OpenCallerCall &call)
@@ -127,10 +130,11 @@
 /// Handles the call again, because a condition failed that neither a workflow nor a tombstone explains.
 void handleAgain(WorkflowBoard &board, OpenCallerCall call, const StoreReply &reply)
 {
-    const auto configuration = std::ranges::find(reply.entries, queueConfigurationKey(), &StoreEntry::key);
-    if (call.requiredRevision != 0 && configuration != reply.entries.end() && configuration->revision > call.requiredRevision) {
-        // Nothing was written. Earlier copies required this revision or an older one, because a copy without the condition is only followed by such copies.
-        call.mayBeStored = false;
+    const auto required = std::ranges::find(reply.entries, call.isFenced ? accessFenceKey() : queueConfigurationKey(), &StoreEntry::key);
+    if (required != reply.entries.end() && required->revision > call.requiredRevision) {
+        // Nothing was written, and earlier copies with a condition on the same key required this revision of it or an older one.
+        (call.isFenced ? call.hasFencedCopy : call.hasUnfencedCopy) = false;
+        call.mayBeStored = call.mayBeStored && (call.hasFencedCopy || call.hasUnfencedCopy);
     } else {
         call.provenAfter = board.now;
         board.view.nextProofAt = board.now;
@@ -239,6 +243,7 @@
         break;
     case StoreOutcome::Unknown:
         call.mayBeStored = true;
+        (call.isFenced ? call.hasFencedCopy : call.hasUnfencedCopy) = true;
         call.retryAt = board.now;
         if (++call.unansweredWrites >= maxUnansweredWrites && !mayWaitBehindCopies(board, call)) {
             refuse(board, call, RefusalReason::Timeout, "the store has not answered twice");
--- a/workflow/controllers.h
+++ b/workflow/controllers.h
@@ -37,6 +37,10 @@
 /// Reads the events, `updates` and `view`; writes `directory`.
 void followHosts(WorkflowBoard &board);
 
+/// Follows the access fence, and replaces it as the owner once the known configuration has withdrawn keys.
+/// Reads the events, `updates`, `view` and `ownership`; writes `accessFence`.
+void followAccessFence(WorkflowBoard &board);
+
 /// Reads the records that a new owner needs, and adds new workflows and cancellations.
 /// Reads the events, `updates` and `ownership`; writes `load`, and rows of `workflows` and `runs`.
 void loadDomain(WorkflowBoard &board);
--- a/workflow/proveconfiguration.cpp
+++ b/workflow/proveconfiguration.cpp
@@ -21,12 +21,22 @@
     return reply.outcome == StoreOutcome::Applied || reply.outcome == StoreOutcome::Conflict;
 }
 
+/// True if a key of the former configuration is missing in the present one, or belongs to another organisation.
+bool withdrawsKeys(const QueueConfiguration &former, const QueueConfiguration &present)
+{
+    return std::ranges::any_of(former.keys, [&](const auto &row) {
+        const auto found = present.keys.find(row.first);
+        return found == present.keys.end() || found->second != row.second;
+    });
+}
+
 void adoptConfiguration(WorkflowBoard &board, const QueueConfiguration &configuration, Revision revision)
 {
     auto &view = board.view;
     if (revision <= view.revision) {
         return;
     }
+    const bool isFirst = view.revision == 0;
     view.revision = revision;
     view.adoptedAt = board.now;
     // A proof brings only the newest version, the watch all of them. Without a proof, the watch is the only source.
@@ -40,6 +50,9 @@
                     true);
         return;
     }
+    if (isFirst || withdrawsKeys(view.configuration, configuration)) {
+        view.withdrawalRevision = revision;
+    }
     keepFormerCaps(view, configuration, board.now + board.self.limits.maxProofAge, board.now);
     view.configuration = configuration;
     board.isPlanWanted = true;
--- a/workflow/workflowboard.h
+++ b/workflow/workflowboard.h
@@ -162,11 +162,12 @@
     std::optional<StoreProof> proof;    ///< The newest proof, until it is answered or counts as unanswered.
     std::vector<StoreProof> lateProofs; ///< Proofs that count as unanswered, but whose answers would still be read.
     TimePoint nextProofAt;
-    bool isCatchingUp = false;     ///< The configuration has changed since the last confirmed proof, and may change faster than this host can receive it.
-    int failedProofs = 0;          ///< Number of consecutive proofs without an answer.
-    std::string proofError;        ///< Error of the last failed proof.
-    bool isStoreReachable = false; ///< The store answers proofs; a single missing answer does not change this.
-    bool isUnreadable = false;     ///< The newest proof failed on an entry that cannot be decoded, so what this host knows may be out of date.
+    Revision withdrawalRevision = 0; ///< Revision of the newest known configuration that may have withdrawn keys; at first, of the first one.
+    bool isCatchingUp = false;       ///< The configuration has changed since the last confirmed proof, and may change faster than this host can receive it.
+    int failedProofs = 0;            ///< Number of consecutive proofs without an answer.
+    std::string proofError;          ///< Error of the last failed proof.
+    bool isStoreReachable = false;   ///< The store answers proofs; a single missing answer does not change this.
+    bool isUnreadable = false;       ///< The newest proof failed on an entry that cannot be decoded, so what this host knows may be out of date.
 
     friend bool operator==(const ConfigurationView &, const ConfigurationView &) = default;
 };
@@ -333,6 +334,18 @@
     friend bool operator==(const CommitChain &, const CommitChain &) = default;
 };
 
+/// The access fence as this host knows it, and the owner's write of it.
+struct AccessFenceView
+{
+    Revision revision = 0; ///< Revision of the fence's key; zero if it is not known, or does not exist.
+    AccessFence fence;
+    std::optional<CallId> write;
+    AccessFence written; ///< The record in the write under way.
+    TimePoint retryAt;
+
+    friend bool operator==(const AccessFenceView &, const AccessFenceView &) = default;
+};
+
 enum class CallerStep
 {
     Proving,          ///< The call waits for a fresh proof of the configuration.
@@ -352,11 +365,14 @@
     TimePoint answerBy = TimePoint::max(); ///< Limit of the time of the answer, beside the one that the caller's deadline sets.
     std::optional<CallId> call;
     TimePoint sentAt;                     ///< When the newest write was sent.
-    Revision requiredRevision = 0;        ///< Revision of the configuration on which that write is conditional; zero if it is not.
+    bool isFenced = false;                ///< That write is conditional on the access fence, and otherwise on the configuration.
+    Revision requiredRevision = 0;        ///< Revision of that key which the write requires.
     std::optional<TimePoint> provenAfter; ///< The call needs a proof that was sent at this time or later.
     TimePoint retryAt;
     std::optional<Refusal> refusal; ///< Refusal that is delayed until other hosts have answered whether they are ready.
     bool mayBeStored = false;       ///< A write with an unknown outcome was sent.
+    bool hasFencedCopy = false;     ///< A write that was conditional on the access fence was not answered.
+    bool hasUnfencedCopy = false;   ///< A write that was conditional on the configuration was not answered.
     int unansweredWrites = 0;       ///< Number of times that the write was sent and not answered.
     bool hasRereadState = false;    ///< The state has been scheduled to be read a second time.
 
@@ -435,6 +451,7 @@
     std::vector<MirrorUpdate> updates;          ///< Updates of the current step. Written by followStore and proveConfiguration.
     ConfigurationView view;
     Ownership ownership;
+    AccessFenceView accessFence; ///< Written by followAccessFence.
     DomainLoad load;
     WorkflowTable workflows;
     std::vector<UrgentArrival> urgentArrivals; ///< Recent arrivals of urgent work. Written by loadDomain.
--- a/workflow/workflowstep.cpp
+++ b/workflow/workflowstep.cpp
@@ -100,6 +100,7 @@
     followHosts(board);
     checkDuties(board);
     handOver(board);
+    followAccessFence(board);
     loadDomain(board);
     followTargets(board);
     followRuns(board);
