Join the parts: freshness of waiting reads, ports of listeners in tests

Calls that wait for a read use the same proof as all other calls, and the test of an expired proof takes both times away. LargeConfigurationMemory failed once beside other tests: its readiness requests were answered by a listener for callers.

--- a/tests/loopback.cpp
+++ b/tests/loopback.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <set>
 #include <utility>
 
 namespace sequoiastand
@@ -37,8 +38,12 @@
 
 int closedPort()
 {
+    // HttpServer shares ports, so two listeners of a test on the same port would take each other's connections.
+    static std::set<int> taken;
     int port = 0;
-    ::close(boundSocket(SOCK_STREAM, port));
+    do {
+        ::close(boundSocket(SOCK_STREAM, port));
+    } while (!taken.insert(port).second);
     return port;
 }
 
--- a/tests/testcallerreads.cpp
+++ b/tests/testcallerreads.cpp
@@ -136,6 +136,7 @@
     const auto waiting = query(id(2));
     run(2 * tick);
     board("h1").view.provenAt.reset();
+    board("h1").view.currentAt.reset();
     board("h1").view.nextProofAt = now + Duration{60'000};
     EXPECT_EQ(answerTo(waiting).refusal->reason, RefusalReason::StoreUnavailable);
 }
--- a/workflow/answercallers.cpp
+++ b/workflow/answercallers.cpp
@@ -188,7 +188,7 @@
 {
     if (!board.view.isStoreReachable) {
         refuse(board, call, RefusalReason::StoreUnavailable, "the store does not answer");
-    } else if (!isProofFresh(board)) {
+    } else if (!isConfigurationFresh(board)) {
         call.step = CallerStep::Proving;
         call.provingSince = board.now;
         putCall(board, std::move(call));
