Let repeated stop requests not extend a planned stop

Cause: a further SIGTERM was ignored only while the timer of the next check was active. A timer is inactive from when it is due until its callback runs, and libev runs signals before timers, so on a host without processor time a series of signals began the grace period anew each time.

Change: the first request is remembered.

--- a/net/hostloop.cpp
+++ b/net/hostloop.cpp
@@ -95,7 +95,7 @@
 
 void HostLoop::requestStop()
 {
-    if (m_stopTimer.isActive()) {
+    if (m_stopDeadline) {
         return;
     }
     m_stopDeadline = EventLoop::now() + m_settings.host.limits.stopLimit + lastResponsesPeriod;
@@ -175,7 +175,7 @@
 {
     // A request in a socket's buffer would be lost if the process exited now.
     m_server.poll();
-    const bool isTimeOver = EventLoop::now() >= m_stopDeadline;
+    const bool isTimeOver = EventLoop::now() >= *m_stopDeadline;
     if (isTimeOver && m_callers.openCalls() > 0) {
         m_log({"stop", "", "", std::to_string(m_callers.openCalls()) + " calls are not answered within the time limit of a stop", true});
         m_callers.endOpenCalls();
--- a/net/hostloop.h
+++ b/net/hostloop.h
@@ -18,6 +18,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -113,7 +114,7 @@
     CallerApi m_callers;
     Metrics m_metrics;
     std::function<void()> m_onStopped;
-    TimePoint m_stopDeadline;
+    std::optional<TimePoint> m_stopDeadline;
     bool m_wasWatching = false;
 };
 
--- a/tests/testdomainloop.cpp
+++ b/tests/testdomainloop.cpp
@@ -4,7 +4,10 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <chrono>
+#include <csignal>
 #include <memory>
+#include <thread>
 #include <vector>
 
 namespace sequoiastand
@@ -85,6 +88,21 @@
     EXPECT_TRUE(m_loop.runUntil([this] { return m_isStopped; }, m_settings.gracePeriod));
 }
 
+// Guards against a host that is killed because each further signal begins its grace period anew: a signal may be handled while the check of the stop is due.
+TEST_F(DomainLoopStop, repeatedRequestsDoNotExtendTheGracePeriod)
+{
+    constexpr std::chrono::milliseconds busyTime{60};
+    SignalWatch again(m_loop, SIGUSR1, [this] { m_host->requestStop(); });
+    m_host->requestStop();
+    const auto end = EventLoop::now() + m_settings.gracePeriod;
+    while (!m_isStopped && EventLoop::now() < end) {
+        std::this_thread::sleep_for(busyTime);
+        raise(SIGUSR1);
+        m_loop.runUntil([this] { return m_isStopped; }, Duration{1});
+    }
+    EXPECT_TRUE(m_isStopped);
+}
+
 // Guards against connections that are refused or reset because the load balancer still uses a host that is not ready, as it does while most hosts are stopping.
 TEST_F(DomainLoopStop, connectionThatArrivesAfterTheRemovalPeriodWhileOthersArriveIsAnswered)
 {
