--- a/tests/testsoakproxy.cpp
+++ b/tests/testsoakproxy.cpp
@@ -44,6 +44,17 @@
         return reply == nullptr ? std::nullopt : std::optional(*reply);
     }
 
+    /// Stores a configuration whose only key has so many bytes.
+    QueueConfiguration putConfigurationWithKey(std::size_t bytes)
+    {
+        QueueConfiguration configuration;
+        configuration.version = 3;
+        configuration.keys.emplace(std::string(bytes, 'k'), OrganisationId{"tailors"});
+        configuration.organisations.emplace(OrganisationId{"tailors"}, OrganisationShare{{"tailors"}, 16});
+        putItem(store, configurationItemName(), configurationText(configuration));
+        return configuration;
+    }
+
     StoreOutcome create(const std::string &host)
     {
         StoreTransaction transaction;
@@ -170,11 +181,7 @@
 // Guards against a limit of the rate that passes bytes early, or loses some of a large answer.
 TEST_F(SoakProxy, limitedRateDelaysALargeAnswerAndKeepsItWhole)
 {
-    QueueConfiguration configuration;
-    configuration.version = 3;
-    configuration.keys.emplace(std::string(100'000, 'k'), OrganisationId{"tailors"});
-    configuration.organisations.emplace(OrganisationId{"tailors"}, OrganisationShare{{"tailors"}, 16});
-    putItem(store, configurationItemName(), configurationText(configuration));
+    const auto configuration = putConfigurationWithKey(100'000);
     proxy->setRate(500'000);
     const auto begin = EventLoop::now();
     EXPECT_EQ(ask(StoreRange{queueConfigurationKey(), false}, Duration{5'000})->entries.front().record, StoreRecord{configuration});
@@ -184,11 +191,7 @@
 // Guards against a host with a narrow link that never receives the configuration, because each call ends before the answer does.
 TEST_F(SoakProxy, largeAnswerThatArrivesForLongerThanTheTimeoutIsReceived)
 {
-    QueueConfiguration configuration;
-    configuration.version = 3;
-    configuration.keys.emplace(std::string(200'000, 'k'), OrganisationId{"tailors"});
-    configuration.organisations.emplace(OrganisationId{"tailors"}, OrganisationShare{{"tailors"}, 16});
-    putItem(store, configurationItemName(), configurationText(configuration));
+    const auto configuration = putConfigurationWithKey(200'000);
     proxy->setRate(200'000);
     constexpr Duration timeout{400};
     const auto begin = EventLoop::now();
